--- /dev/null
+++ b/cmake/hawthornlane.cmake
@@ -0,0 +1,38 @@
+# hawthornlane_library(NAME [DEPENDS lib...] [LINK target...])
+#
+# Declares libs/NAME with its public headers, its sources and, when it has a
+# test folder, one test program per library that CTest runs.
+function(hawthornlane_library name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS;LINK" ${ARGN})
+  set(root ${CMAKE_SOURCE_DIR}/libs/${name})
+  file(GLOB sources CONFIGURE_DEPENDS ${root}/src/*.cc)
+  set(target hawthornlane_${name})
+  if(sources)
+    add_library(${target} STATIC ${sources})
+    set(scope PUBLIC)
+  else()
+    add_library(${target} INTERFACE)
+    set(scope INTERFACE)
+  endif()
+  target_include_directories(${target} ${scope} ${root}/include)
+  foreach(dependency ${ARG_DEPENDS})
+    target_link_libraries(${target} ${scope} hawthornlane_${dependency})
+  endforeach()
+  target_link_libraries(${target} ${scope} ${ARG_LINK})
+
+  file(GLOB tests CONFIGURE_DEPENDS ${root}/test/*_test.cc)
+  if(tests)
+    hawthornlane_test(${name}_test ${tests})
+    target_link_libraries(${name}_test PRIVATE ${target})
+  endif()
+endfunction()
+
+# The one translation unit that holds Catch2's main.
+add_library(hawthornlane_test_main STATIC ${CMAKE_SOURCE_DIR}/cmake/test_main.cc)
+
+# hawthornlane_test(NAME source...): a Catch2 program registered with CTest.
+function(hawthornlane_test name)
+  add_executable(${name} ${ARGN})
+  target_link_libraries(${name} PRIVATE hawthornlane_test_main)
+  add_test(NAME ${name} COMMAND ${name})
+endfunction()
--- /dev/null
+++ b/libs/engine/src/backend_client.cc
@@ -0,0 +1,188 @@
+// Calls to backend servers over HTTP and server-sent events.
+#include "hawthornlane/engine/backend_client.h"
+
+#include <boost/json.hpp>
+#include <chrono>
+
+namespace hawthornlane {
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr duration release_limit = std::chrono::seconds(2);
+constexpr int first_error_status = 400;
+
+duration elapsed_since(std::chrono::steady_clock::time_point start) {
+  return std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - start);
+}
+
+/// Collects a stream of server-sent events into a result.
+class event_reader {
+public:
+  event_reader(backend_result& into, text_sink on_text, std::chrono::steady_clock::time_point began)
+      : result(into), sink(std::move(on_text)), start(began) {}
+
+  bool take(std::string_view part) {
+    this->pending += part;
+    std::size_t end = this->pending.find('\n');
+    std::size_t begin = 0;
+    while (end != std::string::npos) {
+      this->take_line(std::string_view(this->pending).substr(begin, end - begin));
+      begin = end + 1;
+      end = this->pending.find('\n', begin);
+    }
+    this->pending.erase(0, begin);
+    return true;
+  }
+
+  [[nodiscard]] bool done() const { return this->finished; }
+
+private:
+  void take_line(std::string_view line) {
+    constexpr std::string_view prefix = "data: ";
+    if (!line.starts_with(prefix)) {
+      return;
+    }
+    line.remove_prefix(prefix.size());
+    if (line == "[DONE]" || line == "[DONE]\r") {
+      this->finished = true;
+      return;
+    }
+    boost::system::error_code error;
+    const json::value data = json::parse(boost::json::string_view(line.data(), line.size()), error);
+    if (error || !data.is_object()) {
+      return;
+    }
+    this->take_choices(data.as_object());
+    this->take_usage(data.as_object());
+  }
+
+  void take_choices(const json::object& data) {
+    const json::value* choices = data.if_contains("choices");
+    if (choices == nullptr || !choices->is_array() || choices->as_array().empty()) {
+      return;
+    }
+    const json::object* choice = choices->as_array().front().if_object();
+    const json::value* delta = choice == nullptr ? nullptr : choice->if_contains("delta");
+    const json::object* fields = delta == nullptr ? nullptr : delta->if_object();
+    const json::value* content = fields == nullptr ? nullptr : fields->if_contains("content");
+    if (content == nullptr || !content->is_string()) {
+      return;
+    }
+    const json::string& text = content->as_string();
+    if (this->result.answer.empty()) {
+      this->result.first_token = elapsed_since(this->start);
+    }
+    this->result.answer.append(text.data(), text.size());
+    this->result.answer_tokens = this->result.answer_tokens.next();
+    this->sink(std::string_view(text.data(), text.size()));
+  }
+
+  void take_usage(const json::object& data) {
+    const json::value* usage = data.if_contains("usage");
+    if (usage == nullptr || !usage->is_object()) {
+      return;
+    }
+    const auto number = [](const json::object& fields, const char* name) {
+      const json::value* value = fields.if_contains(name);
+      boost::system::error_code error;
+      const auto read = value == nullptr ? 0 : value->to_number<std::int64_t>(error);
+      return token_count(error ? 0 : read);
+    };
+    const json::object& fields = usage->as_object();
+    this->result.prompt_tokens = number(fields, "prompt_tokens");
+    this->result.answer_tokens = number(fields, "completion_tokens");
+    const json::value* details = fields.if_contains("prompt_tokens_details");
+    if (details != nullptr && details->is_object()) {
+      this->result.cached_tokens = number(details->as_object(), "cached_tokens");
+    }
+  }
+
+  backend_result& result;
+  text_sink sink;
+  std::chrono::steady_clock::time_point start;
+  std::string pending;
+  bool finished = false;
+};
+
+http::request post(std::string target, const std::string& request_id, std::string body) {
+  http::request ask;
+  ask.method = "POST";
+  ask.target = std::move(target);
+  ask.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", request_id}};
+  ask.body = std::move(body);
+  return ask;
+}
+
+std::string completion_body(const backend_call& call) {
+  json::object body;
+  body["model"] = call.model.get();
+  body["messages"] = json::parse(call.messages);
+  body["max_tokens"] = call.max_tokens.get();
+  body["stream"] = true;
+  body["stream_options"] = {{"include_usage", true}};
+  body["user"] = call.program.get();
+  return json::serialize(body);
+}
+
+void note_end(backend_result& result, const std::optional<http::response>& head,
+              const http::fetch_failure& why, bool whole) {
+  using kind = backend_result::kind;
+  if (!head) {
+    const bool untouched = why.reached == http::progress::not_connected;
+    result.outcome = untouched ? kind::never_started : kind::broken;
+    result.detail = why.detail;
+    return;
+  }
+  if (head->status >= first_error_status) {
+    result.outcome = kind::failed;
+    result.detail = "status " + std::to_string(head->status);
+    result.answer = head->body;
+    return;
+  }
+  result.outcome = whole ? kind::finished : kind::broken;
+}
+
+}  // namespace
+
+asio::awaitable<backend_result> backend_client::complete(http::endpoint server, backend_call call,
+                                                         text_sink sink) {
+  backend_result result;
+  const auto start = std::chrono::steady_clock::now();
+  event_reader reader(result, std::move(sink), start);
+  http::fetch_failure why;
+  http::request ask = post("/v1/chat/completions", call.request_id, completion_body(call));
+  const auto take = [&reader](std::string_view part) { return reader.take(part); };
+  const auto head =
+      co_await this->client.fetch_stream(server, std::move(ask), call.patience, take, why);
+  note_end(result, head, why, reader.done());
+  result.whole = elapsed_since(start);
+  co_return result;
+}
+
+asio::awaitable<backend_result> backend_client::call_tool(http::endpoint server,
+                                                          backend_call call) {
+  backend_result result;
+  const auto start = std::chrono::steady_clock::now();
+  http::fetch_failure why;
+  http::request ask = post(call.path, call.request_id, call.body);
+  const auto head = co_await this->client.fetch(server, std::move(ask), call.patience, why);
+  note_end(result, head, why, true);
+  if (head && result.outcome == backend_result::kind::finished) {
+    result.answer = head->body;
+  }
+  result.whole = elapsed_since(start);
+  co_return result;
+}
+
+asio::awaitable<bool> backend_client::release(http::endpoint server, program_id program) {
+  json::object body;
+  body["program"] = program.get();
+  http::fetch_failure why;
+  http::request ask = post("/cache/release", "", json::serialize(body));
+  const auto head = co_await this->client.fetch(server, std::move(ask), release_limit, why);
+  co_return head.has_value() && head->status < first_error_status;
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/http/src/client.cc
@@ -0,0 +1,233 @@
+// The HTTP client, on Boost.Beast.
+#include "hawthornlane/http/client.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <mutex>
+
+namespace hawthornlane::http {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t most_idle_per_endpoint = 32;
+constexpr std::size_t read_size = std::size_t{16} * 1024;
+constexpr std::uint64_t largest_answer = std::uint64_t{64} * 1024 * 1024;
+
+std::chrono::steady_clock::duration steady(duration time) {
+  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
+}
+
+}  // namespace
+
+struct client::pool {
+  std::mutex mutex;
+  std::map<endpoint, std::vector<std::unique_ptr<beast::tcp_stream>>> streams;
+
+  std::unique_ptr<beast::tcp_stream> take(const endpoint& where) {
+    const std::lock_guard lock(this->mutex);
+    auto& available = this->streams[where];
+    if (available.empty()) {
+      return nullptr;
+    }
+    auto stream = std::move(available.back());
+    available.pop_back();
+    return stream;
+  }
+
+  void give_back(const endpoint& where, std::unique_ptr<beast::tcp_stream> stream) {
+    stream->expires_never();
+    const std::lock_guard lock(this->mutex);
+    auto& available = this->streams[where];
+    if (available.size() < most_idle_per_endpoint) {
+      available.push_back(std::move(stream));
+    }
+  }
+};
+
+namespace {
+
+using string_request = bhttp::request<bhttp::string_body>;
+
+string_request wire_request(const endpoint& where, const request& what) {
+  string_request message;
+  message.version(11);
+  message.method_string(what.method);
+  message.target(what.target);
+  message.set(bhttp::field::host, to_string(where));
+  for (const header& item : what.headers) {
+    message.set(item.name, item.value);
+  }
+  message.body() = what.body;
+  message.prepare_payload();
+  return message;
+}
+
+template <class Message>
+response plain_response(const Message& message) {
+  response plain;
+  plain.status = static_cast<int>(message.result_int());
+  for (const auto& item : message) {
+    plain.headers.push_back({std::string(item.name_string()), std::string(item.value())});
+  }
+  plain.content_type = std::string(message[bhttp::field::content_type]);
+  return plain;
+}
+
+constexpr int first_error_status = 400;
+
+/// One try to get an answer over one connection.
+struct attempt {
+  std::unique_ptr<beast::tcp_stream> stream;
+  /// A kept connection may have been closed by the server meanwhile.
+  bool reused = false;
+  bool try_again = false;
+  bool reusable = false;
+  std::optional<response> head;
+};
+
+asio::awaitable<bool> connect(beast::tcp_stream& stream, const endpoint& where, duration limit,
+                              fetch_failure& reason) {
+  error_code error;
+  const auto address = asio::ip::make_address(where.address, error);
+  if (!error) {
+    stream.expires_after(steady(limit));
+    co_await stream.async_connect(tcp::endpoint(address, where.port),
+                                  asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (error) {
+    reason = {progress::not_connected, to_string(where) + ": " + error.message()};
+    co_return false;
+  }
+  stream.socket().set_option(tcp::no_delay(true), error);
+  co_return true;
+}
+
+using body_parser = bhttp::response_parser<bhttp::buffer_body>;
+
+/// Reads the body into `sink`, or into the head when the status is an error.
+asio::awaitable<bool> read_body(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                body_parser& parser, duration silence, const body_sink& sink,
+                                response& head, fetch_failure& reason) {
+  const bool is_error = head.status >= first_error_status;
+  std::array<char, read_size> chunk{};
+  while (!parser.is_done()) {
+    parser.get().body().data = chunk.data();
+    parser.get().body().size = chunk.size();
+    stream.expires_after(steady(silence));
+    error_code error;
+    co_await bhttp::async_read_some(stream, buffer, parser,
+                                    asio::redirect_error(asio::use_awaitable, error));
+    if (error && error != bhttp::error::need_buffer) {
+      reason = {progress::answered_in_part, error.message()};
+      co_return false;
+    }
+    const std::string_view part(chunk.data(), chunk.size() - parser.get().body().size);
+    if (is_error) {
+      head.body += part;
+      continue;
+    }
+    if (!part.empty() && !sink(part)) {
+      reason = {progress::answered_in_part, "the receiver ended the transfer"};
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+/// Runs on the connection's own strand, so that its timer never races with it.
+asio::awaitable<void> run(attempt& one, const endpoint& where, const string_request& message,
+                          duration silence, const body_sink& sink, fetch_failure& reason) {
+  if (!one.reused) {
+    const bool connected = co_await connect(*one.stream, where, silence, reason);
+    if (!connected) {
+      co_return;
+    }
+  }
+  error_code error;
+  body_parser parser;
+  parser.body_limit(largest_answer);
+  beast::flat_buffer buffer;
+  one.stream->expires_after(steady(silence));
+  co_await bhttp::async_write(*one.stream, message,
+                              asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    co_await bhttp::async_read_header(*one.stream, buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (error) {
+    reason = {progress::sent_in_part, to_string(where) + ": " + error.message()};
+    one.try_again = one.reused && error != beast::error::timeout;
+    co_return;
+  }
+  response head = plain_response(parser.get());
+  const bool whole = co_await read_body(*one.stream, buffer, parser, silence, sink, head, reason);
+  if (!whole) {
+    co_return;
+  }
+  one.reusable = parser.keep_alive();
+  one.head = std::move(head);
+}
+
+}  // namespace
+
+client::client() : idle(std::make_shared<pool>()) {}
+client::~client() = default;
+
+asio::awaitable<std::optional<response>> client::fetch(endpoint where, request what, duration limit,
+                                                       fetch_failure& reason) {
+  std::string body;
+  auto head = co_await this->fetch_stream(
+      where, std::move(what), limit,
+      [&body](std::string_view part) {
+        body += part;
+        return body.size() <= largest_answer;
+      },
+      reason);
+  if (head && head->body.empty()) {
+    head->body = std::move(body);
+  }
+  co_return head;
+}
+
+asio::awaitable<std::optional<response>> client::fetch_stream(endpoint where, request what,
+                                                              duration silence, body_sink sink,
+                                                              fetch_failure& reason) {
+  const auto executor = co_await asio::this_coro::executor;
+  const string_request message = wire_request(where, what);
+  // Only a request that may run twice goes over a kept connection, since one that
+  // the server has closed cannot be told from one that took the request.
+  const bool repeatable = what.method == "GET";
+  while (true) {
+    attempt one;
+    one.stream = repeatable ? this->idle->take(where) : nullptr;
+    one.reused = one.stream != nullptr;
+    if (!one.stream) {
+      one.stream = std::make_unique<beast::tcp_stream>(asio::make_strand(executor));
+    }
+    const auto strand = one.stream->get_executor();
+    co_await asio::co_spawn(strand, run(one, where, message, silence, sink, reason),
+                            asio::use_awaitable);
+    if (one.try_again) {
+      continue;
+    }
+    if (one.reusable) {
+      this->idle->give_back(where, std::move(one.stream));
+    }
+    co_return std::move(one.head);
+  }
+}
+
+}  // namespace hawthornlane::http
--- /dev/null
+++ b/libs/http/src/message.cc
@@ -0,0 +1,70 @@
+// Plain HTTP values.
+#include "hawthornlane/http/message.h"
+
+#include <algorithm>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+#include <cctype>
+#include <charconv>
+
+namespace hawthornlane::http {
+namespace {
+
+bool equal_ignoring_case(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
+    return std::tolower(x) == std::tolower(y);
+  });
+}
+
+std::optional<std::string> find_in(const std::vector<header>& headers, std::string_view name) {
+  for (const header& item : headers) {
+    if (equal_ignoring_case(item.name, name)) {
+      return item.value;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<std::string> request::find_header(std::string_view name) const {
+  return find_in(this->headers, name);
+}
+
+std::optional<std::string> request::find_query(const std::string& name) const {
+  const auto found = this->query.find(name);
+  if (found == this->query.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::optional<std::string> response::find_header(std::string_view name) const {
+  return find_in(this->headers, name);
+}
+
+std::optional<endpoint> endpoint_from_string(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) {
+    return std::nullopt;
+  }
+  endpoint where;
+  where.address = std::string(text.substr(0, colon));
+  const std::string_view digits = text.substr(colon + 1);
+  const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), where.port);
+  if (read.ec != std::errc{} || read.ptr != digits.data() + digits.size()) {
+    return std::nullopt;
+  }
+  return where;
+}
+
+std::string to_string(const endpoint& where) {
+  return where.address + ":" + std::to_string(where.port);
+}
+
+std::string url_encode(std::string_view text) {
+  return boost::urls::encode(boost::urls::string_view(text.data(), text.size()),
+                             boost::urls::unreserved_chars);
+}
+
+}  // namespace hawthornlane::http
--- /dev/null
+++ b/libs/http/src/server.cc
@@ -0,0 +1,284 @@
+// The HTTP server, on Boost.Beast.
+#include "hawthornlane/http/server.h"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/url/parse.hpp>
+
+namespace hawthornlane::http {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+struct server::state {
+  state(asio::io_context& io, server_limits limit, handler on_request, error_responder on_error)
+      : context(io),
+        acceptor(asio::make_strand(io)),
+        limits(limit),
+        handle(std::move(on_request)),
+        refuse(std::move(on_error)) {}
+
+  asio::io_context& context;
+  tcp::acceptor acceptor;
+  server_limits limits;
+  handler handle;
+  error_responder refuse;
+  std::atomic<std::size_t> active{0};
+  std::atomic<std::size_t> connections{0};
+  std::atomic<bool> stopping{false};
+};
+
+namespace {
+
+/// Counts one thing for as long as it lives.
+class counted {
+public:
+  explicit counted(std::atomic<std::size_t>& target) : counter(target) { ++this->counter; }
+  counted(const counted&) = delete;
+  counted& operator=(const counted&) = delete;
+  ~counted() { --this->counter; }
+
+private:
+  std::atomic<std::size_t>& counter;
+};
+
+std::chrono::steady_clock::duration steady(duration time) {
+  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
+}
+
+class connection_exchange final : public exchange {
+public:
+  connection_exchange(beast::tcp_stream& to, duration limit, bool keep)
+      : stream(to), write_time(limit), keep_alive(keep) {}
+
+  asio::awaitable<bool> respond(response answer) override {
+    bhttp::response<bhttp::string_body> message;
+    this->fill(message, answer);
+    message.body() = std::move(answer.body);
+    message.prepare_payload();
+    this->stream.expires_after(steady(this->write_time));
+    error_code error;
+    co_await bhttp::async_write(this->stream, message,
+                                asio::redirect_error(asio::use_awaitable, error));
+    this->answered = true;
+    co_return this->note(error);
+  }
+
+  asio::awaitable<bool> start_stream(response head) override {
+    bhttp::response<bhttp::empty_body> message;
+    this->fill(message, head);
+    message.chunked(true);
+    bhttp::response_serializer<bhttp::empty_body> serializer{message};
+    this->stream.expires_after(steady(this->write_time));
+    error_code error;
+    co_await bhttp::async_write_header(this->stream, serializer,
+                                       asio::redirect_error(asio::use_awaitable, error));
+    this->answered = true;
+    co_return this->note(error);
+  }
+
+  asio::awaitable<bool> write(std::string_view chunk) override {
+    if (this->gone || chunk.empty()) {
+      co_return !this->gone;
+    }
+    this->stream.expires_after(steady(this->write_time));
+    error_code error;
+    co_await asio::async_write(this->stream,
+                               bhttp::make_chunk(asio::buffer(chunk.data(), chunk.size())),
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return this->note(error);
+  }
+
+  asio::awaitable<bool> finish_stream() override {
+    if (this->gone) {
+      co_return false;
+    }
+    this->stream.expires_after(steady(this->write_time));
+    error_code error;
+    co_await asio::async_write(this->stream, bhttp::make_chunk_last(),
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return this->note(error);
+  }
+
+  [[nodiscard]] bool usable() const { return this->answered && !this->gone && this->keep_alive; }
+  [[nodiscard]] bool was_answered() const { return this->answered; }
+
+private:
+  template <class Message>
+  void fill(Message& message, const response& from) const {
+    message.version(11);
+    message.result(static_cast<unsigned>(from.status));
+    message.set(bhttp::field::content_type, from.content_type);
+    message.keep_alive(this->keep_alive);
+    for (const header& item : from.headers) {
+      message.set(item.name, item.value);
+    }
+  }
+
+  bool note(const error_code& error) {
+    this->gone = this->gone || error.failed();
+    return !this->gone;
+  }
+
+  beast::tcp_stream& stream;
+  duration write_time;
+  bool keep_alive;
+  bool answered = false;
+  bool gone = false;
+};
+
+std::optional<request> plain_request(const bhttp::request<bhttp::string_body>& message) {
+  request plain;
+  plain.method = std::string(message.method_string());
+  plain.target = std::string(message.target());
+  const auto url = boost::urls::parse_origin_form(
+      boost::urls::string_view(plain.target.data(), plain.target.size()));
+  if (!url) {
+    return std::nullopt;
+  }
+  plain.path = url->path();
+  for (const auto& item : url->params()) {
+    plain.query.emplace(std::string(item.key), std::string(item.value));
+  }
+  for (const auto& item : message) {
+    plain.headers.push_back({std::string(item.name_string()), std::string(item.value())});
+  }
+  plain.body = message.body();
+  return plain;
+}
+
+error_kind kind_of(const error_code& error) {
+  if (error == beast::error::timeout) {
+    return error_kind::request_timeout;
+  }
+  const bool too_large = error == bhttp::error::body_limit || error == bhttp::error::header_limit;
+  return too_large ? error_kind::body_too_large : error_kind::bad_request;
+}
+
+bool has_ended(const error_code& error) {
+  return error == bhttp::error::end_of_stream || error == asio::error::eof ||
+         error == asio::error::connection_reset || error == asio::error::operation_aborted;
+}
+
+asio::awaitable<bool> serve_one(const std::shared_ptr<server::state>& shared,
+                                beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+  bhttp::request_parser<bhttp::string_body> parser;
+  parser.header_limit(static_cast<std::uint32_t>(shared->limits.header_bytes));
+  parser.body_limit(shared->limits.body_bytes);
+  error_code error;
+  if (buffer.size() == 0) {
+    stream.expires_after(steady(shared->limits.idle_time));
+    constexpr std::size_t first_read = 4096;
+    const std::size_t got = co_await stream.async_read_some(
+        buffer.prepare(first_read), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return false;
+    }
+    buffer.commit(got);
+  }
+  const counted under_way(shared->active);
+  stream.expires_after(steady(shared->limits.request_time));
+  co_await bhttp::async_read(stream, buffer, parser,
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (has_ended(error)) {
+    co_return false;
+  }
+  const bool keep = !error && parser.keep_alive() && !shared->stopping;
+  connection_exchange reply(stream, shared->limits.write_time, keep);
+  if (error) {
+    const std::string detail = error.message();
+    response refusal = shared->refuse(kind_of(error), detail);
+    co_await reply.respond(std::move(refusal));
+    co_return false;
+  }
+  const std::optional<request> plain = plain_request(parser.get());
+  if (!plain) {
+    response refusal = shared->refuse(error_kind::bad_request, "the target is not a valid path");
+    co_await reply.respond(std::move(refusal));
+    co_return false;
+  }
+  stream.expires_never();
+  co_await shared->handle(*plain, reply);
+  if (!reply.was_answered()) {
+    response refusal = shared->refuse(error_kind::internal, "no answer was made");
+    co_await reply.respond(std::move(refusal));
+  }
+  co_return reply.usable();
+}
+
+asio::awaitable<void> serve_connection(std::shared_ptr<server::state> shared,
+                                       beast::tcp_stream stream) {
+  const counted connected(shared->connections);
+  beast::flat_buffer buffer;
+  error_code ignored;
+  stream.socket().set_option(tcp::no_delay(true), ignored);
+  bool more = true;
+  while (more) {
+    more = co_await serve_one(shared, stream, buffer);
+  }
+  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void log_nothing(const std::exception_ptr& /*fault*/) {
+  // A connection's fault ends that connection only.
+}
+
+asio::awaitable<void> accept_loop(std::shared_ptr<server::state> shared) {
+  while (!shared->stopping) {
+    error_code error;
+    auto socket = co_await shared->acceptor.async_accept(
+        asio::make_strand(shared->context), asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted || shared->stopping) {
+      break;
+    }
+    if (error || shared->connections >= shared->limits.connections) {
+      continue;
+    }
+    const auto strand = socket.get_executor();
+    asio::co_spawn(strand, serve_connection(shared, beast::tcp_stream(std::move(socket))),
+                   log_nothing);
+  }
+}
+
+}  // namespace
+
+server::server(asio::io_context& context, const endpoint& listen_at, server_limits limits,
+               handler handle, error_responder refuse)
+    : shared(std::make_shared<state>(context, limits, std::move(handle), std::move(refuse))) {
+  const tcp::endpoint at(asio::ip::make_address(listen_at.address), listen_at.port);
+  this->shared->acceptor.open(at.protocol());
+  this->shared->acceptor.set_option(asio::socket_base::reuse_address(true));
+  this->shared->acceptor.bind(at);
+  this->shared->acceptor.listen();
+  asio::co_spawn(this->shared->acceptor.get_executor(), accept_loop(this->shared), asio::detached);
+}
+
+server::~server() { this->stop_accepting(); }
+
+endpoint server::where() const {
+  const auto at = this->shared->acceptor.local_endpoint();
+  return {at.address().to_string(), at.port()};
+}
+
+void server::stop_accepting() {
+  if (this->shared->stopping.exchange(true)) {
+    return;
+  }
+  asio::post(this->shared->acceptor.get_executor(), [state = this->shared] {
+    error_code ignored;
+    state->acceptor.close(ignored);
+  });
+}
+
+std::size_t server::active() const { return this->shared->active; }
+
+}  // namespace hawthornlane::http
--- /dev/null
+++ b/libs/membership/src/membership_core.cc
@@ -0,0 +1,273 @@
+// Probing, suspicion and the spread of rumours.
+#include "hawthornlane/membership/membership_core.h"
+
+#include <algorithm>
+#include <bit>
+#include <random>
+
+namespace hawthornlane {
+namespace {
+
+/// Whether `a` is newer news of a host than `b`.
+bool is_newer(const member& a, const member& b) {
+  if (a.id.start != b.id.start) {
+    return a.id.start > b.id.start;
+  }
+  if (a.version != b.version) {
+    return a.version > b.version;
+  }
+  return a.state > b.state;
+}
+
+}  // namespace
+
+membership_core::membership_core(member self, membership_times probing)
+    : own(std::move(self)), times(probing) {
+  this->known[this->own.id.host] = this->own;
+  this->to_spread[this->own.id.host] = this->times.repeats;
+}
+
+const member* membership_core::find(const host_id& host) const {
+  const auto found = this->known.find(host);
+  return found == this->known.end() ? nullptr : &found->second;
+}
+
+const member* membership_core::find_live(const host_incarnation& host) const {
+  const member* found = this->find(host.host);
+  const bool live = found != nullptr && found->id == host &&
+                    (found->state == member_state::alive || found->state == member_state::leaving);
+  return live ? found : nullptr;
+}
+
+std::vector<member> membership_core::usable() const {
+  std::vector<member> hosts;
+  for (const auto& [host, item] : this->known) {
+    if (item.state == member_state::alive) {
+      hosts.push_back(item);
+    }
+  }
+  return hosts;
+}
+
+probe_message membership_core::make(probe_message::kind what, std::uint64_t sequence) {
+  probe_message message;
+  message.what = what;
+  message.from = this->own.id;
+  message.reply_to = this->own.peer_address;
+  message.sequence = sequence;
+  message.documents_digest = this->documents_digest;
+  this->attach_updates(message);
+  return message;
+}
+
+void membership_core::attach_updates(probe_message& message) {
+  message.updates.push_back(this->own);
+  for (auto at = this->to_spread.begin(); at != this->to_spread.end();) {
+    if (message.updates.size() >= this->times.updates_per_message) {
+      break;
+    }
+    const auto found = this->known.find(at->first);
+    if (found != this->known.end() && found->first != this->own.id.host) {
+      message.updates.push_back(found->second);
+    }
+    at->second -= 1;
+    at = at->second == 0 ? this->to_spread.erase(at) : std::next(at);
+  }
+}
+
+const member* membership_core::next_target(std::uint64_t random) {
+  while (true) {
+    if (this->round.empty()) {
+      for (const auto& [host, item] : this->known) {
+        if (host != this->own.id.host && item.state != member_state::gone) {
+          this->round.push_back(host);
+        }
+      }
+      if (this->round.empty()) {
+        return nullptr;
+      }
+      std::mt19937_64 order(random);
+      std::shuffle(this->round.begin(), this->round.end(), order);
+    }
+    const host_id host = this->round.back();
+    this->round.pop_back();
+    const member* target = this->find(host);
+    if (target != nullptr && target->state != member_state::gone) {
+      return target;
+    }
+  }
+}
+
+membership_actions membership_core::tick(timestamp now, std::uint64_t random) {
+  membership_actions out;
+  this->check_waiting(now, out);
+  this->end_suspicions(now, out);
+  if (const member* target = this->next_target(random)) {
+    const std::uint64_t sequence = this->next_sequence++;
+    const std::string address = target->peer_address;
+    this->waiting[sequence] = {target->id, now, false, std::nullopt, 0};
+    out.probes.push_back({address, this->make(probe_message::kind::ping, sequence)});
+  }
+  return out;
+}
+
+void membership_core::check_waiting(timestamp now, membership_actions& out) {
+  std::vector<host_incarnation> silent;
+  for (auto at = this->waiting.begin(); at != this->waiting.end();) {
+    waiting_probe& item = at->second;
+    const duration age = now - item.sent;
+    if (age >= this->times.direct_wait && !item.asked_others && !item.on_behalf_of) {
+      item.asked_others = true;
+      this->ask_others(at->first, item, out);
+    }
+    if (age < this->times.period * 2) {
+      ++at;
+      continue;
+    }
+    if (!item.on_behalf_of) {
+      silent.push_back(item.target);
+    }
+    at = this->waiting.erase(at);
+  }
+  for (const host_incarnation& host : silent) {
+    this->suspect(host, now, out);
+  }
+}
+
+void membership_core::ask_others(std::uint64_t sequence, const waiting_probe& item,
+                                 membership_actions& out) {
+  std::uint32_t asked = 0;
+  for (const auto& [host, helper] : this->known) {
+    const bool helps = host != this->own.id.host && host != item.target.host &&
+                       helper.state == member_state::alive;
+    if (!helps || asked == this->times.indirect_probes) {
+      continue;
+    }
+    probe_message request = this->make(probe_message::kind::ping_request, sequence);
+    request.target = item.target;
+    out.probes.push_back({helper.peer_address, std::move(request)});
+    ++asked;
+  }
+}
+
+void membership_core::suspect(const host_incarnation& host, timestamp now,
+                              membership_actions& out) {
+  const auto found = this->known.find(host.host);
+  if (found == this->known.end() || found->second.id != host ||
+      found->second.state != member_state::alive) {
+    return;
+  }
+  member changed = found->second;
+  changed.state = member_state::suspected;
+  this->adopt(changed, now, out);
+}
+
+void membership_core::end_suspicions(timestamp now, membership_actions& out) {
+  std::vector<member> ended;
+  for (const auto& [host, since] : this->suspected_since) {
+    if (now - since >= this->times.suspicion) {
+      ended.push_back(this->known.at(host));
+    }
+  }
+  for (member& item : ended) {
+    item.state = member_state::gone;
+    this->adopt(item, now, out);
+  }
+}
+
+void membership_core::refute(const member& seen) {
+  // Somebody says worse of this host than it says itself.
+  if (seen.id == this->own.id && seen.state != this->own.state &&
+      seen.version >= this->own.version) {
+    this->own.version = seen.version + 1;
+    this->known[this->own.id.host] = this->own;
+    this->to_spread[this->own.id.host] = this->times.repeats;
+  }
+}
+
+void membership_core::merge(const member& seen, timestamp now, membership_actions& out) {
+  if (seen.id.host == this->own.id.host) {
+    this->refute(seen);
+    return;
+  }
+  const auto found = this->known.find(seen.id.host);
+  if (found != this->known.end() && (found->second == seen || !is_newer(seen, found->second))) {
+    return;
+  }
+  if (found == this->known.end() && seen.state == member_state::gone) {
+    return;
+  }
+  this->adopt(seen, now, out);
+}
+
+void membership_core::adopt(const member& seen, timestamp now, membership_actions& out) {
+  const auto found = this->known.find(seen.id.host);
+  std::optional<member_state> before;
+  if (found != this->known.end()) {
+    before = found->second.state;
+  }
+  this->known[seen.id.host] = seen;
+  if (seen.state == member_state::suspected) {
+    this->suspected_since.emplace(seen.id.host, now);
+  } else {
+    this->suspected_since.erase(seen.id.host);
+  }
+  const auto doublings = static_cast<std::uint32_t>(std::bit_width(this->known.size()));
+  this->to_spread[seen.id.host] = this->times.repeats * doublings;
+  out.changes.push_back({seen, before});
+}
+
+membership_actions membership_core::listed(const member& seen, timestamp now) {
+  membership_actions out;
+  if (!this->known.contains(seen.id.host) && seen.id.host != this->own.id.host &&
+      seen.state != member_state::gone) {
+    this->adopt(seen, now, out);
+  }
+  return out;
+}
+
+membership_actions membership_core::receive(const probe_message& message, timestamp now) {
+  membership_actions out;
+  for (const member& seen : message.updates) {
+    // The sender speaks for itself; its word of a new incarnation is first-hand.
+    this->merge(seen, now, out);
+  }
+  const std::uint64_t sequence = message.sequence;
+  if (message.what == probe_message::kind::ping) {
+    out.probes.push_back(
+        {message.reply_to, this->make(probe_message::kind::acknowledge, sequence)});
+    return out;
+  }
+  if (message.what == probe_message::kind::ping_request && message.target) {
+    const member* target = this->find(message.target->host);
+    if (target != nullptr) {
+      const std::uint64_t own_sequence = this->next_sequence++;
+      this->waiting[own_sequence] = {target->id, now, true, message.reply_to, sequence};
+      out.probes.push_back(
+          {target->peer_address, this->make(probe_message::kind::ping, own_sequence)});
+    }
+    return out;
+  }
+  if (message.what != probe_message::kind::acknowledge) {
+    return out;
+  }
+  const auto found = this->waiting.find(sequence);
+  if (found == this->waiting.end()) {
+    return out;
+  }
+  if (found->second.on_behalf_of) {
+    out.probes.push_back({*found->second.on_behalf_of, this->make(probe_message::kind::acknowledge,
+                                                                  found->second.their_sequence)});
+  }
+  this->waiting.erase(found);
+  return out;
+}
+
+void membership_core::leave() {
+  this->own.state = member_state::leaving;
+  this->own.version += 1;
+  this->known[this->own.id.host] = this->own;
+  this->to_spread[this->own.id.host] = this->times.repeats * this->times.updates_per_message;
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/node/include/hawthornlane/node/admin_routes.h
@@ -0,0 +1,58 @@
+// The HTTP interface for operators.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <string>
+
+#include "hawthornlane/http/server.h"
+#include "hawthornlane/node/audit_log.h"
+#include "hawthornlane/node/backend_table.h"
+#include "hawthornlane/node/document_keeper.h"
+#include "hawthornlane/node/host_view.h"
+#include "hawthornlane/node/shard_table.h"
+
+namespace hawthornlane {
+
+/// Everything that the operators' interface reaches.
+struct admin_parts {
+  runtime& time;
+  shard_table& shards;
+  host_view& hosts;
+  document_keeper& documents;
+  backend_table& backends;
+  audit_log& audit;
+  object_store& platform;
+  std::string credential;
+  /// Begins the planned stop of this host.
+  std::function<void(const std::string& who)> drain;
+};
+
+/// Handles operators' requests, below "/v1/admin/".
+class admin_routes {
+public:
+  explicit admin_routes(admin_parts parts);
+
+  [[nodiscard]] static bool owns(const std::string& path);
+  boost::asio::awaitable<void> handle(const http::request& ask, http::exchange& reply);
+
+private:
+  boost::asio::awaitable<http::response> answer(const http::request& ask);
+  boost::asio::awaitable<http::response> apply_document(const http::request& ask,
+                                                        const std::string& service);
+  boost::asio::awaitable<http::response> audit_trail();
+  http::response check_document(const http::request& ask, const std::string& service);
+  http::response show_document(const std::string& service);
+  http::response documents();
+  http::response hosts();
+  http::response servers();
+  http::response programs();
+  http::response program(const std::string& id);
+  http::response drain(const http::request& ask);
+  struct apply_request request_from(const http::request& ask, const std::string& service) const;
+  fleet_view fleet_for(const service_name& service) const;
+
+  admin_parts parts;
+};
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/node/include/hawthornlane/node/front_routes.h
@@ -0,0 +1,83 @@
+// The HTTP interface for callers.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "hawthornlane/http/server.h"
+#include "hawthornlane/node/call_runner.h"
+#include "hawthornlane/node/document_keeper.h"
+#include "hawthornlane/node/host_view.h"
+#include "hawthornlane/peer/peer_network.h"
+
+namespace hawthornlane {
+
+/// Everything that the callers' interface reaches.
+struct front_parts {
+  runtime& time;
+  shard_table& shards;
+  host_view& hosts;
+  document_keeper& documents;
+  call_runner& runner;
+  call_table& calls;
+  /// Where addresses stay good; see `node_settings::address_time`.
+  duration address_time;
+  /// Passes a request on to the owner.
+  std::function<void(const std::string& address, const forwarded_request&, forward_reply)> forward;
+  /// Whether the host takes new programs.
+  std::function<bool()> accepting;
+};
+
+/// Handles callers' requests. Every answer is made from the error table.
+class front_routes {
+public:
+  explicit front_routes(front_parts parts);
+
+  /// True when the path belongs to callers.
+  [[nodiscard]] static bool owns(const std::string& path);
+  /// `forwarded`: came from another host, and is not passed on again.
+  boost::asio::awaitable<void> handle(const http::request& ask, http::exchange& reply,
+                                      bool forwarded);
+
+private:
+  boost::asio::awaitable<void> addresses(const http::request& ask, http::exchange& reply);
+  boost::asio::awaitable<void> open(http::exchange& reply, const caller_identity& caller);
+  boost::asio::awaitable<void> call(const http::request& ask, http::exchange& reply,
+                                    const caller_identity& caller, const program_id& program);
+  boost::asio::awaitable<void> close(http::exchange& reply, const caller_identity& caller,
+                                     const program_id& program);
+  boost::asio::awaitable<void> show(http::exchange& reply, const caller_identity& caller,
+                                    const program_id& program);
+  boost::asio::awaitable<void> fetch(http::exchange& reply, const caller_identity& caller,
+                                     const program_id& program, const std::string& ticket_text);
+  boost::asio::awaitable<void> pass_on(const http::request& ask, http::exchange& reply,
+                                       shard_id shard);
+  boost::asio::awaitable<void> relay(http::exchange& reply, call_channel& channel, bool stream);
+  boost::asio::awaitable<void> route_program(const http::request& ask, http::exchange& reply,
+                                             const caller_identity& caller, bool forwarded);
+
+  bool read_program(const program_id& program, const caller_identity& caller,
+                    const std::function<void(const shard_core&, const program_state&)>& read);
+  std::optional<prepared_call> prepare(const http::request& ask, const caller_identity& caller,
+                                       const program_id& program, bool& stream, failure& reason);
+  bool prepare_model_call(const service_document& document, prepared_call& call,
+                          const struct call_fields& fields, failure& reason);
+  bool prepare_tool_call(const service_document& document, prepared_call& call,
+                         const struct call_fields& fields, failure& reason);
+  std::optional<std::string> conversation(const program_id& program,
+                                          const std::string& new_messages);
+  /// A shard of this host that can take a new program.
+  std::optional<shard_id> own_shard();
+  std::optional<member> owner_of(shard_id shard);
+
+  front_parts parts;
+};
+
+/// The response that the error table gives for `kind`.
+http::response error_response(error_kind kind, std::string_view detail);
+/// The bearer credential of a request, or an empty text.
+std::string credential_of(const http::request& ask);
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/node/include/hawthornlane/node/host_view.h
@@ -0,0 +1,40 @@
+// What this host knows of the other hosts, behind one lock.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hawthornlane/membership/membership_core.h"
+
+namespace hawthornlane {
+
+/// A thread-safe shell round the membership core.
+class host_view {
+public:
+  host_view(member self, membership_times times) : core(std::move(self), times) {}
+
+  membership_actions tick(timestamp now, std::uint64_t random);
+  membership_actions receive(const probe_message& message, timestamp now);
+  membership_actions listed(const member& seen, timestamp now);
+  void leave();
+  void set_documents_digest(std::uint64_t digest);
+
+  [[nodiscard]] member self() const;
+  [[nodiscard]] std::vector<member> all() const;
+  [[nodiscard]] std::vector<member> usable() const;
+  [[nodiscard]] std::optional<member> find(const host_id& host) const;
+  /// The member if that incarnation is alive or leaving.
+  [[nodiscard]] std::optional<member> find_live(const host_incarnation& host) const;
+  /// Whether that incarnation is known to have ended.
+  [[nodiscard]] bool has_ended(const host_incarnation& host) const;
+
+private:
+  mutable std::mutex mutex;
+  membership_core core;
+};
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/node/include/hawthornlane/node/runtime.h
@@ -0,0 +1,40 @@
+// Time and randomness for the parts of a host that face the outside.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <mutex>
+#include <random>
+
+#include "hawthornlane/units/ids.h"
+#include "hawthornlane/units/quantities.h"
+
+namespace hawthornlane {
+
+/// The one place where a host reads clocks and draws random numbers.
+class runtime {
+public:
+  explicit runtime(boost::asio::io_context& io) : context(io), engine(std::random_device{}()) {}
+
+  [[nodiscard]] timestamp now() const {
+    const auto since = std::chrono::steady_clock::now().time_since_epoch();
+    return timestamp(std::chrono::duration_cast<duration>(since));
+  }
+  /// Milliseconds since 1970.
+  [[nodiscard]] std::int64_t wall_clock_ms() const {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+  }
+  [[nodiscard]] std::uint64_t random() {
+    const std::lock_guard lock(this->mutex);
+    return this->engine();
+  }
+
+  boost::asio::io_context& context;
+
+private:
+  std::mutex mutex;
+  std::mt19937_64 engine;
+};
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/node/src/front_routes.cc
@@ -0,0 +1,756 @@
+// Answering callers.
+#include "hawthornlane/node/front_routes.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+
+namespace hawthornlane {
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+/// The body of a call as the caller wrote it.
+struct call_fields {
+  std::string ticket_text;
+  std::optional<std::string> digest;
+  json::array messages;
+  std::optional<std::int64_t> max_tokens;
+  std::string tool;
+  std::string path;
+  json::value body;
+  bool stream = false;
+};
+
+namespace {
+
+constexpr std::int64_t bytes_per_token = 4;
+constexpr int retry_after_ms = 500;
+constexpr duration model_silence = std::chrono::seconds(60);
+const std::string programs_path = "/v1/programs";
+
+std::string hex(std::uint64_t value) { return fmt::format("{:016x}", value); }
+
+std::optional<std::uint64_t> from_hex(const std::string& text) {
+  std::uint64_t value = 0;
+  const auto read = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  if (text.empty() || read.ptr != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+http::response json_response(const json::object& body, int status = 200) {
+  http::response answer;
+  answer.status = status;
+  answer.body = json::serialize(body) + "\n";
+  return answer;
+}
+
+void put_error(json::object& body, error_kind kind, std::string_view detail) {
+  const error_answer& row = answer_for(kind);
+  body["error"] = row.name;
+  body["outcome"] = outcome_name(row.outcome);
+  body["meaning"] = row.meaning;
+  if (!detail.empty()) {
+    body["detail"] = detail;
+  }
+  if (row.retry_later) {
+    body["retry_after_ms"] = retry_after_ms;
+  }
+}
+
+json::object to_json(const call_answer& answer) {
+  json::object body;
+  if (answer.error) {
+    put_error(body, *answer.error, answer.detail);
+  } else {
+    body["outcome"] = "kept";
+  }
+  if (answer.turn) {
+    body["turn"] = answer.turn->run_under.turn.get();
+    body["answer"] = answer.turn->answer;
+    body["used_tokens"] = answer.turn->used.get();
+    body["backend_failed"] = answer.turn->failed;
+  }
+  if (answer.next) {
+    body["ticket"] = to_string(*answer.next);
+    body["digest"] = hex(answer.digest);
+    body["budget_left"] = answer.budget_left.get();
+  }
+  if (!answer.error) {
+    body["copies"] = answer.copies;
+    body["replayed"] = answer.replayed;
+  }
+  return body;
+}
+
+http::response to_response(const call_answer& answer, int good_status = 200) {
+  const int status = answer.error ? answer_for(*answer.error).http_status : good_status;
+  http::response made = json_response(to_json(answer), status);
+  if (answer.error && answer_for(*answer.error).retry_later) {
+    made.headers.push_back({"Retry-After", "1"});
+  }
+  return made;
+}
+
+std::string server_sent_event(std::string_view name, const json::object& data) {
+  return fmt::format("event: {}\ndata: {}\n\n", name, json::serialize(data));
+}
+
+std::optional<call_fields> read_call(const std::string& text, std::string& problem) {
+  boost::system::error_code error;
+  const json::value parsed = json::parse(text, error);
+  const json::object* object = error ? nullptr : parsed.if_object();
+  if (object == nullptr) {
+    problem = "the body is not a JSON object";
+    return std::nullopt;
+  }
+  call_fields fields;
+  for (const auto& item : *object) {
+    const std::string_view key(item.key().data(), item.key().size());
+    const json::value& value = item.value();
+    if (key == "ticket" && value.is_string()) {
+      fields.ticket_text = std::string(value.as_string());
+    } else if (key == "digest" && value.is_string()) {
+      fields.digest = std::string(value.as_string());
+    } else if (key == "messages" && value.is_array()) {
+      fields.messages = value.as_array();
+    } else if (key == "max_tokens" && value.is_int64()) {
+      fields.max_tokens = value.as_int64();
+    } else if (key == "tool" && value.is_string()) {
+      fields.tool = std::string(value.as_string());
+    } else if (key == "path" && value.is_string()) {
+      fields.path = std::string(value.as_string());
+    } else if (key == "body") {
+      fields.body = value;
+    } else if (key == "stream" && value.is_bool()) {
+      fields.stream = value.as_bool();
+    } else {
+      problem = fmt::format("'{}' is unknown or has the wrong type", key);
+      return std::nullopt;
+    }
+  }
+  return fields;
+}
+
+/// Puts one finished turn at the end of a conversation.
+void append_turn(json::array& conversation, const finished_turn& turn) {
+  boost::system::error_code error;
+  const json::value request = json::parse(turn.request, error);
+  if (!error && request.is_array()) {
+    for (const json::value& message : request.as_array()) {
+      conversation.push_back(message);
+    }
+    conversation.push_back(json::object{{"role", "assistant"}, {"content", turn.answer}});
+    return;
+  }
+  conversation.push_back(json::object{{"role", "tool"}, {"content", turn.answer}});
+}
+
+/// "/v1/programs/ID[/calls[/TICKET]]" in its parts.
+struct program_path {
+  program_id program;
+  std::string rest;
+};
+
+program_path split_program_path(const std::string& path) {
+  const std::string after = path.substr(programs_path.size() + 1);
+  const std::size_t slash = std::min(after.find('/'), after.size());
+  return {program_id(after.substr(0, slash)), after.substr(slash)};
+}
+
+json::object address_row(const member& host, std::string_view why) {
+  return {{"address", host.front_address},
+          {"host", host.id.host.get()},
+          {"availability_zone", host.zone.get()},
+          {"why", why}};
+}
+
+}  // namespace
+
+http::response error_response(error_kind kind, std::string_view detail) {
+  json::object body;
+  put_error(body, kind, detail);
+  return json_response(body, answer_for(kind).http_status);
+}
+
+std::string credential_of(const http::request& ask) {
+  const std::string value = ask.find_header("authorization").value_or("");
+  constexpr std::string_view scheme = "Bearer ";
+  return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string{};
+}
+
+front_routes::front_routes(front_parts reached) : parts(std::move(reached)) {}
+
+bool front_routes::owns(const std::string& path) {
+  return path == "/v1/addresses" || path.starts_with(programs_path);
+}
+
+asio::awaitable<void> front_routes::handle(const http::request& ask, http::exchange& reply,
+                                           bool forwarded) {
+  if (ask.path == "/v1/addresses") {
+    co_await this->addresses(ask, reply);
+    co_return;
+  }
+  const auto caller = this->parts.documents.identify(credential_of(ask));
+  if (!caller) {
+    const error_kind kind =
+        this->parts.documents.ready() ? error_kind::not_authenticated : error_kind::not_ready;
+    http::response refusal = error_response(kind, "");
+    co_await reply.respond(std::move(refusal));
+    co_return;
+  }
+  if (ask.path == programs_path && ask.method == "POST") {
+    co_await this->open(reply, *caller);
+    co_return;
+  }
+  if (ask.path.starts_with(programs_path + "/")) {
+    co_await this->route_program(ask, reply, *caller, forwarded);
+    co_return;
+  }
+  http::response refusal = error_response(error_kind::not_found, ask.path);
+  co_await reply.respond(std::move(refusal));
+}
+
+std::optional<member> front_routes::owner_of(shard_id shard) {
+  std::optional<host_incarnation> owner;
+  this->parts.shards.read(shard, [&owner](const shard_core& core) {
+    if (core.known_assignment().at > epoch(0)) {
+      owner = core.known_assignment().owner;
+    }
+  });
+  return owner ? this->parts.hosts.find_live(*owner) : std::nullopt;
+}
+
+asio::awaitable<void> front_routes::route_program(const http::request& ask, http::exchange& reply,
+                                                  const caller_identity& caller, bool forwarded) {
+  const program_path path = split_program_path(ask.path);
+  const auto shard = shard_of(path.program);
+  if (!shard || !this->parts.shards.has(*shard)) {
+    http::response refusal = error_response(error_kind::program_unknown, path.program.get());
+    co_await reply.respond(std::move(refusal));
+    co_return;
+  }
+  bool serving = false;
+  this->parts.shards.read(*shard, [&serving](const shard_core& core) { serving = core.serving(); });
+  if (!serving && !forwarded) {
+    co_await this->pass_on(ask, reply, *shard);
+    co_return;
+  }
+  if (!serving) {
+    http::response refusal = error_response(error_kind::not_owner, "");
+    co_await reply.respond(std::move(refusal));
+    co_return;
+  }
+  const std::string calls_path = "/calls";
+  if (path.rest == calls_path && ask.method == "POST") {
+    co_await this->call(ask, reply, caller, path.program);
+  } else if (path.rest.starts_with(calls_path + "/") && ask.method == "GET") {
+    co_await this->fetch(reply, caller, path.program, path.rest.substr(calls_path.size() + 1));
+  } else if (path.rest.empty() && ask.method == "DELETE") {
+    co_await this->close(reply, caller, path.program);
+  } else if (path.rest.empty() && ask.method == "GET") {
+    co_await this->show(reply, caller, path.program);
+  } else {
+    http::response refusal = error_response(error_kind::not_found, ask.method + " " + ask.path);
+    co_await reply.respond(std::move(refusal));
+  }
+}
+
+asio::awaitable<void> front_routes::addresses(const http::request& ask, http::exchange& reply) {
+  json::array rows;
+  std::vector<host_id> named;
+  const auto add = [&](const std::optional<member>& host, std::string_view why) {
+    if (!host || std::find(named.begin(), named.end(), host->id.host) != named.end()) {
+      return;
+    }
+    named.push_back(host->id.host);
+    rows.push_back(address_row(*host, why));
+  };
+  std::uint64_t map_epoch = 0;
+  const auto program = ask.find_query("program");
+  const auto shard = program ? shard_of(program_id(*program)) : std::nullopt;
+  if (shard && this->parts.shards.has(*shard)) {
+    assignment entry;
+    this->parts.shards.read(*shard,
+                            [&entry](const shard_core& core) { entry = core.known_assignment(); });
+    map_epoch = entry.at.get();
+    add(this->parts.hosts.find_live(entry.owner), "owner");
+    for (const host_incarnation& replica : entry.replicas) {
+      add(this->parts.hosts.find_live(replica), "replica");
+    }
+  }
+  std::vector<member> usable = this->parts.hosts.usable();
+  if (!usable.empty()) {
+    // Spread callers that ask without a program evenly.
+    std::rotate(
+        usable.begin(),
+        usable.begin() + static_cast<std::ptrdiff_t>(this->parts.time.random() % usable.size()),
+        usable.end());
+  }
+  const std::string zone = ask.find_query("availability_zone").value_or("");
+  std::stable_partition(usable.begin(), usable.end(),
+                        [&zone](const member& host) { return host.zone.get() == zone; });
+  for (const member& host : usable) {
+    add(host, host.zone.get() == zone ? "same zone" : "live");
+  }
+  const auto keep_seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(this->parts.address_time).count();
+  json::object body;
+  body["addresses"] = rows;
+  body["keep_seconds"] = keep_seconds;
+  body["epoch"] = map_epoch;
+  http::response answer = json_response(body);
+  co_await reply.respond(std::move(answer));
+}
+
+std::optional<shard_id> front_routes::own_shard() {
+  const std::uint32_t count = this->parts.shards.size();
+  const std::uint64_t start = this->parts.time.random();
+  for (std::uint32_t step = 0; step < count; ++step) {
+    const shard_id shard(static_cast<std::uint32_t>((start + step) % count));
+    bool usable = false;
+    this->parts.shards.read(shard, [&usable](const shard_core& core) {
+      usable = core.serving() && core.replicas_in_step() > 0;
+    });
+    if (usable) {
+      return shard;
+    }
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<void> front_routes::open(http::exchange& reply, const caller_identity& caller) {
+  const auto document = this->parts.documents.find(caller.service);
+  const auto shard = this->own_shard();
+  if (!this->parts.accepting() || !shard || !document) {
+    const error_kind kind =
+        this->parts.accepting() ? error_kind::not_ready : error_kind::host_leaving;
+    http::response refusal = error_response(kind, "no shard of this host can take a program");
+    co_await reply.respond(std::move(refusal));
+    co_return;
+  }
+  program_opened opened;
+  opened.program = make_program_id(*shard, this->parts.time.random());
+  opened.account = caller.account;
+  opened.service = caller.service;
+  opened.limits.tokens = document->budget_tokens;
+  opened.limits.turns = static_cast<std::uint32_t>(document->budget_turns);
+  opened.limits.tool_calls = static_cast<std::uint32_t>(document->budget_tool_calls);
+  opened.limits.wall_time_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(document->budget_wall_time).count();
+  opened.opened_at_ms = this->parts.time.wall_clock_ms();
+  const call_table::entry entry = this->parts.calls.add(co_await asio::this_coro::executor);
+  this->parts.shards.change(*shard, [&](shard_core& core) {
+    return core.open_program(entry.id, opened, this->parts.time.random(), this->parts.time.now());
+  });
+  boost::system::error_code error;
+  const call_event event =
+      co_await entry.channel->async_receive(asio::redirect_error(asio::use_awaitable, error));
+  constexpr int created = 201;
+  json::object body = to_json(*event.answer);
+  body["program"] = opened.program.get();
+  body["service"] = caller.service.get();
+  const int status = event.answer->error ? answer_for(*event.answer->error).http_status : created;
+  http::response answer = json_response(body, status);
+  co_await reply.respond(std::move(answer));
+}
+
+bool front_routes::read_program(
+    const program_id& program, const caller_identity& caller,
+    const std::function<void(const shard_core&, const program_state&)>& read) {
+  const auto shard = shard_of(program);
+  bool known = false;
+  this->parts.shards.read(*shard, [&](const shard_core& core) {
+    const program_state* state = core.find_program(program);
+    known = core.serving() && state != nullptr && state->opened.account == caller.account &&
+            state->opened.service == caller.service;
+    if (known) {
+      read(core, *state);
+    }
+  });
+  return known;
+}
+
+std::optional<std::string> front_routes::conversation(const program_id& program,
+                                                      const std::string& new_messages) {
+  json::array conversation;
+  bool known = false;
+  this->parts.shards.read(*shard_of(program), [&](const shard_core& core) {
+    const program_state* state = core.find_program(program);
+    known = state != nullptr;
+    if (known) {
+      for (const finished_turn& turn : state->turns) {
+        append_turn(conversation, turn);
+      }
+    }
+  });
+  if (!known) {
+    return std::nullopt;
+  }
+  const json::value added = json::parse(new_messages);
+  for (const json::value& message : added.as_array()) {
+    conversation.push_back(message);
+  }
+  return json::serialize(conversation);
+}
+
+bool front_routes::prepare_model_call(const service_document& document, prepared_call& call,
+                                      const call_fields& fields, failure& reason) {
+  if (document.model.get().empty()) {
+    reason = {error_kind::bad_request, "the service has no model"};
+    return false;
+  }
+  if (fields.messages.empty()) {
+    reason = {error_kind::bad_request, "'messages' is missing or empty"};
+    return false;
+  }
+  const std::int64_t asked = fields.max_tokens.value_or(document.max_answer_tokens.get());
+  if (asked < 1 || asked > document.max_answer_tokens.get()) {
+    reason = {error_kind::bad_request,
+              fmt::format("'max_tokens' is outside 1 to {}", document.max_answer_tokens.get())};
+    return false;
+  }
+  call.history_request = json::serialize(fields.messages);
+  const auto messages = this->conversation(call.request.program, call.history_request);
+  if (!messages) {
+    reason = {error_kind::program_unknown, ""};
+    return false;
+  }
+  const auto bytes = static_cast<std::int64_t>(call.history_request.size());
+  call.prompt_growth = token_count(bytes / bytes_per_token + 1);
+  call.call.messages = *messages;
+  call.call.max_tokens = token_count(asked);
+  call.call.model = document.model;
+  call.call.patience = std::min(document.call_deadline, model_silence);
+  call.need.model = document.model;
+  call.request.repeatable = true;
+  call.request.reserved = call.prompt_growth + call.call.max_tokens;
+  return true;
+}
+
+bool front_routes::prepare_tool_call(const service_document& document, prepared_call& call,
+                                     const call_fields& fields, failure& reason) {
+  const tool_terms* tool = document.find_tool(fields.tool);
+  if (tool == nullptr) {
+    reason = {error_kind::not_permitted, "the service has no tool '" + fields.tool + "'"};
+    return false;
+  }
+  if (!fields.path.starts_with("/") || fields.path.find_first_of(" \r\n") != std::string::npos) {
+    reason = {error_kind::bad_request, "'path' does not begin with '/' or holds blanks"};
+    return false;
+  }
+  json::object described;
+  described["tool"] = fields.tool;
+  described["path"] = fields.path;
+  described["body"] = fields.body;
+  call.history_request = json::serialize(described);
+  call.call.path = fields.path;
+  call.call.body = json::serialize(fields.body);
+  call.call.patience = tool->timeout;
+  call.need.tool = fields.tool;
+  call.request.repeatable = tool->repeatable;
+  call.request.is_tool_call = true;
+  return true;
+}
+
+std::optional<prepared_call> front_routes::prepare(const http::request& ask,
+                                                   const caller_identity& caller,
+                                                   const program_id& program, bool& stream,
+                                                   failure& reason) {
+  std::string problem;
+  const auto fields = read_call(ask.body, problem);
+  const auto presented = fields ? ticket_from_string(fields->ticket_text) : std::nullopt;
+  if (!fields) {
+    reason = {error_kind::bad_request, problem};
+    return std::nullopt;
+  }
+  if (!presented || presented->shard != *shard_of(program)) {
+    reason = {error_kind::wrong_ticket, "'ticket' is malformed or another shard's"};
+    return std::nullopt;
+  }
+  const auto document = this->parts.documents.find(caller.service);
+  if (!document) {
+    reason = {error_kind::not_permitted, "the service has no document"};
+    return std::nullopt;
+  }
+  stream = fields->stream;
+  prepared_call call;
+  call.shard = presented->shard;
+  call.request.program = program;
+  call.request.account = caller.account;
+  call.request.presented = *presented;
+  call.request.wall_clock_ms = this->parts.time.wall_clock_ms();
+  if (fields->digest) {
+    call.request.known_digest = from_hex(*fields->digest);
+    if (!call.request.known_digest) {
+      reason = {error_kind::bad_request, "'digest' is not 16 hexadecimal digits"};
+      return std::nullopt;
+    }
+  }
+  call.need.program = program;
+  call.call.program = program;
+  call.call.request_id = to_string(*presented);
+  const bool good = fields->tool.empty()
+                        ? this->prepare_model_call(*document, call, *fields, reason)
+                        : this->prepare_tool_call(*document, call, *fields, reason);
+  if (!good) {
+    return std::nullopt;
+  }
+  call.request.request_digest = text_digest(call.history_request);
+  return call;
+}
+
+asio::awaitable<void> front_routes::call(const http::request& ask, http::exchange& reply,
+                                         const caller_identity& caller, const program_id& program) {
+  if (!this->read_program(program, caller, [](const auto&, const auto&) {})) {
+    http::response refusal = error_response(error_kind::program_unknown, program.get());
+    co_await reply.respond(std::move(refusal));
+    co_return;
+  }
+  failure reason;
+  bool stream = false;
+  auto prepared = this->prepare(ask, caller, program, stream, reason);
+  if (!prepared) {
+    http::response refusal = error_response(reason.kind, reason.detail);
+    co_await reply.respond(std::move(refusal));
+    co_return;
+  }
+  const shard_id shard = prepared->shard;
+  call_request request = prepared->request;
+  std::optional<call_answer> early;
+  this->parts.shards.change(shard, [&](shard_core& core) {
+    early = core.check_call(request, this->parts.time.random());
+    return actions{};
+  });
+  if (early) {
+    http::response answer = to_response(*early);
+    co_await reply.respond(std::move(answer));
+    co_return;
+  }
+  const call_table::entry entry = this->parts.calls.add(co_await asio::this_coro::executor);
+  request.call = entry.id;
+  prepared->request.call = entry.id;
+  const auto server = this->parts.runner.prepare(std::move(*prepared));
+  if (!server) {
+    this->parts.calls.remove(entry.id);
+    call_answer refused;
+    this->parts.shards.change(shard, [&](shard_core& core) {
+      refused =
+          core.refuse_call(request, error_kind::no_backend_server, "", this->parts.time.random());
+      return actions{};
+    });
+    http::response answer = to_response(refused);
+    co_await reply.respond(std::move(answer));
+    co_return;
+  }
+  request.server = *server;
+  this->parts.shards.change(shard, [&](shard_core& core) {
+    return core.begin_call(request, this->parts.time.random(), this->parts.time.now());
+  });
+  co_await this->relay(reply, *entry.channel, stream);
+  this->parts.calls.remove(entry.id);
+}
+
+asio::awaitable<void> front_routes::relay(http::exchange& reply, call_channel& channel,
+                                          bool stream) {
+  bool started = false;
+  while (true) {
+    boost::system::error_code error;
+    const call_event event =
+        co_await channel.async_receive(asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      // The caller took its text too slowly; the answer is kept.
+      if (started) {
+        co_await reply.finish_stream();
+      }
+      co_return;
+    }
+    if (!event.answer) {
+      if (!stream) {
+        continue;
+      }
+      if (!started) {
+        http::response head;
+        head.content_type = "text/event-stream";
+        co_await reply.start_stream(std::move(head));
+        started = true;
+      }
+      json::object piece;
+      piece["text"] = event.text;
+      const std::string chunk = server_sent_event("text", piece);
+      co_await reply.write(chunk);
+      continue;
+    }
+    if (!started) {
+      http::response whole = to_response(*event.answer);
+      co_await reply.respond(std::move(whole));
+      co_return;
+    }
+    const std::string last = server_sent_event("answer", to_json(*event.answer));
+    co_await reply.write(last);
+    co_await reply.finish_stream();
+    co_return;
+  }
+}
+
+asio::awaitable<void> front_routes::close(http::exchange& reply, const caller_identity& caller,
+                                          const program_id& program) {
+  if (!this->read_program(program, caller, [](const auto&, const auto&) {})) {
+    http::response refusal = error_response(error_kind::program_unknown, program.get());
+    co_await reply.respond(std::move(refusal));
+    co_return;
+  }
+  const call_table::entry entry = this->parts.calls.add(co_await asio::this_coro::executor);
+  this->parts.shards.change(*shard_of(program), [&](shard_core& core) {
+    return core.close_program(entry.id, program, this->parts.time.now());
+  });
+  co_await this->relay(reply, *entry.channel, false);
+}
+
+asio::awaitable<void> front_routes::show(http::exchange& reply, const caller_identity& caller,
+                                         const program_id& program) {
+  json::object body;
+  const bool known =
+      this->read_program(program, caller, [&](const shard_core& core, const program_state& state) {
+        body["program"] = program.get();
+        body["service"] = state.opened.service.get();
+        body["turns"] = state.turns.size();
+        body["digest"] = hex(state.digest());
+        body["budget_left"] = state.left().get();
+        body["running"] = state.open_intent.has_value();
+        body["closed"] = state.closed;
+        body["epoch"] = core.known_assignment().at.get();
+        body["host"] = core.known_assignment().owner.host.get();
+        body["copies"] = core.replicas_in_step() + 1;
+      });
+  http::response answer =
+      known ? json_response(body) : error_response(error_kind::program_unknown, program.get());
+  co_await reply.respond(std::move(answer));
+}
+
+asio::awaitable<void> front_routes::fetch(http::exchange& reply, const caller_identity& caller,
+                                          const program_id& program,
+                                          const std::string& ticket_text) {
+  const auto asked = ticket_from_string(ticket_text);
+  http::response answer = error_response(error_kind::program_unknown, program.get());
+  const auto look_up = [&](const shard_core&, const program_state& state) {
+    if (!asked) {
+      answer = error_response(error_kind::wrong_ticket, "the ticket is malformed");
+      return;
+    }
+    if (const finished_turn* turn = state.find_finished(*asked)) {
+      call_answer kept;
+      kept.turn = *turn;
+      kept.replayed = true;
+      answer = to_response(kept);
+      return;
+    }
+    if (state.open_intent && state.open_intent->run_under == *asked) {
+      answer = error_response(error_kind::turn_in_progress, "");
+      return;
+    }
+    const bool abandoned = state.find_abandoned(*asked) != nullptr;
+    answer = error_response(abandoned ? error_kind::may_have_run : error_kind::not_found,
+                            "no answer is kept for that ticket");
+  };
+  this->read_program(program, caller, look_up);
+  co_await reply.respond(std::move(answer));
+}
+
+asio::awaitable<void> front_routes::pass_on(const http::request& ask, http::exchange& reply,
+                                            shard_id shard) {
+  const auto owner = this->owner_of(shard);
+  if (!owner || owner->id == this->parts.hosts.self().id) {
+    http::response refusal = error_response(error_kind::not_owner, "the owner is not known yet");
+    co_await reply.respond(std::move(refusal));
+    co_return;
+  }
+  struct piece {
+    int status = 0;
+    std::string content_type;
+    std::string chunk;
+    bool last = false;
+    bool whole = true;
+  };
+  using piece_channel =
+      asio::experimental::concurrent_channel<void(boost::system::error_code, piece)>;
+  constexpr std::size_t capacity = 8192;
+  auto channel = std::make_shared<piece_channel>(co_await asio::this_coro::executor, capacity);
+  const auto push = [channel](piece item) {
+    channel->try_send(boost::system::error_code{}, std::move(item));
+  };
+  forward_reply events;
+  events.head = [push](int status, const std::string& type) {
+    piece item;
+    item.status = status;
+    item.content_type = type;
+    push(std::move(item));
+  };
+  events.chunk = [push](std::string_view chunk) {
+    piece item;
+    item.chunk = std::string(chunk);
+    push(std::move(item));
+  };
+  events.end = [push](bool whole) {
+    piece item;
+    item.last = true;
+    item.whole = whole;
+    push(std::move(item));
+  };
+  forwarded_request passed;
+  passed.method = ask.method;
+  passed.target = ask.target;
+  passed.authorization = ask.find_header("authorization").value_or("");
+  passed.body = ask.body;
+  this->parts.forward(owner->peer_address, passed, events);
+  http::response head;
+  head.headers.push_back({"X-Better-Address", owner->front_address});
+  bool streaming = false;
+  bool answered = false;
+  while (true) {
+    piece item = co_await channel->async_receive(asio::use_awaitable);
+    if (item.status != 0) {
+      head.status = item.status;
+      head.content_type = item.content_type;
+      answered = true;
+      streaming = item.content_type == "text/event-stream";
+      if (streaming) {
+        co_await reply.start_stream(head);
+      }
+    }
+    if (streaming && !item.chunk.empty()) {
+      co_await reply.write(item.chunk);
+    } else {
+      head.body += item.chunk;
+    }
+    if (!item.last) {
+      continue;
+    }
+    if (streaming) {
+      if (!item.whole) {
+        json::object broken;
+        put_error(broken, error_kind::may_have_run, "the owner broke off; fetch the answer");
+        const std::string notice = server_sent_event("answer", broken);
+        co_await reply.write(notice);
+      }
+      co_await reply.finish_stream();
+      co_return;
+    }
+    if (!answered || !item.whole) {
+      // The owner may have begun: nothing may be claimed of the call.
+      head = error_response(
+          ask.method == "POST" ? error_kind::may_have_run : error_kind::peer_unavailable,
+          "the owner did not answer; ask again with the same ticket");
+    }
+    co_await reply.respond(std::move(head));
+    co_return;
+  }
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/node/src/node.cc
@@ -0,0 +1,638 @@
+// Wiring a host together, and its periodic duties.
+#include "hawthornlane/node/node.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+namespace hawthornlane {
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr duration shard_tick = std::chrono::milliseconds(100);
+constexpr duration duty_period = std::chrono::milliseconds(400);
+constexpr duration watch_retry = std::chrono::milliseconds(500);
+constexpr duration audit_period = std::chrono::seconds(2);
+constexpr duration idle_check = std::chrono::seconds(1);
+constexpr duration leave_check = std::chrono::milliseconds(200);
+constexpr duration longest_leave = std::chrono::minutes(10);
+/// When every host of the region stops, there is nobody to hand shards to.
+constexpr duration longest_without_successor = std::chrono::seconds(2);
+constexpr std::size_t audit_batch = 200;
+constexpr std::size_t moves_per_round = 4;
+constexpr std::size_t rounds_per_move = 5;
+
+const std::string hosts_prefix = "hosts/";
+const std::string documents_prefix = "documents/";
+const std::string servers_prefix = "servers/";
+const std::string map_prefix = "shard-map/";
+
+std::uint64_t start_number() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+}
+
+std::string host_object(const member& host) {
+  return json::serialize(json::object{{"start", std::to_string(host.id.start.get())},
+                                      {"availability_zone", host.zone.get()},
+                                      {"front", host.front_address},
+                                      {"peer", host.peer_address},
+                                      {"leaving", host.state == member_state::leaving}});
+}
+
+std::optional<member> host_from(const stored_object& object) {
+  try {
+    const json::value parsed = json::parse(object.value);
+    const json::object& fields = parsed.as_object();
+    member host;
+    host.id = {host_id(object.key.substr(hosts_prefix.size())),
+               incarnation(std::stoull(std::string(fields.at("start").as_string())))};
+    host.zone = availability_zone(std::string(fields.at("availability_zone").as_string()));
+    host.front_address = std::string(fields.at("front").as_string());
+    host.peer_address = std::string(fields.at("peer").as_string());
+    host.state = fields.at("leaving").as_bool() ? member_state::leaving : member_state::alive;
+    return host;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+membership_times probing(const node_settings& settings) {
+  membership_times times;
+  times.suspicion = settings.suspicion;
+  return times;
+}
+
+/// Carries a handler's answer back over the peer network.
+class forwarded_exchange final : public http::exchange {
+public:
+  explicit forwarded_exchange(forward_reply to) : reply(std::move(to)) {}
+
+  asio::awaitable<bool> respond(http::response answer) override {
+    this->reply.head(answer.status, answer.content_type);
+    this->reply.chunk(answer.body);
+    this->reply.end(true);
+    co_return true;
+  }
+  asio::awaitable<bool> start_stream(http::response head) override {
+    this->reply.head(head.status, head.content_type);
+    co_return true;
+  }
+  asio::awaitable<bool> write(std::string_view chunk) override {
+    this->reply.chunk(chunk);
+    co_return true;
+  }
+  asio::awaitable<bool> finish_stream() override {
+    this->reply.end(true);
+    co_return true;
+  }
+
+private:
+  forward_reply reply;
+};
+
+std::optional<http::request> http_request(const forwarded_request& from) {
+  http::request ask;
+  ask.method = from.method;
+  ask.target = from.target;
+  ask.path = from.target.substr(0, from.target.find('?'));
+  ask.headers = {{"Authorization", from.authorization}};
+  ask.body = from.body;
+  return ask;
+}
+
+}  // namespace
+
+node::node(asio::io_context& context, node_settings given, std::function<void()> stopped_hook)
+    : settings(std::move(given)),
+      time(context),
+      self{this->settings.host, incarnation(start_number())},
+      platform(this->settings.platform),
+      shards(this->settings.shards, this->self, ownership_times{}),
+      documents(this->time, this->platform, this->audit, this->settings.host.get()),
+      map(this->time, this->platform, this->settings.shards),
+      on_stopped(std::move(stopped_hook)) {
+  this->peers =
+      std::make_unique<peer_network>(this->settings.peer_listen, this->make_peer_handlers());
+  http::server_limits limits;
+  limits.body_bytes = this->settings.largest_body;
+  this->server = std::make_unique<http::server>(
+      context, this->settings.listen, limits,
+      [this](const http::request& ask, http::exchange& reply) { return this->serve(ask, reply); },
+      [](error_kind kind, std::string_view detail) { return error_response(kind, detail); });
+  member own;
+  own.id = this->self;
+  own.zone = this->settings.zone;
+  own.front_address = http::to_string(this->server->where());
+  own.peer_address = this->peers->where();
+  this->hosts = std::make_unique<host_view>(own, probing(this->settings));
+  this->runner =
+      std::make_unique<call_runner>(this->time, this->shards, this->backends, this->calls);
+  this->duty = std::make_unique<ownership_duty>(this->time, this->shards, *this->hosts,
+                                                this->settings.replicas);
+  this->connect_hooks();
+  this->peers->set_self(this->self);
+  for (const std::string& prefix : {hosts_prefix, documents_prefix, servers_prefix, map_prefix}) {
+    asio::co_spawn(asio::make_strand(context), this->follow(prefix), asio::detached);
+  }
+  asio::co_spawn(asio::make_strand(context), this->announce(), asio::detached);
+  asio::co_spawn(asio::make_strand(context), this->probe_hosts(), asio::detached);
+  asio::co_spawn(asio::make_strand(context), this->tend_shards(), asio::detached);
+  asio::co_spawn(asio::make_strand(context), this->store_audit(), asio::detached);
+  asio::co_spawn(asio::make_strand(context), this->end_idle_programs(), asio::detached);
+  log(event::started, {{"front", own.front_address},
+                       {"peer", own.peer_address},
+                       {"incarnation", std::to_string(this->self.start.get())}});
+}
+
+node::~node() {
+  // Messages that still arrive must find every part alive.
+  this->peers.reset();
+}
+
+http::endpoint node::front_address() const { return this->server->where(); }
+
+std::string node::peer_address() const { return this->peers->where(); }
+
+bool node::ready() const { return this->documents.ready() && this->map.has_read(); }
+
+peer_handlers node::make_peer_handlers() {
+  peer_handlers handlers;
+  handlers.on_shard = [this](const host_incarnation& from, shard_id shard,
+                             const shard_message& message) {
+    if (!this->shards.has(shard)) {
+      return;
+    }
+    this->shards.change(
+        shard, [&](shard_core& core) { return core.receive(from, message, this->time.now()); });
+  };
+  handlers.on_probe = [this](const probe_message& message) { this->take_probe(message); };
+  handlers.on_forward = [this](const forwarded_request& request, const forward_reply& reply) {
+    asio::co_spawn(asio::make_strand(this->time.context), this->serve_forwarded(request, reply),
+                   asio::detached);
+  };
+  return handlers;
+}
+
+void node::connect_hooks() {
+  shard_hooks hooks;
+  hooks.send = [this](shard_id shard, const send_message& message) {
+    if (const auto host = this->hosts->find(message.to.host); host && host->id == message.to) {
+      this->peers->send_shard(host->peer_address, this->self, message.to, shard, message.message);
+    }
+  };
+  hooks.propose = [this](shard_id shard, const propose_assignment& proposal) {
+    this->map.propose(shard, proposal);
+  };
+  hooks.dispatch = [this](shard_id shard, const dispatch_call& order) {
+    this->runner->dispatch(shard, order);
+  };
+  hooks.answer = [this](call_id call, call_answer answer) {
+    this->runner->drop(call);
+    this->calls.complete(call, std::move(answer));
+  };
+  hooks.role = [this](shard_id shard, const role_changed& change) {
+    this->note_role(shard, change);
+  };
+  hooks.release = [this](const release_program& item) { this->runner->release(item.program); };
+  hooks.broken = [this](shard_id shard, const std::string& what) {
+    ++this->broken;
+    log(event::invariant_broken, {{"shard", std::to_string(shard.get())}, {"detail", what}});
+  };
+  this->shards.set_hooks(std::move(hooks));
+
+  this->map.on_entry([this](shard_id shard, const assignment& entry) {
+    this->shards.change(shard,
+                        [&](shard_core& core) { return core.learn(entry, this->time.now()); });
+  });
+  this->map.on_proposal(
+      [this](shard_id shard, proposal_outcome outcome, const std::optional<assignment>& current) {
+        this->shards.change(shard, [&](shard_core& core) {
+          return core.proposal_ended(outcome, current, this->time.now());
+        });
+      });
+
+  front_parts parts{this->time,
+                    this->shards,
+                    *this->hosts,
+                    this->documents,
+                    *this->runner,
+                    this->calls,
+                    this->settings.address_time,
+                    {},
+                    {}};
+  parts.forward = [this](const std::string& address, const forwarded_request& request,
+                         forward_reply reply) {
+    constexpr duration limit = std::chrono::minutes(30);
+    this->peers->forward(address, request, limit, std::move(reply));
+  };
+  parts.accepting = [this] { return !this->leaving && this->ready(); };
+  this->front = std::make_unique<front_routes>(std::move(parts));
+  admin_parts for_operators{this->time,
+                            this->shards,
+                            *this->hosts,
+                            this->documents,
+                            this->backends,
+                            this->audit,
+                            this->platform,
+                            this->settings.operator_credential,
+                            {}};
+  for_operators.drain = [this](const std::string& who) { this->stop(who); };
+  this->admin = std::make_unique<admin_routes>(std::move(for_operators));
+}
+
+asio::awaitable<void> node::serve(const http::request& ask, http::exchange& reply) {
+  if (front_routes::owns(ask.path)) {
+    co_await this->front->handle(ask, reply, false);
+    co_return;
+  }
+  if (admin_routes::owns(ask.path)) {
+    co_await this->admin->handle(ask, reply);
+    co_return;
+  }
+  http::response answer = this->health(ask.path);
+  co_await reply.respond(std::move(answer));
+}
+
+asio::awaitable<void> node::serve_forwarded(forwarded_request request, forward_reply to) {
+  forwarded_exchange reply(std::move(to));
+  const auto ask = http_request(request);
+  co_await this->front->handle(*ask, reply, true);
+}
+
+http::response node::health(const std::string& path) {
+  http::response answer;
+  answer.content_type = "text/plain";
+  if (path == "/healthz") {
+    answer.body = "ok\n";
+    return answer;
+  }
+  if (path == "/readyz") {
+    const bool usable = this->ready() && !this->leaving;
+    answer.status = usable ? 200 : answer_for(error_kind::not_ready).http_status;
+    answer.body = usable ? "ready\n" : (this->leaving ? "leaving\n" : "not ready\n");
+    return answer;
+  }
+  if (path == "/metrics") {
+    answer.body = this->metrics();
+    return answer;
+  }
+  return error_response(error_kind::not_found, path);
+}
+
+std::string node::metrics() const {
+  std::string text;
+  const auto add = [&text](std::string_view name, std::string_view type, auto value) {
+    text += fmt::format("# TYPE hawthornlane_{0} {1}\nhawthornlane_{0} {2}\n", name, type, value);
+  };
+  add("shards_owned", "gauge", this->duty->owned());
+  add("calls_open", "gauge", this->calls.size());
+  add("calls_running", "gauge", this->runner->running());
+  add("tokens_relayed_total", "counter", this->runner->tokens_relayed());
+  add("takeovers_total", "counter", this->takeovers.load());
+  add("invariants_broken_total", "counter", this->broken.load());
+  add("control_bytes_sent_total", "counter", this->peers->control_bytes_sent());
+  add("shard_bytes_sent_total", "counter", this->peers->shard_bytes_sent());
+  add("shard_messages_sent_total", "counter", this->peers->shard_messages_sent());
+  add("audit_entries_dropped_total", "counter", this->audit.dropped());
+  return text;
+}
+
+void node::note_role(shard_id shard, const role_changed& change) {
+  using change_kind = role_changed::change;
+  struct row {
+    change_kind what;
+    event number;
+    std::string_view name;
+  };
+  static constexpr std::array rows{
+      row{change_kind::serving, event::shard_serving, "shard.takeover"},
+      row{change_kind::serving_incomplete, event::shard_serving_incomplete, "shard.takeover"},
+      row{change_kind::completed, event::shard_completed, "shard.completed"},
+      row{change_kind::deposed, event::shard_deposed, "shard.deposed"},
+      row{change_kind::degraded, event::shard_degraded, "shard.degraded"},
+      row{change_kind::restored, event::shard_restored, "shard.restored"}};
+  const row& found = rows.at(static_cast<std::size_t>(change.what));
+  const std::string number = std::to_string(shard.get());
+  const std::string at = std::to_string(change.at.get());
+  log(found.number, {{"shard", number}, {"epoch", at}});
+  const bool taken =
+      change.what == change_kind::serving || change.what == change_kind::serving_incomplete;
+  this->takeovers += taken ? 1 : 0;
+  if (taken || change.what == change_kind::deposed) {
+    this->audit.add({this->time.wall_clock_ms(), this->self.host.get(), "hawthornlane",
+                     std::string(found.name), "shard " + number, "", "epoch " + at,
+                     change.what == change_kind::serving_incomplete ? "log may have a gap" : "ok"});
+  }
+}
+
+// --- hosts -------------------------------------------------------------------
+
+void node::carry_out(const membership_actions& todo) {
+  for (const send_probe& probe : todo.probes) {
+    this->peers->send_probe(probe.address, probe.message);
+  }
+  for (const member_changed& change : todo.changes) {
+    const bool alive = change.now.state == member_state::alive;
+    log(alive ? event::peer_alive : event::peer_suspected,
+        {{"peer", change.now.id.host.get()},
+         {"state", std::to_string(static_cast<int>(change.now.state))}});
+    if (change.now.state != member_state::gone) {
+      continue;
+    }
+    for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+      this->shards.change(shard_id(shard), [&change](shard_core& core) {
+        core.host_gone(change.now.id);
+        return actions{};
+      });
+    }
+  }
+}
+
+void node::take_probe(const probe_message& message) {
+  if (!this->hosts) {
+    return;
+  }
+  this->documents.take_copies(message.documents);
+  this->hosts->set_documents_digest(this->documents.digest());
+  if (message.what == probe_message::kind::documents) {
+    if (!message.marks.empty() || message.documents.empty()) {
+      this->send_documents(message);
+    }
+    return;
+  }
+  this->carry_out(this->hosts->receive(message, this->time.now()));
+  const bool differs = message.documents_digest != this->documents.digest();
+  if (differs && message.what == probe_message::kind::ping) {
+    probe_message ask;
+    ask.what = probe_message::kind::documents;
+    ask.from = this->self;
+    ask.reply_to = this->hosts->self().peer_address;
+    ask.marks = this->documents.marks();
+    this->peers->send_probe(message.reply_to, ask);
+  } else if (!differs && !this->documents.ready() && message.documents_digest != 0) {
+    this->documents.heard_all();
+  }
+}
+
+void node::send_documents(const probe_message& asked) {
+  probe_message copies;
+  copies.what = probe_message::kind::documents;
+  copies.from = this->self;
+  copies.reply_to = this->hosts->self().peer_address;
+  copies.documents = this->documents.lacking(asked.marks);
+  if (!copies.documents.empty()) {
+    this->peers->send_probe(asked.reply_to, copies);
+  }
+}
+
+asio::awaitable<void> node::wait(duration period) {
+  asio::steady_timer timer(this->time.context);
+  timer.expires_after(period);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> node::probe_hosts() {
+  std::size_t next_seed = 0;
+  while (!this->stopped) {
+    this->hosts->set_documents_digest(this->documents.digest());
+    this->carry_out(this->hosts->tick(this->time.now(), this->time.random()));
+    if (this->hosts->all().size() == 1 && !this->settings.seeds.empty()) {
+      probe_message hello;
+      hello.from = this->self;
+      hello.reply_to = this->hosts->self().peer_address;
+      hello.updates = {this->hosts->self()};
+      this->peers->send_probe(this->settings.seeds[next_seed++ % this->settings.seeds.size()],
+                              hello);
+    }
+    co_await this->wait(membership_times{}.period);
+  }
+}
+
+asio::awaitable<void> node::announce() {
+  const std::string key = hosts_prefix + this->self.host.get();
+  bool announced_leaving = false;
+  bool announced = false;
+  while (!this->stopped) {
+    const bool wanted = !announced || (this->leaving && !announced_leaving);
+    if (wanted) {
+      failure reason;
+      const auto object = co_await this->platform.get(key, reason);
+      if (object) {
+        const bool now_leaving = this->leaving;
+        const write_result written =
+            co_await this->platform.put(key, object->version, host_object(this->hosts->self()));
+        announced = announced || written.outcome == write_result::kind::applied;
+        announced_leaving = now_leaving && written.outcome == write_result::kind::applied;
+      }
+    }
+    co_await this->wait(duty_period);
+  }
+}
+
+// --- the platform ------------------------------------------------------------
+
+void node::take_object(const std::string& prefix, const stored_object& object) {
+  if (prefix == hosts_prefix) {
+    if (const auto host = host_from(object)) {
+      this->carry_out(this->hosts->listed(*host, this->time.now()));
+    }
+  } else if (prefix == documents_prefix) {
+    this->documents.take_object(object);
+  } else if (prefix == servers_prefix) {
+    this->backends.take_object(object);
+  } else {
+    this->map.take_object(object);
+  }
+}
+
+asio::awaitable<void> node::follow(std::string prefix) {
+  bool reachable = true;
+  bool listed = false;
+  std::uint64_t revision = 0;
+  while (!this->stopped) {
+    failure reason;
+    std::optional<object_listing> listing;
+    // Not a conditional expression: GCC 12 destroys a temporary of its awaits twice.
+    if (listed) {
+      listing = co_await this->platform.watch(prefix, revision, reason);
+    } else {
+      listing = co_await this->platform.list(prefix, reason);
+    }
+    if (!listing) {
+      if (reachable) {
+        log(event::platform_unreachable, {{"prefix", prefix}, {"detail", reason.detail}});
+      }
+      reachable = false;
+      // Changes may have been missed, and a restored store counts from anew.
+      listed = false;
+      co_await this->wait(watch_retry);
+      continue;
+    }
+    if (!reachable) {
+      log(event::platform_reachable, {{"prefix", prefix}});
+    }
+    reachable = true;
+    revision = listing->revision;
+    for (const stored_object& object : listing->objects) {
+      this->take_object(prefix, object);
+    }
+    if (!listed && prefix == documents_prefix) {
+      this->documents.heard_all();
+      log(event::ready);
+    }
+    if (!listed && prefix == map_prefix) {
+      this->map.mark_read();
+    }
+    listed = true;
+  }
+}
+
+asio::awaitable<void> node::store_audit() {
+  std::uint64_t sequence = 0;
+  while (!this->stopped) {
+    co_await this->wait(audit_period);
+    const std::vector<audit_entry> batch = this->audit.unstored(audit_batch);
+    if (batch.empty()) {
+      continue;
+    }
+    json::array entries;
+    for (const audit_entry& entry : batch) {
+      entries.push_back(json::parse(to_json_line(entry)));
+    }
+    const std::string key = fmt::format("audit/{:020}-{}-{:06}", this->self.start.get(),
+                                        this->self.host.get(), sequence);
+    const write_result written = co_await this->platform.put(key, 0, json::serialize(entries));
+    // A conflict means that an earlier try with a lost answer took effect; the
+    // batch may have grown since, so only a fresh key is certain.
+    if (written.outcome == write_result::kind::applied) {
+      this->audit.stored(batch.size());
+    }
+    if (written.outcome != write_result::kind::refused) {
+      ++sequence;
+    }
+  }
+}
+
+// --- shards and programs -----------------------------------------------------
+
+asio::awaitable<void> node::tend_shards() {
+  timestamp next_duty = this->time.now() + duty_period;
+  std::size_t round = 0;
+  while (!this->stopped) {
+    this->duty->tick();
+    if (this->time.now() >= next_duty) {
+      next_duty = this->time.now() + duty_period;
+      if (this->map.has_read() && !this->leaving) {
+        this->duty->claim_orphans();
+      }
+      this->duty->keep_replicas();
+      if (++round % rounds_per_move == 0 && !this->leaving) {
+        this->duty->even_out(moves_per_round);
+      }
+    }
+    co_await this->wait(shard_tick);
+  }
+}
+
+asio::awaitable<void> node::end_idle_programs() {
+  struct ending {
+    program_id program;
+    shard_id shard;
+    bool closed = false;
+  };
+  while (!this->stopped) {
+    co_await this->wait(idle_check);
+    const timestamp now = this->time.now();
+    std::vector<ending> due;
+    std::map<program_id, std::pair<std::size_t, timestamp>> seen;
+    this->shards.read_all([&](const shard_core& core) {
+      if (!core.serving() || !core.log()) {
+        return;
+      }
+      for (const auto& [id, program] : core.log()->state.programs) {
+        const std::size_t progress = program.turns.size() + program.abandoned.size() +
+                                     (program.closed ? 1 : 0) + (program.open_intent ? 1 : 0);
+        const auto before = this->activity.find(id);
+        const bool same = before != this->activity.end() && before->second.first == progress;
+        const timestamp since = same ? before->second.second : now;
+        seen[id] = {progress, since};
+        const auto document = this->documents.find(program.opened.service);
+        const duration idle_time = document ? document->idle_time : duration(std::chrono::hours(8));
+        const duration allowed = program.closed ? this->settings.keep_answers : idle_time;
+        if (!program.open_intent && now - since > allowed) {
+          due.push_back({id, core.shard(), program.closed});
+        }
+      }
+    });
+    this->activity = std::move(seen);
+    for (const ending& item : due) {
+      this->shards.change(item.shard, [&](shard_core& core) {
+        return item.closed ? core.forget_program(item.program, now)
+                           : core.close_program(call_id(0), item.program, now);
+      });
+    }
+  }
+}
+
+// --- planned stop ------------------------------------------------------------
+
+void node::stop(const std::string& who) {
+  if (this->leaving.exchange(true)) {
+    return;
+  }
+  log(event::stopping, {{"who", who}});
+  this->audit.add({this->time.wall_clock_ms(), this->self.host.get(), who, "host.drain",
+                   this->self.host.get(), "", "leaving", "begun"});
+  this->hosts->leave();
+  asio::co_spawn(asio::make_strand(this->time.context), this->leave(), asio::detached);
+}
+
+asio::awaitable<void> node::leave() {
+  const timestamp began = this->time.now();
+  timestamp successor_seen = began;
+  while (this->time.now() - began < longest_leave) {
+    const std::size_t owned = this->duty->hand_all_over();
+    if (!this->hosts->usable().empty()) {
+      successor_seen = this->time.now();
+    }
+    if (this->time.now() - successor_seen > longest_without_successor && this->calls.size() == 0) {
+      log(event::stopped_with_shards, {{"shards", std::to_string(owned)}});
+      break;
+    }
+    // This request under way is an operator's; callers' calls are counted apart.
+    const bool quiet = this->calls.size() == 0 && this->runner->running() == 0;
+    if (owned == 0 && quiet) {
+      break;
+    }
+    co_await this->wait(leave_check);
+  }
+  // Callers may keep this host's address for a while; it goes on answering them.
+  const timestamp handed_over = this->time.now();
+  while (this->time.now() - handed_over < this->settings.address_time || this->calls.size() > 0 ||
+         this->server->active() > 0) {
+    if (this->time.now() - handed_over > longest_leave) {
+      break;
+    }
+    co_await this->wait(leave_check);
+  }
+  this->server->stop_accepting();
+  while (!this->audit.unstored(1).empty() && this->platform.reachable() &&
+         this->time.now() - handed_over < longest_leave) {
+    co_await this->wait(leave_check);
+  }
+  this->stopped = true;
+  log(event::stopped);
+  this->on_stopped();
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/node/src/ownership_duty.cc
@@ -0,0 +1,183 @@
+// Claiming, replicating and moving shards.
+#include "hawthornlane/node/ownership_duty.h"
+
+#include <algorithm>
+
+namespace hawthornlane {
+namespace {
+
+constexpr duration claim_stagger = std::chrono::milliseconds(800);
+/// A shard is watched this long before the first claim, so that the map and the
+/// members have been heard.
+constexpr duration settle_time = std::chrono::milliseconds(300);
+
+bool same_set(std::vector<host_incarnation> a, std::vector<host_incarnation> b) {
+  std::sort(a.begin(), a.end());
+  std::sort(b.begin(), b.end());
+  return a == b;
+}
+
+}  // namespace
+
+ownership_duty::ownership_duty(runtime& clock, shard_table& table, host_view& view,
+                               std::size_t replica_count)
+    : time(clock), shards(table), hosts(view), replicas(replica_count) {}
+
+std::vector<placeable_host> ownership_duty::placeable() const {
+  std::vector<placeable_host> out;
+  for (const member& host : this->hosts.usable()) {
+    out.push_back({host.id, host.zone});
+  }
+  return out;
+}
+
+placeable_host ownership_duty::own() const {
+  const member self = this->hosts.self();
+  return {self.id, self.zone};
+}
+
+void ownership_duty::claim_orphans() {
+  const timestamp now = this->time.now();
+  const std::vector<placeable_host> candidates = this->placeable();
+  const placeable_host self = this->own();
+  const has_ended ended = [this](const host_incarnation& host) {
+    return this->hosts.has_ended(host);
+  };
+  for (std::uint32_t number = 0; number < this->shards.size(); ++number) {
+    const shard_id shard(number);
+    assignment entry;
+    bool follows = false;
+    this->shards.read(shard, [&](const shard_core& core) {
+      entry = core.known_assignment();
+      follows = core.role() == shard_core::role_kind::follower && !core.proposal_open();
+    });
+    const auto delay = follows
+                           ? claim_delay(shard, entry, self.id, candidates, ended, claim_stagger)
+                           : std::nullopt;
+    if (!delay) {
+      this->orphaned_since.erase(shard);
+      continue;
+    }
+    const auto [since, first] = this->orphaned_since.emplace(shard, now);
+    if (now - since->second < settle_time + *delay) {
+      continue;
+    }
+    this->orphaned_since.erase(shard);
+    std::vector<host_incarnation> next =
+        choose_replicas(shard, self, candidates, entry.replicas, this->replicas);
+    this->shards.change(shard, [&](shard_core& core) {
+      return core.claim(std::move(next), this->time.random(), now);
+    });
+  }
+}
+
+void ownership_duty::keep_replicas() {
+  const std::vector<placeable_host> candidates = this->placeable();
+  const placeable_host self = this->own();
+  for (std::uint32_t number = 0; number < this->shards.size(); ++number) {
+    const shard_id shard(number);
+    this->shards.change(shard, [&](shard_core& core) -> actions {
+      if (!core.serving() || core.proposal_open()) {
+        return {};
+      }
+      const std::vector<host_incarnation>& current = core.known_assignment().replicas;
+      std::vector<host_incarnation> next =
+          choose_replicas(shard, self, candidates, current, this->replicas);
+      // A replica that is only suspected stays: dropping it is a loss of copies.
+      for (const host_incarnation& replica : current) {
+        const bool kept = std::find(next.begin(), next.end(), replica) != next.end();
+        if (!kept && next.size() < this->replicas && !this->hosts.has_ended(replica)) {
+          next.push_back(replica);
+        }
+      }
+      // Additions first; what is to go leaves once the new ones are in step.
+      const bool in_step = core.replicas_in_step() >= std::min(next.size(), current.size());
+      if (!in_step) {
+        for (const host_incarnation& replica : current) {
+          const bool kept = std::find(next.begin(), next.end(), replica) != next.end();
+          if (!kept && !this->hosts.has_ended(replica)) {
+            next.push_back(replica);
+          }
+        }
+      }
+      if (same_set(next, current)) {
+        return {};
+      }
+      return core.change_replicas(std::move(next), this->time.random(), this->time.now());
+    });
+  }
+}
+
+void ownership_duty::even_out(std::size_t most) {
+  std::map<host_incarnation, std::size_t> counts;
+  std::vector<shard_id> mine;
+  this->shards.read_all([&](const shard_core& core) {
+    ++counts[core.known_assignment().owner];
+    if (core.serving() && core.open_calls() == 0) {
+      mine.push_back(core.shard());
+    }
+  });
+  const placeable_host self = this->own();
+  const auto move = next_move(self.id, counts, this->placeable());
+  if (!move) {
+    return;
+  }
+  std::size_t moved = 0;
+  for (const shard_id shard : mine) {
+    if (moved == std::min(most, move->count)) {
+      break;
+    }
+    this->shards.change(shard, [&](shard_core& core) -> actions {
+      if (!core.serving() || core.proposal_open()) {
+        return {};
+      }
+      std::vector<host_incarnation> replicas_now = core.known_assignment().replicas;
+      const bool holds =
+          std::find(replicas_now.begin(), replicas_now.end(), move->to) != replicas_now.end();
+      ++moved;
+      if (holds) {
+        return core.hand_over(move->to);
+      }
+      replicas_now.push_back(move->to);
+      return core.change_replicas(std::move(replicas_now), this->time.random(), this->time.now());
+    });
+  }
+}
+
+std::size_t ownership_duty::hand_all_over() {
+  const std::vector<placeable_host> candidates = this->placeable();
+  std::size_t left = 0;
+  for (std::uint32_t number = 0; number < this->shards.size(); ++number) {
+    this->shards.change(shard_id(number), [&](shard_core& core) -> actions {
+      if (core.role() == shard_core::role_kind::follower) {
+        return {};
+      }
+      ++left;
+      for (const host_incarnation& replica : core.known_assignment().replicas) {
+        const bool usable =
+            std::any_of(candidates.begin(), candidates.end(),
+                        [&replica](const placeable_host& host) { return host.id == replica; });
+        if (usable) {
+          return core.hand_over(replica);
+        }
+      }
+      return {};
+    });
+  }
+  return left;
+}
+
+void ownership_duty::tick() {
+  const timestamp now = this->time.now();
+  for (std::uint32_t number = 0; number < this->shards.size(); ++number) {
+    this->shards.change(shard_id(number), [now](shard_core& core) { return core.tick(now); });
+  }
+}
+
+std::size_t ownership_duty::owned() const {
+  std::size_t count = 0;
+  this->shards.read_all([&count](const shard_core& core) { count += core.serving() ? 1 : 0; });
+  return count;
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/ownership/src/shard_core_log.cc
@@ -0,0 +1,735 @@
+// The shard core's log protocol: sealing, installing, appending, committing.
+#include <algorithm>
+#include <utility>
+
+#include "hawthornlane/ownership/shard_core.h"
+
+namespace hawthornlane {
+namespace {
+
+/// Beyond this many unacknowledged records a replica gets the whole state.
+constexpr std::size_t longest_unsent = 512;
+/// Appends kept that arrived before an earlier one.
+constexpr std::size_t most_early = 64;
+
+bool names(const std::vector<host_incarnation>& hosts, const host_incarnation& host) {
+  return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+}
+
+bool is_longer(const held_log& a, const held_log& b) {
+  return a.at != b.at ? a.at > b.at : a.last > b.last;
+}
+
+}  // namespace
+
+actions shard_core::receive(const host_incarnation& from, const shard_message& message,
+                            timestamp now) {
+  return std::visit([&](const auto& item) { return this->on(from, item, now); }, message);
+}
+
+// --- replica ----------------------------------------------------------------
+
+actions shard_core::on(const host_incarnation& from, const seal_request& message, timestamp now) {
+  actions out;
+  seal_reply reply;
+  reply.at = message.at;
+  reply.granted = message.at >= this->sealed;
+  if (reply.granted) {
+    this->sealed = message.at;
+    if (this->current_role != role_kind::follower && message.at > this->known.at) {
+      assignment successor;
+      successor.at = message.at;
+      successor.owner = from;
+      this->depose(successor, now, out);
+    }
+    reply.log = this->held;
+  }
+  out.push_back(send_message{from, reply});
+  return out;
+}
+
+actions shard_core::on(const host_incarnation& from, const install_request& message,
+                       timestamp /*now*/) {
+  append_reply reply;
+  reply.at = message.log.at;
+  reply.accepted = message.log.at == this->sealed;
+  if (reply.accepted) {
+    const bool newer = !this->held || is_longer(message.log, *this->held);
+    if (newer) {
+      this->held = message.log;
+      this->early.clear();
+    }
+    reply.last = this->held->last;
+  }
+  reply.highest = this->sealed;
+  return {send_message{from, reply}};
+}
+
+void shard_core::append_as_replica(const append_request& message) {
+  if (!message.record || message.index <= this->held->last) {
+    return;
+  }
+  if (this->early.size() < most_early) {
+    this->early.emplace(message.index, message);
+  }
+  for (auto at = this->early.begin(); at != this->early.end(); at = this->early.erase(at)) {
+    const append_request& next = at->second;
+    if (next.index > this->held->last.next()) {
+      break;
+    }
+    if (next.at != this->held->at || next.index <= this->held->last) {
+      continue;
+    }
+    this->held->full = std::max(this->held->full, next.full);
+    if (apply(this->held->state, *next.record, next.index, this->held->full)) {
+      this->held->last = next.index;
+    }
+  }
+}
+
+actions shard_core::on(const host_incarnation& from, const append_request& message,
+                       timestamp /*now*/) {
+  append_reply reply;
+  reply.at = message.at;
+  reply.probe = message.probe;
+  const bool follows_log = this->held && this->held->at == message.at;
+  reply.accepted = follows_log && (message.at == this->sealed || !this->rules.replicas_fence);
+  if (reply.accepted) {
+    this->append_as_replica(message);
+    reply.last = this->held->last;
+  }
+  reply.highest = this->sealed;
+  return {send_message{from, reply}};
+}
+
+// --- takeover ---------------------------------------------------------------
+
+void shard_core::request_seal(const host_incarnation& to, timestamp now, actions& out) {
+  this->peers[to].sent = now;
+  out.push_back(send_message{to, seal_request{this->known.at}});
+}
+
+void shard_core::start_sealing(const assignment& won, timestamp now, actions& out) {
+  this->former = this->known;
+  this->known = won;
+  this->current_role = role_kind::sealing;
+  this->peers.clear();
+  this->gathered.clear();
+  this->nonces.clear();
+  this->hold_until.clear();
+  this->unsent.clear();
+  this->inherited_unknown.reset();
+  if (won.at < this->sealed) {
+    // Somebody with a higher epoch has already sealed this host.
+    this->current_role = role_kind::follower;
+    return;
+  }
+  this->sealed = won.at;
+  this->former_missing = {this->former.replicas.begin(), this->former.replicas.end()};
+  this->former_missing.erase(this->self);
+  if (this->held) {
+    this->gathered.push_back(*this->held);
+  }
+  for (const host_incarnation& peer : this->all_peers()) {
+    this->request_seal(peer, now, out);
+  }
+  this->sealing_since = now;
+  if (this->all_former_sealed()) {
+    this->start_serving(now, out);
+  }
+}
+
+std::vector<host_incarnation> shard_core::all_peers() const {
+  std::vector<host_incarnation> hosts = this->known.replicas;
+  for (const host_incarnation& missing : this->former_missing) {
+    if (!names(hosts, missing)) {
+      hosts.push_back(missing);
+    }
+  }
+  const bool had_owner = this->former.at > epoch(0) && this->former.owner != this->self;
+  if (had_owner && this->current_role == role_kind::sealing && !names(hosts, this->former.owner)) {
+    hosts.push_back(this->former.owner);
+  }
+  return hosts;
+}
+
+bool shard_core::all_former_sealed() const { return this->former_missing.empty(); }
+
+actions shard_core::on(const host_incarnation& from, const seal_reply& message, timestamp now) {
+  actions out;
+  const bool mine = this->current_role == role_kind::sealing || this->serving();
+  if (!mine || message.at != this->known.at) {
+    return out;
+  }
+  if (!message.granted) {
+    return out;
+  }
+  peer_progress& peer = this->peers[from];
+  peer.heard = now;
+  if (peer.sealed) {
+    return out;
+  }
+  peer.sealed = true;
+  if (this->current_role == role_kind::sealing) {
+    this->former_missing.erase(from);
+    if (message.log) {
+      this->gathered.push_back(*message.log);
+    }
+    if (this->all_former_sealed()) {
+      this->start_serving(now, out);
+    }
+    return out;
+  }
+  if (message.log && message.log->at < this->known.at) {
+    this->absorb_late(*message.log, from, now, out);
+  }
+  this->former_missing.erase(from);
+  if (names(this->known.replicas, from)) {
+    this->install(from, peer, now, out);
+  } else {
+    this->peers.erase(from);
+  }
+  return out;
+}
+
+void shard_core::merge_gathered() {
+  held_log merged;
+  for (const held_log& log : this->gathered) {
+    if (is_longer(log, merged)) {
+      merged = log;
+    }
+  }
+  for (const held_log& log : this->gathered) {
+    if (log.at != merged.at) {
+      absorb(merged.state, log.state);
+    }
+  }
+  if (merged.at == this->former.at) {
+    this->inherited_unknown = merged.state.unknown_below;
+  }
+  merged.at = this->known.at;
+  merged.last = record_index(1);
+  merged.full = record_index(0);
+  this->held = std::move(merged);
+  this->gathered.clear();
+}
+
+void shard_core::start_serving(timestamp now, actions& out) {
+  this->merge_gathered();
+  const bool first_owner = this->former.at == epoch(0);
+  const bool all_sealed = this->all_former_sealed() || !this->rules.seal_all_before_not_run;
+  const bool inherits = this->inherited_unknown.has_value() || !this->rules.inherit_incompleteness;
+  shard_state& state = this->held->state;
+  if (first_owner) {
+    state.unknown_below = epoch(0);
+  } else if (all_sealed && inherits) {
+    state.unknown_below = this->rules.inherit_incompleteness ? *this->inherited_unknown : epoch(0);
+  } else {
+    state.unknown_below = this->known.at;
+  }
+  const bool split_possible = !first_owner && !this->all_former_sealed();
+  for (auto& [id, program] : state.programs) {
+    if (program.open_intent) {
+      this->hold_until[id] = now + this->times.dispatch_gap;
+      if (this->rules.charge_open_intents) {
+        program.abandon_open_intent();
+      } else {
+        program.abandoned.push_back(*program.open_intent);
+        program.open_intent.reset();
+      }
+    }
+    if (split_possible && this->rules.halve_budget_when_split) {
+      program.withhold_for_split();
+    }
+    program.left_since.clear();
+    program.mark_left(this->held->last, this->held->full);
+  }
+  this->current_role = role_kind::serving;
+  std::erase_if(this->peers, [this](const auto& item) {
+    return !names(this->known.replicas, item.first) && !this->former_missing.contains(item.first);
+  });
+  for (const host_incarnation& replica : this->known.replicas) {
+    peer_progress& peer = this->peers[replica];
+    peer.behind_since = now;
+    if (peer.sealed) {
+      this->install(replica, peer, now, out);
+    }
+  }
+  out.push_back(role_changed{
+      this->complete() ? role_changed::change::serving : role_changed::change::serving_incomplete,
+      this->known.at});
+}
+
+actions shard_core::stop_waiting_for_seals(timestamp now) {
+  actions out;
+  if (this->current_role == role_kind::sealing) {
+    this->start_serving(now, out);
+  }
+  return out;
+}
+
+void shard_core::absorb_late(const held_log& log, const host_incarnation& from, timestamp now,
+                             actions& out) {
+  if (log.at == this->former.at) {
+    this->inherited_unknown = log.state.unknown_below;
+  }
+  shard_state& state = this->held->state;
+  absorb(state, log.state);
+  for (auto& [id, program] : state.programs) {
+    const auto theirs = log.state.programs.find(id);
+    if (theirs != log.state.programs.end() && theirs->second.open_intent) {
+      this->hold_until[id] = now + this->times.dispatch_gap;
+    }
+  }
+  const bool last_missing = this->former_missing.size() == 1 && this->former_missing.contains(from);
+  if (last_missing) {
+    for (auto& [id, program] : state.programs) {
+      program.withheld = token_count(0);
+    }
+    if (this->inherited_unknown) {
+      state.unknown_below = *this->inherited_unknown;
+      out.push_back(role_changed{role_changed::change::completed, this->known.at});
+    }
+  }
+  this->checkpoint(now, out);
+}
+
+void shard_core::checkpoint(timestamp now, actions& out) {
+  this->held->last = this->held->last.next();
+  this->unsent.clear();
+  for (auto& [id, program] : this->held->state.programs) {
+    program.mark_left(this->held->last, this->held->full);
+  }
+  for (auto& [host, peer] : this->peers) {
+    if (peer.sealed && names(this->known.replicas, host)) {
+      this->install(host, peer, now, out);
+    }
+  }
+}
+
+void shard_core::end_call_of_former_owner(call_id call, const open_call& item, timestamp now,
+                                          actions& out) {
+  const bool has_result = item.stage == call_stage::logging_result && item.intent && item.answer;
+  if (has_result && item.answer->turn) {
+    const finished_turn& turn = *item.answer->turn;
+    turn_finished record{item.program, turn.run_under, turn.request,
+                         turn.answer,  turn.used,      turn.failed};
+    this->late.emplace(turn.run_under, late_call{call, record, now, now});
+    out.push_back(send_message{this->known.owner, late_result{std::move(record)}});
+    return;
+  }
+  call_answer answer;
+  answer.error = has_result ? item.answer->error : error_kind::not_owner;
+  if (item.brought_by) {
+    return;
+  }
+  out.push_back(answer_call{call, std::move(answer)});
+}
+
+void shard_core::depose(const assignment& entry, timestamp now, actions& out) {
+  this->known = entry;
+  this->proposed.reset();
+  const bool was_serving = this->serving();
+  this->current_role = role_kind::follower;
+  for (auto at = this->calls.begin(); at != this->calls.end();) {
+    // A dispatched call runs on here; its result goes to the new owner.
+    if (at->second.stage == call_stage::dispatched) {
+      ++at;
+      continue;
+    }
+    this->end_call_of_former_owner(at->first, at->second, now, out);
+    at = this->calls.erase(at);
+  }
+  this->peers.clear();
+  this->nonces.clear();
+  this->unsent.clear();
+  this->former_missing.clear();
+  if (was_serving) {
+    out.push_back(role_changed{role_changed::change::deposed, entry.at});
+  }
+}
+
+// --- appending at the owner -------------------------------------------------
+
+bool shard_core::counts(const host_incarnation& replica) const {
+  if (!names(this->known.replicas, replica)) {
+    return false;
+  }
+  const bool undecided = this->proposed && this->rules.count_only_common_replicas;
+  return !undecided || names(this->proposed->replicas, replica);
+}
+
+std::uint32_t shard_core::acknowledgements(record_index index) const {
+  std::uint32_t count = 0;
+  for (const auto& [host, peer] : this->peers) {
+    if (peer.installed && peer.acknowledged >= index && this->counts(host)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+bool shard_core::all_acknowledged(record_index index) const {
+  const auto holds = [this, index](const host_incarnation& replica) {
+    const auto peer = this->peers.find(replica);
+    return peer != this->peers.end() && peer->second.installed &&
+           peer->second.acknowledged >= index;
+  };
+  const bool current = std::all_of(this->known.replicas.begin(), this->known.replicas.end(), holds);
+  const bool next = !this->proposed || std::all_of(this->proposed->replicas.begin(),
+                                                   this->proposed->replicas.end(), holds);
+  return current && next && !this->known.replicas.empty() && this->former_missing.empty();
+}
+
+bool shard_core::reachable_acknowledged(record_index index) const {
+  if (this->acknowledgements(index) == 0) {
+    return false;
+  }
+  for (const host_incarnation& replica : this->known.replicas) {
+    const auto peer = this->peers.find(replica);
+    const bool reachable =
+        peer != this->peers.end() && peer->second.installed && !peer->second.silent;
+    if (reachable && peer->second.acknowledged < index) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::size_t shard_core::replicas_in_step() const {
+  return this->serving() ? this->acknowledgements(this->held->last) : 0;
+}
+
+void shard_core::update_full() {
+  record_index full = this->held->last;
+  if (!this->former_missing.empty()) {
+    return;
+  }
+  for (const host_incarnation& replica : this->known.replicas) {
+    const auto peer = this->peers.find(replica);
+    const bool holds = peer != this->peers.end() && peer->second.installed;
+    full = std::min(full, holds ? peer->second.acknowledged : record_index(0));
+  }
+  this->held->full = std::max(this->held->full, full);
+  const std::uint64_t lacking = this->held->last.get() - full.get();
+  while (this->unsent.size() > lacking) {
+    this->unsent.pop_front();
+  }
+}
+
+void shard_core::install(const host_incarnation& to, peer_progress& peer, timestamp now,
+                         actions& out) {
+  peer.sent = now;
+  out.push_back(send_message{to, install_request{*this->held}});
+}
+
+bool shard_core::append(const log_record& record, timestamp now, actions& out) {
+  const record_index index = this->held->last.next();
+  if (!apply(this->held->state, record, index, this->held->full)) {
+    return false;
+  }
+  this->held->last = index;
+  this->unsent.push_back(record);
+  if (this->unsent.size() > longest_unsent) {
+    this->unsent.pop_front();
+  }
+  for (auto& [host, peer] : this->peers) {
+    if (!peer.installed) {
+      continue;
+    }
+    if (peer.acknowledged.next() == index) {
+      peer.behind_since = now;
+    }
+    peer.sent = now;
+    out.push_back(
+        send_message{host, append_request{this->known.at, index, this->held->full, record, 0}});
+  }
+  return true;
+}
+
+void shard_core::follow_up(const host_incarnation& to, peer_progress& peer, timestamp now,
+                           actions& out) {
+  if (!peer.sealed) {
+    this->request_seal(to, now, out);
+    return;
+  }
+  const std::uint64_t lacking = this->held->last.get() - peer.acknowledged.get();
+  if (!peer.installed || lacking > this->unsent.size()) {
+    this->install(to, peer, now, out);
+    return;
+  }
+  peer.sent = now;
+  if (lacking == 0) {
+    out.push_back(send_message{
+        to, append_request{this->known.at, this->held->last, this->held->full, std::nullopt, 0}});
+    return;
+  }
+  std::uint64_t index = peer.acknowledged.get();
+  for (auto at = this->unsent.end() - static_cast<std::ptrdiff_t>(lacking);
+       at != this->unsent.end(); ++at) {
+    out.push_back(send_message{
+        to, append_request{this->known.at, record_index(++index), this->held->full, *at, 0}});
+  }
+}
+
+actions shard_core::on(const host_incarnation& from, const append_reply& message, timestamp now) {
+  actions out;
+  if (!this->serving() || message.at != this->known.at) {
+    return out;
+  }
+  const auto found = this->peers.find(from);
+  if (found == this->peers.end() || !message.accepted) {
+    // A refusal means that a later owner exists; the map will name it.
+    return out;
+  }
+  peer_progress& peer = found->second;
+  peer.heard = now;
+  peer.silent = false;
+  peer.installed = peer.installed || message.last > record_index(0);
+  const bool behind = message.last < peer.acknowledged;
+  peer.acknowledged = std::max(peer.acknowledged, message.last);
+  if (message.probe != 0) {
+    this->confirm_calls(message.probe, now, out);
+  }
+  this->update_full();
+  this->advance_calls(now, out);
+  const bool gap = peer.acknowledged < this->held->last && !behind &&
+                   now - peer.sent >= this->times.resend_after;
+  if (gap) {
+    this->follow_up(from, peer, now, out);
+  }
+  return out;
+}
+
+void shard_core::confirm_calls(std::uint64_t probe, timestamp now, actions& out) {
+  for (auto& [call, item] : this->calls) {
+    if (item.stage == call_stage::confirming && item.probe <= probe) {
+      this->dispatch(call, item, now, out);
+    }
+  }
+}
+
+// --- calls ------------------------------------------------------------------
+
+bool shard_core::within_split_budget(const program_state& program) const {
+  if (!this->rules.halve_budget_when_split) {
+    return true;
+  }
+  const std::int64_t at_full = program.left_at_full().get();
+  return program.left().get() >= at_full - at_full / 2;
+}
+
+void shard_core::dispatch(call_id call, open_call& item, timestamp now, actions& out) {
+  item.stage = call_stage::dispatched;
+  item.since = now;
+  const auto held_back = this->hold_until.find(item.program);
+  dispatch_call order{call, *item.intent, now, now + this->times.dispatch_gap};
+  if (held_back != this->hold_until.end()) {
+    order.not_before = std::max(now, held_back->second);
+    order.send_by = order.not_before + this->times.dispatch_gap;
+    item.since = order.not_before;
+  }
+  out.push_back(std::move(order));
+}
+
+bool shard_core::advance_call(call_id call, open_call& item, timestamp now, actions& out) {
+  if (item.stage == call_stage::logging_intent) {
+    const program_state& program = this->held->state.programs.at(item.program);
+    const bool one = this->acknowledgements(item.index) > 0 || !this->rules.intent_before_dispatch;
+    const bool go =
+        this->all_acknowledged(item.index) || (one && this->within_split_budget(program));
+    if (go) {
+      this->dispatch(call, item, now, out);
+    }
+    return false;
+  }
+  if (item.stage != call_stage::logging_result || !this->reachable_acknowledged(item.index)) {
+    return false;
+  }
+  const std::uint32_t copies = this->acknowledgements(item.index) + 1;
+  if (item.brought_by) {
+    out.push_back(send_message{
+        *item.brought_by, late_result_reply{item.program, item.intent->run_under, true, copies}});
+    return true;
+  }
+  item.answer->copies = copies;
+  out.push_back(answer_call{call, std::move(*item.answer)});
+  return true;
+}
+
+void shard_core::advance_calls(timestamp now, actions& out) {
+  for (auto at = this->calls.begin(); at != this->calls.end();) {
+    const bool done = this->advance_call(at->first, at->second, now, out);
+    at = done ? this->calls.erase(at) : std::next(at);
+  }
+}
+
+actions shard_core::on(const host_incarnation& from, const late_result& message, timestamp now) {
+  actions out;
+  if (!this->serving()) {
+    return out;
+  }
+  const turn_finished& result = message.result;
+  const program_state* program = this->find_program(result.program);
+  const finished_turn* known_turn =
+      program == nullptr ? nullptr : program->find_finished(result.run_under);
+  const bool fits = program != nullptr && known_turn == nullptr && !program->open_intent &&
+                    program->find_abandoned(result.run_under) != nullptr &&
+                    result.run_under.turn == program->next_turn();
+  if (!fits && known_turn == nullptr) {
+    out.push_back(
+        send_message{from, late_result_reply{result.program, result.run_under, false, 0}});
+    return out;
+  }
+  open_call item;
+  item.program = result.program;
+  item.stage = call_stage::logging_result;
+  item.intent = intent_logged{};
+  item.intent->run_under = result.run_under;
+  item.brought_by = from;
+  item.since = now;
+  if (known_turn == nullptr) {
+    // The turn is taken now: the fresh ticket that was given for it must not run.
+    this->nonces.erase(result.program);
+    this->append(result, now, out);
+  }
+  item.index = this->held->last;
+  // Keys of calls that no caller waits for count down from the top.
+  std::uint64_t key = ~std::uint64_t{0};
+  while (this->calls.contains(call_id(key))) {
+    --key;
+  }
+  this->calls.emplace(call_id(key), std::move(item));
+  this->advance_calls(now, out);
+  return out;
+}
+
+actions shard_core::on(const host_incarnation& /*from*/, const late_result_reply& message,
+                       timestamp /*now*/) {
+  actions out;
+  const auto found = this->late.find(message.run_under);
+  if (found == this->late.end()) {
+    return out;
+  }
+  const turn_finished& result = found->second.result;
+  call_answer answer;
+  finished_turn turn;
+  turn.run_under = result.run_under;
+  turn.request = result.request;
+  turn.answer = result.answer;
+  turn.used = result.used;
+  turn.failed = result.failed;
+  answer.turn = std::move(turn);
+  answer.copies = message.copies;
+  if (!message.kept) {
+    answer.error = error_kind::ran_not_kept;
+  }
+  out.push_back(answer_call{found->second.call, std::move(answer)});
+  this->late.erase(found);
+  return out;
+}
+
+actions shard_core::on(const host_incarnation& /*from*/, const hand_over_request& message,
+                       timestamp now) {
+  if (this->current_role != role_kind::follower || message.at != this->known.at) {
+    return {};
+  }
+  // The nonce need only differ from those of other proposals for this epoch.
+  std::vector<host_incarnation> replicas = this->known.replicas;
+  return this->claim(std::move(replicas), this->known.nonce + this->self.start.get() + 1, now);
+}
+
+// --- time -------------------------------------------------------------------
+
+void shard_core::give_up_intents(timestamp now, actions& out) {
+  std::vector<call_id> expired;
+  for (const auto& [call, item] : this->calls) {
+    const bool waits =
+        item.stage == call_stage::logging_intent || item.stage == call_stage::confirming;
+    if (waits && now - item.since > this->times.append_wait) {
+      expired.push_back(call);
+    }
+  }
+  for (const call_id call : expired) {
+    const open_call item = this->calls.at(call);
+    this->calls.erase(call);
+    this->append(intent_voided{item.program, item.intent->run_under}, now, out);
+    call_answer refusal;
+    refusal.error = error_kind::not_ready;
+    refusal.detail = "no replica confirmed the call; nothing was sent";
+    out.push_back(answer_call{call, refusal});
+  }
+}
+
+void shard_core::give_up_late_results(timestamp now, actions& out) {
+  for (auto at = this->late.begin(); at != this->late.end();) {
+    late_call& item = at->second;
+    if (now - item.since > this->times.late_result_wait) {
+      call_answer answer;
+      answer.error = error_kind::ran_not_kept;
+      finished_turn turn;
+      turn.run_under = item.result.run_under;
+      turn.answer = item.result.answer;
+      answer.turn = std::move(turn);
+      out.push_back(answer_call{item.call, std::move(answer)});
+      at = this->late.erase(at);
+      continue;
+    }
+    if (now - item.sent >= this->times.resend_after) {
+      item.sent = now;
+      out.push_back(send_message{this->known.owner, late_result{item.result}});
+    }
+    ++at;
+  }
+}
+
+void shard_core::note_silent_replicas(timestamp now, actions& out) {
+  bool lacking = false;
+  for (const host_incarnation& replica : this->known.replicas) {
+    peer_progress& peer = this->peers[replica];
+    const bool behind = !peer.installed || peer.acknowledged < this->held->last;
+    const duration silence = now - std::max(peer.behind_since, peer.heard);
+    peer.silent = peer.silent || (behind && silence > this->times.replica_silence);
+    lacking = lacking || peer.silent;
+  }
+  if (lacking != this->degraded) {
+    this->degraded = lacking;
+    out.push_back(role_changed{
+        lacking ? role_changed::change::degraded : role_changed::change::restored, this->known.at});
+  }
+}
+
+actions shard_core::tick(timestamp now) {
+  actions out;
+  this->give_up_late_results(now, out);
+  if (this->current_role == role_kind::sealing) {
+    if (now - this->sealing_since > this->times.seal_wait) {
+      this->start_serving(now, out);
+      return out;
+    }
+    for (const host_incarnation& host : this->all_peers()) {
+      const peer_progress& peer = this->peers[host];
+      if (!peer.sealed && now - peer.sent >= this->times.resend_after) {
+        this->request_seal(host, now, out);
+      }
+    }
+    return out;
+  }
+  if (!this->serving()) {
+    return out;
+  }
+  for (const host_incarnation& host : this->all_peers()) {
+    peer_progress& peer = this->peers[host];
+    const bool waiting = !peer.sealed || !peer.installed || peer.acknowledged < this->held->last;
+    const bool needs = waiting || !this->calls.empty();
+    if (needs && now - peer.sent >= this->times.resend_after) {
+      this->follow_up(host, peer, now, out);
+    }
+  }
+  this->give_up_intents(now, out);
+  this->note_silent_replicas(now, out);
+  this->advance_calls(now, out);
+  return out;
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/ownership/test/ownership_search_test.cc
@@ -0,0 +1,131 @@
+// Exhaustive search over the real cores: every order of a small world, and the
+// counterexample that each missing rule brings.
+#include <malloc.h>
+
+#include <catch2/catch.hpp>
+
+#include "search_model.h"
+
+using namespace hawthornlane;
+
+namespace {
+
+std::string joined(const std::vector<std::string>& trace) {
+  std::string text;
+  for (const std::string& name : trace) {
+    text += "  " + name + "\n";
+  }
+  return text;
+}
+
+/// The search makes and drops many small states; giving their memory back to the
+/// system each time would cost more than the search.
+void keep_freed_memory() {
+  constexpr int keep = 1 << 30;
+  mallopt(M_TRIM_THRESHOLD, keep);
+  mallopt(M_MMAP_THRESHOLD, keep);
+}
+
+search::bounds more_faults() {
+  search::bounds limits;
+  limits.sends = 2;
+  limits.takeovers = 1;
+  limits.set_changes = 0;
+  return limits;
+}
+
+search::bounds more_sends() {
+  search::bounds limits;
+  limits.faults = 1;
+  limits.takeovers = 1;
+  limits.set_changes = 0;
+  return limits;
+}
+
+search::bounds two_takeovers() {
+  search::bounds limits;
+  limits.sends = 2;
+  limits.faults = 0;
+  limits.set_changes = 0;
+  limits.claim_keeps_owner = false;
+  return limits;
+}
+
+search::bounds set_change() {
+  search::bounds limits;
+  limits.sends = 1;
+  limits.faults = 0;
+  limits.takeovers = 1;
+  return limits;
+}
+
+search::bounds late_set_change() {
+  search::bounds limits = set_change();
+  limits.late_answers = true;
+  return limits;
+}
+
+/// The caller goes on with each fresh ticket; two calls fit into the budget.
+search::bounds split_budget() {
+  search::bounds limits;
+  limits.sends = 3;
+  limits.faults = 0;
+  limits.takeovers = 1;
+  limits.set_changes = 0;
+  limits.budget = token_count(20);
+  limits.follow_fresh_tickets = true;
+  return limits;
+}
+
+ownership_rules without(bool ownership_rules::*rule) {
+  ownership_rules rules;
+  rules.*rule = false;
+  return rules;
+}
+
+}  // namespace
+
+TEST_CASE("no order of messages and faults breaks a promise") {
+  keep_freed_memory();
+  using row = std::tuple<std::string, search::bounds (*)()>;
+  const auto [name, bounds] = GENERATE(table<std::string, search::bounds (*)()>(
+      {row{"two faults", &more_faults}, row{"three sends", &more_sends},
+       row{"two takeovers", &two_takeovers}, row{"a set change", &set_change},
+       row{"a set change with late answers", &late_set_change},
+       row{"a split budget", &split_budget}}));
+  const search::finding found = search::search(bounds(), ownership_rules{});
+  INFO(name << ": " << found.violation << "\n" << joined(found.trace));
+  CAPTURE(found.states);
+  std::printf("%-34s %9zu states\n", name.c_str(), found.states);
+  CHECK(found.violation.empty());
+  CHECK(found.exhausted);
+}
+
+TEST_CASE("without any one rule the search finds a counterexample of a few steps") {
+  keep_freed_memory();
+  using rule = bool ownership_rules::*;
+  using row = std::tuple<std::string, rule, search::bounds (*)()>;
+  const auto [name, taken_out, bounds] = GENERATE(table<std::string, rule, search::bounds (*)()>(
+      {row{"a ticket runs only in its own epoch", &ownership_rules::ticket_bound_to_epoch,
+           &more_sends},
+       row{"not_run needs all replicas sealed", &ownership_rules::seal_all_before_not_run,
+           &more_sends},
+       row{"incompleteness is inherited", &ownership_rules::inherit_incompleteness,
+           &two_takeovers},
+       row{"removal needs the others to hold all",
+           &ownership_rules::remove_only_when_others_hold_all, &set_change},
+       row{"only common replicas count", &ownership_rules::count_only_common_replicas,
+           &late_set_change},
+       row{"replicas fence", &ownership_rules::replicas_fence, &more_sends},
+       row{"intent before dispatch", &ownership_rules::intent_before_dispatch, &more_sends},
+       row{"a refusal ends its ticket", &ownership_rules::refusal_ends_ticket, &more_sends},
+       row{"open intents are charged", &ownership_rules::charge_open_intents, &split_budget},
+       row{"a split budget is halved", &ownership_rules::halve_budget_when_split,
+           &split_budget}}));
+  const search::finding found = search::search(bounds(), without(taken_out));
+  INFO(name << "; states " << found.states);
+  std::printf("%-38s %7zu states, %zu steps: %s\n", name.c_str(), found.states,
+              found.trace.size(), found.violation.c_str());
+  CHECK_FALSE(found.violation.empty());
+  CHECK(found.trace.size() <= 14);
+}
--- /dev/null
+++ b/libs/ownership/test/search_model.h
@@ -0,0 +1,694 @@
+// A small model round the real shard cores: one shard, three hosts, one map
+// entry, a network that delivers in any order, and a caller that repeats itself.
+#pragma once
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/deque.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <set>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include "hawthornlane/ownership/shard_core.h"
+
+namespace cereal {
+// Time stands still in the search, so moments do not tell states apart.
+template <class Archive>
+void serialize(Archive& /*archive*/, hawthornlane::timestamp& /*moment*/) {}
+}  // namespace cereal
+
+namespace hawthornlane::search {
+
+constexpr std::size_t host_count = 3;
+constexpr shard_id the_shard{1};
+
+/// How much may happen in one search.
+struct bounds {
+  int sends = 3;
+  int faults = 2;
+  int takeovers = 2;
+  int set_changes = 1;
+  bool repeatable = false;
+  token_count budget{100};
+  token_count reserved{10};
+  /// Whether the caller goes on with each fresh ticket that it is given.
+  bool follow_fresh_tickets = false;
+  /// Whether dispatched calls end and their results are logged.
+  bool with_results = false;
+  /// Whether answers of replicas and of the map may come late. Without it they
+  /// come with the delivery of what they answer, which may itself be late or lost.
+  bool late_answers = false;
+  /// Whether a new owner names the former one as a replica.
+  bool claim_keeps_owner = true;
+  std::size_t most_states = 4'000'000;
+};
+
+/// Something under way: a message, a map write, an order to send, a result.
+struct in_flight {
+  enum class kind : std::uint8_t { message, map_write, map_answer, send_order, result, request };
+  kind what = kind::message;
+  std::size_t from = 0;
+  std::size_t to = 0;
+  std::optional<shard_message> message;
+  assignment expected;
+  assignment desired;
+  proposal_outcome outcome = proposal_outcome::applied;
+  call_id call;
+  ticket presented;
+  /// Serialised form; the order of the bag and the state's hash follow it.
+  std::string key;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->what, this->from, this->to, this->message, this->expected, this->desired,
+            this->outcome, this->call, this->presented);
+  }
+};
+
+template <class Value>
+std::string bytes_of(Value& value) {
+  std::ostringstream out;
+  cereal::BinaryOutputArchive archive(out);
+  archive(value);
+  return out.str();
+}
+
+/// One state of the model. A value.
+struct model {
+  std::vector<shard_core> hosts;
+  std::array<bool, host_count> alive{true, true, true};
+  assignment map_entry;
+  std::vector<in_flight> bag;
+  int sends_left = 0;
+  int faults_left = 0;
+  int takeovers_left = 0;
+  int set_changes_left = 0;
+  ticket current;
+  std::map<ticket, int> executed;
+  std::set<ticket> refused;
+  std::int64_t spent = 0;
+  std::string violation;
+
+  template <class Archive>
+  void save(Archive& archive) const {
+    for (const shard_core& host : this->hosts) {
+      archive(const_cast<shard_core&>(host));
+    }
+    for (const in_flight& item : this->bag) {
+      archive(item.key);
+    }
+    archive(this->alive[0], this->alive[1], this->alive[2], this->map_entry, this->sends_left,
+            this->faults_left, this->takeovers_left, this->set_changes_left, this->current,
+            this->executed, this->refused, this->spent);
+  }
+};
+
+inline host_incarnation host_at(std::size_t index) {
+  return {host_id(std::string(1, static_cast<char>('a' + index))), incarnation(index + 1)};
+}
+
+inline std::size_t index_of(const host_incarnation& host) { return host.start.get() - 1; }
+
+/// A number that differs wherever two random numbers must, and nowhere else, so
+/// that states reached in two orders are the same state.
+inline std::uint64_t fresh_number(std::size_t host, const model& state) {
+  constexpr std::uint64_t per_host = 1000;
+  return per_host * (host + 1) + static_cast<std::uint64_t>(10 * state.takeovers_left) +
+         static_cast<std::uint64_t>(state.sends_left);
+}
+
+/// One step that the model can take, with the name that a trace shows.
+struct step {
+  std::string name;
+  model after;
+};
+
+/// The model's rules of motion and its promises.
+class explorer {
+public:
+  explorer(bounds limits, ownership_rules rules) : limits(limits), rules(rules) {}
+
+  model initial() const;
+  std::vector<step> steps(const model& state) const;
+
+private:
+  void put(model& state, in_flight item) const;
+  void carry_out(model& state, std::size_t host, const actions& todo) const;
+  void note_answer(model& state, const call_answer& answer, const ticket& presented) const;
+  void deliver(model& state, const in_flight& item) const;
+  void deliver_request(model& state, const in_flight& item) const;
+  void deliver_map_write(model& state, const in_flight& item, bool lose_answer) const;
+  void add_deliveries(const model& state, std::vector<step>& out) const;
+  void add_faults(const model& state, std::vector<step>& out) const;
+  void add_claims(const model& state, std::vector<step>& out) const;
+  void add_host_steps(const model& state, std::vector<step>& out) const;
+  void add_requests(const model& state, std::vector<step>& out) const;
+  bool is_prompt(const in_flight& item) const;
+  void deliver_prompt(model& state, const in_flight& item) const;
+  bool has_no_effect(const model& state, const in_flight& item) const;
+  void normalise(model& state) const;
+  void add(std::vector<step>& out, std::string name, model after) const;
+  program_id program() const { return make_program_id(the_shard, 7); }
+
+  bounds limits;
+  ownership_rules rules;
+  timestamp now{};
+};
+
+inline void explorer::put(model& state, in_flight item) const {
+  item.key = bytes_of(item);
+  const auto at =
+      std::lower_bound(state.bag.begin(), state.bag.end(), item,
+                       [](const in_flight& a, const in_flight& b) { return a.key < b.key; });
+  state.bag.insert(at, std::move(item));
+}
+
+inline void explorer::note_answer(model& state, const call_answer& answer,
+                                  const ticket& presented) const {
+  if (answer.error == error_kind::not_run || answer.error == error_kind::budget_exhausted) {
+    state.refused.insert(presented);
+  }
+  if (this->limits.follow_fresh_tickets && answer.next) {
+    state.current = *answer.next;
+  }
+}
+
+inline void explorer::carry_out(model& state, std::size_t host, const actions& todo) const {
+  for (const action& item : todo) {
+    if (const auto* send = std::get_if<send_message>(&item)) {
+      in_flight message;
+      message.from = host;
+      message.to = index_of(send->to);
+      message.message = send->message;
+      if (this->is_prompt(message)) {
+        this->deliver_prompt(state, message);
+      } else {
+        this->put(state, std::move(message));
+      }
+    } else if (const auto* write = std::get_if<propose_assignment>(&item)) {
+      in_flight proposal;
+      proposal.what = in_flight::kind::map_write;
+      proposal.from = host;
+      proposal.expected = write->expected;
+      proposal.desired = write->desired;
+      const bool is_claim = write->desired.at != write->expected.at;
+      if (is_claim && !this->limits.late_answers && state.faults_left == 0) {
+        // A claim that is written later is the same as a later claim.
+        this->deliver_map_write(state, proposal, false);
+      } else {
+        this->put(state, std::move(proposal));
+      }
+    } else if (const auto* order = std::get_if<dispatch_call>(&item)) {
+      in_flight sending;
+      sending.what = in_flight::kind::send_order;
+      sending.from = host;
+      sending.to = host;
+      sending.call = order->call;
+      sending.presented = order->intent.run_under;
+      this->put(state, std::move(sending));
+    } else if (const auto* answer = std::get_if<answer_call>(&item)) {
+      const ticket asked = answer->answer.turn ? answer->answer.turn->run_under : ticket{};
+      this->note_answer(state, answer->answer, asked);
+    }
+  }
+}
+
+inline void explorer::deliver_request(model& state, const in_flight& item) const {
+  shard_core& host = state.hosts[item.to];
+  call_request request;
+  request.call = item.call;
+  request.program = this->program();
+  request.account = client_account("one");
+  request.presented = item.presented;
+  request.repeatable = this->limits.repeatable;
+  request.reserved = this->limits.reserved;
+  const std::uint64_t random = fresh_number(item.to, state);
+  if (const auto answer = host.check_call(request, random)) {
+    this->note_answer(state, *answer, item.presented);
+    return;
+  }
+  // A caller that was admitted may yet be refused, for its turn in a queue.
+  this->carry_out(state, item.to, host.begin_call(request, random, this->now));
+}
+
+inline void explorer::deliver_map_write(model& state, const in_flight& item,
+                                        bool lose_answer) const {
+  in_flight answer;
+  answer.what = in_flight::kind::map_answer;
+  answer.to = item.from;
+  answer.outcome = proposal_outcome::rejected;
+  if (state.map_entry == item.expected) {
+    state.map_entry = item.desired;
+    answer.outcome = proposal_outcome::applied;
+  }
+  answer.desired = state.map_entry;
+  if (this->limits.late_answers) {
+    this->put(state, std::move(answer));
+  } else if (!lose_answer && state.alive[answer.to]) {
+    this->deliver(state, answer);
+  }
+}
+
+/// Answers to seals and installs arrive with the request's delivery: a late one
+/// is the same as a late request. Answers to appends have delays of their own.
+inline bool explorer::is_prompt(const in_flight& item) const {
+  const auto* reply = std::get_if<append_reply>(&*item.message);
+  const bool to_install = reply != nullptr && reply->last <= record_index(1);
+  const bool answers_append = reply != nullptr && !this->limits.late_answers;
+  return to_install || answers_append || std::holds_alternative<seal_reply>(*item.message);
+}
+
+inline void explorer::deliver_prompt(model& state, const in_flight& item) const {
+  if (state.alive[item.to]) {
+    this->carry_out(state, item.to, state.hosts[item.to].receive(host_at(item.from),
+                                                                 *item.message, this->now));
+  }
+}
+
+inline void explorer::deliver(model& state, const in_flight& item) const {
+  shard_core& host = state.hosts[item.to];
+  switch (item.what) {
+    case in_flight::kind::message:
+      this->carry_out(state, item.to, host.receive(host_at(item.from), *item.message, this->now));
+      break;
+    case in_flight::kind::map_write:
+      this->deliver_map_write(state, item, false);
+      break;
+    case in_flight::kind::map_answer:
+      this->carry_out(state, item.to, host.proposal_ended(item.outcome, item.desired, this->now));
+      break;
+    case in_flight::kind::send_order: {
+      actions out;
+      if (host.may_send(item.call, this->now, out)) {
+        state.executed[item.presented] += 1;
+        state.spent += this->limits.reserved.get();
+        if (!this->limits.with_results) {
+          break;
+        }
+        in_flight result;
+        result.what = in_flight::kind::result;
+        result.from = item.to;
+        result.to = item.to;
+        result.call = item.call;
+        result.presented = item.presented;
+        this->put(state, std::move(result));
+      }
+      this->carry_out(state, item.to, out);
+      break;
+    }
+    case in_flight::kind::result: {
+      call_result result;
+      result.call = item.call;
+      result.request = "q";
+      result.answer = "a";
+      result.used = this->limits.reserved;
+      this->carry_out(state, item.to, host.finish_call(result, fresh_number(item.to, state) + 40, this->now));
+      break;
+    }
+    case in_flight::kind::request:
+      this->deliver_request(state, item);
+      break;
+  }
+}
+
+/// Whether delivery of `item` does nothing, now and at any later time.
+inline bool explorer::has_no_effect(const model& state, const in_flight& item) const {
+  if (item.what == in_flight::kind::map_write) {
+    return false;
+  }
+  if (!state.alive[item.to]) {
+    return true;
+  }
+  if (item.what != in_flight::kind::message) {
+    return false;
+  }
+  const shard_core& host = state.hosts[item.to];
+  if (const auto* reply = std::get_if<append_reply>(&*item.message)) {
+    return reply->at < host.known_assignment().at || !reply->accepted;
+  }
+  if (const auto* reply = std::get_if<seal_reply>(&*item.message)) {
+    return reply->at < host.known_assignment().at || !reply->granted;
+  }
+  if (const auto* request = std::get_if<append_request>(&*item.message)) {
+    return this->rules.replicas_fence && request->at < host.sealed_epoch();
+  }
+  if (const auto* request = std::get_if<install_request>(&*item.message)) {
+    return request->log.at < host.sealed_epoch();
+  }
+  return false;
+}
+
+inline void explorer::normalise(model& state) const {
+  std::erase_if(state.bag, [&](const in_flight& item) { return this->has_no_effect(state, item); });
+  for (const auto& [presented, times] : state.executed) {
+    if (times > 1 && !this->limits.repeatable) {
+      state.violation = "ticket dispatched " + std::to_string(times) + " times";
+    }
+    if (state.refused.contains(presented)) {
+      state.violation = "ticket was refused as not run, and ran";
+    }
+  }
+  if (state.spent > this->limits.budget.get()) {
+    state.violation = "spent " + std::to_string(state.spent) + " of a budget of " +
+                      std::to_string(this->limits.budget.get());
+  }
+  for (const shard_core& host : state.hosts) {
+    const std::string broken = host.broken_invariant();
+    if (!broken.empty()) {
+      state.violation = broken;
+    }
+  }
+}
+
+inline void explorer::add(std::vector<step>& out, std::string name, model after) const {
+  this->normalise(after);
+  out.push_back({std::move(name), std::move(after)});
+}
+
+inline std::string name_of(const in_flight& item) {
+  static const std::array<const char*, 6> kinds{"message", "map write", "map answer",
+                                                "send",    "result",    "request"};
+  static const std::array<const char*, 8> messages{
+      "seal", "sealed", "install", "append", "appended", "late result", "late kept", "hand over"};
+  std::string name = kinds[static_cast<std::size_t>(item.what)];
+  if (item.message) {
+    name = messages[item.message->index()];
+  }
+  return name + " " + host_at(item.from).host.get() + ">" + host_at(item.to).host.get();
+}
+
+inline void explorer::add_deliveries(const model& state, std::vector<step>& out) const {
+  for (std::size_t at = 0; at < state.bag.size(); ++at) {
+    if (at > 0 && state.bag[at].key == state.bag[at - 1].key) {
+      continue;
+    }
+    model after = state;
+    const in_flight item = after.bag[at];
+    after.bag.erase(after.bag.begin() + static_cast<std::ptrdiff_t>(at));
+    this->deliver(after, item);
+    this->add(out, name_of(item), std::move(after));
+    if (state.faults_left > 0 && item.what == in_flight::kind::map_write &&
+        !this->limits.late_answers) {
+      model unanswered = state;
+      unanswered.bag.erase(unanswered.bag.begin() + static_cast<std::ptrdiff_t>(at));
+      --unanswered.faults_left;
+      this->deliver_map_write(unanswered, item, true);
+      this->add(out, "lose answer to " + name_of(item), std::move(unanswered));
+    }
+    const bool can_be_lost =
+        item.what == in_flight::kind::message || item.what == in_flight::kind::map_answer;
+    if (state.faults_left > 0 && can_be_lost) {
+      model lost = state;
+      lost.bag.erase(lost.bag.begin() + static_cast<std::ptrdiff_t>(at));
+      --lost.faults_left;
+      this->add(out, "lose " + name_of(item), std::move(lost));
+    }
+  }
+}
+
+inline void explorer::add_faults(const model& state, std::vector<step>& out) const {
+  if (state.faults_left == 0) {
+    return;
+  }
+  for (std::size_t host = 0; host < host_count; ++host) {
+    if (!state.alive[host]) {
+      continue;
+    }
+    model after = state;
+    after.alive[host] = false;
+    --after.faults_left;
+    this->add(out, "kill " + host_at(host).host.get(), std::move(after));
+  }
+}
+
+inline void explorer::add_claims(const model& state, std::vector<step>& out) const {
+  if (state.takeovers_left == 0) {
+    return;
+  }
+  for (std::size_t host = 0; host < host_count; ++host) {
+    const shard_core& core = state.hosts[host];
+    const bool may = state.alive[host] && core.role() == shard_core::role_kind::follower;
+    if (!may) {
+      continue;
+    }
+    std::vector<host_incarnation> others = state.map_entry.replicas;
+    std::erase(others, host_at(host));
+    if (this->limits.claim_keeps_owner) {
+      others.push_back(state.map_entry.owner);
+    }
+    model after = state;
+    --after.takeovers_left;
+    after.hosts[host].learn(state.map_entry, this->now);
+    this->carry_out(after, host, after.hosts[host].claim(others, fresh_number(host, state) + 80, this->now));
+    this->add(out, "claim " + host_at(host).host.get(), std::move(after));
+  }
+}
+
+inline void explorer::add_host_steps(const model& state, std::vector<step>& out) const {
+  for (std::size_t host = 0; host < host_count; ++host) {
+    if (!state.alive[host]) {
+      continue;
+    }
+    const shard_core& core = state.hosts[host];
+    const std::string name = host_at(host).host.get();
+    if (core.role() == shard_core::role_kind::sealing) {
+      model after = state;
+      this->carry_out(after, host, after.hosts[host].stop_waiting_for_seals(this->now));
+      this->add(out, "serve with gap " + name, std::move(after));
+    }
+    // A follower that reads the map does nothing by itself; a claim reads it first.
+    const bool acts = core.role() != shard_core::role_kind::follower;
+    const bool news = acts && (core.known_assignment().at < state.map_entry.at ||
+                               core.proposal_open());
+    if (news) {
+      model after = state;
+      this->carry_out(after, host, after.hosts[host].learn(state.map_entry, this->now));
+      this->add(out, "read map " + name, std::move(after));
+    }
+    if (!core.serving() || state.set_changes_left == 0 || core.proposal_open()) {
+      continue;
+    }
+    for (const host_incarnation& removed : core.known_assignment().replicas) {
+      model after = state;
+      std::vector<host_incarnation> rest = core.known_assignment().replicas;
+      std::erase(rest, removed);
+      --after.set_changes_left;
+      this->carry_out(after, host,
+                      after.hosts[host].change_replicas(rest, fresh_number(host, state) + 120, this->now));
+      this->add(out, "remove " + removed.host.get() + " by " + name, std::move(after));
+    }
+  }
+}
+
+inline void explorer::add_requests(const model& state, std::vector<step>& out) const {
+  if (state.sends_left == 0) {
+    return;
+  }
+  for (std::size_t host = 0; host < host_count; ++host) {
+    if (!state.alive[host] || !state.hosts[host].serving()) {
+      continue;
+    }
+    model after = state;
+    in_flight request;
+    request.what = in_flight::kind::request;
+    request.to = host;
+    request.call = call_id(static_cast<std::uint64_t>(10 - state.sends_left));
+    request.presented = state.current;
+    --after.sends_left;
+    this->deliver(after, request);
+    this->add(out, "call at " + host_at(host).host.get(), std::move(after));
+    // The owner's limits may refuse it instead.
+    model refused = state;
+    --refused.sends_left;
+    call_request asked;
+    asked.program = this->program();
+    asked.account = client_account("one");
+    asked.presented = state.current;
+    asked.reserved = this->limits.reserved;
+    const std::uint64_t random = fresh_number(host, refused);
+    shard_core& core = refused.hosts[host];
+    const auto earlier = core.check_call(asked, random);
+    const call_answer answer =
+        earlier ? *earlier : core.refuse_call(asked, error_kind::not_run, "full", random + 50);
+    this->note_answer(refused, answer, asked.presented);
+    this->add(out, "call refused at " + host_at(host).host.get(), std::move(refused));
+  }
+}
+
+inline std::vector<step> explorer::steps(const model& state) const {
+  std::vector<step> out;
+  this->add_deliveries(state, out);
+  this->add_faults(state, out);
+  this->add_claims(state, out);
+  this->add_host_steps(state, out);
+  this->add_requests(state, out);
+  return out;
+}
+
+/// The model with the first owner serving and one program open at turn 1.
+inline model explorer::initial() const {
+  model state;
+  for (std::size_t host = 0; host < host_count; ++host) {
+    state.hosts.emplace_back(the_shard, host_at(host), ownership_times{}, this->rules);
+  }
+  const auto settle = [&] {
+    while (!state.bag.empty()) {
+      const in_flight item = state.bag.front();
+      state.bag.erase(state.bag.begin());
+      this->deliver(state, item);
+    }
+  };
+  this->carry_out(state, 0, state.hosts[0].claim({host_at(1), host_at(2)}, 1, this->now));
+  settle();
+  program_opened opened;
+  opened.program = this->program();
+  opened.account = client_account("one");
+  opened.limits = {this->limits.budget, 100, 100, 1000};
+  this->carry_out(state, 0, state.hosts[0].open_program(call_id(0), opened, 5, this->now));
+  settle();
+  for (std::size_t host = 1; host < host_count; ++host) {
+    state.hosts[host].learn(state.map_entry, this->now);
+  }
+  state.current = ticket{the_shard, epoch(1), turn_number(1), 5};
+  state.sends_left = this->limits.sends;
+  state.faults_left = this->limits.faults;
+  state.takeovers_left = this->limits.takeovers;
+  state.set_changes_left = this->limits.set_changes;
+  return state;
+}
+
+/// What a search found.
+struct finding {
+  std::size_t states = 0;
+  bool exhausted = false;
+  std::string violation;
+  std::vector<std::string> trace;
+};
+
+/// The states seen so far, shared between threads.
+class seen_states {
+public:
+  struct origin {
+    std::uint64_t before = 0;
+    std::string name;
+  };
+
+  /// True when the state is new.
+  bool add(std::uint64_t hash, std::uint64_t before, const std::string& name) {
+    part& target = this->parts[hash % part_count];
+    const std::lock_guard lock(target.mutex);
+    return target.states.emplace(hash, origin{before, name}).second;
+  }
+
+  [[nodiscard]] std::size_t size() {
+    std::size_t total = 0;
+    for (part& item : this->parts) {
+      total += item.states.size();
+    }
+    return total;
+  }
+
+  /// Names of the steps from the first state to that one.
+  std::vector<std::string> trace_to(std::uint64_t hash) {
+    std::vector<std::string> names;
+    while (true) {
+      const origin& step = this->parts[hash % part_count].states.at(hash);
+      if (step.name.empty()) {
+        return names;
+      }
+      names.insert(names.begin(), step.name);
+      hash = step.before;
+    }
+  }
+
+private:
+  static constexpr std::size_t part_count = 64;
+  struct part {
+    std::mutex mutex;
+    std::unordered_map<std::uint64_t, origin> states;
+  };
+  std::array<part, part_count> parts;
+};
+
+inline std::uint64_t hash_of(const model& state) {
+  const std::string bytes = bytes_of(state);
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+/// What one thread found in one level of the search.
+struct level_part {
+  std::vector<model> next;
+  std::optional<std::uint64_t> violating;
+  std::string violation;
+};
+
+inline void expand(const explorer& moves, const std::vector<model>& frontier, std::size_t first,
+                   std::size_t stride, seen_states& seen, level_part& out) {
+  for (std::size_t at = first; at < frontier.size(); at += stride) {
+    const std::uint64_t before = hash_of(frontier[at]);
+    for (step& move : moves.steps(frontier[at])) {
+      const std::uint64_t hash = hash_of(move.after);
+      if (!seen.add(hash, before, move.name)) {
+        continue;
+      }
+      if (!move.after.violation.empty() && (!out.violating || hash < *out.violating)) {
+        out.violating = hash;
+        out.violation = move.after.violation;
+      }
+      out.next.push_back(std::move(move.after));
+    }
+  }
+}
+
+/// Visits every reachable state, breadth first, until a violation or the end.
+/// The verdict and the length of the trace do not depend on the threads' timing.
+inline finding search(const bounds& limits, const ownership_rules& rules) {
+  constexpr std::size_t thread_count = 8;
+  const explorer moves(limits, rules);
+  seen_states seen;
+  std::vector<model> frontier{moves.initial()};
+  seen.add(hash_of(frontier.front()), 0, "");
+  finding found;
+  while (!frontier.empty() && seen.size() < limits.most_states) {
+    std::vector<level_part> parts(thread_count);
+    {
+      std::vector<std::jthread> threads;
+      for (std::size_t at = 0; at < thread_count; ++at) {
+        threads.emplace_back(
+            [&, at] { expand(moves, frontier, at, thread_count, seen, parts[at]); });
+      }
+    }
+    frontier.clear();
+    for (level_part& part : parts) {
+      if (part.violating && found.violation.empty()) {
+        found.violation = part.violation;
+        found.trace = seen.trace_to(*part.violating);
+      }
+      std::move(part.next.begin(), part.next.end(), std::back_inserter(frontier));
+    }
+    if (!found.violation.empty()) {
+      found.states = seen.size();
+      return found;
+    }
+  }
+  found.states = seen.size();
+  found.exhausted = frontier.empty();
+  return found;
+}
+
+}  // namespace hawthornlane::search
--- /dev/null
+++ b/libs/peer/include/hawthornlane/peer/wire.h
@@ -0,0 +1,21 @@
+// Typed messages to bytes and back.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "hawthornlane/membership/messages.h"
+#include "hawthornlane/ownership/messages.h"
+
+namespace hawthornlane {
+
+std::string to_bytes(const shard_message& message);
+/// Nothing when the bytes are not a whole message.
+std::optional<shard_message> shard_message_from_bytes(const std::string& bytes);
+std::string to_bytes(const probe_message& message);
+std::optional<probe_message> probe_from_bytes(const std::string& bytes);
+/// A shard's log as a disk keeps it.
+std::string to_bytes(const held_log& log);
+std::optional<held_log> held_log_from_bytes(const std::string& bytes);
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/platform/include/hawthornlane/platform/object_store.h
@@ -0,0 +1,77 @@
+// Client of the platform's object API: versions, conditional updates, watches.
+#pragma once
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hawthornlane/errors/error_kind.h"
+#include "hawthornlane/http/client.h"
+#include "hawthornlane/units/quantities.h"
+
+namespace hawthornlane {
+
+/// One object as the platform holds it.
+struct stored_object {
+  std::string key;
+  /// Rises by one with each write of this object, from 1.
+  std::uint64_t version = 0;
+  std::string value;
+};
+
+/// Objects under a prefix, and the revision of the whole store they were read at.
+struct object_listing {
+  std::uint64_t revision = 0;
+  std::vector<stored_object> objects;
+};
+
+/// What became of a conditional update.
+struct write_result {
+  enum class kind : std::uint8_t {
+    applied,
+    /// The object has another version than expected.
+    conflict,
+    /// Refused before it was looked at (too large, over the rate, malformed).
+    refused,
+    /// The answer was lost: the write may have taken effect.
+    unknown,
+  };
+  kind outcome = kind::unknown;
+  std::uint64_t version = 0;
+  std::string detail;
+};
+
+/// Talks to one platform. Coroutines; no call waits longer than its limit.
+class object_store {
+public:
+  explicit object_store(http::endpoint platform);
+
+  /// Absent object: an object with version 0. Nothing: the platform is not there.
+  boost::asio::awaitable<std::optional<stored_object>> get(std::string key, failure& reason);
+  boost::asio::awaitable<std::optional<object_listing>> list(std::string prefix, failure& reason);
+  /// Writes if the object still has `expected` (0: does not exist yet).
+  boost::asio::awaitable<write_result> put(std::string key, std::uint64_t expected,
+                                           std::string value);
+  /// Waits for changes under `prefix` after `revision`; an empty listing when
+  /// none came for a while.
+  boost::asio::awaitable<std::optional<object_listing>> watch(std::string prefix,
+                                                              std::uint64_t revision,
+                                                              failure& reason);
+
+  /// Whether the last call got an answer.
+  [[nodiscard]] bool reachable() const { return this->answered; }
+
+private:
+  boost::asio::awaitable<std::optional<object_listing>> fetch_listing(std::string target,
+                                                                      duration limit,
+                                                                      failure& reason);
+  http::endpoint platform;
+  http::client client;
+  std::atomic<bool> answered{false};
+};
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/settings/src/ini.cc
@@ -0,0 +1,95 @@
+// Reading INI with libinih, which is given the lines one at a time: it does not
+// tell line numbers, but it reads no line before the one before is handled.
+#include "hawthornlane/settings/ini.h"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+#include <set>
+#include <utility>
+
+namespace hawthornlane {
+namespace {
+
+/// libinih's buffer; a longer line would be split by it.
+constexpr std::size_t longest_line = 198;
+
+struct reader {
+  std::string_view rest;
+  int line = 0;
+  ini_text result;
+  std::set<std::pair<std::string, std::string>> seen;
+};
+
+char* next_line(char* buffer, int size, void* stream) {
+  auto& state = *static_cast<reader*>(stream);
+  if (state.rest.empty()) {
+    return nullptr;
+  }
+  const std::size_t end = std::min(state.rest.find('\n'), state.rest.size());
+  std::string_view line = state.rest.substr(0, end);
+  state.rest.remove_prefix(std::min(end + 1, state.rest.size()));
+  ++state.line;
+  const std::size_t room = std::min(longest_line, static_cast<std::size_t>(size) - 2);
+  if (line.size() > room) {
+    state.result.problems.push_back(
+        {state.line, "longer than " + std::to_string(longest_line) + " characters"});
+    line = line.substr(0, 0);
+  }
+  if (line.find('\0') != std::string_view::npos) {
+    state.result.problems.push_back({state.line, "contains a zero byte"});
+    line = line.substr(0, 0);
+  }
+  // A leading blank would make libinih append the line to the value before.
+  while (!line.empty() && (line.front() == ' ' || line.front() == '\t')) {
+    line.remove_prefix(1);
+  }
+  std::memcpy(buffer, line.data(), line.size());
+  buffer[line.size()] = '\n';
+  buffer[line.size() + 1] = '\0';
+  return buffer;
+}
+
+int take_entry(void* user, const char* section, const char* key, const char* value) {
+  auto& state = *static_cast<reader*>(user);
+  if (!state.seen.emplace(section, key).second) {
+    state.result.problems.push_back(
+        {state.line, std::string("[") + section + "] " + key + " is given twice"});
+    return 1;
+  }
+  state.result.entries.push_back({section, key, value == nullptr ? "" : value, state.line});
+  return 1;
+}
+
+}  // namespace
+
+ini_text read_ini(std::string_view text) {
+  reader state;
+  state.rest = text;
+  // libinih stops counting at its first error only in the value it returns; it
+  // goes on reading, so later lines are still checked.
+  const int first_bad_line = ini_parse_stream(next_line, &state, take_entry, &state);
+  if (first_bad_line > 0) {
+    state.result.problems.push_back(
+        {first_bad_line, "is neither [section], key = value, nor a comment"});
+  } else if (first_bad_line < 0) {
+    state.result.problems.push_back({0, "cannot be read"});
+  }
+  std::sort(state.result.problems.begin(), state.result.problems.end(),
+            [](const ini_problem& a, const ini_problem& b) { return a.line < b.line; });
+  return std::move(state.result);
+}
+
+std::string to_string(const std::vector<ini_problem>& problems) {
+  std::string text;
+  for (const ini_problem& problem : problems) {
+    if (problem.line > 0) {
+      text += "line " + std::to_string(problem.line) + ": ";
+    }
+    text += problem.message + "\n";
+  }
+  return text;
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/programs/client/caller_commands.cc
@@ -0,0 +1,277 @@
+// `call`: runs a whole program, one call a line of a file, as a caller would.
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+#include "commands.h"
+
+namespace hawthornlane::cli {
+namespace json = boost::json;
+
+namespace {
+
+constexpr int first_error_status = 400;
+constexpr int most_tries = 20;
+constexpr auto retry_wait = std::chrono::milliseconds(300);
+
+std::string field(const json::object& object, const char* name) {
+  const json::value* value = object.if_contains(name);
+  if (value == nullptr) {
+    return {};
+  }
+  return value->is_string() ? std::string(value->as_string()) : json::serialize(*value);
+}
+
+json::object parsed(const std::string& text) {
+  boost::system::error_code error;
+  const json::value value = json::parse(text, error);
+  return error || !value.is_object() ? json::object() : value.as_object();
+}
+
+/// Reads server-sent events: prints text, keeps the answer.
+class stream_reader {
+public:
+  explicit stream_reader(bool quiet_output) : quiet(quiet_output) {}
+
+  bool take(std::string_view part) {
+    this->pending += part;
+    std::size_t end = this->pending.find("\n\n");
+    while (end != std::string::npos) {
+      this->take_event(this->pending.substr(0, end));
+      this->pending.erase(0, end + 2);
+      end = this->pending.find("\n\n");
+    }
+    return true;
+  }
+
+  [[nodiscard]] json::object whole() const {
+    return this->answer.empty() ? parsed(this->pending) : this->answer;
+  }
+
+private:
+  void take_event(const std::string& event) {
+    const std::size_t data = event.find("\ndata: ");
+    if (data == std::string::npos) {
+      return;
+    }
+    const json::object body = parsed(event.substr(data + 7));
+    if (event.starts_with("event: answer")) {
+      this->answer = body;
+    } else if (!this->quiet) {
+      fmt::print("{}", field(body, "text"));
+      std::fflush(stdout);
+    }
+  }
+
+  bool quiet;
+  std::string pending;
+  json::object answer;
+};
+
+/// A caller's side of one program.
+class program_run {
+public:
+  program_run(connection& to, output as) : hosts(to), form(as) {}
+
+  int run(std::istream& calls) {
+    if (!this->open()) {
+      return exit_unreachable;
+    }
+    std::string line;
+    while (std::getline(calls, line)) {
+      if (line.empty() || line.starts_with("#")) {
+        continue;
+      }
+      const int code = this->call(parsed(line));
+      if (code != exit_good) {
+        return code;
+      }
+    }
+    return this->close();
+  }
+
+private:
+  /// The addresses to use for the program, best first.
+  void ask_addresses() {
+    std::string reason;
+    const std::string target = "/v1/addresses?program=" + this->program;
+    const auto answer = this->hosts.ask("GET", target, "", reason);
+    if (!answer) {
+      return;
+    }
+    this->addresses.clear();
+    const json::object body = parsed(answer->body);
+    for (const json::value& row : body.at("addresses").as_array()) {
+      if (const auto at = http::endpoint_from_string(field(row.as_object(), "address"))) {
+        this->addresses.push_back(*at);
+      }
+    }
+  }
+
+  bool open() {
+    this->began = std::chrono::steady_clock::now();
+    this->ask_addresses();
+    for (int attempt = 0; attempt < most_tries; ++attempt) {
+      for (const http::endpoint& at : this->addresses) {
+        http::fetch_failure why;
+        const auto answer = this->hosts.ask_one(at, "POST", "/v1/programs", "{}", why);
+        if (answer && answer->status < first_error_status) {
+          const json::object body = parsed(answer->body);
+          this->program = field(body, "program");
+          this->take_ticket(body);
+          this->ask_addresses();
+          return true;
+        }
+        this->last_reason = answer ? answer->body : why.detail;
+      }
+      std::this_thread::sleep_for(retry_wait);
+      this->ask_addresses();
+    }
+    fmt::print(stderr, "no program could be opened: {}\n", this->last_reason);
+    return false;
+  }
+
+  void take_ticket(const json::object& body) {
+    if (body.contains("ticket")) {
+      this->ticket = field(body, "ticket");
+      this->digest = field(body, "digest");
+      this->budget_left = field(body, "budget_left");
+    }
+  }
+
+  json::object body_of(const json::object& call) const {
+    json::object body;
+    body["ticket"] = this->ticket;
+    body["digest"] = this->digest;
+    if (call.contains("tool")) {
+      body["tool"] = call.at("tool");
+      body["path"] = call.contains("path") ? call.at("path") : json::value("/");
+      body["body"] = call.contains("body") ? call.at("body") : json::value(nullptr);
+      return body;
+    }
+    body["stream"] = true;
+    json::object message;
+    message["role"] = "user";
+    message["content"] = call.contains("say") ? call.at("say") : json::value("");
+    body["messages"] = json::array{message};
+    if (call.contains("max_tokens")) {
+      body["max_tokens"] = call.at("max_tokens");
+    }
+    return body;
+  }
+
+  int call(const json::object& call) {
+    const bool tool = call.contains("tool");
+    if (!this->form.json) {
+      fmt::print("> {}\n", tool ? "tool " + field(call, "tool") : field(call, "say"));
+    }
+    // The ticket names the call, so sending it again is safe at any host.
+    for (int attempt = 0; attempt < most_tries; ++attempt) {
+      const http::endpoint at =
+          this->addresses.at(static_cast<std::size_t>(attempt) % this->addresses.size());
+      stream_reader reader(this->form.json);
+      http::fetch_failure why;
+      const auto answer = this->hosts.stream(
+          at, "POST", "/v1/programs/" + this->program + "/calls",
+          json::serialize(this->body_of(call)),
+          [&reader](std::string_view part) { return reader.take(part); }, why);
+      json::object result =
+          answer && answer->status >= first_error_status ? parsed(answer->body) : reader.whole();
+      const std::string outcome = field(result, "outcome");
+      if (answer && outcome == "kept") {
+        this->finish_turn(result, at);
+        return exit_good;
+      }
+      this->last_reason = answer ? json::serialize(result) : why.detail;
+      if (!this->may_go_on(result, tool)) {
+        break;
+      }
+      std::this_thread::sleep_for(retry_wait);
+      this->ask_addresses();
+    }
+    fmt::print(stderr, "the call failed: {}\n", this->last_reason);
+    return this->last_reason.find("may_have_run") != std::string::npos ? exit_may_have_run
+                                                                       : exit_refused;
+  }
+
+  /// Whether the call may be sent again, under a fresh ticket if one was given.
+  bool may_go_on(const json::object& result, bool tool) {
+    const std::string error = field(result, "error");
+    if (result.empty() || error == "not_owner" || error == "not_ready" ||
+        error == "turn_in_progress" || error == "peer_unavailable") {
+      return true;
+    }
+    const bool has_ticket = result.contains("ticket");
+    this->take_ticket(result);
+    if (error == "may_have_run") {
+      // Without a ticket nothing was decided: the same ticket tells.
+      return !has_ticket || !tool;
+    }
+    return error == "not_run" || error == "over_limit" || error == "no_backend_server";
+  }
+
+  void finish_turn(const json::object& result, const http::endpoint& at) {
+    this->take_ticket(result);
+    ++this->turns;
+    if (this->form.json) {
+      fmt::print("{}\n", json::serialize(result));
+      return;
+    }
+    const bool streamed = field(result, "answer").starts_with("word");
+    if (!streamed) {
+      fmt::print("{}", field(result, "answer"));
+    }
+    fmt::print("\n  [turn {}, {} tokens, {} copies, by {}]\n", field(result, "turn"),
+               field(result, "used_tokens"), field(result, "copies"), http::to_string(at));
+  }
+
+  int close() {
+    std::string reason;
+    http::fetch_failure why;
+    const auto shown = this->hosts.ask_one(this->addresses.front(), "GET",
+                                           "/v1/programs/" + this->program, "", why);
+    const json::object status = shown ? parsed(shown->body) : json::object();
+    const auto closed = this->hosts.ask_one(this->addresses.front(), "DELETE",
+                                            "/v1/programs/" + this->program, "", why);
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - this->began;
+    if (!this->form.json) {
+      fmt::print("program {}: {} turns in {:.2f} s, {} tokens of budget left, served by host {}\n",
+                 this->program, this->turns, took.count(), this->budget_left,
+                 field(status, "host"));
+    }
+    return closed && closed->status < first_error_status ? exit_good : exit_refused;
+  }
+
+  connection& hosts;
+  output form;
+  std::vector<http::endpoint> addresses;
+  std::string program;
+  std::string ticket;
+  std::string digest;
+  std::string budget_left;
+  std::string last_reason;
+  int turns = 0;
+  std::chrono::steady_clock::time_point began;
+};
+
+}  // namespace
+
+int call(connection& hosts, const std::string& file, output form) {
+  program_run run(hosts, form);
+  if (file == "-") {
+    return run.run(std::cin);
+  }
+  std::ifstream calls(file);
+  if (!calls) {
+    fmt::print(stderr, "{}: cannot be read\n", file);
+    return exit_usage;
+  }
+  return run.run(calls);
+}
+
+}  // namespace hawthornlane::cli
--- /dev/null
+++ b/programs/client/commands.h
@@ -0,0 +1,32 @@
+// The commands of the command-line client.
+#pragma once
+
+#include <string>
+
+#include "connection.h"
+
+namespace hawthornlane::cli {
+
+/// Flags that all commands share.
+struct output {
+  bool json = false;
+};
+
+// Operators.
+int document_check(connection& hosts, const std::string& file, output form);
+int document_diff(connection& hosts, const std::string& file, output form);
+int document_apply(connection& hosts, const std::string& file, const std::string& confirm,
+                   bool wait, output form);
+int document_status(connection& hosts, output form);
+int document_show(connection& hosts, const std::string& service, output form);
+int document_history(connection& hosts, const std::string& service, output form);
+int audit(connection& hosts, const std::string& subject, output form);
+int list(connection& hosts, const std::string& what, output form);
+int program_show(connection& hosts, const std::string& program, output form);
+int drain(connection& hosts, output form);
+
+// Callers.
+/// Runs a whole program from a file of calls, one JSON object a line.
+int call(connection& hosts, const std::string& file, output form);
+
+}  // namespace hawthornlane::cli
--- /dev/null
+++ b/programs/client/connection.cc
@@ -0,0 +1,81 @@
+// One-shot HTTP for the command line.
+#include "connection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace hawthornlane::cli {
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration call_limit = std::chrono::seconds(30);
+constexpr duration stream_silence = std::chrono::seconds(120);
+
+asio::awaitable<void> fetch_into(http::client& client, http::endpoint host, http::request ask,
+                                 duration silence, http::body_sink sink, http::fetch_failure& why,
+                                 std::optional<http::response>& answer) {
+  answer = co_await client.fetch_stream(host, std::move(ask), silence, std::move(sink), why);
+}
+
+}  // namespace
+
+connection::connection(std::vector<http::endpoint> hosts, std::string secret, std::string name)
+    : known(std::move(hosts)), credential(std::move(secret)), who(std::move(name)) {}
+
+std::optional<http::response> connection::stream(const http::endpoint& host,
+                                                 const std::string& method,
+                                                 const std::string& target, const std::string& body,
+                                                 const http::body_sink& sink,
+                                                 http::fetch_failure& why) {
+  http::request ask;
+  ask.method = method;
+  ask.target = target;
+  ask.body = body;
+  ask.headers = {{"Authorization", "Bearer " + this->credential}, {"X-Operator", this->who}};
+  std::optional<http::response> answer;
+  // The context comes first: connections must not outlive it.
+  asio::io_context context;
+  http::client client;
+  asio::co_spawn(context,
+                 fetch_into(client, host, std::move(ask), stream_silence, sink, why, answer),
+                 asio::detached);
+  context.run();
+  return answer;
+}
+
+std::optional<http::response> connection::ask_one(const http::endpoint& host,
+                                                  const std::string& method,
+                                                  const std::string& target,
+                                                  const std::string& body,
+                                                  http::fetch_failure& why) {
+  std::string collected;
+  const auto sink = [&collected](std::string_view part) {
+    collected += part;
+    return true;
+  };
+  auto answer = this->stream(host, method, target, body, sink, why);
+  if (answer && answer->body.empty()) {
+    answer->body = std::move(collected);
+  }
+  return answer;
+}
+
+std::optional<http::response> connection::ask(const std::string& method, const std::string& target,
+                                              const std::string& body, std::string& reason) {
+  for (const http::endpoint& host : this->known) {
+    http::fetch_failure why;
+    auto answer = this->ask_one(host, method, target, body, why);
+    if (answer) {
+      return answer;
+    }
+    reason = why.detail;
+    if (method != "GET" && why.reached != http::progress::not_connected) {
+      return std::nullopt;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace hawthornlane::cli
--- /dev/null
+++ b/programs/client/main.cc
@@ -0,0 +1,124 @@
+// The command-line client of operators and callers.
+#include <docopt.h>
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <sstream>
+
+#include "commands.h"
+
+namespace {
+
+using namespace hawthornlane;
+
+constexpr const char* usage = R"(hawthornlane: client of the scheduler for agent programs.
+
+Usage:
+  hawthornlane [options] document check FILE
+  hawthornlane [options] document diff FILE
+  hawthornlane [options] document apply FILE [--confirm DIGEST] [--no-wait]
+  hawthornlane [options] document status
+  hawthornlane [options] document show SERVICE
+  hawthornlane [options] document history SERVICE
+  hawthornlane [options] audit [SUBJECT]
+  hawthornlane [options] hosts
+  hawthornlane [options] servers
+  hawthornlane [options] programs
+  hawthornlane [options] program show ID
+  hawthornlane [options] drain
+  hawthornlane [options] call FILE
+  hawthornlane --help
+
+Options:
+  --hosts ADDRESSES    Entry hosts, "IP:port" with commas between; else the
+                       environment's HAWTHORNLANE_HOSTS.
+  --credential SECRET  Else the environment's HAWTHORNLANE_CREDENTIAL.
+  --as NAME            Who acts, for the audit trail; else the environment's USER.
+  --confirm DIGEST     Digest of the checked text, for dangerous changes.
+  --no-wait            Do not wait until the document is in force everywhere.
+  --json               JSON in place of tables.
+  --help               Show this.
+
+`drain` stops the first of the hosts. FILE of `call` holds one call a line, as
+{"say": "..."} or {"tool": "...", "path": "/...", "body": {...}}; "-" reads them
+from standard input. Exit codes are listed in docs/CLI.md.
+)";
+
+std::string option_or(const docopt::value& given, const char* variable) {
+  if (given) {
+    return given.asString();
+  }
+  const char* value = std::getenv(variable);
+  return value == nullptr ? "" : value;
+}
+
+std::vector<http::endpoint> read_hosts(const std::string& text) {
+  std::vector<http::endpoint> hosts;
+  std::istringstream in(text);
+  for (std::string item; std::getline(in, item, ',');) {
+    if (const auto where = http::endpoint_from_string(item)) {
+      hosts.push_back(*where);
+    }
+  }
+  return hosts;
+}
+
+int run(std::map<std::string, docopt::value>& arguments, cli::connection& hosts) {
+  const cli::output form{arguments.at("--json").asBool()};
+  const auto chosen = [&arguments](const char* name) { return arguments.at(name).asBool(); };
+  const auto text = [&arguments](const char* name) {
+    return arguments.at(name) ? arguments.at(name).asString() : std::string();
+  };
+  if (chosen("document")) {
+    if (chosen("check")) {
+      return cli::document_check(hosts, text("FILE"), form);
+    }
+    if (chosen("diff")) {
+      return cli::document_diff(hosts, text("FILE"), form);
+    }
+    if (chosen("apply")) {
+      return cli::document_apply(hosts, text("FILE"), text("--confirm"), !chosen("--no-wait"),
+                                 form);
+    }
+    if (chosen("status")) {
+      return cli::document_status(hosts, form);
+    }
+    return chosen("show") ? cli::document_show(hosts, text("SERVICE"), form)
+                          : cli::document_history(hosts, text("SERVICE"), form);
+  }
+  if (chosen("audit")) {
+    return cli::audit(hosts, text("SUBJECT"), form);
+  }
+  for (const char* what : {"hosts", "servers", "programs"}) {
+    if (chosen(what)) {
+      return cli::list(hosts, what, form);
+    }
+  }
+  if (chosen("program")) {
+    return cli::program_show(hosts, text("ID"), form);
+  }
+  if (chosen("drain")) {
+    return cli::drain(hosts, form);
+  }
+  return cli::call(hosts, text("FILE"), form);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, "hawthornlane 0.1");
+  const auto hosts = read_hosts(option_or(arguments.at("--hosts"), "HAWTHORNLANE_HOSTS"));
+  if (hosts.empty()) {
+    fmt::print(stderr, "no hosts: give --hosts or set HAWTHORNLANE_HOSTS\n");
+    return cli::exit_usage;
+  }
+  cli::connection connection(hosts,
+                             option_or(arguments.at("--credential"), "HAWTHORNLANE_CREDENTIAL"),
+                             option_or(arguments.at("--as"), "USER"));
+  try {
+    return run(arguments, connection);
+  } catch (const std::exception& fault) {
+    fmt::print(stderr, "hawthornlane: {}\n", fault.what());
+    return cli::exit_fault;
+  }
+}
--- /dev/null
+++ b/programs/hawthornlaned.cc
@@ -0,0 +1,123 @@
+// The daemon: reads its settings, runs one node and its workers, ends on a
+// planned stop.
+#include <docopt.h>
+#include <fmt/format.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+#include "hawthornlane/node/node.h"
+#include "hawthornlane/telemetry/log.h"
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int exit_good = 0;
+constexpr int exit_fault = 1;
+constexpr int exit_settings = 2;
+
+constexpr const char* usage = R"(hawthornlaned: the scheduler's daemon, one for each entry host.
+
+Usage:
+  hawthornlaned --config FILE [--check-config] [--log-format FORMAT]
+  hawthornlaned --describe-config
+  hawthornlaned --help
+
+Options:
+  --config FILE        Settings in INI.
+  --check-config       Check the settings and start nothing; 2 when one is wrong.
+  --describe-config    Print all settings with unit, range and default.
+  --log-format FORMAT  text or json; overrides the settings.
+  --help               Show this.
+
+SIGTERM and SIGINT begin a planned stop, which cuts off no request.
+)";
+
+std::optional<std::string> read_file(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void follow_signals(asio::signal_set& signals, hawthornlane::node& host) {
+  signals.async_wait([&signals, &host](const boost::system::error_code& error, int signal) {
+    if (error) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      hawthornlane::log(hawthornlane::event::signal_explained,
+                        {{"signal", "SIGHUP"},
+                         {"detail",
+                          "settings are read at start only; restart to change them, or apply a "
+                          "service document"}});
+    } else {
+      host.stop("signal");
+    }
+    follow_signals(signals, host);
+  });
+}
+
+int run(const hawthornlane::node_settings& settings) {
+  asio::io_context context(static_cast<int>(settings.workers));
+  auto guard = asio::make_work_guard(context);
+  hawthornlane::node host(context, settings, [&context] { context.stop(); });
+  asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+  follow_signals(signals, host);
+  std::vector<std::jthread> workers;
+  for (std::uint32_t worker = 1; worker < settings.workers; ++worker) {
+    workers.emplace_back([&context] { context.run(); });
+  }
+  context.run();
+  workers.clear();
+  return exit_good;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, "hawthornlaned 0.1");
+  if (arguments.at("--describe-config").asBool()) {
+    fmt::print("{}", hawthornlane::describe(hawthornlane::node_schema()));
+    return exit_good;
+  }
+  const std::string path = arguments.at("--config").asString();
+  const auto text = read_file(path);
+  if (!text) {
+    fmt::print(stderr, "{}: cannot be read\n", path);
+    return exit_settings;
+  }
+  std::vector<hawthornlane::ini_problem> problems;
+  auto settings = hawthornlane::read_node_settings(*text, problems);
+  if (!settings) {
+    fmt::print(stderr, "{}:\n{}", path, hawthornlane::to_string(problems));
+    return exit_settings;
+  }
+  if (arguments.at("--check-config").asBool()) {
+    fmt::print("{}: good\n", path);
+    return exit_good;
+  }
+  if (arguments.at("--log-format")) {
+    const bool json = arguments.at("--log-format").asString() == "json";
+    settings->log = json ? hawthornlane::log_format::json : hawthornlane::log_format::text;
+  }
+  hawthornlane::set_log_format(settings->log);
+  hawthornlane::set_log_host(settings->host.get());
+  try {
+    return run(*settings);
+  } catch (const std::exception& fault) {
+    fmt::print(stderr, "hawthornlaned: {}\n", fault.what());
+    return exit_fault;
+  }
+}
