--- a/libs/node/include/hawthornlane/node/backend_table.h
+++ b/libs/node/include/hawthornlane/node/backend_table.h
@@ -34,26 +34,26 @@
 struct backend_need {
   model_name model;
   std::string tool;
-  program_id program;
 };
 
 /// Thread-safe. Servers come from the platform's objects "servers/ID".
 class backend_table {
 public:
-  void take_object(const stored_object& object);
+  /// The server that the object describes, if it is one.
+  std::optional<backend_server> take_object(const stored_object& object);
+  [[nodiscard]] std::optional<backend_server> find(const backend_server_id& server) const;
+  /// A server that was chosen elsewhere is in use from now on.
+  std::optional<backend_server> take_chosen(const backend_server_id& server);
   /// The server to use, counted as taken until `give_back`; nothing if none can.
   std::optional<backend_server> take(const backend_need& need,
                                      const std::vector<backend_server_id>& except, timestamp now);
   void give_back(const backend_server_id& server, const backend_result& result, timestamp now);
-  /// The server that holds the program's prefix, and forgets it.
-  std::optional<backend_server> forget_program(const program_id& program);
   [[nodiscard]] std::vector<backend_server> all() const;
   void count_for(fleet_view& fleet) const;
 
 private:
   mutable std::mutex mutex;
   std::map<backend_server_id, backend_server> servers;
-  std::map<program_id, backend_server_id> last_server;
 };
 
 }  // namespace hawthornlane
--- a/libs/node/include/hawthornlane/node/call_runner.h
+++ b/libs/node/include/hawthornlane/node/call_runner.h
@@ -10,8 +10,10 @@
 #include <string>
 
 #include "hawthornlane/engine/backend_client.h"
+#include "hawthornlane/limits/retry_budget.h"
 #include "hawthornlane/node/backend_table.h"
 #include "hawthornlane/node/call_table.h"
+#include "hawthornlane/node/model_queue.h"
 #include "hawthornlane/node/runtime.h"
 #include "hawthornlane/node/shard_table.h"
 
@@ -26,16 +28,27 @@
   /// What the call adds to the history, as the log keeps it.
   std::string history_request;
   token_count prompt_growth{0};
+  /// Tokens of the history that the prompt begins with.
+  token_count history{0};
+  double weight = 1;
+  duration deadline{};
+  timestamp arrived;
   std::optional<backend_server> server;
 };
 
-/// Keeps prepared calls until their intent is logged, then runs them.
+/// Queues calls for servers, begins them when a server is theirs, and runs them
+/// once their intent is logged.
 class call_runner {
 public:
   call_runner(runtime& time, shard_table& shards, backend_table& backends, call_table& calls);
 
-  /// Takes a server and keeps the call; nothing when no server can take it.
-  std::optional<backend_server_id> prepare(prepared_call call);
+  /// Why the call cannot be queued at all; nothing when it can.
+  std::optional<failure> refusal(const prepared_call& call) const;
+  /// Queues the call; its outcome comes through the call table.
+  void enqueue(prepared_call call);
+  void server_listed(const backend_server& server);
+  /// Refuses calls whose deadline passed in the queue; looks after hung servers.
+  void tick();
   /// The call was answered before it was dispatched.
   void drop(call_id call);
   /// Starts a dispatch; never waits.
@@ -47,8 +60,13 @@
   [[nodiscard]] std::size_t running() const { return this->active; }
 
 private:
+  void start(call_id call, const backend_server_id& server);
+  void give_up(call_id call);
+  void note_result(const prepared_call& call, const backend_result& result);
+  schedule_request schedule_request_of(const prepared_call& call);
   boost::asio::awaitable<void> run(dispatch_call order);
   boost::asio::awaitable<backend_result> try_servers(prepared_call& call);
+  bool may_retry();
   boost::asio::awaitable<backend_result> send_once(const prepared_call& call);
   boost::asio::awaitable<void> release_with_retries(backend_server server, program_id program);
   std::shared_ptr<prepared_call> find(call_id call) const;
@@ -60,6 +78,14 @@
   backend_client client;
   mutable std::mutex mutex;
   std::map<call_id, std::shared_ptr<prepared_call>> prepared;
+  /// Server time that each live program has had, and when it was first seen here.
+  struct program_record {
+    double attained = 0;
+    timestamp began;
+  };
+  std::map<program_id, program_record> programs;
+  retry_budget retries;
+  model_queue queue;
   std::atomic<std::uint64_t> relayed{0};
   std::atomic<std::size_t> active{0};
 };
--- a/libs/node/src/backend_table.cc
+++ b/libs/node/src/backend_table.cc
@@ -14,8 +14,6 @@
 const std::string key_prefix = "servers/";
 constexpr std::int64_t failures_to_exclude = 3;
 constexpr duration exclusion = std::chrono::seconds(5);
-/// More calls than this above the least loaded server outweigh a cached prefix.
-constexpr std::int64_t affinity_slack = 4;
 
 std::string text_in(const json::object& fields, const char* name) {
   const json::value* value = fields.if_contains(name);
@@ -37,16 +35,16 @@
 
 }  // namespace
 
-void backend_table::take_object(const stored_object& object) {
+std::optional<backend_server> backend_table::take_object(const stored_object& object) {
   boost::system::error_code error;
   const json::value value = json::parse(object.value, error);
   if (!object.key.starts_with(key_prefix) || error || !value.is_object()) {
-    return;
+    return std::nullopt;
   }
   const json::object& fields = value.as_object();
   const auto address = http::endpoint_from_string(text_in(fields, "address"));
   if (!address) {
-    return;
+    return std::nullopt;
   }
   const backend_server_id id(object.key.substr(key_prefix.size()));
   const std::lock_guard lock(this->mutex);
@@ -58,6 +56,23 @@
   server.zone = availability_zone(text_in(fields, "availability_zone"));
   server.leaving = text_in(fields, "state") == "leaving";
   server.checks_fencing = flag_in(fields, "checks_fencing");
+  return server;
+}
+
+std::optional<backend_server> backend_table::find(const backend_server_id& id) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->servers.find(id);
+  return found == this->servers.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<backend_server> backend_table::take_chosen(const backend_server_id& id) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->servers.find(id);
+  if (found == this->servers.end()) {
+    return std::nullopt;
+  }
+  ++found->second.outstanding;
+  return found->second;
 }
 
 std::optional<backend_server> backend_table::take(const backend_need& need,
@@ -76,18 +91,7 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  const auto last = this->last_server.find(need.program);
-  if (last != this->last_server.end() && need.tool.empty()) {
-    backend_server& holder = this->servers.at(last->second);
-    if (fits(holder, need, except, now) &&
-        holder.outstanding <= best->outstanding + affinity_slack) {
-      best = &holder;
-    }
-  }
   ++best->outstanding;
-  if (need.tool.empty()) {
-    this->last_server[need.program] = best->id;
-  }
   return *best;
 }
 
@@ -108,17 +112,6 @@
   }
 }
 
-std::optional<backend_server> backend_table::forget_program(const program_id& program) {
-  const std::lock_guard lock(this->mutex);
-  const auto last = this->last_server.find(program);
-  if (last == this->last_server.end()) {
-    return std::nullopt;
-  }
-  const auto found = this->servers.find(last->second);
-  this->last_server.erase(last);
-  return found == this->servers.end() ? std::nullopt : std::optional(found->second);
-}
-
 std::vector<backend_server> backend_table::all() const {
   const std::lock_guard lock(this->mutex);
   std::vector<backend_server> out;
--- a/libs/node/src/call_runner.cc
+++ b/libs/node/src/call_runner.cc
@@ -3,9 +3,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 #include "hawthornlane/telemetry/log.h"
 
@@ -34,18 +36,129 @@
 
 call_runner::call_runner(runtime& clock, shard_table& table, backend_table& servers,
                          call_table& open_calls)
-    : time(clock), shards(table), backends(servers), calls(open_calls) {}
+    : time(clock),
+      shards(table),
+      backends(servers),
+      calls(open_calls),
+      queue(
+          [this](const schedule_decision& decision) {
+            // Posted, since a decision can come out of another shard's lock.
+            asio::post(this->time.context, [this, decision] {
+              this->start(call_id(decision.id.get()), decision.server);
+            });
+          },
+          [this](waiting_id id) { this->give_up(call_id(id.get())); }) {}
 
-std::optional<backend_server_id> call_runner::prepare(prepared_call call) {
-  call.server = this->backends.take(call.need, {}, this->time.now());
-  if (!call.server) {
+void call_runner::server_listed(const backend_server& server) {
+  if (!server.model.get().empty()) {
+    this->queue.server_listed(server.model, server.id, !server.leaving, this->time.now());
+  }
+}
+
+std::optional<failure> call_runner::refusal(const prepared_call& call) const {
+  if (!call.need.tool.empty()) {
     return std::nullopt;
   }
-  const backend_server_id id = call.server->id;
+  if (!this->queue.has_servers(call.need.model)) {
+    return failure{error_kind::no_backend_server, "no server holds the model"};
+  }
+  const double wait = this->queue.predicted_wait(call.need.model);
+  if (wait > to_seconds(call.deadline)) {
+    return failure{error_kind::over_limit, "predicted wait of " +
+                                               std::to_string(static_cast<int>(wait)) +
+                                               " s is beyond the call's deadline"};
+  }
+  return std::nullopt;
+}
+
+schedule_request call_runner::schedule_request_of(const prepared_call& call) {
+  schedule_request request;
+  request.id = waiting_id(call.request.call.get());
+  request.program = call.request.program;
+  request.account = call.request.account;
+  request.weight = call.weight;
+  request.history = call.history;
+  request.prompt = call.history + call.prompt_growth;
+  request.expected_answer = call.call.max_tokens;
+  request.arrived = call.arrived;
   const std::lock_guard lock(this->mutex);
-  const call_id key = call.request.call;
-  this->prepared[key] = std::make_shared<prepared_call>(std::move(call));
-  return id;
+  const auto [at, added] =
+      this->programs.try_emplace(call.request.program, program_record{0, call.arrived});
+  request.attained = at->second.attained;
+  request.began = at->second.began;
+  return request;
+}
+
+void call_runner::enqueue(prepared_call call) {
+  call.arrived = this->time.now();
+  const schedule_request request = this->schedule_request_of(call);
+  const call_id id = call.request.call;
+  const backend_need need = call.need;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->prepared[id] = std::make_shared<prepared_call>(std::move(call));
+  }
+  if (need.tool.empty()) {
+    this->queue.submit(need.model, request, this->time.now());
+    return;
+  }
+  const auto server = this->backends.take(need, {}, this->time.now());
+  if (!server) {
+    this->give_up(id);
+    return;
+  }
+  const auto kept = this->find(id);
+  kept->server = server;
+  kept->request.server = server->id;
+  this->shards.change(kept->shard, [&](shard_core& core) {
+    return core.begin_call(kept->request, this->time.random(), this->time.now());
+  });
+}
+
+/// The call has a place in a server's window: log its intent.
+void call_runner::start(call_id id, const backend_server_id& chosen) {
+  const auto call = this->find(id);
+  if (!call) {
+    return;
+  }
+  call->server = this->backends.take_chosen(chosen);
+  call->request.server = chosen;
+  this->shards.change(call->shard, [&](shard_core& core) {
+    return core.begin_call(call->request, this->time.random(), this->time.now());
+  });
+}
+
+/// Refuses a call that waits; one that was sent ends with its connection.
+void call_runner::give_up(call_id id) {
+  const auto call = this->find(id);
+  if (!call || call->server) {
+    return;
+  }
+  call_answer refused;
+  this->shards.change(call->shard, [&](shard_core& core) {
+    refused = core.refuse_call(call->request, error_kind::no_backend_server,
+                               "no server took the call in time", this->time.random());
+    return actions{};
+  });
+  this->drop(id);
+  this->calls.complete(id, std::move(refused));
+}
+
+void call_runner::tick() {
+  const timestamp now = this->time.now();
+  this->queue.tick(now);
+  std::vector<call_id> late;
+  {
+    const std::lock_guard lock(this->mutex);
+    for (const auto& [id, call] : this->prepared) {
+      if (!call->server && now - call->arrived > call->deadline) {
+        late.push_back(id);
+      }
+    }
+  }
+  for (const call_id id : late) {
+    this->give_up(id);
+  }
 }
 
 std::shared_ptr<prepared_call> call_runner::find(call_id call) const {
@@ -65,9 +178,36 @@
     dropped = found->second;
     this->prepared.erase(found);
   }
-  backend_result unused;
-  unused.outcome = backend_result::kind::finished;
-  this->backends.give_back(dropped->server->id, unused, this->time.now());
+  if (dropped->need.tool.empty()) {
+    this->queue.cancel(dropped->need.model, waiting_id(call.get()), this->time.now());
+  }
+  if (dropped->server) {
+    backend_result unused;
+    unused.outcome = backend_result::kind::finished;
+    this->backends.give_back(dropped->server->id, unused, this->time.now());
+  }
+}
+
+void call_runner::note_result(const prepared_call& call, const backend_result& result) {
+  const bool good = result.outcome == backend_result::kind::finished;
+  {
+    const std::lock_guard lock(this->mutex);
+    const auto program = this->programs.find(call.request.program);
+    if (program != this->programs.end()) {
+      program->second.attained += to_seconds(result.whole);
+    }
+  }
+  if (!call.need.tool.empty()) {
+    return;
+  }
+  schedule_outcome outcome;
+  outcome.id = waiting_id(call.request.call.get());
+  outcome.failed = !good;
+  outcome.sample.prefilled = result.prompt_tokens - result.cached_tokens;
+  outcome.sample.answered = result.answer_tokens;
+  outcome.sample.first_token = result.first_token;
+  outcome.sample.whole = result.whole;
+  this->queue.finished(call.need.model, outcome, this->time.now());
 }
 
 void call_runner::dispatch(shard_id /*shard*/, const dispatch_call& order) {
@@ -96,6 +236,7 @@
   ++this->active;
   const backend_result result = co_await this->try_servers(*call);
   --this->active;
+  this->note_result(*call, result);
   {
     const std::lock_guard lock(this->mutex);
     this->prepared.erase(order.call);
@@ -109,6 +250,10 @@
 /// when the call may run twice and nothing of it was passed on yet.
 asio::awaitable<backend_result> call_runner::try_servers(prepared_call& call) {
   std::vector<backend_server_id> tried;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->retries.on_call();
+  }
   while (true) {
     const backend_result result = co_await this->send_once(call);
     this->backends.give_back(call.server->id, result, this->time.now());
@@ -116,7 +261,7 @@
     const bool untouched = result.outcome == backend_result::kind::never_started;
     const bool silent = result.outcome == backend_result::kind::broken && result.answer.empty();
     const bool again = untouched || (silent && call.request.repeatable);
-    if (!again || tried.size() >= most_servers_per_call) {
+    if (!again || tried.size() >= most_servers_per_call || !this->may_retry()) {
       co_return result;
     }
     log(event::backend_failed, {{"server", call.server->id.get()}, {"detail", result.detail}});
@@ -128,12 +273,21 @@
   }
 }
 
+bool call_runner::may_retry() {
+  const std::lock_guard lock(this->mutex);
+  return this->retries.try_spend();
+}
+
 asio::awaitable<backend_result> call_runner::send_once(const prepared_call& call) {
   if (!call.need.tool.empty()) {
     co_return co_await this->client.call_tool(call.server->address, call.call);
   }
   const call_id id = call.request.call;
-  const auto take = [this, id](std::string_view text) {
+  const auto first = std::make_shared<bool>(true);
+  const auto take = [this, id, first, model = call.need.model](std::string_view text) {
+    if (std::exchange(*first, false)) {
+      this->queue.first_token(model, waiting_id(id.get()));
+    }
     ++this->relayed;
     this->calls.push_text(id, std::string(text));
   };
@@ -141,7 +295,12 @@
 }
 
 void call_runner::release(const program_id& program) {
-  if (auto server = this->backends.forget_program(program)) {
+  const auto holder = this->queue.forget(program);
+  {
+    const std::lock_guard lock(this->mutex);
+    this->programs.erase(program);
+  }
+  if (auto server = holder ? this->backends.find(*holder) : std::nullopt) {
     asio::co_spawn(asio::make_strand(this->time.context),
                    this->release_with_retries(std::move(*server), program), asio::detached);
   }
--- a/libs/node/src/front_routes.cc
+++ b/libs/node/src/front_routes.cc
@@ -164,6 +164,15 @@
   return {program_id(after.substr(0, slash)), after.substr(slash)};
 }
 
+const account_terms* find_account(const service_document& document, const client_account& account) {
+  for (const account_terms& terms : document.accounts) {
+    if (terms.account == account) {
+      return &terms;
+    }
+  }
+  return nullptr;
+}
+
 json::object address_row(const member& host, std::string_view why) {
   return {{"address", host.front_address},
           {"host", host.id.host.get()},
@@ -418,12 +427,16 @@
   }
   call.history_request = json::serialize(fields.messages);
   const auto messages = this->conversation(call.request.program, call.history_request);
+  const auto* terms = find_account(document, call.request.account);
+  call.weight = terms == nullptr ? 1 : terms->weight;
   if (!messages) {
     reason = {error_kind::program_unknown, ""};
     return false;
   }
   const auto bytes = static_cast<std::int64_t>(call.history_request.size());
   call.prompt_growth = token_count(bytes / bytes_per_token + 1);
+  const auto whole = static_cast<std::int64_t>(messages->size()) / bytes_per_token + 1;
+  call.history = token_count(std::max<std::int64_t>(0, whole - call.prompt_growth.get()));
   call.call.messages = *messages;
   call.call.max_tokens = token_count(asked);
   call.call.model = document.model;
@@ -493,7 +506,6 @@
       return std::nullopt;
     }
   }
-  call.need.program = program;
   call.call.program = program;
   call.call.request_id = to_string(*presented);
   const bool good = fields->tool.empty()
@@ -502,6 +514,7 @@
   if (!good) {
     return std::nullopt;
   }
+  call.deadline = document->call_deadline;
   call.request.request_digest = text_digest(call.history_request);
   return call;
 }
@@ -522,7 +535,7 @@
     co_return;
   }
   const shard_id shard = prepared->shard;
-  call_request request = prepared->request;
+  const call_request request = prepared->request;
   std::optional<call_answer> early;
   this->parts.shards.change(shard, [&](shard_core& core) {
     early = core.check_call(request, this->parts.time.random());
@@ -533,26 +546,20 @@
     co_await reply.respond(std::move(answer));
     co_return;
   }
-  const call_table::entry entry = this->parts.calls.add(co_await asio::this_coro::executor);
-  request.call = entry.id;
-  prepared->request.call = entry.id;
-  const auto server = this->parts.runner.prepare(std::move(*prepared));
-  if (!server) {
-    this->parts.calls.remove(entry.id);
-    call_answer refused;
+  if (const auto refused = this->parts.runner.refusal(*prepared)) {
+    call_answer refusal;
     this->parts.shards.change(shard, [&](shard_core& core) {
-      refused =
-          core.refuse_call(request, error_kind::no_backend_server, "", this->parts.time.random());
+      refusal =
+          core.refuse_call(request, refused->kind, refused->detail, this->parts.time.random());
       return actions{};
     });
-    http::response answer = to_response(refused);
+    http::response answer = to_response(refusal);
     co_await reply.respond(std::move(answer));
     co_return;
   }
-  request.server = *server;
-  this->parts.shards.change(shard, [&](shard_core& core) {
-    return core.begin_call(request, this->parts.time.random(), this->parts.time.now());
-  });
+  const call_table::entry entry = this->parts.calls.add(co_await asio::this_coro::executor);
+  prepared->request.call = entry.id;
+  this->parts.runner.enqueue(std::move(*prepared));
   co_await this->relay(reply, *entry.channel, stream);
   this->parts.calls.remove(entry.id);
 }
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -449,7 +449,9 @@
   } else if (prefix == documents_prefix) {
     this->documents.take_object(object);
   } else if (prefix == servers_prefix) {
-    this->backends.take_object(object);
+    if (const auto server = this->backends.take_object(object)) {
+      this->runner->server_listed(*server);
+    }
   } else {
     this->map.take_object(object);
   }
@@ -553,6 +555,7 @@
   while (!this->stopped) {
     co_await this->wait(idle_check);
     const timestamp now = this->time.now();
+    this->runner->tick();
     std::vector<ending> due;
     std::map<program_id, std::pair<std::size_t, timestamp>> seen;
     this->shards.read_all([&](const shard_core& core) {
--- a/libs/routing/include/hawthornlane/routing/scheduler.h
+++ b/libs/routing/include/hawthornlane/routing/scheduler.h
@@ -92,6 +92,8 @@
   /// Queues the call; decisions that became possible come back.
   std::vector<schedule_decision> submit(const schedule_request& request, timestamp now);
   std::vector<schedule_decision> finished(const schedule_outcome& outcome, timestamp now);
+  /// The call is not to be sent, or was not: it leaves its queue or its place.
+  std::vector<schedule_decision> cancel(waiting_id id, timestamp now);
   /// The first token arrived.
   void first_token(waiting_id id);
   /// The program ended: its prefix is worth nothing any more.
@@ -102,6 +104,8 @@
   std::vector<schedule_decision> tick(timestamp now);
 
   [[nodiscard]] std::size_t waiting() const;
+  /// Whether any server may get calls, now or after its exclusion.
+  [[nodiscard]] bool has_servers() const { return !this->by_load.empty(); }
   [[nodiscard]] std::int64_t inside(const backend_server_id& server) const;
   [[nodiscard]] std::int64_t window(const backend_server_id& server) const;
   /// Predicted wait of a new call at the least busy server, for early refusal.
@@ -170,6 +174,8 @@
   std::map<waiting_id, running_call> running;
   std::map<program_id, backend_server_id> holders;
   std::vector<waiting_id> given_up;
+  /// Calls that came while no server was listed.
+  std::vector<waiting_id> homeless;
 };
 
 }  // namespace hawthornlane
--- a/libs/routing/src/scheduler.cc
+++ b/libs/routing/src/scheduler.cc
@@ -2,6 +2,7 @@
 #include "hawthornlane/routing/scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornlane {
 namespace {
@@ -34,6 +35,11 @@
     at->second.window.on_failed();
   }
   this->reindex(server, at->second);
+  for (const waiting_id id : std::exchange(this->homeless, {})) {
+    if (const auto request = this->requests.find(id); request != this->requests.end()) {
+      this->place(request->second, server);
+    }
+  }
 }
 
 std::size_t scheduler::queued(const server_state& server) {
@@ -166,6 +172,7 @@
         return out;
       }
     }
+    this->homeless.push_back(request.id);
     return out;
   }
   this->place(request, *server);
@@ -272,6 +279,30 @@
   return true;
 }
 
+std::vector<schedule_decision> scheduler::cancel(waiting_id id, timestamp now) {
+  std::vector<schedule_decision> out;
+  if (const auto queue = this->queued_at.find(id); queue != this->queued_at.end()) {
+    const backend_server_id at = queue->second;
+    server_state& server = this->servers.at(at);
+    if (!server.queue.remove(id)) {
+      server.newcomers.remove(id);
+    }
+    this->leave_queue(id);
+    this->reindex(at, server);
+    return out;
+  }
+  this->requests.erase(id);
+  const auto found = this->running.find(id);
+  if (found == this->running.end()) {
+    return out;
+  }
+  const backend_server_id at = found->second.server;
+  this->running.erase(found);
+  --this->servers.at(at).inside;
+  this->fill(at, now, out);
+  return out;
+}
+
 void scheduler::first_token(waiting_id id) {
   const auto found = this->running.find(id);
   if (found != this->running.end()) {
