Find the next account of a fair queue without a scan

Cause: measuring slopes for the capacity page showed the queue scanning every waiting account at each take.

Same order of service: the tests of shares and floods pass unchanged.

Conclusion: an ordered set of accounts by service; the last decision that was linear in accounts is gone.

--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -174,6 +174,7 @@
   }
   static std::vector<bench_decision> numbers(const std::vector<schedule_decision>& decisions) {
     std::vector<bench_decision> out;
+    out.reserve(decisions.size());
     for (const schedule_decision& item : decisions) {
       out.push_back({item.id.get(), server_number(item.server)});
     }
--- /dev/null
+++ b/bench/slopes.cc
@@ -0,0 +1,285 @@
+// Slopes for docs/CAPACITY.md: cost and size of one unit of each role's work, at
+// several sizes, so that a line can be laid through them. CSV on standard output.
+#include <fmt/format.h>
+
+#include <chrono>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "hawthornlane/document/service_document.h"
+#include "hawthornlane/limits/credit_steward.h"
+#include "hawthornlane/membership/membership_core.h"
+#include "hawthornlane/ownership/placement.h"
+#include "hawthornlane/ownership/shard_core.h"
+#include "hawthornlane/peer/wire.h"
+#include "hawthornlane/rollout/rollout_core.h"
+#include "hawthornlane/routing/scheduler.h"
+
+namespace {
+
+using namespace hawthornlane;
+using steady = std::chrono::steady_clock;
+
+/// Microseconds that one of `count` runs of `work` took.
+template <class Work>
+double each_us(std::size_t count, Work work) {
+  const auto began = steady::now();
+  for (std::size_t at = 0; at < count; ++at) {
+    work(at);
+  }
+  return std::chrono::duration<double, std::micro>(steady::now() - began).count() /
+         static_cast<double>(count);
+}
+
+void print(const char* what, std::size_t size, const char* unit, double value) {
+  fmt::print("{},{},{},{:.4g}\n", what, size, unit, value);
+}
+
+host_incarnation host(std::size_t number) {
+  return {host_id("host-" + std::to_string(number)), incarnation(number + 1)};
+}
+
+/// An owner and two replicas that answer at once.
+class trio {
+public:
+  trio() {
+    for (std::size_t at = 0; at < 3; ++at) {
+      this->cores.emplace_back(shard_id(1), host(at));
+    }
+    this->carry_out(0, this->cores[0].claim({host(1), host(2)}, 7, this->now));
+  }
+
+  void carry_out(std::size_t at, const actions& todo) {
+    for (const action& item : todo) {
+      if (const auto* message = std::get_if<send_message>(&item)) {
+        const std::size_t to = message->to.start.get() - 1;
+        ++this->messages;
+        if (this->count_bytes) {
+          this->bytes += to_bytes(message->message).size();
+        }
+        this->carry_out(to, this->cores[to].receive(host(at), message->message, this->now));
+      } else if (const auto* proposal = std::get_if<propose_assignment>(&item)) {
+        this->carry_out(at, this->cores[at].proposal_ended(proposal_outcome::applied,
+                                                           proposal->desired, this->now));
+      } else if (const auto* answer = std::get_if<answer_call>(&item)) {
+        this->next = answer->answer.next.value_or(this->next);
+      }
+    }
+  }
+
+  void open(const program_id& program) {
+    program_opened record;
+    record.program = program;
+    record.account = client_account("a");
+    record.limits = {token_count(100'000'000), 1'000'000, 100, 1'000'000};
+    this->carry_out(0, this->cores[0].open_program(call_id(1), record, 11, this->now));
+  }
+
+  void turn(const program_id& program, std::size_t answer_bytes) {
+    call_request request;
+    request.call = call_id(++this->calls);
+    request.program = program;
+    request.account = client_account("a");
+    request.presented = this->next;
+    request.reserved = token_count(100);
+    this->carry_out(0, this->cores[0].begin_call(request, 1, this->now));
+    call_result result;
+    result.call = request.call;
+    result.request = std::string(answer_bytes / 2, 'q');
+    result.answer = std::string(answer_bytes / 2, 'a');
+    this->carry_out(0, this->cores[0].finish_call(result, 1000 + this->calls, this->now));
+  }
+
+  std::vector<shard_core> cores;
+  timestamp now{};
+  ticket next;
+  std::uint64_t calls = 1;
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+  bool count_bytes = false;
+};
+
+void owner_slopes() {
+  for (const std::size_t bytes : {400U, 4000U, 40000U}) {
+    trio shard;
+    const program_id program = make_program_id(shard_id(1), 1);
+    shard.open(program);
+    const double us = each_us(200, [&](std::size_t) { shard.turn(program, bytes); });
+    print("turn: owner and two replicas, all cores; bytes kept", bytes, "us/turn", us);
+    trio counted;
+    counted.open(program);
+    counted.count_bytes = true;
+    const std::uint64_t before = counted.messages;
+    for (int turn = 0; turn < 50; ++turn) {
+      counted.turn(program, bytes);
+    }
+    print("turn: messages; bytes kept", bytes, "messages/turn",
+          static_cast<double>(counted.messages - before) / 50);
+    print("turn: wire; bytes kept", bytes, "bytes/turn", static_cast<double>(counted.bytes) / 50);
+  }
+  for (const std::size_t programs : {1U, 10U, 100U}) {
+    trio shard;
+    for (std::size_t number = 0; number < programs; ++number) {
+      const program_id program = make_program_id(shard_id(1), number + 1);
+      shard.open(program);
+      for (int turn = 0; turn < 10; ++turn) {
+        shard.turn(program, 4000);
+      }
+    }
+    const held_log log = *shard.cores[0].log();
+    std::string bytes;
+    const double us = each_us(20, [&](std::size_t) { bytes = to_bytes(log); });
+    print("install: 40 kB programs in the shard", programs, "bytes",
+          static_cast<double>(bytes.size()));
+    print("install: 40 kB programs in the shard", programs, "us encode", us);
+    const double back = each_us(20, [&](std::size_t) { held_log_from_bytes(bytes); });
+    print("install: 40 kB programs in the shard", programs, "us decode", back);
+    const double tick = each_us(1000, [&](std::size_t) { shard.cores[0].tick(shard.now); });
+    print("tick of an idle shard: programs", programs, "us", tick);
+  }
+}
+
+member member_of(std::size_t number) {
+  member item;
+  item.id = host(number);
+  item.zone = availability_zone("zone-" + std::to_string(number % 20));
+  item.front_address = "10.0.0.1:40000";
+  item.peer_address = "10.0.0.1:40001";
+  return item;
+}
+
+void membership_slopes() {
+  for (const std::size_t hosts : {9U, 43U, 340U}) {
+    membership_core core(member_of(0), {});
+    timestamp now{};
+    for (std::size_t other = 1; other < hosts; ++other) {
+      core.listed(member_of(other), now);
+    }
+    std::uint64_t bytes = 0;
+    std::uint64_t sent = 0;
+    std::uint64_t sequence = 1;
+    const std::size_t periods = 400;
+    const double us = each_us(periods, [&](std::size_t period) {
+      now += membership_times{}.period;
+      const auto out = core.tick(now, period);
+      // Each period one probe is answered, and one comes from another host.
+      probe_message answer;
+      answer.what = probe_message::kind::acknowledge;
+      answer.sequence = sequence++;
+      answer.from = host(1);
+      core.receive(answer, now);
+      probe_message ping;
+      ping.from = host(1 + period % (hosts - 1));
+      ping.reply_to = "10.0.0.1:40001";
+      ping.updates = {member_of(1 + period % (hosts - 1))};
+      const auto reply = core.receive(ping, now);
+      for (const auto* actions : {&out, &reply}) {
+        for (const send_probe& probe : actions->probes) {
+          bytes += to_bytes(probe.message).size();
+          ++sent;
+        }
+      }
+    });
+    const double seconds = static_cast<double>(periods) * to_seconds(membership_times{}.period);
+    print("membership: hosts", hosts, "us/period", us);
+    print("membership: hosts", hosts, "messages/s sent", static_cast<double>(sent) / seconds);
+    print("membership: hosts", hosts, "bytes/s sent", static_cast<double>(bytes) / seconds);
+  }
+}
+
+void scheduler_slopes() {
+  for (const std::size_t servers : {22U, 220U, 2200U}) {
+    scheduler core({}, {}, {});
+    timestamp now{};
+    for (std::size_t at = 0; at < servers; ++at) {
+      core.add_server(backend_server_id("server-" + std::to_string(at)), now);
+    }
+    std::vector<std::uint64_t> inside;
+    const std::size_t calls = 20'000;
+    const double us = each_us(calls, [&](std::size_t at) {
+      now += std::chrono::microseconds(100);
+      schedule_request request;
+      request.id = waiting_id(at + 1);
+      request.program = program_id("p" + std::to_string(at % 5000));
+      request.account = client_account(std::to_string(at % 100));
+      request.prompt = token_count(2000);
+      request.expected_answer = token_count(200);
+      request.arrived = now;
+      core.submit(request, now);
+      if (at >= servers * 4) {
+        schedule_outcome ended;
+        ended.id = waiting_id(at + 1 - servers * 4);
+        ended.sample = {token_count(500), token_count(200), std::chrono::milliseconds(60),
+                        std::chrono::seconds(4), 8};
+        core.finished(ended, now);
+      }
+    });
+    print("scheduler: servers", servers, "us/call (submit and finish)", us);
+  }
+}
+
+void placement_slopes() {
+  for (const std::size_t hosts : {9U, 43U, 340U}) {
+    std::vector<placeable_host> all;
+    for (std::size_t at = 0; at < hosts; ++at) {
+      all.push_back({host(at), availability_zone("zone-" + std::to_string(at % 20))});
+    }
+    const double us = each_us(200, [&](std::size_t at) {
+      choose_replicas(shard_id(static_cast<std::uint32_t>(at)), all[0], all, {}, 2);
+    });
+    print("placement: hosts", hosts, "us/shard", us);
+  }
+}
+
+void limits_slopes() {
+  for (const std::size_t hosts : {9U, 43U, 340U}) {
+    std::vector<credit_demand> demands;
+    for (std::size_t at = 0; at < hosts; ++at) {
+      demands.push_back({host(at), 1, static_cast<std::int64_t>(at % 3)});
+    }
+    const double us = each_us(1000, [&](std::size_t) { split_window(64, demands); });
+    print("credits: hosts", hosts, "us/split", us);
+  }
+  for (const std::size_t accounts : {100U, 1000U, 39000U}) {
+    fair_queue queue;
+    for (std::size_t at = 0; at < accounts; ++at) {
+      queue.add({waiting_id(at), client_account(std::to_string(at)), 1, 0, 1});
+    }
+    const double us = each_us(200, [&](std::size_t at) {
+      auto taken = queue.take();
+      taken->id = waiting_id(1'000'000 + at);
+      queue.add(*taken);
+    });
+    print("fair queue: waiting accounts", accounts, "us/take and add", us);
+  }
+}
+
+void document_slopes() {
+  for (const std::size_t documents : {10U, 100U, 1000U}) {
+    rollout_core core;
+    const std::string text(2000, 'x');
+    for (std::size_t at = 0; at < documents; ++at) {
+      core.offer(service_name(std::to_string(at)), generation(1), text, timestamp{});
+    }
+    std::uint64_t sum = 0;
+    const double us = each_us(100, [&](std::size_t) { sum += core.digest(); });
+    print("rollout digest: documents", documents, "us", us);
+    if (sum == 1) {
+      fmt::print("\n");
+    }
+  }
+}
+
+}  // namespace
+
+int main() {
+  fmt::print("what,size,unit,value\n");
+  owner_slopes();
+  membership_slopes();
+  scheduler_slopes();
+  placement_slopes();
+  limits_slopes();
+  document_slopes();
+  return 0;
+}
--- a/libs/limits/include/hawthornlane/limits/fair_queue.h
+++ b/libs/limits/include/hawthornlane/limits/fair_queue.h
@@ -26,7 +26,7 @@
 };
 
 /// Start-time fair queueing between accounts, a sorted set within each. Taking
-/// and adding cost the logarithm of what waits.
+/// and adding cost the logarithm of what waits and of how many accounts wait.
 class fair_queue {
 public:
   void add(const waiting_call& call);
@@ -47,9 +47,11 @@
     double served = 0;
   };
   void erase(const waiting_call& call);
-  [[nodiscard]] std::map<client_account, account_state>::const_iterator next_account() const;
 
   std::map<client_account, account_state> accounts;
+  /// Accounts that wait, least served first. Invariant: one entry for each account
+  /// with a call in `order`.
+  std::set<std::pair<double, client_account>> by_served;
   std::map<waiting_id, waiting_call> calls;
   double virtual_time = 0;
   double cost_sum = 0;
--- a/libs/limits/src/credit_steward.cc
+++ b/libs/limits/src/credit_steward.cc
@@ -9,6 +9,7 @@
                                        const std::vector<credit_demand>& demands) {
   std::vector<credit_grant> grants;
   std::int64_t left = window;
+  grants.reserve(demands.size());
   for (const credit_demand& demand : demands) {
     grants.push_back({demand.host, 0});
   }
--- a/libs/limits/src/fair_queue.cc
+++ b/libs/limits/src/fair_queue.cc
@@ -9,32 +9,19 @@
   account_state& account = this->accounts[call.account];
   if (account.order.empty()) {
     account.served = std::max(account.served, this->virtual_time);
+    this->by_served.emplace(account.served, call.account);
   }
   account.order.emplace(call.order, call.id);
   this->calls.insert_or_assign(call.id, call);
   this->cost_sum += call.cost;
 }
 
-std::map<client_account, fair_queue::account_state>::const_iterator fair_queue::next_account()
-    const {
-  auto best = this->accounts.end();
-  for (auto at = this->accounts.begin(); at != this->accounts.end(); ++at) {
-    if (at->second.order.empty()) {
-      continue;
-    }
-    if (best == this->accounts.end() || at->second.served < best->second.served) {
-      best = at;
-    }
-  }
-  return best;
-}
-
 const waiting_call* fair_queue::peek() const {
-  const auto account = this->next_account();
-  if (account == this->accounts.end()) {
+  if (this->by_served.empty()) {
     return nullptr;
   }
-  return &this->calls.at(account->second.order.begin()->second);
+  const account_state& account = this->accounts.at(this->by_served.begin()->second);
+  return &this->calls.at(account.order.begin()->second);
 }
 
 std::optional<waiting_call> fair_queue::take() {
@@ -46,7 +33,11 @@
   this->erase(taken);
   account_state& account = this->accounts[taken.account];
   this->virtual_time = std::max(this->virtual_time, account.served);
+  this->by_served.erase({account.served, taken.account});
   account.served += taken.cost / taken.weight;
+  if (!account.order.empty()) {
+    this->by_served.emplace(account.served, taken.account);
+  }
   if (account.order.empty() && account.served <= this->virtual_time) {
     this->accounts.erase(taken.account);
   }
@@ -63,7 +54,11 @@
 }
 
 void fair_queue::erase(const waiting_call& call) {
-  this->accounts[call.account].order.erase({call.order, call.id});
+  account_state& account = this->accounts[call.account];
+  account.order.erase({call.order, call.id});
+  if (account.order.empty()) {
+    this->by_served.erase({account.served, call.account});
+  }
   this->cost_sum -= call.cost;
   this->calls.erase(call.id);
 }
--- a/libs/node/src/model_queue.cc
+++ b/libs/node/src/model_queue.cc
@@ -69,7 +69,7 @@
 std::optional<backend_server_id> model_queue::forget(const program_id& program) {
   const std::lock_guard lock(this->mutex);
   for (const auto& [model, pool] : this->schedulers) {
-    if (const auto server = pool->forget(program)) {
+    if (auto server = pool->forget(program)) {
       return server;
     }
   }
