--- a/cmake/hawthornlane.cmake
+++ b/cmake/hawthornlane.cmake
@@ -24,6 +24,8 @@
   if(tests)
     hawthornlane_test(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE ${target})
+    target_compile_definitions(${name}_test
+                               PRIVATE HAWTHORNLANE_SOURCE_FOLDER="${CMAKE_SOURCE_DIR}")
   endif()
 endfunction()
 
--- /dev/null
+++ b/libs/telemetry/test/log_test.cc
@@ -0,0 +1,41 @@
+// Holds the catalogue of events against its page in the docs.
+#include "hawthornlane/telemetry/log.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace hawthornlane;
+
+namespace {
+constexpr std::array<std::string_view, 3> grades{"info", "warning", "error"};
+}
+
+TEST_CASE("every event stands in docs/EVENTS.md with its number, name, severity and meaning") {
+  std::ifstream page(HAWTHORNLANE_SOURCE_FOLDER "/docs/EVENTS.md");
+  REQUIRE(page);
+  std::set<std::string> lines;
+  for (std::string line; std::getline(page, line);) {
+    lines.insert(line);
+  }
+  for (const event_entry& entry : event_catalogue()) {
+    std::ostringstream row;
+    row << "| " << static_cast<unsigned>(entry.number) << " | " << entry.name << " | "
+        << grades.at(static_cast<std::size_t>(entry.grade)) << " | " << entry.meaning << " |";
+    INFO("expected the line\n" << row.str());
+    CHECK(lines.contains(row.str()));
+  }
+}
+
+TEST_CASE("numbers and names of events are unique and in order") {
+  std::set<std::string_view> names;
+  unsigned last = 0;
+  for (const event_entry& entry : event_catalogue()) {
+    INFO(entry.name);
+    CHECK(static_cast<unsigned>(entry.number) > last);
+    CHECK(names.insert(entry.name).second);
+    last = static_cast<unsigned>(entry.number);
+  }
+}
