--- a/libs/ownership/src/shard_core_log.cc
+++ b/libs/ownership/src/shard_core_log.cc
@@ -580,8 +580,8 @@
                     program->find_abandoned(result.run_under) != nullptr &&
                     result.run_under.turn == program->next_turn();
   if (!fits && known_turn == nullptr) {
-    out.push_back(
-        send_message{from, late_result_reply{result.program, result.run_under, false, 0, {}, 0, {}}});
+    out.push_back(send_message{
+        from, late_result_reply{result.program, result.run_under, false, 0, {}, 0, {}}});
     return out;
   }
   open_call item;
