Answer slow senders, and find credentials without a scan

Cause: a new test of badly behaved callers found that a request which did not arrive in time was cut off without the 408 that the error table promises: the stream's own timeout closes the connection. Its reads now end by a timer that leaves it open.

Credentials: hash lookup in place of a scan of all accounts.

Conclusion: bad input at the front is answered by the table.

--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -169,6 +170,48 @@
          error == asio::error::connection_reset || error == asio::error::operation_aborted;
 }
 
+/// Ends the reads of a connection at a moment, but leaves it open for an answer,
+/// which the stream's own timeout would not.
+class read_deadline {
+public:
+  read_deadline(beast::tcp_stream& stream, duration limit) : timer(stream.get_executor()) {
+    this->timer.expires_after(steady(limit));
+    this->timer.async_wait([flags = this->flags, &stream](const error_code& cancelled) {
+      if (!cancelled && !flags->over) {
+        flags->passed = true;
+        error_code ignored;
+        stream.socket().cancel(ignored);
+      }
+    });
+  }
+  read_deadline(const read_deadline&) = delete;
+  read_deadline& operator=(const read_deadline&) = delete;
+  /// From now on the stream is not touched, even if the timer has just fired.
+  ~read_deadline() { this->flags->over = true; }
+
+  [[nodiscard]] bool passed() const { return this->flags->passed; }
+
+private:
+  struct state {
+    bool passed = false;
+    bool over = false;
+  };
+  std::shared_ptr<state> flags = std::make_shared<state>();
+  asio::steady_timer timer;
+};
+
+asio::awaitable<void> read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                   bhttp::request_parser<bhttp::string_body>& parser,
+                                   duration limit, error_code& error) {
+  stream.expires_never();
+  const read_deadline deadline(stream, limit);
+  co_await bhttp::async_read(stream, buffer, parser,
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (deadline.passed()) {
+    error = beast::error::timeout;
+  }
+}
+
 asio::awaitable<bool> serve_one(const std::shared_ptr<server::state>& shared,
                                 beast::tcp_stream& stream, beast::flat_buffer& buffer) {
   bhttp::request_parser<bhttp::string_body> parser;
@@ -186,9 +229,7 @@
     buffer.commit(got);
   }
   const counted under_way(shared->active);
-  stream.expires_after(steady(shared->limits.request_time));
-  co_await bhttp::async_read(stream, buffer, parser,
-                             asio::redirect_error(asio::use_awaitable, error));
+  co_await read_request(stream, buffer, parser, shared->limits.request_time, error);
   if (has_ended(error)) {
     co_return false;
   }
--- a/libs/node/include/hawthornlane/node/document_keeper.h
+++ b/libs/node/include/hawthornlane/node/document_keeper.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "hawthornlane/document/service_document.h"
@@ -84,6 +85,7 @@
 
 private:
   void offer(const service_name& service, generation at, const std::string& text);
+  void index_credentials();
   boost::asio::awaitable<apply_result> store(const apply_request& request, apply_result checked);
 
   runtime& time;
@@ -94,6 +96,9 @@
   rollout_core rollout;
   /// Invariant: holds the parsed form of each document in force that parses.
   std::map<service_name, std::shared_ptr<const service_document>> parsed;
+  /// Invariant: names exactly the credentials of `parsed`; of two services with
+  /// the same one, the first in order of names.
+  std::unordered_map<std::string, caller_identity> by_credential;
 };
 
 }  // namespace hawthornlane
--- a/libs/node/src/document_keeper.cc
+++ b/libs/node/src/document_keeper.cc
@@ -70,6 +70,7 @@
     outcome = this->rollout.offer(service, at, text, this->time.now());
     if (outcome == offer_outcome::adopted) {
       this->parsed[service] = std::make_shared<const service_document>(*document);
+      this->index_credentials();
     }
   }
   const std::vector<log_field> fields{{"service", service.get()},
@@ -143,12 +144,21 @@
 
 std::optional<caller_identity> document_keeper::identify(const std::string& credential) const {
   const std::lock_guard lock(this->mutex);
+  const auto found = this->by_credential.find(credential);
+  if (found == this->by_credential.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+/// Called with the lock held.
+void document_keeper::index_credentials() {
+  this->by_credential.clear();
   for (const auto& [service, document] : this->parsed) {
-    if (const account_terms* terms = document->find_credential(credential)) {
-      return caller_identity{terms->account, service};
+    for (const account_terms& terms : document->accounts) {
+      this->by_credential.emplace(terms.credential, caller_identity{terms.account, service});
     }
   }
-  return std::nullopt;
 }
 
 std::vector<document_status> document_keeper::status() const {
