--- a/libs/node/include/hawthornlane/node/node.h
+++ b/libs/node/include/hawthornlane/node/node.h
@@ -49,6 +49,8 @@
   void carry_out(const membership_actions& todo);
   void send_documents(const probe_message& asked);
 
+  /// Starts the coroutines that talk to the platform.
+  void follow_platform();
   boost::asio::awaitable<void> follow(std::string prefix);
   boost::asio::awaitable<void> announce();
   boost::asio::awaitable<void> probe_hosts();
--- /dev/null
+++ b/libs/node/src/front_answers.h
@@ -0,0 +1,27 @@
+// Answers to callers as JSON, all made from the error table.
+#pragma once
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "hawthornlane/http/message.h"
+#include "hawthornlane/ownership/actions.h"
+
+namespace hawthornlane {
+
+/// A digest as callers see it: 16 hexadecimal digits, and back.
+std::string hex(std::uint64_t value);
+std::optional<std::uint64_t> from_hex(const std::string& text);
+
+http::response json_response(const boost::json::object& body, int status = 200);
+/// Adds what the table says of `kind` to a body.
+void put_error(boost::json::object& body, error_kind kind, std::string_view detail);
+boost::json::object to_json(const call_answer& answer);
+http::response to_response(const call_answer& answer);
+/// One event of a stream, e.g. "event: text\ndata: {...}\n\n".
+std::string server_sent_event(std::string_view name, const boost::json::object& data);
+
+}  // namespace hawthornlane
--- a/libs/node/src/front_routes.cc
+++ b/libs/node/src/front_routes.cc
@@ -1,6 +1,8 @@
 // Answering callers.
 #include "hawthornlane/node/front_routes.h"
 
+#include "front_answers.h"
+
 #include <fmt/format.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -29,79 +31,9 @@
 namespace {
 
 constexpr std::int64_t bytes_per_token = 4;
-constexpr int retry_after_ms = 500;
 constexpr duration model_silence = std::chrono::seconds(60);
 const std::string programs_path = "/v1/programs";
 
-std::string hex(std::uint64_t value) { return fmt::format("{:016x}", value); }
-
-std::optional<std::uint64_t> from_hex(const std::string& text) {
-  std::uint64_t value = 0;
-  const auto read = std::from_chars(text.data(), text.data() + text.size(), value, 16);
-  if (text.empty() || read.ptr != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
-http::response json_response(const json::object& body, int status = 200) {
-  http::response answer;
-  answer.status = status;
-  answer.body = json::serialize(body) + "\n";
-  return answer;
-}
-
-void put_error(json::object& body, error_kind kind, std::string_view detail) {
-  const error_answer& row = answer_for(kind);
-  body["error"] = row.name;
-  body["outcome"] = outcome_name(row.outcome);
-  body["meaning"] = row.meaning;
-  if (!detail.empty()) {
-    body["detail"] = detail;
-  }
-  if (row.retry_later) {
-    body["retry_after_ms"] = retry_after_ms;
-  }
-}
-
-json::object to_json(const call_answer& answer) {
-  json::object body;
-  if (answer.error) {
-    put_error(body, *answer.error, answer.detail);
-  } else {
-    body["outcome"] = "kept";
-  }
-  if (answer.turn) {
-    body["turn"] = answer.turn->run_under.turn.get();
-    body["answer"] = answer.turn->answer;
-    body["used_tokens"] = answer.turn->used.get();
-    body["backend_failed"] = answer.turn->failed;
-  }
-  if (answer.next) {
-    body["ticket"] = to_string(*answer.next);
-    body["digest"] = hex(answer.digest);
-    body["budget_left"] = answer.budget_left.get();
-  }
-  if (!answer.error) {
-    body["copies"] = answer.copies;
-    body["replayed"] = answer.replayed;
-  }
-  return body;
-}
-
-http::response to_response(const call_answer& answer, int good_status = 200) {
-  const int status = answer.error ? answer_for(*answer.error).http_status : good_status;
-  http::response made = json_response(to_json(answer), status);
-  if (answer.error && answer_for(*answer.error).retry_later) {
-    made.headers.push_back({"Retry-After", "1"});
-  }
-  return made;
-}
-
-std::string server_sent_event(std::string_view name, const json::object& data) {
-  return fmt::format("event: {}\ndata: {}\n\n", name, json::serialize(data));
-}
-
 std::optional<call_fields> read_call(const std::string& text, std::string& problem) {
   boost::system::error_code error;
   const json::value parsed = json::parse(text, error);
@@ -182,12 +114,6 @@
 
 }  // namespace
 
-http::response error_response(error_kind kind, std::string_view detail) {
-  json::object body;
-  put_error(body, kind, detail);
-  return json_response(body, answer_for(kind).http_status);
-}
-
 std::string credential_of(const http::request& ask) {
   const std::string value = ask.find_header("authorization").value_or("");
   constexpr std::string_view scheme = "Bearer ";
@@ -670,94 +596,4 @@
   co_await reply.respond(std::move(answer));
 }
 
-asio::awaitable<void> front_routes::pass_on(const http::request& ask, http::exchange& reply,
-                                            shard_id shard) {
-  const auto owner = this->owner_of(shard);
-  if (!owner || owner->id == this->parts.hosts.self().id) {
-    http::response refusal = error_response(error_kind::not_owner, "the owner is not known yet");
-    co_await reply.respond(std::move(refusal));
-    co_return;
-  }
-  struct piece {
-    int status = 0;
-    std::string content_type;
-    std::string chunk;
-    bool last = false;
-    bool whole = true;
-  };
-  using piece_channel =
-      asio::experimental::concurrent_channel<void(boost::system::error_code, piece)>;
-  constexpr std::size_t capacity = 8192;
-  auto channel = std::make_shared<piece_channel>(co_await asio::this_coro::executor, capacity);
-  const auto push = [channel](piece item) {
-    channel->try_send(boost::system::error_code{}, std::move(item));
-  };
-  forward_reply events;
-  events.head = [push](int status, const std::string& type) {
-    piece item;
-    item.status = status;
-    item.content_type = type;
-    push(std::move(item));
-  };
-  events.chunk = [push](std::string_view chunk) {
-    piece item;
-    item.chunk = std::string(chunk);
-    push(std::move(item));
-  };
-  events.end = [push](bool whole) {
-    piece item;
-    item.last = true;
-    item.whole = whole;
-    push(std::move(item));
-  };
-  forwarded_request passed;
-  passed.method = ask.method;
-  passed.target = ask.target;
-  passed.authorization = ask.find_header("authorization").value_or("");
-  passed.body = ask.body;
-  this->parts.forward(owner->peer_address, passed, events);
-  http::response head;
-  head.headers.push_back({"X-Better-Address", owner->front_address});
-  bool streaming = false;
-  bool answered = false;
-  while (true) {
-    piece item = co_await channel->async_receive(asio::use_awaitable);
-    if (item.status != 0) {
-      head.status = item.status;
-      head.content_type = item.content_type;
-      answered = true;
-      streaming = item.content_type == "text/event-stream";
-      if (streaming) {
-        co_await reply.start_stream(head);
-      }
-    }
-    if (streaming && !item.chunk.empty()) {
-      co_await reply.write(item.chunk);
-    } else {
-      head.body += item.chunk;
-    }
-    if (!item.last) {
-      continue;
-    }
-    if (streaming) {
-      if (!item.whole) {
-        json::object broken;
-        put_error(broken, error_kind::may_have_run, "the owner broke off; fetch the answer");
-        const std::string notice = server_sent_event("answer", broken);
-        co_await reply.write(notice);
-      }
-      co_await reply.finish_stream();
-      co_return;
-    }
-    if (!answered || !item.whole) {
-      // The owner may have begun: nothing may be claimed of the call.
-      head = error_response(
-          ask.method == "POST" ? error_kind::may_have_run : error_kind::peer_unavailable,
-          "the owner did not answer; ask again with the same ticket");
-    }
-    co_await reply.respond(std::move(head));
-    co_return;
-  }
-}
-
 }  // namespace hawthornlane
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -19,53 +19,20 @@
 
 constexpr duration shard_tick = std::chrono::milliseconds(100);
 constexpr duration duty_period = std::chrono::milliseconds(400);
-constexpr duration watch_retry = std::chrono::milliseconds(500);
-constexpr duration audit_period = std::chrono::seconds(2);
 constexpr duration idle_check = std::chrono::seconds(1);
 constexpr duration leave_check = std::chrono::milliseconds(200);
 constexpr duration longest_leave = std::chrono::minutes(10);
 /// When every host of the region stops, there is nobody to hand shards to.
 constexpr duration longest_without_successor = std::chrono::seconds(2);
-constexpr std::size_t audit_batch = 200;
 constexpr std::size_t moves_per_round = 4;
 constexpr std::size_t rounds_per_move = 5;
 
-const std::string hosts_prefix = "hosts/";
-const std::string documents_prefix = "documents/";
-const std::string servers_prefix = "servers/";
-const std::string map_prefix = "shard-map/";
-
 std::uint64_t start_number() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(since).count());
 }
 
-std::string host_object(const member& host) {
-  return json::serialize(json::object{{"start", std::to_string(host.id.start.get())},
-                                      {"availability_zone", host.zone.get()},
-                                      {"front", host.front_address},
-                                      {"peer", host.peer_address},
-                                      {"leaving", host.state == member_state::leaving}});
-}
-
-std::optional<member> host_from(const stored_object& object) {
-  try {
-    const json::value parsed = json::parse(object.value);
-    const json::object& fields = parsed.as_object();
-    member host;
-    host.id = {host_id(object.key.substr(hosts_prefix.size())),
-               incarnation(std::stoull(std::string(fields.at("start").as_string())))};
-    host.zone = availability_zone(std::string(fields.at("availability_zone").as_string()));
-    host.front_address = std::string(fields.at("front").as_string());
-    host.peer_address = std::string(fields.at("peer").as_string());
-    host.state = fields.at("leaving").as_bool() ? member_state::leaving : member_state::alive;
-    return host;
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-}
-
 membership_times probing(const node_settings& settings) {
   membership_times times;
   times.suspicion = settings.suspicion;
@@ -141,13 +108,9 @@
                                                 this->settings.replicas);
   this->connect_hooks();
   this->peers->set_self(this->self);
-  for (const std::string& prefix : {hosts_prefix, documents_prefix, servers_prefix, map_prefix}) {
-    asio::co_spawn(asio::make_strand(context), this->follow(prefix), asio::detached);
-  }
-  asio::co_spawn(asio::make_strand(context), this->announce(), asio::detached);
+  this->follow_platform();
   asio::co_spawn(asio::make_strand(context), this->probe_hosts(), asio::detached);
   asio::co_spawn(asio::make_strand(context), this->tend_shards(), asio::detached);
-  asio::co_spawn(asio::make_strand(context), this->store_audit(), asio::detached);
   asio::co_spawn(asio::make_strand(context), this->end_idle_programs(), asio::detached);
   log(event::started, {{"front", own.front_address},
                        {"peer", own.peer_address},
@@ -418,113 +381,6 @@
   }
 }
 
-asio::awaitable<void> node::announce() {
-  const std::string key = hosts_prefix + this->self.host.get();
-  bool announced_leaving = false;
-  bool announced = false;
-  while (!this->stopped) {
-    const bool wanted = !announced || (this->leaving && !announced_leaving);
-    if (wanted) {
-      failure reason;
-      const auto object = co_await this->platform.get(key, reason);
-      if (object) {
-        const bool now_leaving = this->leaving;
-        const write_result written =
-            co_await this->platform.put(key, object->version, host_object(this->hosts->self()));
-        announced = announced || written.outcome == write_result::kind::applied;
-        announced_leaving = now_leaving && written.outcome == write_result::kind::applied;
-      }
-    }
-    co_await this->wait(duty_period);
-  }
-}
-
-// --- the platform ------------------------------------------------------------
-
-void node::take_object(const std::string& prefix, const stored_object& object) {
-  if (prefix == hosts_prefix) {
-    if (const auto host = host_from(object)) {
-      this->carry_out(this->hosts->listed(*host, this->time.now()));
-    }
-  } else if (prefix == documents_prefix) {
-    this->documents.take_object(object);
-  } else if (prefix == servers_prefix) {
-    if (const auto server = this->backends.take_object(object)) {
-      this->runner->server_listed(*server);
-    }
-  } else {
-    this->map.take_object(object);
-  }
-}
-
-asio::awaitable<void> node::follow(std::string prefix) {
-  bool reachable = true;
-  bool listed = false;
-  std::uint64_t revision = 0;
-  while (!this->stopped) {
-    failure reason;
-    std::optional<object_listing> listing;
-    // Not a conditional expression: GCC 12 destroys a temporary of its awaits twice.
-    if (listed) {
-      listing = co_await this->platform.watch(prefix, revision, reason);
-    } else {
-      listing = co_await this->platform.list(prefix, reason);
-    }
-    if (!listing) {
-      if (reachable) {
-        log(event::platform_unreachable, {{"prefix", prefix}, {"detail", reason.detail}});
-      }
-      reachable = false;
-      // Changes may have been missed, and a restored store counts from anew.
-      listed = false;
-      co_await this->wait(watch_retry);
-      continue;
-    }
-    if (!reachable) {
-      log(event::platform_reachable, {{"prefix", prefix}});
-    }
-    reachable = true;
-    revision = listing->revision;
-    for (const stored_object& object : listing->objects) {
-      this->take_object(prefix, object);
-    }
-    if (!listed && prefix == documents_prefix) {
-      this->documents.heard_all();
-      log(event::ready);
-    }
-    if (!listed && prefix == map_prefix) {
-      this->map.mark_read();
-    }
-    listed = true;
-  }
-}
-
-asio::awaitable<void> node::store_audit() {
-  std::uint64_t sequence = 0;
-  while (!this->stopped) {
-    co_await this->wait(audit_period);
-    const std::vector<audit_entry> batch = this->audit.unstored(audit_batch);
-    if (batch.empty()) {
-      continue;
-    }
-    json::array entries;
-    for (const audit_entry& entry : batch) {
-      entries.push_back(json::parse(to_json_line(entry)));
-    }
-    const std::string key = fmt::format("audit/{:020}-{}-{:06}", this->self.start.get(),
-                                        this->self.host.get(), sequence);
-    const write_result written = co_await this->platform.put(key, 0, json::serialize(entries));
-    // A conflict means that an earlier try with a lost answer took effect; the
-    // batch may have grown since, so only a fresh key is certain.
-    if (written.outcome == write_result::kind::applied) {
-      this->audit.stored(batch.size());
-    }
-    if (written.outcome != write_result::kind::refused) {
-      ++sequence;
-    }
-  }
-}
-
 // --- shards and programs -----------------------------------------------------
 
 asio::awaitable<void> node::tend_shards() {
--- /dev/null
+++ b/libs/ownership/src/log_order.h
@@ -0,0 +1,20 @@
+// Small comparisons that the parts of the shard core share.
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+#include "hawthornlane/ownership/messages.h"
+
+namespace hawthornlane {
+
+inline bool names(const std::vector<host_incarnation>& hosts, const host_incarnation& host) {
+  return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+}
+
+/// Whether `a` was written by a later owner, or further on by the same one.
+inline bool is_longer(const held_log& a, const held_log& b) {
+  return a.at != b.at ? a.at > b.at : a.last > b.last;
+}
+
+}  // namespace hawthornlane
--- a/libs/ownership/src/shard_core.cc
+++ b/libs/ownership/src/shard_core.cc
@@ -5,15 +5,9 @@
 #include <algorithm>
 #include <utility>
 
-namespace hawthornlane {
-namespace {
-
-bool names(const std::vector<host_incarnation>& hosts, const host_incarnation& host) {
-  return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
-}
-
-}  // namespace
+#include "log_order.h"
 
+namespace hawthornlane {
 shard_core::shard_core(shard_id shard, host_incarnation own, ownership_times protocol_times,
                        ownership_rules active_rules)
     : own_shard(shard), self(std::move(own)), times(protocol_times), rules(active_rules) {}
--- a/libs/ownership/test/ownership_search_test.cc
+++ b/libs/ownership/test/ownership_search_test.cc
@@ -4,7 +4,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "search_model.h"
+#include "search.h"
 
 using namespace hawthornlane;
 
