--- a/bench/relay.sh
+++ b/bench/relay.sh
@@ -35,17 +35,22 @@
 idle_from=$(busy)
 sleep 3
 idle=$(($(busy) - idle_from))
-busy_from=$(busy)
-tokens_from=$(relayed)
-began=$(date +%s%N)
-calls=""
-for _ in $(seq 1 "$parallel"); do
-  call_programs >/dev/null 2>&1 &
-  calls="$calls $!"
-done
-for pid in $calls; do wait "$pid" || true; done
-took=$((($(date +%s%N) - began) / 1000000))
-used=$(($(busy) - busy_from))
-tokens=$(($(relayed) - tokens_from))
 echo "idle: three hosts used ${idle}0 ms of processor in 3 s"
-echo "load: $tokens tokens in $took ms; three hosts used ${used}0 ms of processor"
+
+# The same calls with ever more tokens: the slope is the cost of a token, what is
+# left at none the cost of a call.
+for size in 4 16 32 64; do
+  for _ in 1 2 3 4 5 6; do echo "{\"say\": \"go on\", \"max_tokens\": $size}"; done >"$run/calls-$size"
+  busy_from=$(busy)
+  tokens_from=$(relayed)
+  calls=""
+  for _ in $(seq 1 "$parallel"); do
+    "$build/programs/hawthornlane" --credential north-workshop-secret --json \
+      call "$run/calls-$size" >/dev/null 2>&1 &
+    calls="$calls $!"
+  done
+  for pid in $calls; do wait "$pid" || true; done
+  used=$(($(busy) - busy_from))
+  tokens=$(($(relayed) - tokens_from))
+  echo "load: $((parallel * 6)) calls of $size tokens, $tokens relayed: ${used}0 ms of processor"
+done
