--- /dev/null
+++ b/samples/caller.cc
@@ -0,0 +1,135 @@
+// A small caller: asks for addresses, opens a program, makes two dependent calls
+// and ends the program. Teaches the one habit that matters: keep the ticket until
+// its answer is there, and send the same call again when it is not.
+//
+// usage: sample_caller IP:port CREDENTIAL
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+#include <stdexcept>
+
+#include "hawthornlane/http/client.h"
+
+namespace {
+
+using namespace hawthornlane;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr duration patience = std::chrono::seconds(60);
+constexpr int most_tries = 5;
+
+/// What a caller has to remember of its program between two calls.
+struct program_memory {
+  http::endpoint host;
+  std::string credential;
+  std::string program;
+  std::string ticket;
+  std::string digest;
+};
+
+http::request request_to(const program_memory& memory, std::string method, std::string target,
+                         std::string body) {
+  http::request ask;
+  ask.method = std::move(method);
+  ask.target = std::move(target);
+  ask.body = std::move(body);
+  ask.headers = {{"Authorization", "Bearer " + memory.credential}};
+  return ask;
+}
+
+void remember(program_memory& memory, const json::object& answer) {
+  if (answer.contains("ticket")) {
+    memory.ticket = std::string(answer.at("ticket").as_string());
+    memory.digest = std::string(answer.at("digest").as_string());
+  }
+}
+
+asio::awaitable<json::object> ask(http::client& client, const program_memory& memory,
+                                  std::string method, std::string target, std::string body) {
+  http::fetch_failure why;
+  http::request what = request_to(memory, std::move(method), std::move(target), std::move(body));
+  const auto answer = co_await client.fetch(memory.host, std::move(what), patience, why);
+  if (!answer) {
+    json::object nothing;
+    nothing["lost"] = why.detail;
+    co_return nothing;
+  }
+  const json::value parsed = json::parse(answer->body);
+  co_return parsed.as_object();
+}
+
+/// One call. When its answer is lost, the same ticket asks for it again: the call
+/// runs once, however often it is sent.
+asio::awaitable<std::string> say(http::client& client, program_memory& memory, std::string text) {
+  json::object message;
+  message["role"] = "user";
+  message["content"] = text;
+  for (int attempt = 0; attempt < most_tries; ++attempt) {
+    json::object body;
+    body["ticket"] = memory.ticket;
+    body["digest"] = memory.digest;
+    body["max_tokens"] = 8;
+    body["messages"] = json::array{message};
+    const json::object answer = co_await ask(
+        client, memory, "POST", "/v1/programs/" + memory.program + "/calls", json::serialize(body));
+    remember(memory, answer);
+    if (answer.contains("outcome") && answer.at("outcome").as_string() == "kept") {
+      co_return std::string(answer.at("answer").as_string());
+    }
+    fmt::print("  not yet: {}\n", json::serialize(answer));
+  }
+  throw std::runtime_error("no answer after several tries");
+}
+
+asio::awaitable<void> run(http::client& client, program_memory& memory) {
+  const json::object opened = co_await ask(client, memory, "POST", "/v1/programs", "");
+  if (!opened.contains("program")) {
+    throw std::runtime_error("no program was opened: " + json::serialize(opened));
+  }
+  memory.program = std::string(opened.at("program").as_string());
+  remember(memory, opened);
+  // The owner answers without a detour; any other host would pass the calls on.
+  const json::object listed =
+      co_await ask(client, memory, "GET", "/v1/addresses?program=" + memory.program, "");
+  const json::object& best = listed.at("addresses").as_array().front().as_object();
+  memory.host =
+      http::endpoint_from_string(std::string(best.at("address").as_string())).value_or(memory.host);
+  for (const char* text : {"The lift sinks. What first?", "The pressure is low. Go on."}) {
+    const std::string answer = co_await say(client, memory, text);
+    fmt::print("> {}\n  {}\n", text, answer);
+  }
+  co_await ask(client, memory, "DELETE", "/v1/programs/" + memory.program, "");
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  constexpr int exit_usage = 2;
+  const auto host = argc == 3 ? http::endpoint_from_string(argv[1]) : std::nullopt;
+  if (!host) {
+    fmt::print(stderr, "usage: sample_caller IP:port CREDENTIAL\n");
+    return exit_usage;
+  }
+  program_memory memory;
+  memory.host = *host;
+  memory.credential = argv[2];
+  std::exception_ptr fault;
+  asio::io_context context;
+  http::client client;
+  asio::co_spawn(context, run(client, memory),
+                 [&fault](const std::exception_ptr& raised) { fault = raised; });
+  context.run();
+  if (fault) {
+    try {
+      std::rethrow_exception(fault);
+    } catch (const std::exception& raised) {
+      fmt::print(stderr, "sample_caller: {}\n", raised.what());
+      return 1;
+    }
+  }
+  return 0;
+}
