Become ready only by agreeing with a peer that is current itself

Cause: read in review: a host restarted during an outage became ready as soon as its documents equalled a peer's, also when that peer had itself just started with an older set. Before: agreement with any non-empty digest sufficed. After: the probe says whether its sender knows its generations to be current. Conclusion: two hosts that start together in an outage cannot talk each other into serving old generations.

--- a/libs/membership/include/hawthornlane/membership/membership_core.h
+++ b/libs/membership/include/hawthornlane/membership/membership_core.h
@@ -67,7 +67,10 @@
   [[nodiscard]] const member* find_live(const host_incarnation& host) const;
   /// Hosts that may get new work, this one included when it stays.
   [[nodiscard]] std::vector<member> usable() const;
-  void set_documents_digest(std::uint64_t digest) { this->documents_digest = digest; }
+  void set_documents(std::uint64_t digest, bool current) {
+    this->documents_digest = digest;
+    this->documents_current = current;
+  }
 
 private:
   struct waiting_probe {
@@ -100,6 +103,7 @@
   std::vector<host_id> round;
   std::uint64_t next_sequence = 1;
   std::uint64_t documents_digest = 0;
+  bool documents_current = false;
 };
 
 }  // namespace hawthornlane
--- a/libs/membership/include/hawthornlane/membership/messages.h
+++ b/libs/membership/include/hawthornlane/membership/messages.h
@@ -74,6 +74,9 @@
   std::vector<member> updates;
   /// Digest over all document generations that the sender follows.
   std::uint64_t documents_digest = 0;
+  /// Whether the sender knows that these generations are current; only then may
+  /// another host become ready by agreeing with it.
+  bool documents_current = false;
   /// Sent when digests differ: what the sender follows.
   std::vector<document_mark> marks;
   /// What the receiver lacked.
@@ -82,7 +85,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->what, this->from, this->reply_to, this->sequence, this->target, this->updates,
-            this->documents_digest, this->marks, this->documents);
+            this->documents_digest, this->documents_current, this->marks, this->documents);
   }
 };
 
--- a/libs/membership/src/membership_core.cc
+++ b/libs/membership/src/membership_core.cc
@@ -56,6 +56,7 @@
   message.reply_to = this->own.peer_address;
   message.sequence = sequence;
   message.documents_digest = this->documents_digest;
+  message.documents_current = this->documents_current;
   this->attach_updates(message);
   return message;
 }
--- a/libs/membership/test/membership_core_test.cc
+++ b/libs/membership/test/membership_core_test.cc
@@ -122,3 +122,14 @@
   hosts.run(20);
   CHECK(hosts.seen_as(3, member_state::leaving) == 5);
 }
+
+TEST_CASE("a probe says whether its sender knows its documents to be current") {
+  membership_core core(member_of(0), {});
+  core.listed(member_of(1), timestamp{});
+  const auto current = GENERATE(false, true);
+  core.set_documents(77, current);
+  const membership_actions out = core.tick(timestamp{}, 1);
+  REQUIRE(out.probes.size() == 1);
+  CHECK(out.probes.front().message.documents_digest == 77);
+  CHECK(out.probes.front().message.documents_current == current);
+}
--- a/libs/node/include/hawthornlane/node/host_view.h
+++ b/libs/node/include/hawthornlane/node/host_view.h
@@ -21,7 +21,7 @@
   membership_actions receive(const probe_message& message, timestamp now);
   membership_actions listed(const member& seen, timestamp now);
   void leave();
-  void set_documents_digest(std::uint64_t digest);
+  void set_documents(std::uint64_t digest, bool current);
 
   [[nodiscard]] member self() const;
   [[nodiscard]] std::vector<member> all() const;
--- a/libs/node/src/host_view.cc
+++ b/libs/node/src/host_view.cc
@@ -23,9 +23,9 @@
   this->core.leave();
 }
 
-void host_view::set_documents_digest(std::uint64_t digest) {
+void host_view::set_documents(std::uint64_t digest, bool current) {
   const std::lock_guard lock(this->mutex);
-  this->core.set_documents_digest(digest);
+  this->core.set_documents(digest, current);
 }
 
 member host_view::self() const {
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -326,7 +326,7 @@
     return;
   }
   this->documents.take_copies(message.documents);
-  this->hosts->set_documents_digest(this->documents.digest());
+  this->hosts->set_documents(this->documents.digest(), this->documents.ready());
   if (message.what == probe_message::kind::documents) {
     if (!message.marks.empty() || message.documents.empty()) {
       this->send_documents(message);
@@ -342,7 +342,7 @@
     ask.reply_to = this->hosts->self().peer_address;
     ask.marks = this->documents.marks();
     this->peers->send_probe(message.reply_to, ask);
-  } else if (!differs && !this->documents.ready() && message.documents_digest != 0) {
+  } else if (!differs && !this->documents.ready() && message.documents_current) {
     this->documents.heard_all();
   }
 }
@@ -367,7 +367,7 @@
 asio::awaitable<void> node::probe_hosts() {
   std::size_t next_seed = 0;
   while (!this->stopped) {
-    this->hosts->set_documents_digest(this->documents.digest());
+    this->hosts->set_documents(this->documents.digest(), this->documents.ready());
     this->carry_out(this->hosts->tick(this->time.now(), this->time.random()));
     if (this->hosts->all().size() == 1 && !this->settings.seeds.empty()) {
       probe_message hello;
