--- a/cmake/hawthornlane.cmake
+++ b/cmake/hawthornlane.cmake
@@ -3,8 +3,13 @@
 # Declares libs/NAME with its public headers, its sources and, when it has a
 # test folder, one test program per library that CTest runs.
 function(hawthornlane_library name)
+  hawthornlane_library_at(libs/${name} ${name} ${ARGN})
+endfunction()
+
+# hawthornlane_library_at(FOLDER NAME ...): the same for a library in FOLDER.
+function(hawthornlane_library_at folder name)
   cmake_parse_arguments(ARG "" "" "DEPENDS;LINK" ${ARGN})
-  set(root ${CMAKE_SOURCE_DIR}/libs/${name})
+  set(root ${CMAKE_SOURCE_DIR}/${folder})
   file(GLOB sources CONFIGURE_DEPENDS ${root}/src/*.cc)
   set(target hawthornlane_${name})
   if(sources)
@@ -21,7 +26,7 @@
   target_link_libraries(${target} ${scope} ${ARG_LINK})
 
   file(GLOB tests CONFIGURE_DEPENDS ${root}/test/*_test.cc)
-  if(tests)
+  if(tests AND HAWTHORNLANE_TESTS)
     hawthornlane_test(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE ${target})
     target_compile_definitions(${name}_test
--- /dev/null
+++ b/libs/discovery/src/fleet_state.cc
@@ -0,0 +1,142 @@
+// What this host believes of the deployment.
+#include "hawthornlane/discovery/fleet_state.h"
+
+#include <fmt/format.h>
+
+#include "hawthornlane/telemetry/log.h"
+
+namespace hawthornlane::discovery {
+namespace {
+
+/// Servers write their entries again within about two seconds of the store's
+/// return; the rest is for the path from the store to this host.
+constexpr duration lapse_grace = std::chrono::milliseconds(2300);
+
+void log_backend(event what, const backend_entry& entry, store_revision at,
+                 std::string_view source) {
+  log(what, {{"server", entry.id.get()},
+             {"service", entry.service.get()},
+             {"address", http::to_string(entry.address)},
+             {"revision", std::to_string(at.get())},
+             {"source", std::string(source)}});
+}
+
+}  // namespace
+
+timestamp scheduler_now() {
+  return timestamp(
+      std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+bool fleet_state::offer_configuration(const configuration& candidate, std::string text,
+                                      source_name source) {
+  if (!this->config.offer(candidate)) {
+    return false;
+  }
+  this->config_text = std::move(text);
+  this->config_since = scheduler_now();
+  log(event::configuration_in_force, {{"version", std::to_string(candidate.version.get())},
+                                      {"routes", std::to_string(candidate.routes.size())},
+                                      {"source", std::string(source)}});
+  this->backends_hook();
+  return true;
+}
+
+void fleet_state::note_backend_changes(const std::map<backend_server_id, backend_entry>& before,
+                                       source_name source) {
+  if (before == this->servers.listed()) {
+    return;
+  }
+  const store_revision at = this->servers.at();
+  for (const auto& [id, entry] : this->servers.listed()) {
+    const auto known = before.find(id);
+    if (known != before.end() && known->second.draining == entry.draining) {
+      continue;
+    }
+    log_backend(entry.draining ? event::backend_draining : event::backend_listed, entry, at,
+                source);
+  }
+  for (const auto& [id, entry] : before) {
+    if (this->servers.listed().contains(id)) {
+      continue;
+    }
+    const bool doubted = this->servers.in_doubt().contains(id);
+    log_backend(doubted ? event::backend_doubted : event::backend_gone, entry, at, source);
+  }
+  this->servers_changed_at = at;
+  this->backends_hook();
+}
+
+void fleet_state::list_backends(store_revision at, const std::vector<backend_entry>& entries,
+                                source_name source) {
+  const auto before = this->servers.listed();
+  if (this->servers.apply_listing(at, entries, scheduler_now())) {
+    this->note_backend_changes(before, source);
+  }
+}
+
+void fleet_state::change_backends(store_revision at,
+                                  const std::vector<entry_change<backend_entry>>& changes,
+                                  source_name source) {
+  const auto before = this->servers.listed();
+  if (this->servers.apply_changes(at, changes, scheduler_now())) {
+    this->note_backend_changes(before, source);
+  }
+}
+
+void fleet_state::list_hosts(store_revision at, const std::vector<host_entry>& entries) {
+  if (this->host_list.apply_listing(at, entries, scheduler_now())) {
+    this->hosts_hook();
+  }
+}
+
+void fleet_state::change_hosts(store_revision at,
+                               const std::vector<entry_change<host_entry>>& changes) {
+  if (this->host_list.apply_changes(at, changes, scheduler_now())) {
+    this->hosts_hook();
+  }
+}
+
+void fleet_state::store_is_back() {
+  this->servers.doubt_removals_until(scheduler_now() + lapse_grace);
+}
+
+void fleet_state::settle() {
+  if (this->servers.in_doubt().empty()) {
+    return;
+  }
+  const auto doubted = this->servers.in_doubt();
+  this->servers.settle(scheduler_now());
+  for (const auto& [id, entry] : doubted) {
+    if (!this->servers.in_doubt().contains(id) && !this->servers.listed().contains(id)) {
+      log_backend(event::backend_gone, entry, this->servers.at(), "doubt over");
+    }
+  }
+  if (this->servers.in_doubt().size() != doubted.size()) {
+    this->backends_hook();
+  }
+}
+
+std::vector<backend_entry> fleet_state::usable_backends(const service_name& service) const {
+  std::vector<backend_entry> usable;
+  const auto add = [&](const std::map<backend_server_id, backend_entry>& entries) {
+    for (const auto& [id, entry] : entries) {
+      if (entry.service == service && !entry.draining) {
+        usable.push_back(entry);
+      }
+    }
+  };
+  add(this->servers.listed());
+  add(this->servers.in_doubt());
+  return usable;
+}
+
+std::set<service_name> fleet_state::services_with_backends() const {
+  std::set<service_name> services;
+  for (const auto& [id, entry] : this->servers.listed()) {
+    services.insert(entry.service);
+  }
+  return services;
+}
+
+}  // namespace hawthornlane::discovery
--- /dev/null
+++ b/libs/discovery/src/store_follower.cc
@@ -0,0 +1,116 @@
+// Follows the platform's store.
+#include "hawthornlane/discovery/store_follower.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hawthornlane::discovery {
+namespace asio = boost::asio;
+using platform_adapter::object_page;
+using platform_adapter::store_outcome;
+
+namespace {
+
+/// The store ends waits of up to 30 s; each wait is a call that is paid for.
+constexpr duration watch_wait = std::chrono::seconds(28);
+/// Between tries while the store does not answer; each try is a call that is paid
+/// for, and news arrive from peers meanwhile.
+constexpr auto first_pause = std::chrono::milliseconds(200);
+constexpr auto longest_pause = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+struct store_follower::state {
+  state(asio::io_context& context, platform_adapter::store_client& client,
+        platform_adapter::object_kind what, follower_hooks told)
+      : store(client), kind(what), hooks(std::move(told)), timer(context) {}
+
+  platform_adapter::store_client& store;
+  platform_adapter::object_kind kind;
+  follower_hooks hooks;
+  asio::steady_timer timer;
+  bool stopped = false;
+  bool reachable = true;
+  std::chrono::milliseconds pause = first_pause;
+
+  void note(store_outcome outcome, const failure& reason) {
+    const bool answers = outcome != store_outcome::refused && outcome != store_outcome::unknown;
+    if (answers) {
+      this->pause = first_pause;
+    }
+    if (answers != this->reachable) {
+      this->reachable = answers;
+      this->hooks.on_reachable(answers, reason.detail);
+    }
+  }
+
+  static asio::awaitable<void> wait(std::shared_ptr<state> self) {
+    self->timer.expires_after(self->pause);
+    self->pause = std::min(self->pause * 2, longest_pause);
+    boost::system::error_code ignored;
+    co_await self->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+
+  /// Lists until it succeeds; the revision to watch from.
+  static asio::awaitable<store_revision> list(std::shared_ptr<state> self) {
+    while (!self->stopped) {
+      object_page page;
+      failure reason;
+      const store_outcome outcome = co_await self->store.list(self->kind, page, reason);
+      if (self->stopped) {
+        break;
+      }
+      self->note(outcome, reason);
+      if (outcome == store_outcome::done) {
+        self->hooks.on_listing(page);
+        co_return page.at;
+      }
+      co_await wait(self);
+    }
+    co_return store_revision();
+  }
+
+  static asio::awaitable<void> run(std::shared_ptr<state> self) {
+    store_revision from = co_await list(self);
+    while (!self->stopped) {
+      object_page page;
+      failure reason;
+      const store_outcome outcome =
+          co_await self->store.watch(self->kind, from, watch_wait, page, reason);
+      if (self->stopped) {
+        break;
+      }
+      const bool was_reachable = self->reachable;
+      self->note(outcome, reason);
+      if (outcome == store_outcome::done && was_reachable) {
+        from = std::max(from, page.at);
+        if (!page.items.empty()) {
+          self->hooks.on_changes(page);
+        }
+        continue;
+      }
+      if (outcome == store_outcome::refused) {
+        co_await wait(self);
+        continue;
+      }
+      // The place in the history is gone, or entries may have lapsed meanwhile.
+      from = co_await list(self);
+    }
+  }
+};
+
+store_follower::store_follower(asio::io_context& context, platform_adapter::store_client& store,
+                               platform_adapter::object_kind kind, follower_hooks hooks)
+    : shared(std::make_shared<state>(context, store, kind, std::move(hooks))) {
+  asio::co_spawn(context, state::run(this->shared), asio::detached);
+}
+
+store_follower::~store_follower() {
+  this->shared->stopped = true;
+  this->shared->timer.cancel();
+}
+
+}  // namespace hawthornlane::discovery
--- /dev/null
+++ b/libs/disk/include/hawthornlane/disk/disk_host.h
@@ -0,0 +1,26 @@
+// A disk host: keeps turns and budgets, and takes part in changes of the set.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "hawthornlane/disk/disk_settings.h"
+
+namespace hawthornlane::disk {
+
+/// Runs on the io_context of one thread; its log has a thread of its own.
+class disk_host {
+public:
+  /// Reads the data folder and listens. Throws `std::runtime_error` when it cannot.
+  disk_host(boost::asio::io_context& context, disk_settings settings);
+  disk_host(const disk_host&) = delete;
+  disk_host& operator=(const disk_host&) = delete;
+  ~disk_host();
+
+  struct state;
+
+private:
+  std::shared_ptr<state> inner;
+};
+
+}  // namespace hawthornlane::disk
--- /dev/null
+++ b/libs/disk/include/hawthornlane/disk/ledger_store.h
@@ -0,0 +1,82 @@
+// One disk's ledger: the copy in memory and the log that makes it durable.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "hawthornlane/turn_ledger/ledger_copy.h"
+#include "hawthornlane/turn_ledger/set_change.h"
+#include "hawthornlane/turn_log/turn_log.h"
+
+namespace hawthornlane::disk {
+
+/// Answers requests about the ledger; an answer to a change comes only after the
+/// change is on disk. For one thread.
+class ledger_store {
+public:
+  using reply = std::function<void(std::optional<std::string>)>;
+
+  /// Throws `std::runtime_error` when the folder cannot be used.
+  ledger_store(boost::asio::io_context& context, const std::string& folder,
+               std::uint64_t disk_bytes);
+  ledger_store(const ledger_store&) = delete;
+  ledger_store& operator=(const ledger_store&) = delete;
+  ~ledger_store();
+
+  /// Serves one request; refuses what is no request of the ledger.
+  void serve(ledger_method method, const std::string& payload, const reply& answer);
+  /// Takes over records that another disk holds; `done` when they are on disk.
+  void adopt(const std::vector<ledger_record>& records, std::function<void(bool good)> done);
+  /// Forgets what has expired, and shortens the log when it has grown long.
+  void tick();
+
+  [[nodiscard]] const disk_id& identity() const { return this->id; }
+  [[nodiscard]] const ledger_copy& held() const { return this->copy; }
+  [[nodiscard]] std::uint64_t log_bytes() const { return this->log->size(); }
+  [[nodiscard]] bool failed() const { return this->broken; }
+
+  /// The set that goes out with a refusal, so that the asker learns of it.
+  void set_newest(const ledger_set& set) { this->newest = set; }
+  /// This disk has copied for the joint set of that epoch.
+  void set_copied(set_epoch epoch) { this->copied = epoch; }
+
+private:
+  struct waiting_reply {
+    std::uint64_t record = 0;
+    std::function<void(bool good)> tell;
+  };
+
+  void load_identity(const std::string& folder);
+  void on_record(std::string_view bytes);
+  void on_durable(std::uint64_t up_to, bool good);
+  /// `tell` once everything appended so far is on disk.
+  void when_durable(std::function<void(bool good)> tell);
+  void append_record(const ledger_record& record);
+  void serve_append(const std::string& payload, const reply& answer);
+  void serve_collect(const std::string& payload, const reply& answer);
+  void serve_chain(const std::string& payload, const reply& answer);
+  void serve_fence(const std::string& payload, const reply& answer);
+  void shorten_log();
+
+  boost::asio::io_context& context;
+  std::uint64_t most_bytes;
+  disk_id id;
+  ledger_copy copy;
+  std::optional<ledger_set> newest;
+  set_epoch copied;
+  std::uint64_t last_record = 0;
+  std::uint64_t durable_record = 0;
+  bool broken = false;
+  std::deque<waiting_reply> waiting;
+  /// Position of a shortening under way; nothing when none is.
+  std::optional<copy_request> shortening;
+  std::uint64_t keep_from_segment = 0;
+  std::unique_ptr<turn_log> log;
+};
+
+}  // namespace hawthornlane::disk
--- /dev/null
+++ b/libs/disk/src/ledger_store.cc
@@ -0,0 +1,264 @@
+// One disk's ledger: the copy in memory and the log that makes it durable.
+#include "hawthornlane/disk/ledger_store.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <random>
+#include <stdexcept>
+
+#include "hawthornlane/net/message_bytes.h"
+#include "hawthornlane/telemetry/log.h"
+
+namespace hawthornlane::disk {
+namespace {
+
+constexpr char record_tag = 'R';
+constexpr char fence_tag = 'F';
+/// The log is shortened when it takes this part of the disk: while it is rewritten
+/// both copies of what still lives must fit.
+constexpr double shorten_at = 0.4;
+/// Rewritten at each tick, bytes; more would keep appends of turns waiting.
+constexpr std::size_t rewrite_step = std::size_t{256} * 1024;
+constexpr std::size_t copy_page_bytes = std::size_t{256} * 1024;
+constexpr std::size_t identity_size = 32;
+
+wall_ms wall_now() {
+  return wall_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count());
+}
+
+std::string new_identity() {
+  std::random_device source;
+  std::string text;
+  while (text.size() < identity_size) {
+    text += fmt::format("{:08x}", source());
+  }
+  return text;
+}
+
+std::string tagged(char tag, const std::string& payload) { return std::string(1, tag) + payload; }
+
+}  // namespace
+
+ledger_store::ledger_store(boost::asio::io_context& io, const std::string& folder,
+                           std::uint64_t disk_bytes)
+    : context(io), most_bytes(disk_bytes) {
+  this->load_identity(folder);
+  log_recovery found;
+  failure reason;
+  this->log = turn_log::open(
+      folder, [this](std::string_view bytes) { this->on_record(bytes); },
+      [this](std::uint64_t up_to, bool good) {
+        boost::asio::post(this->context, [this, up_to, good] { this->on_durable(up_to, good); });
+      },
+      found, reason);
+  if (!this->log) {
+    throw std::runtime_error("data folder: " + reason.detail);
+  }
+  hawthornlane::log(event::disk_opened, {{"disk", this->id.get()},
+                                         {"records", std::to_string(found.records)},
+                                         {"segments", std::to_string(found.segments)},
+                                         {"torn_bytes", std::to_string(found.torn_bytes)},
+                                         {"turns", std::to_string(this->copy.turns())},
+                                         {"fence", std::to_string(this->copy.fenced_at().get())}});
+}
+
+ledger_store::~ledger_store() = default;
+
+void ledger_store::load_identity(const std::string& folder) {
+  const std::string path = folder + "/identity";
+  const auto text = read_small_file(path);
+  if (text && text->size() == identity_size) {
+    this->id = disk_id(*text);
+    return;
+  }
+  // No identity, or one that was never synced and so never told: a new member.
+  const std::string made = new_identity();
+  failure reason;
+  if (!write_small_file(path, made, reason)) {
+    throw std::runtime_error(reason.detail);
+  }
+  this->id = disk_id(made);
+}
+
+void ledger_store::on_record(std::string_view bytes) {
+  const std::string payload(bytes.substr(1));
+  if (bytes.front() == fence_tag) {
+    if (const auto fence = from_bytes<fence_request>(payload)) {
+      this->copy.raise_fence(fence->epoch);
+    }
+    return;
+  }
+  if (const auto record = from_bytes<ledger_record>(payload)) {
+    this->copy.apply(*record);
+  }
+}
+
+void ledger_store::append_record(const ledger_record& record) {
+  this->last_record = this->log->append(tagged(record_tag, to_bytes(record)));
+}
+
+void ledger_store::when_durable(std::function<void(bool good)> tell) {
+  if (this->broken || this->durable_record >= this->last_record) {
+    tell(!this->broken);
+    return;
+  }
+  this->waiting.push_back({this->last_record, std::move(tell)});
+}
+
+void ledger_store::on_durable(std::uint64_t up_to, bool good) {
+  this->durable_record = std::max(this->durable_record, up_to);
+  if (!good && !this->broken) {
+    this->broken = true;
+    hawthornlane::log(event::disk_failed, {{"disk", this->id.get()}});
+  }
+  while (!this->waiting.empty() &&
+         (this->broken || this->waiting.front().record <= this->durable_record)) {
+    const waiting_reply next = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    next.tell(!this->broken);
+  }
+}
+
+void ledger_store::serve(ledger_method method, const std::string& payload, const reply& answer) {
+  switch (method) {
+    case ledger_method::append:
+      this->serve_append(payload, answer);
+      return;
+    case ledger_method::collect:
+      this->serve_collect(payload, answer);
+      return;
+    case ledger_method::chain:
+      this->serve_chain(payload, answer);
+      return;
+    case ledger_method::fence:
+      this->serve_fence(payload, answer);
+      return;
+    case ledger_method::copy: {
+      const auto request = from_bytes<copy_request>(payload);
+      answer(request ? std::optional(to_bytes(this->copy.page_after(*request, copy_page_bytes)))
+                     : std::nullopt);
+      return;
+    }
+    case ledger_method::probe:
+      answer(to_bytes(probe_answer{this->id, this->copy.fenced_at(), this->copied}));
+      return;
+  }
+  answer(std::nullopt);
+}
+
+void ledger_store::serve_append(const std::string& payload, const reply& answer) {
+  const auto request = from_bytes<append_request>(payload);
+  if (!request) {
+    answer(std::nullopt);
+    return;
+  }
+  program_answer result;
+  result.disk = this->id;
+  if (!this->copy.accepts(request->epoch)) {
+    result.stale = true;
+    result.newest = this->newest;
+    answer(to_bytes(result));
+    return;
+  }
+  if (this->copy.apply(request->record)) {
+    this->append_record(request->record);
+  }
+  result.reservations = this->copy.reservations_of(request->record.program);
+  this->when_durable([answer, bytes = to_bytes(result)](bool good) {
+    answer(good ? std::optional(bytes) : std::nullopt);
+  });
+}
+
+void ledger_store::serve_collect(const std::string& payload, const reply& answer) {
+  const auto request = from_bytes<collect_request>(payload);
+  if (!request) {
+    answer(std::nullopt);
+    return;
+  }
+  program_answer result;
+  result.disk = this->id;
+  result.stale = !this->copy.accepts(request->epoch);
+  if (result.stale) {
+    result.newest = this->newest;
+  } else {
+    result.reservations = this->copy.reservations_of(request->program);
+  }
+  answer(to_bytes(result));
+}
+
+void ledger_store::serve_chain(const std::string& payload, const reply& answer) {
+  const auto request = from_bytes<chain_request>(payload);
+  if (!request) {
+    answer(std::nullopt);
+    return;
+  }
+  chain_answer result;
+  if (this->copy.accepts(request->epoch)) {
+    result = this->copy.chain_of(request->last);
+  } else {
+    result.stale = true;
+    result.newest = this->newest;
+  }
+  result.disk = this->id;
+  answer(to_bytes(result));
+}
+
+void ledger_store::serve_fence(const std::string& payload, const reply& answer) {
+  const auto request = from_bytes<fence_request>(payload);
+  if (!request) {
+    answer(std::nullopt);
+    return;
+  }
+  if (request->epoch > this->copy.fenced_at()) {
+    this->copy.raise_fence(request->epoch);
+    this->last_record = this->log->append(tagged(fence_tag, to_bytes(*request)));
+  }
+  this->when_durable([this, answer](bool good) {
+    const probe_answer result{this->id, this->copy.fenced_at(), this->copied};
+    answer(good ? std::optional(to_bytes(result)) : std::nullopt);
+  });
+}
+
+void ledger_store::adopt(const std::vector<ledger_record>& records,
+                         std::function<void(bool good)> done) {
+  for (const ledger_record& record : records) {
+    if (this->copy.apply(record)) {
+      this->append_record(record);
+    }
+  }
+  this->when_durable(std::move(done));
+}
+
+void ledger_store::tick() {
+  this->copy.expire(wall_now());
+  const auto limit = static_cast<std::uint64_t>(static_cast<double>(this->most_bytes) * shorten_at);
+  if (!this->shortening && this->log->size() > limit) {
+    this->keep_from_segment = this->log->start_segment();
+    this->shortening = copy_request{};
+    const fence_request fence{this->copy.fenced_at()};
+    this->last_record = this->log->append(tagged(fence_tag, to_bytes(fence)));
+  }
+  if (this->shortening) {
+    this->shorten_log();
+  }
+}
+
+void ledger_store::shorten_log() {
+  const copy_page page = this->copy.page_after(*this->shortening, rewrite_step);
+  for (const ledger_record& record : page.records) {
+    this->append_record(record);
+  }
+  if (!page.last) {
+    this->shortening->after_program = page.records.back().program;
+    this->shortening->after_request = page.records.back().state.id;
+    return;
+  }
+  this->shortening.reset();
+  this->log->remove_before(this->keep_from_segment);
+}
+
+}  // namespace hawthornlane::disk
--- a/libs/errors/include/hawthornlane/errors/error_kind.h
+++ b/libs/errors/include/hawthornlane/errors/error_kind.h
@@ -37,6 +37,10 @@
   document_invalid,
   platform_unavailable,
   peer_unavailable,
+  header_too_large,
+  deadline_exceeded,
+  turn_unknown,
+  history_unavailable,
   internal,
 };
 
--- a/libs/errors/src/error_kind.cc
+++ b/libs/errors/src/error_kind.cc
@@ -62,6 +62,14 @@
                  "the platform's object API does not answer"},
     error_answer{peer_unavailable, "peer_unavailable", 503, outcome::not_run_here, true,
                  "the host that owns the program cannot be reached"},
+    error_answer{header_too_large, "header_too_large", 431, outcome::not_run_here, false,
+                 "the request's head exceeds the limit"},
+    error_answer{deadline_exceeded, "deadline_exceeded", 504, outcome::may_have_run, false,
+                 "no whole answer came within the time that the call had"},
+    error_answer{turn_unknown, "turn_unknown", 404, outcome::not_run, false,
+                 "the turn that this one goes on from does not exist"},
+    error_answer{history_unavailable, "history_unavailable", 503, outcome::not_run, true,
+                 "too few disk hosts answer to read or keep what was said"},
     error_answer{internal, "internal", 500, outcome::may_have_run, false, "a fault in the host"},
 };
 
--- /dev/null
+++ b/libs/fleet/test/fleet_test.cc
@@ -0,0 +1,135 @@
+// Tables of routes and of what a host believes after listings, events, outages.
+#include <catch2/catch.hpp>
+
+#include "hawthornlane/fleet/check_schedule.h"
+#include "hawthornlane/fleet/fleet_view.h"
+
+using namespace hawthornlane;
+using namespace std::chrono_literals;
+
+namespace {
+
+route make_route(const std::string& name, const std::string& host, const std::string& prefix) {
+  route item;
+  item.name = route_name(name);
+  item.host_name = host;
+  item.path_prefix = prefix;
+  item.services = {{service_name("a"), 90}, {service_name("b"), 10}};
+  return item;
+}
+
+backend_entry server(const std::string& id, bool draining = false) {
+  backend_entry entry;
+  entry.id = backend_server_id(id);
+  entry.draining = draining;
+  return entry;
+}
+
+timestamp at(duration since) { return timestamp(since); }
+
+}  // namespace
+
+TEST_CASE("the longest prefix that begins the path selects the route") {
+  configuration config;
+  config.routes = {make_route("root", "One.example", "/"), make_route("a", "one.example", "/a/"),
+                   make_route("ab", "one.example", "/a/b/"),
+                   make_route("other", "two.example", "/x/")};
+  const route_table table(config);
+  const auto [host, path, expected] =
+      GENERATE(Catch::Generators::table<std::string, std::string, std::string>({
+          {"one.example", "/a/b/c", "ab"},
+          {"ONE.example", "/a/b", "a"},
+          {"one.example", "/a/bc/", "a"},
+          {"one.example", "/a", "root"},
+          {"one.example", "/a/?q=/a/b/", "a"},
+          {"two.example", "/x/1", "other"},
+          {"two.example", "/y/1", ""},
+          {"three.example", "/a/", ""},
+          {"one.example", "no-slash", ""},
+      }));
+  INFO(host << path);
+  const route* found = table.find(host, path);
+  CHECK((found == nullptr ? "" : found->name.get()) == expected);
+}
+
+TEST_CASE("a route's services are chosen by weight and stay for the same draw") {
+  const route split = make_route("r", "h", "/");
+  int second = 0;
+  for (std::uint64_t draw = 0; draw < 1000; ++draw) {
+    second += route_table::choose_service(split, draw) == service_name("b") ? 1 : 0;
+  }
+  CHECK(second == 100);
+}
+
+TEST_CASE("a configuration in force is never replaced by an older one") {
+  configuration_in_force in_force;
+  configuration config;
+  config.version = config_version(7);
+  CHECK(in_force.offer(config));
+  config.version = config_version(5);
+  CHECK_FALSE(in_force.offer(config));
+  config.version = config_version(7);
+  CHECK_FALSE(in_force.offer(config));
+  CHECK(in_force.current()->version() == config_version(7));
+}
+
+TEST_CASE("an older state of the registry is refused, whoever tells it") {
+  backend_registry servers;
+  CHECK(servers.apply_listing(store_revision(10), {server("s1")}, at(0s)));
+  CHECK_FALSE(servers.apply_listing(store_revision(9), {}, at(1s)));
+  CHECK_FALSE(servers.apply_changes(store_revision(9), {{server("s1"), true}}, at(1s)));
+  CHECK(servers.listed().size() == 1);
+  CHECK(servers.apply_changes(store_revision(11), {{server("s1", true), false}}, at(1s)));
+  CHECK(servers.listed().begin()->second.draining);
+}
+
+TEST_CASE("an entry that lapsed while the store was away is kept until the doubt ends") {
+  backend_registry servers;
+  servers.apply_listing(store_revision(10), {server("s1"), server("s2")}, at(0s));
+  servers.doubt_removals_until(at(7s));
+  servers.apply_listing(store_revision(12), {server("s1")}, at(5s));
+  CHECK(servers.listed().size() == 1);
+  CHECK(servers.in_doubt().contains(backend_server_id("s2")));
+
+  SECTION("it is written again in time") {
+    servers.apply_changes(store_revision(13), {{server("s2"), false}}, at(6s));
+    CHECK(servers.in_doubt().empty());
+    CHECK(servers.listed().size() == 2);
+  }
+  SECTION("it stays missing") {
+    servers.settle(at(7s));
+    CHECK(servers.in_doubt().empty());
+    CHECK(servers.listed().size() == 1);
+  }
+}
+
+TEST_CASE("without an outage a missing entry is gone at once") {
+  backend_registry servers;
+  servers.apply_listing(store_revision(10), {server("s1"), server("s2")}, at(0s));
+  servers.apply_changes(store_revision(11), {{server("s2"), true}}, at(1s));
+  CHECK(servers.in_doubt().empty());
+  CHECK(servers.listed().size() == 1);
+}
+
+TEST_CASE("one host reads the store for all, and the next rank takes over when it fails") {
+  check_schedule first;
+  check_schedule second;
+  first.checked(at(10s));
+  second.checked(at(10s));
+  CHECK_FALSE(first.due(at(10s + 800ms), 0));
+  CHECK(first.due(at(10s + 900ms), 0));
+  CHECK_FALSE(second.due(at(10s + 900ms), 1));
+
+  SECTION("the first one's read keeps the second quiet") {
+    second.checked(at(10s + 900ms));
+    CHECK_FALSE(second.due(at(11s + 500ms), 1));
+  }
+  SECTION("the first one is turned away: it pauses, and the second reads") {
+    first.began(at(10s + 900ms));
+    CHECK_FALSE(first.due(at(11s), 0));
+    CHECK(second.due(at(11s + 100ms), 1));
+  }
+  SECTION("high ranks wait no longer than the bound allows") {
+    CHECK(second.due(at(11s + 250ms), 40));
+  }
+}
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/front_settings.h
@@ -0,0 +1,43 @@
+// Settings of a front host on the users' platform.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hawthornlane/http/message.h"
+#include "hawthornlane/settings/schema.h"
+#include "hawthornlane/units/ids.h"
+
+namespace hawthornlane::front {
+
+/// Everything that one front host is told at its start.
+struct front_settings {
+  host_id host;
+  availability_zone zone;
+  std::string region;
+  /// Where callers connect, where the platform asks for readiness, where callers
+  /// ask for addresses, where other hosts connect, and where metrics are read.
+  http::endpoint callers_at;
+  http::endpoint ready_at;
+  http::endpoint directory_at;
+  http::endpoint peers_at;
+  http::endpoint metrics_at;
+  http::endpoint store;
+  /// How long callers may keep an answer of the directory.
+  duration address_time{};
+  /// Between the request to stop and the kill.
+  duration grace{};
+  /// For events and turns to be passed on, and for a draining server to get nothing.
+  std::uint64_t memory_mb = 0;
+};
+
+/// The keys that a settings file may hold.
+const std::vector<key_rule>& front_schema();
+
+/// Reads and checks a settings text; on failure nothing, with every problem.
+std::optional<front_settings> read_front_settings(std::string_view text,
+                                                  std::vector<ini_problem>& problems);
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -0,0 +1,67 @@
+// What hosts tell each other of the deployment, and its form on the wire.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "hawthornlane/fleet/fleet_view.h"
+#include "hawthornlane/net/message_bytes.h"
+
+namespace hawthornlane::http {
+template <class Archive>
+void serialize(Archive& archive, endpoint& where) {
+  archive(where.address, where.port);
+}
+}  // namespace hawthornlane::http
+
+namespace hawthornlane {
+template <class Archive>
+void serialize(Archive& archive, host_entry& entry) {
+  archive(entry.name, entry.start, entry.role, entry.zone, entry.region, entry.callers_at,
+          entry.peers_at, entry.disk);
+}
+template <class Archive>
+void serialize(Archive& archive, backend_entry& entry) {
+  archive(entry.id, entry.service, entry.address, entry.zone, entry.slots, entry.draining);
+}
+}  // namespace hawthornlane
+
+namespace hawthornlane::front {
+
+/// Methods between front hosts.
+enum class gossip_method : std::uint16_t { digest = 1, configuration = 2, backends = 3 };
+
+/// What one front host knows and is, as told to another.
+struct gossip_digest {
+  host_entry self;
+  bool ready = false;
+  bool leaving = false;
+  /// 0: none yet.
+  config_version configuration;
+  /// When the backend servers last changed as far as this host knows.
+  store_revision backends_changed_at;
+  /// Age of the newest read of the store that this host knows of.
+  duration checked_ago{};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    std::int64_t age = this->checked_ago.count();
+    archive(this->self, this->ready, this->leaving, this->configuration, this->backends_changed_at,
+            age);
+    this->checked_ago = duration(age);
+  }
+};
+
+/// One host's whole registry of backend servers.
+struct backends_snapshot {
+  store_revision at;
+  std::vector<backend_entry> entries;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->at, this->entries);
+  }
+};
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -0,0 +1,63 @@
+// The front host's side of the ledger: asks the disk hosts and concludes.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "hawthornlane/discovery/fleet_state.h"
+#include "hawthornlane/front/turn_cache.h"
+#include "hawthornlane/front/turn_keeper.h"
+#include "hawthornlane/net/rpc.h"
+#include "hawthornlane/platform_adapter/store_objects.h"
+#include "hawthornlane/turn_ledger/rounds.h"
+
+namespace hawthornlane::front {
+
+/// Reserves, reads and settles at the disks of the current set. For one thread.
+class ledger_client final : public turn_keeper {
+public:
+  ledger_client(boost::asio::io_context& context, net::deadline_sweeper& sweeper,
+                const discovery::fleet_state& fleet);
+  ~ledger_client() override;
+
+  /// Takes the set of disks out of the hosts' objects, if it is there and newer.
+  void take_set(const platform_adapter::object_page& page);
+  /// A newer set that somebody told.
+  void take_set(const ledger_set& told, const std::string& source);
+  /// The disk hosts may have changed.
+  void refresh_hosts();
+
+  boost::asio::awaitable<turn_admission> admit(turn_request turn, net::steady_time until) override;
+  boost::asio::awaitable<bool> settle(turn_request turn, turn_result result,
+                                      net::steady_time until) override;
+  void withdraw(const turn_request& turn) override;
+
+  [[nodiscard]] const std::optional<ledger_set>& current() const { return this->set; }
+
+private:
+  struct disk_link;
+  struct admission_state;
+  struct settle_state;
+
+  [[nodiscard]] net::rpc_client* link_to(const disk_id& disk);
+  boost::asio::awaitable<bool> admit_once(std::shared_ptr<admission_state> state,
+                                          turn_admission& result);
+  void send_appends(const std::shared_ptr<admission_state>& state);
+  void send_collects(const std::shared_ptr<admission_state>& state);
+  void send_chain_reads(const std::shared_ptr<admission_state>& state);
+  void conclude(const admission_state& state, turn_admission& result);
+  void note_stale(const std::optional<ledger_set>& newest);
+
+  boost::asio::io_context& context;
+  net::deadline_sweeper& sweeper;
+  const discovery::fleet_state& fleet;
+  std::optional<ledger_set> set;
+  std::map<disk_id, disk_link> links;
+  turn_cache cache;
+};
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/turn_cache.h
@@ -0,0 +1,72 @@
+// Recent whole turns at a front host, so that most chains need no disk read.
+#pragma once
+
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "hawthornlane/turn_ledger/ledger_records.h"
+
+namespace hawthornlane::front {
+
+/// Least recently used turns go first; bounded by bytes.
+class turn_cache {
+public:
+  explicit turn_cache(std::size_t most_bytes) : most(most_bytes) {}
+
+  void add(const kept_turn& turn) {
+    if (this->turns.contains(turn.id)) {
+      return;
+    }
+    this->order.push_front(turn.id);
+    this->turns.emplace(turn.id, entry{turn, this->order.begin()});
+    this->held += size_of(turn);
+    while (this->held > this->most && !this->order.empty()) {
+      const auto oldest = this->turns.find(this->order.back());
+      this->held -= size_of(oldest->second.turn);
+      this->turns.erase(oldest);
+      this->order.pop_back();
+    }
+  }
+
+  /// What was said up to and with that turn, oldest first; nothing when a turn of
+  /// the chain is not here.
+  std::optional<std::string> history(const request_id& last) {
+    std::list<const kept_turn*> chain;
+    std::optional<request_id> next = last;
+    while (next) {
+      const auto found = this->turns.find(*next);
+      if (found == this->turns.end()) {
+        return std::nullopt;
+      }
+      this->order.splice(this->order.begin(), this->order, found->second.place);
+      chain.push_front(&found->second.turn);
+      next = found->second.turn.previous;
+    }
+    std::string text;
+    for (const kept_turn* turn : chain) {
+      text += turn->input;
+      text += turn->output;
+    }
+    return text;
+  }
+
+private:
+  struct entry {
+    kept_turn turn;
+    std::list<request_id>::iterator place;
+  };
+  static std::size_t size_of(const kept_turn& turn) {
+    constexpr std::size_t overhead = 300;
+    return turn.input.size() + turn.output.size() + overhead;
+  }
+
+  std::size_t most;
+  /// Invariant: the sum over `turns`, at most `most` after each `add`.
+  std::size_t held = 0;
+  std::list<request_id> order;
+  std::map<request_id, entry> turns;
+};
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/src/call_metrics.cc
@@ -0,0 +1,77 @@
+// Counters and latency histograms.
+#include "hawthornlane/front/call_metrics.h"
+
+#include <fmt/format.h>
+
+#include <boost/histogram.hpp>
+
+namespace hawthornlane::front {
+namespace {
+
+namespace bh = boost::histogram;
+using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
+
+/// Milliseconds; finer steps would not change a decision on call.
+constexpr unsigned bins = 40;
+constexpr double least_ms = 0.1;
+constexpr double most_ms = 20'000;
+
+}  // namespace
+
+struct call_metrics::latency {
+  bh::histogram<std::tuple<log_axis>> counts =
+      bh::make_histogram(log_axis(bins, least_ms, most_ms));
+  std::uint64_t number = 0;
+  double sum_ms = 0;
+
+  /// Upper end of the bin in which that share of all values lies.
+  [[nodiscard]] double quantile(double share) const {
+    double seen = 0;
+    for (auto&& bin : bh::indexed(this->counts, bh::coverage::all)) {
+      seen += *bin;
+      if (seen >= share * static_cast<double>(this->number)) {
+        return bin.bin().upper();
+      }
+    }
+    return most_ms;
+  }
+};
+
+call_metrics::call_metrics() = default;
+call_metrics::~call_metrics() = default;
+
+void call_metrics::count(const std::string& name, std::uint64_t by) {
+  this->values[name] += static_cast<double>(by);
+}
+
+void call_metrics::set(const std::string& name, double value) { this->values[name] = value; }
+
+void call_metrics::record(const std::string& name, duration value) {
+  auto& slot = this->latencies[name];
+  if (!slot) {
+    slot = std::make_unique<latency>();
+  }
+  const double ms = to_seconds(value) * 1e3;
+  slot->counts(ms);
+  ++slot->number;
+  slot->sum_ms += ms;
+}
+
+std::string call_metrics::text() const {
+  std::string out;
+  for (const auto& [name, value] : this->values) {
+    out += fmt::format("{} {}\n", name, value);
+  }
+  constexpr double median = 0.5;
+  constexpr double high = 0.95;
+  constexpr double highest = 0.99;
+  for (const auto& [name, slot] : this->latencies) {
+    out += fmt::format("{}_count {}\n{}_sum_ms {:.1f}\n", name, slot->number, name, slot->sum_ms);
+    for (const double share : {median, high, highest}) {
+      out += fmt::format("{}_ms{{quantile=\"{}\"}} {:.2f}\n", name, share, slot->quantile(share));
+    }
+  }
+  return out;
+}
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/src/call_service.cc
@@ -0,0 +1,587 @@
+// Serves one call from its first byte to its answer.
+#include "hawthornlane/front/call_service.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "hawthornlane/relay/event_splitter.h"
+#include "hawthornlane/relay/framing.h"
+#include "hawthornlane/telemetry/log.h"
+
+namespace hawthornlane::front {
+namespace asio = boost::asio;
+using relay::try_outcome;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+/// Servers that one call is offered to at most; each costs a few milliseconds, and
+/// after so many refusals the service as a whole is full.
+constexpr int most_tries = 6;
+/// A call that cannot start this long before its time ends will not be answered in
+/// time: the quickest calls of both users' sheets take about this long.
+constexpr duration least_service_time = std::chrono::milliseconds(40);
+/// A stream that runs past its time gets this much longer to end by itself; the
+/// server stops at the time that it was told.
+constexpr duration timeout_slack = std::chrono::milliseconds(150);
+/// For a caller that was refused because nothing can serve it right now: about the
+/// time of one call, so that a place is likely to be free.
+constexpr double retry_seconds = 0.25;
+/// Spreads callers that were refused together over twice that time.
+constexpr double retry_spread = 0.25;
+
+std::uint64_t hash_of(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
+
+/// What keeps calls of the same object at the same server. The last shared part of
+/// a prompt is the session's own, so a program's line of turns stays together.
+std::uint64_t affinity_of(const route& from, const relay::call_terms& terms) {
+  if (!from.sticky) {
+    return terms.affinity.empty() ? 0 : hash_of(terms.affinity);
+  }
+  if (!terms.session.get().empty()) {
+    return hash_of(terms.session.get());
+  }
+  if (!terms.affinity.empty()) {
+    return hash_of(terms.affinity);
+  }
+  return terms.prefix.empty() ? 0 : hash_of(terms.prefix.front().id);
+}
+
+/// Calls of one program go to one service of a split route.
+std::uint64_t service_draw(const relay::call_terms& terms) {
+  return hash_of(terms.program ? terms.program->get() : terms.id.get());
+}
+
+server_outcome health_of(try_outcome outcome) {
+  switch (outcome) {
+    case try_outcome::whole:
+      return server_outcome::answered;
+    case try_outcome::not_run:
+      return server_outcome::refused;
+    case try_outcome::not_sent:
+      return server_outcome::unreachable;
+    case try_outcome::abandoned:
+      return server_outcome::caller_left;
+    case try_outcome::broken:
+    case try_outcome::timed_out:
+      return server_outcome::failed;
+  }
+  return server_outcome::failed;
+}
+
+std::string_view name_of(try_outcome outcome) {
+  switch (outcome) {
+    case try_outcome::whole:
+      return "whole";
+    case try_outcome::not_run:
+      return "not_run";
+    case try_outcome::not_sent:
+      return "not_sent";
+    case try_outcome::abandoned:
+      return "abandoned";
+    case try_outcome::broken:
+      return "broken";
+    case try_outcome::timed_out:
+      return "timed_out";
+  }
+  return "";
+}
+
+std::int64_t milliseconds_since(net::steady_time from) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - from).count();
+}
+
+}  // namespace
+
+/// Everything about one call under way.
+struct call_service::call {
+  call(relay::caller_link& from, http::request what) : caller(from), request(std::move(what)) {}
+
+  relay::caller_link& caller;
+  http::request request;
+  relay::call_terms terms;
+  route_table_ptr table;
+  const route* taken = nullptr;
+  net::steady_time arrived = steady::now();
+  net::steady_time until;
+  std::set<backend_server_id> tried;
+  /// Servers that may have begun to work on it.
+  std::uint32_t runs = 0;
+  int tries = 0;
+  relay::try_handle handle;
+  waiter* waiting = nullptr;
+  relay::backend_answer answer;
+  std::string detail;
+  /// The turn in the ledger, once admitted.
+  std::optional<turn_request> turn;
+  std::string history;
+  bool settled = false;
+  // Of a stream: what the caller has been sent.
+  relay::event_splitter splitter;
+  std::optional<std::uint64_t> last_event;
+  std::int64_t events = 0;
+  std::string output;
+  net::steady_time first_event_at;
+  // For the log line.
+  backend_server_id server;
+  std::string outcome;
+  int status = 0;
+  std::int64_t queued_ms = 0;
+  std::int64_t ledger_ms = 0;
+};
+
+/// A call that waits for a server.
+struct call_service::waiter {
+  explicit waiter(asio::io_context& context) : signal(context) {}
+  net::async_signal signal;
+  std::optional<backend_entry> server;
+  bool expired = false;
+  bool left = false;
+};
+
+/// What a call got from its pool.
+struct call_service::acquired {
+  placement_id id;
+  std::optional<backend_entry> server;
+  bool caller_left = false;
+};
+
+call_service::call_service(asio::io_context& io, availability_zone here,
+                           discovery::fleet_state& state, relay::backend_pool& pool,
+                           const relay::call_codec& with, turn_keeper& keeper,
+                           call_metrics& counters)
+    : context(io),
+      zone(std::move(here)),
+      fleet(state),
+      backends(pool),
+      codec(with),
+      turns(keeper),
+      metrics(counters) {}
+
+call_service::~call_service() = default;
+
+server_pool& call_service::pool_of(const service_name& name) {
+  const auto found = this->pools.find(name);
+  if (found != this->pools.end()) {
+    return found->second;
+  }
+  server_pool& pool = this->pools.try_emplace(name, pool_rules{}, this->zone).first->second;
+  pool.set_servers(this->fleet.usable_backends(name), discovery::scheduler_now());
+  return pool;
+}
+
+void call_service::deliver(const std::vector<placement>& placed) {
+  for (const placement& item : placed) {
+    const auto found = this->waiters.find(item.id);
+    if (found == this->waiters.end()) {
+      continue;
+    }
+    found->second->server = item.server;
+    found->second->signal.wake();
+  }
+}
+
+void call_service::refresh_servers() {
+  for (const service_name& name : this->fleet.services_with_backends()) {
+    this->pool_of(name);
+  }
+  for (auto& [name, pool] : this->pools) {
+    this->deliver(pool.set_servers(this->fleet.usable_backends(name), discovery::scheduler_now()));
+  }
+}
+
+void call_service::tick() {
+  const timestamp now = discovery::scheduler_now();
+  for (auto& [name, pool] : this->pools) {
+    if (pool.waiting() == 0) {
+      continue;
+    }
+    this->deliver(pool.tick(now));
+    for (const placement_id& id : pool.expire(now)) {
+      const auto found = this->waiters.find(id);
+      if (found != this->waiters.end()) {
+        found->second->expired = true;
+        found->second->signal.wake();
+      }
+    }
+  }
+}
+
+asio::awaitable<void> call_service::refuse(relay::caller_link& caller, const failure& why,
+                                           const std::string& id) {
+  const error_answer& row = answer_for(why.kind);
+  std::vector<http::header> headers{{"Content-Type", "application/json"}};
+  if (row.retry_later) {
+    const double part = static_cast<double>(hash_of(id) % 1000) / 1000;
+    headers.push_back({"Retry-After", fmt::format("{:.2f}", retry_seconds + retry_spread * part)});
+  }
+  this->metrics.count(fmt::format("refused_{}", row.name));
+  log(event::call_refused, {{"request", id},
+                            {"kind", std::string(row.name)},
+                            {"status", std::to_string(row.http_status)},
+                            {"detail", why.detail}});
+  const std::string body =
+      fmt::format(R"({{"error":"{}","outcome":"{}"}})", row.name, outcome_name(row.outcome));
+  co_await caller.respond(row.http_status, headers, body);
+}
+
+asio::awaitable<void> call_service::serve(relay::caller_link& caller, http::request request) {
+  call one(caller, std::move(request));
+  ++this->calls;
+  caller.connection().watch_for_close([this, &one] {
+    one.caller.note_gone();
+    one.handle.abandon();
+    if (one.waiting != nullptr) {
+      one.waiting->left = true;
+      one.waiting->signal.wake();
+    }
+    this->metrics.count("callers_left");
+  });
+  co_await this->run(one);
+  caller.connection().stop_watching();
+  --this->calls;
+}
+
+asio::awaitable<void> call_service::run(call& one) {
+  failure reason;
+  auto terms = this->codec.decode_call(one.request, reason);
+  if (!terms) {
+    co_await this->refuse(one.caller, reason, "");
+    co_return;
+  }
+  one.terms = std::move(*terms);
+  one.table = this->fleet.table();
+  if (!one.table || this->turning_away) {
+    // GCC 12 destroys an aggregate made inside a co_await expression twice, so each
+    // is named first.
+    failure why{error_kind::not_ready, "no configuration is known yet"};
+    if (one.table) {
+      why = {error_kind::host_leaving, "the host is about to stop"};
+    }
+    co_await this->refuse(one.caller, why, one.terms.id.get());
+    co_return;
+  }
+  one.taken = one.table->find(one.terms.host_name, one.request.path);
+  if (one.taken == nullptr) {
+    const failure why{error_kind::not_found,
+                      fmt::format("no route for {}{} in version {}", one.terms.host_name,
+                                  one.request.path, one.table->version().get())};
+    co_await this->refuse(one.caller, why, one.terms.id.get());
+    co_return;
+  }
+  const duration longest = one.terms.deadline.value_or(one.taken->timeout);
+  one.until = one.arrived + std::min(longest, one.taken->timeout);
+  if (!co_await this->admit(one)) {
+    co_return;
+  }
+  server_pool& pool =
+      this->pool_of(route_table::choose_service(*one.taken, service_draw(one.terms)));
+  while (true) {
+    const acquired got = co_await this->acquire(one, pool);
+    if (got.caller_left) {
+      one.outcome = "caller_left";
+      co_await this->settle_broken(one);
+      break;
+    }
+    if (!got.server) {
+      const failure why{error_kind::no_backend_server,
+                        one.detail.empty() ? "no server can take it in its time" : one.detail};
+      co_await this->give_up(one, why);
+      break;
+    }
+    const try_outcome outcome = co_await this->try_server(one, *got.server);
+    this->deliver(pool.finished(got.id, health_of(outcome), discovery::scheduler_now()));
+    one.outcome = name_of(outcome);
+    if (outcome == try_outcome::whole) {
+      co_await this->finish_whole(one);
+      break;
+    }
+    if (outcome == try_outcome::abandoned) {
+      co_await this->settle_broken(one);
+      break;
+    }
+    one.tried.insert(got.server->id);
+    if (this->may_try_again(one, outcome)) {
+      continue;
+    }
+    const bool late = outcome == try_outcome::timed_out;
+    const bool never_ran = one.runs == 0;
+    const error_kind kind = never_ran ? error_kind::no_backend_server
+                            : late    ? error_kind::deadline_exceeded
+                                      : error_kind::backend_failed;
+    const failure why{kind, one.detail};
+    co_await this->give_up(one, why);
+    break;
+  }
+  this->log_call(one);
+}
+
+asio::awaitable<bool> call_service::admit(call& one) {
+  const bool counted = one.taken->kind == call_kind::stream && one.terms.program;
+  if (!counted || (!one.taken->keeps_turns && !one.terms.budget)) {
+    co_return true;
+  }
+  turn_request turn;
+  turn.id = one.terms.id;
+  turn.program = *one.terms.program;
+  turn.most = one.terms.most_output;
+  turn.budget = one.terms.budget;
+  turn.kept = one.taken->keeps_turns;
+  turn.previous = one.terms.previous;
+  turn.retention = one.taken->retention;
+  const net::steady_time began = steady::now();
+  const turn_admission admission = co_await this->turns.admit(turn, one.until);
+  one.ledger_ms = milliseconds_since(began);
+  this->metrics.record("ledger_admit", std::chrono::duration_cast<duration>(steady::now() - began));
+  failure why;
+  why.detail = admission.detail;
+  switch (admission.kind) {
+    case admission_kind::admitted:
+      one.turn = turn;
+      one.history = admission.history;
+      co_return true;
+    case admission_kind::over_budget:
+      why.kind = error_kind::budget_exhausted;
+      break;
+    case admission_kind::unknown_turn:
+      why.kind = error_kind::turn_unknown;
+      break;
+    case admission_kind::unavailable:
+      why.kind = error_kind::history_unavailable;
+      break;
+  }
+  co_await this->refuse(one.caller, why, one.terms.id.get());
+  co_return false;
+}
+
+asio::awaitable<call_service::acquired> call_service::acquire(call& one, server_pool& pool) {
+  acquired got;
+  this->last_placement = this->last_placement.next();
+  got.id = this->last_placement;
+  if (one.caller.gone()) {
+    got.caller_left = true;
+    co_return got;
+  }
+  const timestamp now = discovery::scheduler_now();
+  const auto left = std::chrono::duration_cast<duration>(one.until - steady::now());
+  placement_request request;
+  request.id = got.id;
+  request.affinity = affinity_of(*one.taken, one.terms);
+  request.priority = one.taken->priority;
+  request.wanted_by = now + one.terms.program_time_left.value_or(left);
+  request.give_up_at = now + left - least_service_time;
+  request.tried = one.tried;
+  waiter waiting(this->context);
+  std::vector<placement> placed;
+  const submit_outcome outcome = pool.submit(request, now, placed);
+  if (outcome == submit_outcome::refused) {
+    co_return got;
+  }
+  if (outcome == submit_outcome::placed) {
+    got.server = placed.front().server;
+    co_return got;
+  }
+  const net::steady_time began = steady::now();
+  this->waiters.emplace(got.id, &waiting);
+  one.waiting = &waiting;
+  co_await waiting.signal.wait();
+  one.waiting = nullptr;
+  this->waiters.erase(got.id);
+  one.queued_ms += milliseconds_since(began);
+  this->metrics.record("queue_wait", std::chrono::duration_cast<duration>(steady::now() - began));
+  got.caller_left = waiting.left;
+  if (waiting.left) {
+    pool.cancel(got.id);
+    this->deliver(pool.finished(got.id, server_outcome::caller_left, discovery::scheduler_now()));
+    co_return got;
+  }
+  got.server = waiting.server;
+  co_return got;
+}
+
+asio::awaitable<try_outcome> call_service::try_server(call& one, const backend_entry& server) {
+  ++one.tries;
+  one.server = server.id;
+  one.splitter = {};
+  one.handle = {};
+  relay::dispatch_terms terms;
+  terms.server = server.id;
+  terms.time_left = std::max(std::chrono::duration_cast<duration>(one.until - steady::now()),
+                             duration(std::chrono::milliseconds(1)));
+  terms.last_event = one.last_event ? one.last_event : one.terms.last_event;
+  relay::backend_request request;
+  request.where = server.address;
+  request.method = one.request.method;
+  request.target = one.request.target;
+  request.headers = this->codec.dispatch_headers(one.request, terms);
+  const std::string body = one.history + one.request.body;
+  request.body = body;
+  request.id = one.terms.id;
+  request.until = one.until + timeout_slack;
+  request.repeatable = one.taken->kind == call_kind::idempotent;
+  relay::stream_sink sink;
+  sink.on_head = [this, &one](const relay::backend_answer& head) {
+    return this->stream_head(one, head);
+  };
+  sink.on_bytes = [this, &one](std::string_view bytes) { return this->stream_bytes(one, bytes); };
+  one.answer = {};
+  try_outcome outcome =
+      co_await this->backends.run(request, sink, one.handle, one.answer, one.detail);
+  if (outcome == try_outcome::abandoned && !one.caller.gone()) {
+    outcome = try_outcome::broken;
+  }
+  const bool is_success = one.answer.status >= 200 && one.answer.status < 300;
+  if (outcome == try_outcome::whole && is_success && !one.answer.terms.is_signed) {
+    one.detail = "a success without the server's signature";
+    outcome = try_outcome::broken;
+  }
+  if (outcome == try_outcome::whole && one.caller.started() && !one.splitter.between_events()) {
+    one.detail = "the stream ended inside an event";
+    outcome = try_outcome::broken;
+  }
+  const bool may_have_run = outcome != try_outcome::not_sent && outcome != try_outcome::not_run;
+  one.runs += may_have_run ? 1 : 0;
+  this->metrics.count(fmt::format("tries_{}", name_of(outcome)));
+  co_return outcome;
+}
+
+bool call_service::may_try_again(const call& one, try_outcome outcome) const {
+  const bool time_left = steady::now() + least_service_time < one.until;
+  if (!time_left || one.tries >= most_tries || one.caller.gone()) {
+    return false;
+  }
+  if (outcome == try_outcome::not_sent || outcome == try_outcome::not_run) {
+    return true;
+  }
+  if (outcome == try_outcome::timed_out || one.runs >= one.taken->max_attempts) {
+    return false;
+  }
+  return one.taken->kind == call_kind::idempotent || one.taken->resumable;
+}
+
+asio::awaitable<bool> call_service::stream_head(call& one, const relay::backend_answer& head) {
+  if (one.caller.started()) {
+    co_return true;
+  }
+  if (!head.terms.is_signed) {
+    one.detail = "a stream without the server's signature";
+    co_return false;
+  }
+  one.status = head.status;
+  const std::vector<http::header> headers = relay::end_to_end(head.headers);
+  co_return co_await one.caller.start(head.status, headers);
+}
+
+asio::awaitable<bool> call_service::stream_bytes(call& one, std::string_view bytes) {
+  std::string out;
+  for (relay::stream_event& item : one.splitter.add(bytes)) {
+    out += item.bytes;
+    if (one.events == 0) {
+      one.first_event_at = steady::now();
+    }
+    ++one.events;
+    one.last_event = item.id ? item.id : one.last_event;
+    if (one.turn && one.turn->kept) {
+      one.output += item.data;
+      one.output += '\n';
+    }
+  }
+  co_return co_await one.caller.write(out);
+}
+
+asio::awaitable<void> call_service::finish_whole(call& one) {
+  if (one.caller.started()) {
+    co_await this->finish_stream(one);
+    co_return;
+  }
+  one.status = one.answer.status;
+  if (one.turn) {
+    co_await this->settle_broken(one);
+  }
+  const std::vector<http::header> headers = relay::end_to_end(one.answer.headers);
+  co_await one.caller.respond(one.answer.status, headers, one.answer.body);
+}
+
+asio::awaitable<void> call_service::finish_stream(call& one) {
+  if (one.turn) {
+    const service* pool =
+        one.table->find_service(route_table::choose_service(*one.taken, service_draw(one.terms)));
+    const std::int64_t tokens_each =
+        pool != nullptr && pool->engine ? pool->engine->tokens_per_event.get() : 1;
+    turn_result result;
+    result.used = token_count(one.events * tokens_each);
+    result.whole = true;
+    result.input = one.request.body;
+    result.output = std::move(one.output);
+    one.settled = true;
+    const net::steady_time began = steady::now();
+    const bool kept =
+        co_await this->turns.settle(*one.turn, std::move(result), one.until + timeout_slack);
+    one.ledger_ms += milliseconds_since(began);
+    this->metrics.record("ledger_settle",
+                         std::chrono::duration_cast<duration>(steady::now() - began));
+    if (!kept && one.turn->kept) {
+      one.outcome = "not_kept";
+      one.caller.break_off();
+      co_return;
+    }
+  }
+  co_await one.caller.finish();
+}
+
+asio::awaitable<void> call_service::settle_broken(call& one) {
+  if (!one.turn || one.settled) {
+    co_return;
+  }
+  one.settled = true;
+  if (one.runs == 0) {
+    this->turns.withdraw(*one.turn);
+    co_return;
+  }
+  const service* pool =
+      one.table->find_service(route_table::choose_service(*one.taken, service_draw(one.terms)));
+  const std::int64_t tokens_each =
+      pool != nullptr && pool->engine ? pool->engine->tokens_per_event.get() : 1;
+  turn_result result;
+  result.used = token_count(one.events * tokens_each);
+  co_await this->turns.settle(*one.turn, std::move(result),
+                              steady::now() + std::chrono::seconds(2));
+}
+
+asio::awaitable<void> call_service::give_up(call& one, failure why) {
+  if (one.caller.started()) {
+    one.caller.break_off();
+    one.outcome += " after the head";
+  } else {
+    one.status = answer_for(why.kind).http_status;
+    co_await this->refuse(one.caller, why, one.terms.id.get());
+  }
+  co_await this->settle_broken(one);
+}
+
+void call_service::log_call(const call& one) const {
+  const auto took = std::chrono::duration_cast<duration>(steady::now() - one.arrived);
+  this->metrics.count(fmt::format("calls_{}", one.outcome));
+  this->metrics.record("call_" + one.taken->name.get(), took);
+  if (one.events > 0) {
+    this->metrics.record("first_event",
+                         std::chrono::duration_cast<duration>(one.first_event_at - one.arrived));
+  }
+  log(event::call_ended, {{"request", one.terms.id.get()},
+                          {"program", one.terms.program ? one.terms.program->get() : ""},
+                          {"route", one.taken->name.get()},
+                          {"version", std::to_string(one.table->version().get())},
+                          {"server", one.server.get()},
+                          {"outcome", one.outcome},
+                          {"status", std::to_string(one.status)},
+                          {"tries", std::to_string(one.tries)},
+                          {"events", std::to_string(one.events)},
+                          {"queue_ms", std::to_string(one.queued_ms)},
+                          {"ledger_ms", std::to_string(one.ledger_ms)},
+                          {"took_ms", std::to_string(milliseconds_since(one.arrived))},
+                          {"detail", one.detail}});
+}
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/src/front_host.cc
@@ -0,0 +1,418 @@
+// A front host: its listeners, its beliefs and its planned stop.
+#include "hawthornlane/front/front_host.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "hawthornlane/discovery/registration.h"
+#include "hawthornlane/discovery/store_follower.h"
+#include "hawthornlane/front/call_service.h"
+#include "hawthornlane/front/ledger_client.h"
+#include "hawthornlane/front/peer_gossip.h"
+#include "hawthornlane/http/server.h"
+#include "hawthornlane/platform_adapter/call_codec.h"
+#include "hawthornlane/platform_adapter/directory_answers.h"
+#include "hawthornlane/telemetry/log.h"
+
+namespace hawthornlane::front {
+namespace asio = boost::asio;
+using platform_adapter::object_kind;
+using platform_adapter::object_page;
+using steady = std::chrono::steady_clock;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// Callers keep an address answer up to three times as long as it says.
+constexpr int longest_keep_factor = 3;
+/// A caller's connection attempts in a burst; more are sent again by their kernels.
+constexpr int accept_backlog = 1024;
+/// An outage shorter than this lets no entry lapse.
+constexpr duration lapsing_outage = std::chrono::milliseconds(1500);
+/// Before the kill, so that what is still under way ends by itself.
+constexpr duration stop_margin = std::chrono::milliseconds(400);
+/// Calls that come this long before the end are turned away: callers then find
+/// another host, while a call taken now might be cut by the kill.
+constexpr duration turn_away_before = std::chrono::milliseconds(3200);
+/// Hosts change seldom, and their changes are learnt from refusals too.
+constexpr auto host_check_pause = std::chrono::seconds(3);
+/// Between two sweeps over idle connections to servers.
+constexpr auto idle_pause = std::chrono::seconds(1);
+
+}  // namespace
+
+struct front_host::state : std::enable_shared_from_this<front_host::state> {
+  state(asio::io_context& io, front_settings with, std::function<void()> on_stopped)
+      : context(io),
+        settings(std::move(with)),
+        stopped(std::move(on_stopped)),
+        sweeper(io),
+        codec(platform_adapter::make_call_codec()),
+        store(settings.store),
+        backends(io, sweeper, codec),
+        ledger(io, sweeper, fleet),
+        calls(io, settings.zone, fleet, backends, codec, ledger, metrics),
+        gossip(
+            io, sweeper, fleet, checks, [this] { return this->digest(); }, decode_configuration),
+        acceptor(io) {}
+
+  asio::io_context& context;
+  front_settings settings;
+  std::function<void()> stopped;
+  net::deadline_sweeper sweeper;
+  relay::call_codec codec;
+  platform_adapter::store_client store;
+  discovery::fleet_state fleet;
+  check_schedule checks;
+  bool checking = false;
+  net::steady_time next_host_check{};
+  call_metrics metrics;
+  relay::backend_pool backends;
+  ledger_client ledger;
+  call_service calls;
+  peer_gossip gossip;
+  tcp::acceptor acceptor;
+  std::unique_ptr<net::rpc_server> peers;
+  std::vector<std::unique_ptr<http::server>> small_servers;
+  std::vector<std::unique_ptr<discovery::store_follower>> followers;
+  host_entry self;
+  bool leaving = false;
+  net::steady_time leaving_since{};
+  std::map<object_kind, net::steady_time> lost_at;
+  net::steady_time next_idle_sweep{};
+  std::size_t connections = 0;
+
+  static std::optional<configuration> decode_configuration(const std::string& text) {
+    platform_adapter::stored_object object;
+    object.spec = text;
+    failure reason;
+    auto config = platform_adapter::configuration_from(object, reason);
+    if (!config) {
+      log(event::platform_unreachable, {{"detail", "configuration: " + reason.detail}});
+    }
+    return config;
+  }
+
+  gossip_digest digest() const {
+    gossip_digest own;
+    own.self = this->self;
+    own.ready = this->ready();
+    own.leaving = this->leaving;
+    own.configuration = this->fleet.table() ? this->fleet.table()->version() : config_version(0);
+    own.backends_changed_at = this->fleet.backends_changed_at();
+    own.checked_ago = this->checks.age(discovery::scheduler_now());
+    return own;
+  }
+
+  bool ready() const {
+    return !this->leaving && this->fleet.table() && !this->fleet.backends().listed().empty();
+  }
+
+  void start() {
+    this->self =
+        discovery::make_host_entry(this->settings.host, host_role::front, this->settings.zone,
+                                   this->settings.region, this->settings.peers_at);
+    this->self.callers_at = http::to_string(this->settings.callers_at);
+    this->fleet.on_backends_changed([this] { this->calls.refresh_servers(); });
+    this->fleet.on_hosts_changed([this] {
+      this->gossip.refresh_hosts();
+      this->ledger.refresh_hosts();
+    });
+    this->listen();
+    this->follow_store();
+    asio::co_spawn(this->context,
+                   discovery::keep_registered(this->context, this->store, this->self),
+                   asio::detached);
+    this->sweeper.on_pass([this] { this->on_pass(); });
+  }
+
+  void listen() {
+    this->peers = std::make_unique<net::rpc_server>(
+        this->context, this->sweeper, this->settings.peers_at,
+        [this](std::uint16_t method, const std::string& payload, const net::rpc_reply& reply) {
+          reply(this->gossip.serve(static_cast<gossip_method>(method), payload));
+        });
+    this->serve_small(this->settings.ready_at, [this](const http::request& ask) {
+      return platform_adapter::state_answer(platform_adapter::is_readiness_check(ask) &&
+                                            this->ready());
+    });
+    this->serve_small(this->settings.directory_at,
+                      [this](const http::request& ask) { return this->addresses(ask); });
+    this->serve_small(this->settings.metrics_at, [this](const http::request&) {
+      http::response answer;
+      answer.content_type = "text/plain";
+      answer.body = this->metrics_text();
+      return answer;
+    });
+    const tcp::endpoint at(asio::ip::make_address(this->settings.callers_at.address),
+                           this->settings.callers_at.port);
+    this->acceptor.open(at.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(at);
+    this->acceptor.listen(accept_backlog);
+    asio::co_spawn(this->context, accept(this->shared_from_this()), asio::detached);
+  }
+
+  void serve_small(const http::endpoint& where,
+                   std::function<http::response(const http::request&)> respond) {
+    const auto handle = [respond = std::move(respond)](
+                            const http::request& ask,
+                            http::exchange& reply) -> asio::awaitable<void> {
+      co_await reply.respond(respond(ask));
+    };
+    const auto refuse = [](error_kind kind, std::string_view) {
+      http::response answer;
+      answer.status = answer_for(kind).http_status;
+      return answer;
+    };
+    this->small_servers.push_back(std::make_unique<http::server>(
+        this->context, where, http::server_limits{}, handle, refuse));
+  }
+
+  http::response addresses(const http::request& ask) {
+    if (!platform_adapter::address_question_from(ask)) {
+      return platform_adapter::state_answer(false);
+    }
+    std::vector<std::string> list;
+    if (this->ready()) {
+      list.push_back(this->self.callers_at);
+    }
+    for (const host_entry& other : this->gossip.ready_hosts()) {
+      list.push_back(other.callers_at);
+    }
+    if (list.empty()) {
+      return platform_adapter::state_answer(false);
+    }
+    return platform_adapter::address_answer(list, this->settings.address_time);
+  }
+
+  std::string metrics_text() {
+    const auto& store_counts = this->store.counters();
+    this->metrics.set("store_reads", static_cast<double>(store_counts.reads));
+    this->metrics.set("store_watches", static_cast<double>(store_counts.watches));
+    this->metrics.set("store_writes", static_cast<double>(store_counts.writes));
+    this->metrics.set("store_failed", static_cast<double>(store_counts.failed));
+    this->metrics.set("backend_connections_opened",
+                      static_cast<double>(this->backends.counters().opened));
+    this->metrics.set("backend_connections_reused",
+                      static_cast<double>(this->backends.counters().reused));
+    this->metrics.set("backend_foreign_answers",
+                      static_cast<double>(this->backends.counters().foreign_answers));
+    this->metrics.set("calls_under_way", static_cast<double>(this->calls.under_way()));
+    return this->metrics.text();
+  }
+
+  discovery::follower_hooks hooks_for(object_kind kind) {
+    discovery::follower_hooks hooks;
+    hooks.on_reachable = [this, kind](bool reachable, const std::string& detail) {
+      this->note_store(kind, reachable, detail);
+    };
+    return hooks;
+  }
+
+  void note_store(object_kind kind, bool reachable, const std::string& detail) {
+    const std::string what(platform_adapter::path_of(kind));
+    if (!reachable) {
+      this->lost_at[kind] = steady::now();
+      log(event::platform_unreachable, {{"kind", what}, {"detail", detail}});
+      return;
+    }
+    const duration away = std::chrono::duration_cast<duration>(steady::now() - this->lost_at[kind]);
+    log(event::platform_reachable,
+        {{"kind", what}, {"away_ms", std::to_string(away.count() / 1000)}});
+    if (kind == object_kind::backend_servers && away >= lapsing_outage) {
+      this->fleet.store_is_back();
+    }
+  }
+
+  void follow_store() {
+    discovery::follower_hooks config = this->hooks_for(object_kind::configuration);
+    config.on_listing = [this](const object_page& page) { this->take_configuration(page); };
+    config.on_changes = config.on_listing;
+    this->follow(object_kind::configuration, std::move(config));
+
+    discovery::follower_hooks servers = this->hooks_for(object_kind::backend_servers);
+    servers.on_listing = [this](const object_page& page) {
+      this->fleet.list_backends(page.at, discovery::backend_entries_of(page), "store");
+    };
+    servers.on_changes = [this](const object_page& page) {
+      this->fleet.change_backends(page.at, discovery::backend_changes_of(page), "store");
+    };
+    this->follow(object_kind::backend_servers, std::move(servers));
+
+    discovery::follower_hooks hosts = this->hooks_for(object_kind::hosts);
+    hosts.on_listing = [this](const object_page& page) {
+      this->ledger.take_set(page);
+      this->fleet.list_hosts(page.at, discovery::host_entries_of(page));
+    };
+    hosts.on_changes = [this](const object_page& page) {
+      this->ledger.take_set(page);
+      this->fleet.change_hosts(page.at, discovery::host_changes_of(page));
+    };
+    this->follow(object_kind::hosts, std::move(hosts));
+  }
+
+  void follow(object_kind kind, discovery::follower_hooks hooks) {
+    this->followers.push_back(std::make_unique<discovery::store_follower>(
+        this->context, this->store, kind, std::move(hooks)));
+  }
+
+  void take_configuration(const object_page& page) {
+    for (const auto& item : page.items) {
+      if (item.removed) {
+        continue;
+      }
+      if (const auto config = decode_configuration(item.object.spec)) {
+        this->fleet.offer_configuration(*config, item.object.spec, "store");
+      }
+    }
+  }
+
+  static asio::awaitable<void> accept(std::shared_ptr<state> self) {
+    while (self->acceptor.is_open()) {
+      boost::system::error_code error;
+      tcp::socket socket =
+          co_await self->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        continue;
+      }
+      asio::co_spawn(self->context, serve_caller(self, std::move(socket)), asio::detached);
+    }
+  }
+
+  static asio::awaitable<void> serve_caller(std::shared_ptr<state> self, tcp::socket accepted) {
+    net::timed_socket socket(std::move(accepted), self->sweeper);
+    relay::caller_link caller(socket);
+    ++self->connections;
+    while (true) {
+      const caller_limits limits =
+          self->fleet.table() ? self->fleet.table()->source().limits : caller_limits{};
+      http::request request;
+      failure reason;
+      const relay::read_outcome outcome = co_await caller.read(limits, request, reason);
+      if (outcome == relay::read_outcome::closed) {
+        break;
+      }
+      if (outcome == relay::read_outcome::refused) {
+        caller.close_after_this();
+        co_await self->calls.refuse(caller, reason, "");
+        break;
+      }
+      if (self->leaving) {
+        caller.close_after_this();
+      }
+      co_await self->calls.serve(caller, std::move(request));
+      if (!caller.usable()) {
+        break;
+      }
+    }
+    if (!caller.gone()) {
+      // Unread bytes would turn the close into a reset that destroys the answer.
+      socket.shutdown_send();
+      std::string rest;
+      constexpr std::size_t drained = std::size_t{64} * 1024;
+      co_await socket.read_more(rest, drained, steady::now() + std::chrono::milliseconds(300));
+    }
+    socket.close();
+    --self->connections;
+  }
+
+  void on_pass() {
+    this->calls.tick();
+    this->fleet.settle();
+    this->gossip.tick();
+    flush_log();
+    const net::steady_time now = steady::now();
+    if (now >= this->next_idle_sweep) {
+      this->next_idle_sweep = now + idle_pause;
+      this->close_idle();
+    }
+    if (!this->checking && this->checks.due(discovery::scheduler_now(), this->gossip.rank())) {
+      asio::co_spawn(this->context, check_store(this->shared_from_this()), asio::detached);
+    }
+    if (this->leaving) {
+      this->go_on_leaving(now);
+    }
+  }
+
+  /// Reads the store again, since a watch may have gone deaf, and tells the others.
+  static asio::awaitable<void> check_store(std::shared_ptr<state> self) {
+    self->checking = true;
+    const timestamp began = discovery::scheduler_now();
+    self->checks.began(began);
+    failure reason;
+    object_page config;
+    object_page servers;
+    auto outcome = co_await self->store.list(object_kind::configuration, config, reason);
+    if (outcome == platform_adapter::store_outcome::done) {
+      self->take_configuration(config);
+      outcome = co_await self->store.list(object_kind::backend_servers, servers, reason);
+    }
+    if (outcome == platform_adapter::store_outcome::done) {
+      self->fleet.list_backends(servers.at, discovery::backend_entries_of(servers), "check");
+      self->checks.checked(began);
+      self->gossip.tell_all();
+    }
+    if (steady::now() >= self->next_host_check) {
+      self->next_host_check = steady::now() + host_check_pause;
+      object_page hosts;
+      if (co_await self->store.list(object_kind::hosts, hosts, reason) ==
+          platform_adapter::store_outcome::done) {
+        self->ledger.take_set(hosts);
+        self->fleet.list_hosts(hosts.at, discovery::host_entries_of(hosts));
+      }
+    }
+    self->checking = false;
+  }
+
+  void close_idle() {
+    std::set<http::endpoint> listed;
+    for (const auto& [id, entry] : this->fleet.backends().listed()) {
+      listed.insert(entry.address);
+    }
+    this->backends.close_idle(
+        [&listed](const http::endpoint& where) { return listed.contains(where); });
+  }
+
+  void begin_leaving() {
+    if (this->leaving) {
+      return;
+    }
+    this->leaving = true;
+    this->leaving_since = steady::now();
+    log(event::stopping, {{"calls", std::to_string(this->calls.under_way())},
+                          {"connections", std::to_string(this->connections)}});
+    this->gossip.tell_all();
+  }
+
+  void go_on_leaving(net::steady_time now) {
+    const duration since = std::chrono::duration_cast<duration>(now - this->leaving_since);
+    const duration keep = this->settings.address_time * longest_keep_factor;
+    if (since >= this->settings.grace - turn_away_before) {
+      this->calls.turn_away();
+    }
+    const bool forgotten = since >= std::min(keep, this->settings.grace - turn_away_before);
+    const bool idle = this->calls.under_way() == 0;
+    if ((forgotten && idle) || since >= this->settings.grace - stop_margin) {
+      log(event::stopped, {{"calls", std::to_string(this->calls.under_way())}});
+      flush_log();
+      this->stopped();
+    }
+  }
+};
+
+front_host::front_host(asio::io_context& context, front_settings settings,
+                       std::function<void()> stopped)
+    : inner(std::make_shared<state>(context, std::move(settings), std::move(stopped))) {
+  this->inner->start();
+}
+
+front_host::~front_host() = default;
+
+void front_host::stop() { this->inner->begin_leaving(); }
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/src/ledger_client.cc
@@ -0,0 +1,403 @@
+// The front host's side of the ledger.
+#include "hawthornlane/front/ledger_client.h"
+
+#include <fmt/format.h>
+
+#include "hawthornlane/net/async_signal.h"
+#include "hawthornlane/net/message_bytes.h"
+#include "hawthornlane/telemetry/log.h"
+
+namespace hawthornlane::front {
+namespace asio = boost::asio;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+/// An append waits for a sync of 2 to 5 ms and for those before it; one that takes
+/// this long comes from a disk host in trouble.
+constexpr duration append_limit = std::chrono::milliseconds(500);
+constexpr duration read_limit = std::chrono::milliseconds(300);
+/// After a majority has the reservation, the last disk gets this long to make the
+/// second round needless: about the spread of healthy disks' syncs.
+constexpr auto last_disk_wait = std::chrono::milliseconds(4);
+/// A set that has changed is learnt from the refusal; more than two changes within
+/// one admission mean trouble.
+constexpr int most_set_changes = 3;
+constexpr auto settle_pause = std::chrono::milliseconds(50);
+/// Whole turns kept in memory, bytes: about a sixth of the smallest host's memory.
+constexpr std::size_t cache_bytes = std::size_t{16} * 1024 * 1024;
+/// Kept longer than promised, for hosts' clocks that differ or step.
+constexpr duration retention_margin = std::chrono::seconds(15);
+
+wall_ms wall_now() {
+  return wall_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count());
+}
+
+wall_ms expiry(duration retention) {
+  const auto keep =
+      std::chrono::duration_cast<std::chrono::milliseconds>(retention + retention_margin);
+  return wall_ms(wall_now().get() + keep.count());
+}
+
+ledger_record record_of(const turn_request& turn, reservation_phase phase, token_count used) {
+  ledger_record record;
+  record.program = turn.program;
+  record.state = {turn.id, turn.most, used, phase};
+  record.expires_at = expiry(turn.retention);
+  return record;
+}
+
+}  // namespace
+
+/// One disk host.
+struct ledger_client::disk_link {
+  host_entry host;
+  std::unique_ptr<net::rpc_client> link;
+};
+
+/// One try to admit a turn at one set. Shared with the answers that are still on
+/// their way when the try is over.
+struct ledger_client::admission_state {
+  admission_state(asio::io_context& context, const ledger_set& at, const turn_request& what)
+      : turn(what),
+        set(at),
+        check(at, {what.id, what.most, token_count(0), reservation_phase::open}, what.budget),
+        chain(at),
+        signal(context) {}
+
+  turn_request turn;
+  ledger_set set;
+  reservation_check check;
+  chain_check chain;
+  net::async_signal signal;
+  bool needs_chain = false;
+  bool stale = false;
+  bool collecting = false;
+  net::steady_time appended_at = net::never;
+  net::steady_time until;
+
+  [[nodiscard]] bool chain_decided() const {
+    return !this->needs_chain || this->chain.verdict() != chain_verdict::undecided;
+  }
+  [[nodiscard]] bool decided() const {
+    return this->chain_decided() && this->check.verdict() != budget_verdict::undecided;
+  }
+  [[nodiscard]] bool hopeless() const {
+    return this->check.hopeless() || (!this->chain_decided() && this->chain.hopeless());
+  }
+};
+
+ledger_client::ledger_client(asio::io_context& io, net::deadline_sweeper& sweep,
+                             const discovery::fleet_state& state)
+    : context(io), sweeper(sweep), fleet(state), cache(cache_bytes) {}
+
+ledger_client::~ledger_client() = default;
+
+void ledger_client::take_set(const platform_adapter::object_page& page) {
+  for (const auto& item : page.items) {
+    if (item.removed || !platform_adapter::is_ledger_object(item.object)) {
+      continue;
+    }
+    failure reason;
+    if (const auto told = platform_adapter::ledger_set_from(item.object, reason)) {
+      this->take_set(*told, "store");
+    } else {
+      log(event::platform_unreachable, {{"detail", "ledger set: " + reason.detail}});
+    }
+  }
+}
+
+void ledger_client::take_set(const ledger_set& told, const std::string& source) {
+  if (this->set && told.epoch <= this->set->epoch) {
+    return;
+  }
+  this->set = told;
+  log(event::ledger_set_changed, {{"epoch", std::to_string(told.epoch.get())},
+                                  {"members", std::to_string(told.members.size())},
+                                  {"joint", told.joint() ? "yes" : "no"},
+                                  {"source", source}});
+}
+
+void ledger_client::refresh_hosts() {
+  for (const auto& [name, entry] : this->fleet.hosts().listed()) {
+    if (entry.role != host_role::disk || entry.disk.empty()) {
+      continue;
+    }
+    disk_link& known = this->links[disk_id(entry.disk)];
+    if (known.link && known.host == entry) {
+      continue;
+    }
+    known.host = entry;
+    known.link = std::make_unique<net::rpc_client>(this->context, this->sweeper, entry.peers_at);
+  }
+}
+
+net::rpc_client* ledger_client::link_to(const disk_id& disk) {
+  const auto found = this->links.find(disk);
+  return found == this->links.end() ? nullptr : found->second.link.get();
+}
+
+void ledger_client::note_stale(const std::optional<ledger_set>& newest) {
+  if (newest) {
+    this->take_set(*newest, "disk host");
+  }
+}
+
+void ledger_client::send_appends(const std::shared_ptr<admission_state>& state) {
+  append_request request;
+  request.epoch = state->set.epoch;
+  request.record = record_of(state->turn, reservation_phase::open, token_count(0));
+  const std::string bytes = to_bytes(request);
+  for (const disk_id& disk : state->set.all()) {
+    net::rpc_client* link = this->link_to(disk);
+    if (link == nullptr) {
+      state->check.on_append_failed(disk);
+      continue;
+    }
+    link->call(static_cast<std::uint16_t>(ledger_method::append), bytes, append_limit,
+               [this, state, disk](net::rpc_failure why, const std::string& payload) {
+                 const auto answer = why == net::rpc_failure::none
+                                         ? from_bytes<program_answer>(payload)
+                                         : std::nullopt;
+                 if (!answer || answer->disk != disk) {
+                   state->check.on_append_failed(disk);
+                 } else if (answer->stale) {
+                   state->stale = true;
+                   this->note_stale(answer->newest);
+                 } else {
+                   state->check.on_append(*answer);
+                 }
+                 state->signal.wake();
+               });
+  }
+}
+
+void ledger_client::send_collects(const std::shared_ptr<admission_state>& state) {
+  state->collecting = true;
+  const std::string bytes = to_bytes(collect_request{state->set.epoch, state->turn.program});
+  for (const disk_id& disk : state->set.all()) {
+    net::rpc_client* link = this->link_to(disk);
+    if (link == nullptr) {
+      state->check.on_collect_failed(disk);
+      continue;
+    }
+    link->call(static_cast<std::uint16_t>(ledger_method::collect), bytes, read_limit,
+               [this, state, disk](net::rpc_failure why, const std::string& payload) {
+                 const auto answer = why == net::rpc_failure::none
+                                         ? from_bytes<program_answer>(payload)
+                                         : std::nullopt;
+                 if (!answer || answer->disk != disk) {
+                   state->check.on_collect_failed(disk);
+                 } else if (answer->stale) {
+                   state->stale = true;
+                   this->note_stale(answer->newest);
+                 } else {
+                   state->check.on_collect(*answer);
+                 }
+                 state->signal.wake();
+               });
+  }
+}
+
+void ledger_client::send_chain_reads(const std::shared_ptr<admission_state>& state) {
+  const std::string bytes = to_bytes(chain_request{state->set.epoch, *state->turn.previous});
+  for (const disk_id& disk : state->set.all()) {
+    net::rpc_client* link = this->link_to(disk);
+    if (link == nullptr) {
+      state->chain.on_failed(disk);
+      continue;
+    }
+    link->call(static_cast<std::uint16_t>(ledger_method::chain), bytes, read_limit,
+               [this, state, disk](net::rpc_failure why, const std::string& payload) {
+                 const auto answer = why == net::rpc_failure::none
+                                         ? from_bytes<chain_answer>(payload)
+                                         : std::nullopt;
+                 if (!answer || answer->disk != disk) {
+                   state->chain.on_failed(disk);
+                 } else if (answer->stale) {
+                   state->stale = true;
+                   this->note_stale(answer->newest);
+                 } else {
+                   state->chain.on_answer(*answer);
+                 }
+                 state->signal.wake();
+               });
+  }
+}
+
+void ledger_client::conclude(const admission_state& state, turn_admission& result) {
+  if (state.needs_chain && state.chain.verdict() == chain_verdict::absent) {
+    result.kind = admission_kind::unknown_turn;
+    result.detail = fmt::format("a majority of epoch {} does not hold turn {}",
+                                state.set.epoch.get(), state.turn.previous->get());
+    return;
+  }
+  if (state.check.verdict() == budget_verdict::exceeds) {
+    result.kind = admission_kind::over_budget;
+    result.detail =
+        fmt::format("reserved and used {} of {} in epoch {}", state.check.charged().get(),
+                    state.turn.budget->get(), state.set.epoch.get());
+    return;
+  }
+  result.kind = admission_kind::admitted;
+  if (!state.needs_chain) {
+    return;
+  }
+  for (const kept_turn& turn : state.chain.chain()) {
+    this->cache.add(turn);
+    result.history += turn.input;
+    result.history += turn.output;
+  }
+}
+
+asio::awaitable<bool> ledger_client::admit_once(std::shared_ptr<admission_state> state,
+                                                turn_admission& result) {
+  this->send_appends(state);
+  if (state->needs_chain) {
+    this->send_chain_reads(state);
+  }
+  while (true) {
+    const net::steady_time now = steady::now();
+    if (state->stale) {
+      co_return false;
+    }
+    if (state->decided()) {
+      this->conclude(*state, result);
+      co_return true;
+    }
+    if (state->hopeless() || now >= state->until) {
+      result.kind = admission_kind::unavailable;
+      result.detail = fmt::format("no majority of epoch {} answers", state->set.epoch.get());
+      co_return true;
+    }
+    if (state->check.appended() && state->appended_at == net::never) {
+      state->appended_at = now;
+    }
+    net::steady_time wake_at = state->until;
+    const bool may_collect = state->appended_at != net::never && !state->collecting &&
+                             state->check.verdict() == budget_verdict::undecided;
+    if (may_collect && now >= state->appended_at + last_disk_wait) {
+      this->send_collects(state);
+    } else if (may_collect) {
+      wake_at = std::min(wake_at, state->appended_at + last_disk_wait);
+    }
+    co_await state->signal.wait_until(wake_at);
+  }
+}
+
+asio::awaitable<turn_admission> ledger_client::admit(turn_request turn, net::steady_time until) {
+  turn_admission result;
+  std::optional<std::string> cached;
+  if (turn.kept && turn.previous) {
+    cached = this->cache.history(*turn.previous);
+  }
+  for (int change = 0; change < most_set_changes; ++change) {
+    if (!this->set) {
+      result.detail = "the set of disks is not known yet";
+      co_return result;
+    }
+    const auto state = std::make_shared<admission_state>(this->context, *this->set, turn);
+    state->until = until;
+    state->needs_chain = turn.kept && turn.previous && !cached;
+    const bool concluded = co_await this->admit_once(state, result);
+    if (concluded) {
+      break;
+    }
+    result.detail = "the set of disks is changing";
+  }
+  if (result.kind == admission_kind::admitted && cached) {
+    result.history = std::move(*cached);
+  }
+  if (result.kind != admission_kind::admitted) {
+    log(event::turn_refused,
+        {{"request", turn.id.get()}, {"program", turn.program.get()}, {"detail", result.detail}});
+    this->withdraw(turn);
+  }
+  co_return result;
+}
+
+/// One settlement at one set.
+struct ledger_client::settle_state {
+  settle_state(asio::io_context& context, const ledger_set& at) : round(at), signal(context) {}
+  disk_round round;
+  net::async_signal signal;
+  bool stale = false;
+};
+
+asio::awaitable<bool> ledger_client::settle(turn_request turn, turn_result result,
+                                            net::steady_time until) {
+  append_request request;
+  request.record = record_of(turn, reservation_phase::settled, result.used);
+  if (turn.kept && result.whole) {
+    request.record.turn =
+        kept_turn{turn.id, turn.previous, std::move(result.input), std::move(result.output)};
+  }
+  while (this->set) {
+    request.epoch = this->set->epoch;
+    const std::string bytes = to_bytes(request);
+    const auto state = std::make_shared<settle_state>(this->context, *this->set);
+    for (const disk_id& disk : this->set->all()) {
+      net::rpc_client* link = this->link_to(disk);
+      if (link == nullptr) {
+        state->round.failed(disk);
+        continue;
+      }
+      link->call(static_cast<std::uint16_t>(ledger_method::append), bytes, append_limit,
+                 [this, state, disk](net::rpc_failure why, const std::string& payload) {
+                   const auto answer = why == net::rpc_failure::none
+                                           ? from_bytes<program_answer>(payload)
+                                           : std::nullopt;
+                   if (!answer || answer->disk != disk) {
+                     state->round.failed(disk);
+                   } else if (answer->stale) {
+                     state->stale = true;
+                     this->note_stale(answer->newest);
+                   } else {
+                     state->round.answered(disk);
+                   }
+                   state->signal.wake();
+                 });
+    }
+    while (!state->round.majority() && !state->round.hopeless() && !state->stale &&
+           steady::now() < until) {
+      co_await state->signal.wait_until(until);
+    }
+    if (state->round.majority()) {
+      if (request.record.turn) {
+        this->cache.add(*request.record.turn);
+      }
+      co_return true;
+    }
+    if (steady::now() >= until) {
+      co_return false;
+    }
+    if (!state->stale) {
+      net::async_signal pause(this->context);
+      co_await pause.wait_until(steady::now() + settle_pause);
+    }
+  }
+  co_return false;
+}
+
+void ledger_client::withdraw(const turn_request& turn) {
+  if (!this->set) {
+    return;
+  }
+  append_request request;
+  request.epoch = this->set->epoch;
+  request.record = record_of(turn, reservation_phase::withdrawn, token_count(0));
+  const std::string bytes = to_bytes(request);
+  for (const disk_id& disk : this->set->all()) {
+    if (net::rpc_client* link = this->link_to(disk)) {
+      link->call(static_cast<std::uint16_t>(ledger_method::append), bytes, append_limit,
+                 [](net::rpc_failure, const std::string&) {
+                   // Without the withdrawal the reservation counts in full: a later
+                   // turn may be refused too early, but the budget holds.
+                 });
+    }
+  }
+}
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/src/peer_gossip.cc
@@ -0,0 +1,205 @@
+// Front hosts tell each other that they live and what they know.
+#include "hawthornlane/front/peer_gossip.h"
+
+#include "hawthornlane/telemetry/log.h"
+
+namespace hawthornlane::front {
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+/// Between two probes of each other host. A host that has died is left out of
+/// address answers after `silence`, within the time that callers keep an answer.
+constexpr auto probe_pause = std::chrono::milliseconds(400);
+constexpr duration probe_limit = std::chrono::milliseconds(600);
+constexpr auto silence = std::chrono::milliseconds(1300);
+/// Another host that knows more is asked for it only when it still knows more after
+/// this long: mostly the store's own news are just on their way.
+constexpr auto pull_after = std::chrono::milliseconds(120);
+/// A host that has read the store this lately tells news that nobody else may have.
+constexpr duration just_read = std::chrono::milliseconds(50);
+constexpr duration pull_limit = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+/// Another front host.
+struct peer_gossip::peer {
+  host_entry entry;
+  std::unique_ptr<net::rpc_client> link;
+  gossip_digest heard;
+  net::steady_time heard_at{};
+  bool reachable = true;
+  bool asked = false;
+  net::steady_time ahead_since = net::never;
+};
+
+peer_gossip::peer_gossip(boost::asio::io_context& io, net::deadline_sweeper& sweep,
+                         discovery::fleet_state& state, check_schedule& schedule, digest_source own,
+                         configuration_decoder decoder)
+    : context(io),
+      sweeper(sweep),
+      fleet(state),
+      checks(schedule),
+      self(std::move(own)),
+      decode(std::move(decoder)) {}
+
+peer_gossip::~peer_gossip() = default;
+
+void peer_gossip::refresh_hosts() {
+  const auto& listed = this->fleet.hosts().listed();
+  const host_id own = this->self().self.name;
+  std::erase_if(this->peers, [&listed](const auto& item) { return !listed.contains(item.first); });
+  for (const auto& [name, entry] : listed) {
+    if (entry.role != host_role::front || name == own) {
+      continue;
+    }
+    const auto known = this->peers.find(name);
+    if (known != this->peers.end() && known->second->entry == entry) {
+      continue;
+    }
+    auto other = std::make_shared<peer>();
+    other->entry = entry;
+    other->link = std::make_unique<net::rpc_client>(this->context, this->sweeper, entry.peers_at);
+    other->heard_at = steady::now();
+    this->peers[name] = std::move(other);
+  }
+}
+
+void peer_gossip::tick() {
+  const net::steady_time now = steady::now();
+  if (now < this->next_probe) {
+    return;
+  }
+  this->next_probe = now + probe_pause;
+  this->tell_all();
+}
+
+void peer_gossip::tell_all() {
+  const net::steady_time now = steady::now();
+  for (const auto& [name, other] : this->peers) {
+    if (other->reachable && now - other->heard_at > silence) {
+      other->reachable = false;
+      log(event::host_silent, {{"peer", name.get()}});
+    }
+    this->probe(*other);
+  }
+}
+
+void peer_gossip::probe(peer& other) {
+  const auto payload = to_bytes(this->self());
+  const auto known = this->peers.find(other.entry.name)->second;
+  other.link->call(static_cast<std::uint16_t>(gossip_method::digest), payload, probe_limit,
+                   [this, weak = std::weak_ptr(known)](net::rpc_failure why, std::string answer) {
+                     const auto told = weak.lock();
+                     const auto digest = from_bytes<gossip_digest>(answer);
+                     if (told && why == net::rpc_failure::none && digest) {
+                       this->hear(*told, *digest);
+                     }
+                   });
+}
+
+void peer_gossip::hear(peer& other, const gossip_digest& digest) {
+  const net::steady_time now = steady::now();
+  other.heard = digest;
+  other.heard_at = now;
+  if (!other.reachable) {
+    other.reachable = true;
+    log(event::host_reachable, {{"peer", other.entry.name.get()}});
+  }
+  const auto& table = this->fleet.table();
+  const bool newer_config =
+      digest.configuration.get() != 0 && (!table || digest.configuration > table->version());
+  const bool newer_backends = digest.backends_changed_at > this->fleet.backends().at();
+  this->checks.checked(discovery::scheduler_now() - digest.checked_ago);
+  if (!newer_config && !newer_backends) {
+    other.ahead_since = net::never;
+    return;
+  }
+  if (other.ahead_since == net::never) {
+    other.ahead_since = now;
+  }
+  const bool lost = !table || !this->fleet.backends().heard();
+  const bool from_reader = digest.checked_ago < just_read;
+  if (!other.asked && (lost || from_reader || now - other.ahead_since >= pull_after)) {
+    this->pull(other);
+  }
+}
+
+std::size_t peer_gossip::rank() const {
+  const net::steady_time now = steady::now();
+  const host_id own = this->self().self.name;
+  std::size_t before = 0;
+  for (const auto& [name, other] : this->peers) {
+    before += name < own && now - other->heard_at < silence ? 1 : 0;
+  }
+  return before;
+}
+
+void peer_gossip::pull(peer& other) {
+  other.asked = true;
+  const auto known = this->peers.find(other.entry.name)->second;
+  const auto weak = std::weak_ptr(known);
+  other.link->call(static_cast<std::uint16_t>(gossip_method::configuration), "", pull_limit,
+                   [this, weak](net::rpc_failure why, const std::string& text) {
+                     const auto told = weak.lock();
+                     if (!told || why != net::rpc_failure::none || text.empty()) {
+                       return;
+                     }
+                     if (const auto config = this->decode(text)) {
+                       this->fleet.offer_configuration(*config, text, told->entry.name.get());
+                     }
+                   });
+  other.link->call(static_cast<std::uint16_t>(gossip_method::backends), "", pull_limit,
+                   [this, weak](net::rpc_failure why, const std::string& bytes) {
+                     const auto told = weak.lock();
+                     if (!told) {
+                       return;
+                     }
+                     told->asked = false;
+                     const auto snapshot = from_bytes<backends_snapshot>(bytes);
+                     if (why == net::rpc_failure::none && snapshot) {
+                       this->fleet.list_backends(snapshot->at, snapshot->entries,
+                                                 told->entry.name.get());
+                     }
+                   });
+}
+
+std::optional<std::string> peer_gossip::serve(gossip_method method, const std::string& payload) {
+  switch (method) {
+    case gossip_method::digest: {
+      const auto digest = from_bytes<gossip_digest>(payload);
+      if (!digest) {
+        return std::nullopt;
+      }
+      const auto known = this->peers.find(digest->self.name);
+      if (known != this->peers.end()) {
+        this->hear(*known->second, *digest);
+      }
+      return to_bytes(this->self());
+    }
+    case gossip_method::configuration:
+      return this->fleet.configuration_text();
+    case gossip_method::backends: {
+      backends_snapshot snapshot;
+      snapshot.at = this->fleet.backends().at();
+      for (const auto& [id, entry] : this->fleet.backends().listed()) {
+        snapshot.entries.push_back(entry);
+      }
+      return to_bytes(snapshot);
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<host_entry> peer_gossip::ready_hosts() const {
+  const net::steady_time now = steady::now();
+  std::vector<host_entry> ready;
+  for (const auto& [name, other] : this->peers) {
+    if (other->heard.ready && !other->heard.leaving && now - other->heard_at < silence) {
+      ready.push_back(other->entry);
+    }
+  }
+  return ready;
+}
+
+}  // namespace hawthornlane::front
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -1,6 +1,8 @@
 // The HTTP client, on Boost.Beast.
 #include "hawthornlane/http/client.h"
 
+#include <netinet/tcp.h>
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -98,6 +100,19 @@
   std::optional<response> head;
 };
 
+/// Has the kernel probe an idle connection, so that a long wait for an answer ends
+/// soon after the other side or the path to it is gone without a word.
+void probe_while_idle(tcp::socket& socket) {
+  using asio::detail::socket_option::integer;
+  constexpr int probe_seconds = 1;
+  constexpr int probes = 3;
+  error_code ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(probe_seconds), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(probe_seconds), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(probes), ignored);
+}
+
 asio::awaitable<bool> connect(beast::tcp_stream& stream, const endpoint& where, duration limit,
                               fetch_failure& reason) {
   error_code error;
@@ -112,6 +127,7 @@
     co_return false;
   }
   stream.socket().set_option(tcp::no_delay(true), error);
+  probe_while_idle(stream.socket());
   co_return true;
 }
 
--- /dev/null
+++ b/libs/net/include/hawthornlane/net/message_bytes.h
@@ -0,0 +1,37 @@
+// Typed messages to bytes and back.
+#pragma once
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <optional>
+#include <sstream>
+#include <string>
+
+namespace hawthornlane {
+
+template <class Message>
+std::string to_bytes(const Message& message) {
+  std::ostringstream out;
+  cereal::BinaryOutputArchive archive(out);
+  archive(message);
+  return std::move(out).str();
+}
+
+/// Nothing when the bytes are not a whole message.
+template <class Message>
+std::optional<Message> from_bytes(const std::string& bytes) {
+  try {
+    std::istringstream in(bytes);
+    cereal::BinaryInputArchive archive(in);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    // cereal reports a short or malformed message only by an exception.
+    return std::nullopt;
+  }
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/net/include/hawthornlane/net/rpc.h
@@ -0,0 +1,73 @@
+// Calls between hosts over one kept TCP connection a pair.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "hawthornlane/http/message.h"
+#include "hawthornlane/net/deadline_sweeper.h"
+#include "hawthornlane/units/quantities.h"
+
+namespace hawthornlane::net {
+
+/// Why a call brought no answer.
+enum class rpc_failure : std::uint8_t {
+  none,
+  /// Not connected; the other host has seen nothing.
+  unreachable,
+  /// Sent, then the connection ended or the time was over: it may have been acted on.
+  unknown,
+  /// The other host cannot read the request or does not serve the method.
+  refused,
+};
+
+/// Receives the answer, or why there is none. Called once.
+using rpc_done = std::function<void(rpc_failure why, std::string answer)>;
+
+/// One other host. Connects when there is something to send; a connection on which
+/// a call timed out without a byte from the other side is given up as silent.
+/// For one thread.
+class rpc_client {
+public:
+  rpc_client(boost::asio::io_context& context, deadline_sweeper& sweeper, http::endpoint where);
+  rpc_client(const rpc_client&) = delete;
+  rpc_client& operator=(const rpc_client&) = delete;
+  ~rpc_client();
+
+  void call(std::uint16_t method, std::string payload, duration limit, rpc_done done);
+  [[nodiscard]] const http::endpoint& where() const;
+
+  struct state;
+
+private:
+  std::shared_ptr<state> shared;
+};
+
+/// Sends one answer; nothing refuses the request.
+using rpc_reply = std::function<void(std::optional<std::string> answer)>;
+/// Serves one request; may reply later, but once.
+using rpc_handler = std::function<void(std::uint16_t method, std::string payload, rpc_reply reply)>;
+
+/// Listens for other hosts' calls. For one thread.
+class rpc_server {
+public:
+  /// Throws `boost::system::system_error` when it cannot listen.
+  rpc_server(boost::asio::io_context& context, deadline_sweeper& sweeper,
+             const http::endpoint& listen_at, rpc_handler handle);
+  rpc_server(const rpc_server&) = delete;
+  rpc_server& operator=(const rpc_server&) = delete;
+  ~rpc_server();
+
+  [[nodiscard]] http::endpoint where() const;
+
+  struct state;
+
+private:
+  std::shared_ptr<state> shared;
+};
+
+}  // namespace hawthornlane::net
--- /dev/null
+++ b/libs/net/src/deadline_sweeper.cc
@@ -0,0 +1,49 @@
+// One timer for many timeouts.
+#include "hawthornlane/net/deadline_sweeper.h"
+
+#include <vector>
+
+namespace hawthornlane::net {
+
+deadline_sweeper::deadline_sweeper(boost::asio::io_context& context) : timer(context) {
+  this->schedule();
+}
+
+void deadline_sweeper::stop() {
+  this->stopped = true;
+  this->timer.cancel();
+}
+
+void deadline_sweeper::schedule() {
+  this->timer.expires_after(pace);
+  this->timer.async_wait([this](const boost::system::error_code& error) {
+    if (error || this->stopped) {
+      return;
+    }
+    this->sweep();
+    this->schedule();
+  });
+}
+
+void deadline_sweeper::sweep() {
+  const steady_time now = std::chrono::steady_clock::now();
+  std::vector<expiring*> expired;
+  for (expiring* item : this->items) {
+    if (item->expires_at <= now) {
+      expired.push_back(item);
+    }
+  }
+  for (expiring* item : expired) {
+    // An earlier item's reaction may have removed this one or moved its moment.
+    if (!this->items.contains(item) || item->expires_at > now) {
+      continue;
+    }
+    item->expires_at = never;
+    item->on_expired();
+  }
+  for (const auto& hook : this->hooks) {
+    hook();
+  }
+}
+
+}  // namespace hawthornlane::net
--- /dev/null
+++ b/libs/net/src/rpc_client.cc
@@ -0,0 +1,166 @@
+// The calling side of the connection between two hosts.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <map>
+
+#include "hawthornlane/net/frame.h"
+#include "hawthornlane/net/rpc.h"
+#include "hawthornlane/net/timed_socket.h"
+
+namespace hawthornlane::net {
+namespace asio = boost::asio;
+
+namespace {
+
+/// For a connection to another host of the deployment: its links take milliseconds,
+/// a lost first packet is sent again after a second.
+constexpr auto connect_limit = std::chrono::milliseconds(1500);
+/// For one batch of frames to be taken by the other host's kernel.
+constexpr auto write_limit = std::chrono::seconds(3);
+constexpr std::size_t read_size = std::size_t{16} * 1024;
+
+}  // namespace
+
+struct rpc_client::state : std::enable_shared_from_this<rpc_client::state> {
+  struct pending final : expiring {
+    state* owner = nullptr;
+    std::uint64_t id = 0;
+    steady_time sent_at;
+    rpc_done done;
+    void on_expired() override { this->owner->on_timeout(this->id); }
+  };
+
+  state(asio::io_context& io, deadline_sweeper& sweep, http::endpoint at)
+      : context(io), sweeper(sweep), where(std::move(at)) {}
+
+  asio::io_context& context;
+  deadline_sweeper& sweeper;
+  http::endpoint where;
+  std::map<std::uint64_t, std::unique_ptr<pending>> calls;
+  std::uint64_t next_id = 1;
+  std::string outgoing;
+  std::shared_ptr<timed_socket> socket;
+  bool connected = false;
+  bool writing = false;
+  bool closed = false;
+  steady_time heard_at{};
+
+  void send(std::uint16_t method, std::string payload, duration limit, rpc_done done) {
+    auto item = std::make_unique<pending>();
+    item->owner = this;
+    item->id = this->next_id++;
+    item->sent_at = std::chrono::steady_clock::now();
+    item->expires_at = item->sent_at + limit;
+    item->done = std::move(done);
+    append_frame(this->outgoing, {frame_kind::request, method, item->id, std::move(payload)});
+    this->sweeper.add(*item);
+    this->calls.emplace(item->id, std::move(item));
+    if (!this->socket) {
+      asio::co_spawn(this->context, run(this->shared_from_this()), asio::detached);
+    } else if (this->connected && !this->writing) {
+      asio::co_spawn(this->context, write(this->shared_from_this(), this->socket), asio::detached);
+    }
+  }
+
+  void finish(std::uint64_t id, rpc_failure why, std::string answer) {
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) {
+      return;
+    }
+    const std::unique_ptr<pending> item = std::move(found->second);
+    this->calls.erase(found);
+    this->sweeper.remove(*item);
+    item->done(why, std::move(answer));
+  }
+
+  void on_timeout(std::uint64_t id) {
+    const auto self = this->shared_from_this();
+    const bool silent = this->heard_at < this->calls.at(id)->sent_at;
+    this->finish(id, this->connected ? rpc_failure::unknown : rpc_failure::unreachable, {});
+    if (silent && this->socket) {
+      this->socket->close(true);
+    }
+  }
+
+  void fail_all(rpc_failure why) {
+    while (!this->calls.empty()) {
+      this->finish(this->calls.begin()->first, why, {});
+    }
+  }
+
+  static asio::awaitable<void> run(std::shared_ptr<state> self) {
+    const auto socket = std::make_shared<timed_socket>(self->context, self->sweeper);
+    self->socket = socket;
+    const error_code failed =
+        co_await socket->connect(self->where, std::chrono::steady_clock::now() + connect_limit);
+    if (!failed && !self->closed) {
+      self->connected = true;
+      asio::co_spawn(self->context, write(self, socket), asio::detached);
+      co_await read(self, *socket);
+    }
+    socket->close();
+    const bool was_connected = self->connected;
+    self->connected = false;
+    self->socket = nullptr;
+    self->outgoing.clear();
+    self->fail_all(was_connected ? rpc_failure::unknown : rpc_failure::unreachable);
+  }
+
+  static asio::awaitable<void> write(std::shared_ptr<state> self,
+                                     std::shared_ptr<timed_socket> socket) {
+    if (self->writing) {
+      co_return;
+    }
+    self->writing = true;
+    while (!self->outgoing.empty() && self->socket == socket) {
+      const std::string batch = std::move(self->outgoing);
+      self->outgoing.clear();
+      const error_code error =
+          co_await socket->write_all(batch, std::chrono::steady_clock::now() + write_limit);
+      if (error) {
+        socket->close(true);
+        break;
+      }
+    }
+    self->writing = false;
+  }
+
+  static asio::awaitable<void> read(std::shared_ptr<state> self, timed_socket& socket) {
+    std::string buffer;
+    frame_reader reader;
+    while (!self->closed) {
+      const error_code error = co_await socket.read_more(buffer, read_size, never);
+      if (error) {
+        co_return;
+      }
+      self->heard_at = std::chrono::steady_clock::now();
+      while (auto message = reader.take(buffer)) {
+        const bool answered = message->kind == frame_kind::answer;
+        self->finish(message->call, answered ? rpc_failure::none : rpc_failure::refused,
+                     std::move(message->payload));
+      }
+      if (reader.broken()) {
+        co_return;
+      }
+    }
+  }
+};
+
+rpc_client::rpc_client(asio::io_context& context, deadline_sweeper& sweeper, http::endpoint where)
+    : shared(std::make_shared<state>(context, sweeper, std::move(where))) {}
+
+rpc_client::~rpc_client() {
+  this->shared->closed = true;
+  if (this->shared->socket) {
+    this->shared->socket->close();
+  }
+  this->shared->fail_all(rpc_failure::unknown);
+}
+
+void rpc_client::call(std::uint16_t method, std::string payload, duration limit, rpc_done done) {
+  this->shared->send(method, std::move(payload), limit, std::move(done));
+}
+
+const http::endpoint& rpc_client::where() const { return this->shared->where; }
+
+}  // namespace hawthornlane::net
--- /dev/null
+++ b/libs/net/src/timed_socket.cc
@@ -0,0 +1,167 @@
+// A TCP socket whose operations end at a moment.
+#include "hawthornlane/net/timed_socket.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace hawthornlane::net {
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// Milliseconds after which unacknowledged data ends a connection: a host without
+/// power or behind a partition sends no reset.
+constexpr int unacknowledged_ms = 4000;
+
+}  // namespace
+
+struct timed_socket::watch_state {
+  std::function<void()> hook;
+};
+
+void timed_socket::alarm::on_expired() {
+  this->fired = true;
+  error_code ignored;
+  this->socket.socket.cancel(ignored);
+}
+
+timed_socket::timed_socket(tcp::socket connected, deadline_sweeper& sweep)
+    : socket(std::move(connected)), sweeper(sweep) {
+  this->sweeper.add(this->read_alarm);
+  this->sweeper.add(this->write_alarm);
+  this->set_options();
+}
+
+timed_socket::timed_socket(asio::io_context& context, deadline_sweeper& sweep)
+    : socket(context), sweeper(sweep) {
+  this->sweeper.add(this->read_alarm);
+  this->sweeper.add(this->write_alarm);
+}
+
+timed_socket::~timed_socket() {
+  this->stop_watching();
+  this->sweeper.remove(this->read_alarm);
+  this->sweeper.remove(this->write_alarm);
+}
+
+void timed_socket::set_options() {
+  error_code ignored;
+  this->socket.set_option(tcp::no_delay(true), ignored);
+  using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  this->socket.set_option(user_timeout(unacknowledged_ms), ignored);
+}
+
+error_code timed_socket::ended(alarm& timer, error_code error) {
+  timer.expires_at = never;
+  if (error && timer.fired) {
+    error = asio::error::timed_out;
+  }
+  timer.fired = false;
+  return error;
+}
+
+asio::awaitable<error_code> timed_socket::connect(http::endpoint where, steady_time until) {
+  error_code error;
+  const auto address = asio::ip::make_address(where.address, error);
+  if (error) {
+    co_return error;
+  }
+  this->write_alarm.expires_at = until;
+  co_await this->socket.async_connect(tcp::endpoint(address, where.port),
+                                      asio::redirect_error(asio::use_awaitable, error));
+  error = ended(this->write_alarm, error);
+  if (!error) {
+    this->set_options();
+  }
+  co_return error;
+}
+
+asio::awaitable<std::size_t> timed_socket::read_some(asio::mutable_buffer into, steady_time until,
+                                                     error_code& error) {
+  this->read_alarm.expires_at = until;
+  error = {};
+  const std::size_t got =
+      co_await this->socket.async_read_some(into, asio::redirect_error(asio::use_awaitable, error));
+  error = ended(this->read_alarm, error);
+  co_return got;
+}
+
+asio::awaitable<error_code> timed_socket::read_more(std::string& buffer, std::size_t most,
+                                                    steady_time until) {
+  const std::size_t before = buffer.size();
+  buffer.resize(before + most);
+  error_code error;
+  const std::size_t got =
+      co_await this->read_some(asio::buffer(buffer.data() + before, most), until, error);
+  buffer.resize(before + got);
+  co_return error;
+}
+
+asio::awaitable<error_code> timed_socket::write_all(std::string_view bytes, steady_time until) {
+  this->write_alarm.expires_at = until;
+  error_code error;
+  co_await asio::async_write(this->socket, asio::buffer(bytes.data(), bytes.size()),
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return ended(this->write_alarm, error);
+}
+
+void timed_socket::watch_for_close(std::function<void()> hook) {
+  this->stop_watching();
+  this->watch = std::make_shared<watch_state>();
+  this->watch->hook = std::move(hook);
+  this->socket.async_wait(
+      tcp::socket::wait_read, [this, watching = this->watch](const error_code& error) {
+        if (!watching->hook || error == asio::error::operation_aborted) {
+          return;
+        }
+        // The hook may end the watch, which destroys its own storage.
+        const std::function<void()> told = std::move(watching->hook);
+        watching->hook = nullptr;
+        char byte = 0;
+        error_code peeked;
+        const bool data = !error && this->socket.receive(asio::buffer(&byte, 1),
+                                                         tcp::socket::message_peek, peeked) > 0;
+        if (!data && peeked != asio::error::would_block) {
+          told();
+        }
+      });
+}
+
+void timed_socket::stop_watching() {
+  if (!this->watch) {
+    return;
+  }
+  this->watch->hook = nullptr;
+  this->watch = nullptr;
+}
+
+bool timed_socket::spoiled_while_idle() {
+  if (!this->socket.is_open()) {
+    return true;
+  }
+  error_code error;
+  this->socket.non_blocking(true, error);
+  char byte = 0;
+  this->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+void timed_socket::close(bool hard) {
+  error_code ignored;
+  if (hard) {
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  this->socket.close(ignored);
+}
+
+void timed_socket::shutdown_send() {
+  error_code ignored;
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+}  // namespace hawthornlane::net
--- /dev/null
+++ b/libs/relay/src/backend_pool.cc
@@ -0,0 +1,337 @@
+// Connections to backend servers, and one call over one of them.
+#include "hawthornlane/relay/backend_pool.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+
+#include "hawthornlane/relay/framing.h"
+
+namespace hawthornlane::relay {
+namespace asio = boost::asio;
+namespace bhttp = boost::beast::http;
+using net::error_code;
+
+namespace {
+
+constexpr std::size_t read_size = std::size_t{16} * 1024;
+/// Servers are a millisecond away; a lost first packet is sent again after one
+/// second, and by then another server is the better choice.
+constexpr auto connect_limit = std::chrono::milliseconds(400);
+/// Idle connections kept for each server; more is rare at a host's share of its calls.
+constexpr std::size_t most_idle = 16;
+/// Servers without a Keep-Alive header close idle connections after some seconds.
+constexpr auto longest_idle = std::chrono::seconds(4);
+/// For calls that may not be repeated: servers were seen to drop idle connections
+/// early without a word.
+constexpr auto longest_idle_once = std::chrono::milliseconds(1500);
+/// Part of the server's own Keep-Alive time that is used.
+constexpr double idle_share = 0.6;
+/// Answers to other calls that are skipped before a connection is given up.
+constexpr int most_foreign_answers = 3;
+/// Largest answer that is read whole.
+constexpr std::size_t largest_answer = std::size_t{8} * 1024 * 1024;
+constexpr int first_failure_status = 300;
+
+std::optional<std::chrono::seconds> keep_alive_time(const std::vector<http::header>& headers) {
+  for (const http::header& item : headers) {
+    if (!same_name(item.name, "keep-alive")) {
+      continue;
+    }
+    const std::size_t at = item.value.find("timeout=");
+    if (at == std::string::npos) {
+      continue;
+    }
+    const char* begin = item.value.data() + at + std::string_view("timeout=").size();
+    int seconds = 0;
+    if (std::from_chars(begin, item.value.data() + item.value.size(), seconds).ec == std::errc{}) {
+      return std::chrono::seconds(seconds);
+    }
+  }
+  return std::nullopt;
+}
+
+std::string request_bytes(const backend_request& request) {
+  std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+  for (const http::header& item : request.headers) {
+    bytes += fmt::format("{}: {}\r\n", item.name, item.value);
+  }
+  if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+    bytes += fmt::format("Content-Length: {}\r\n", request.body.size());
+  }
+  bytes += "\r\n";
+  bytes += request.body;
+  return bytes;
+}
+
+}  // namespace
+
+/// One connection to a backend server.
+struct backend_pool::link {
+  link(asio::io_context& context, net::deadline_sweeper& sweeper) : socket(context, sweeper) {}
+
+  net::timed_socket socket;
+  std::string buffer;
+  net::steady_time idle_since;
+  net::steady_time usable_until;
+  bool reused = false;
+  /// Set by the writer; a try that ends before the body was sent spoils the connection.
+  bool sent = false;
+  bool send_failed = false;
+  bool reusable = false;
+};
+
+/// Reads one answer from a connection's bytes.
+struct answer_parser {
+  bhttp::response_parser<bhttp::string_body> parser;
+
+  explicit answer_parser(bool no_body) {
+    this->parser.eager(true);
+    this->parser.header_limit(64 * 1024);
+    this->parser.body_limit(boost::none);
+    this->parser.skip(no_body);
+  }
+
+  /// Takes bytes out of `buffer`; an error means that they are no answer.
+  error_code feed(std::string& buffer) {
+    while (!buffer.empty() && !this->parser.is_done()) {
+      error_code error;
+      const std::size_t taken = this->parser.put(asio::buffer(buffer), error);
+      buffer.erase(0, taken);
+      if (error == bhttp::error::need_more) {
+        return {};
+      }
+      if (error) {
+        return error;
+      }
+      if (taken == 0) {
+        return {};
+      }
+    }
+    return {};
+  }
+
+  std::string take_body() {
+    std::string body = std::move(this->parser.get().body());
+    this->parser.get().body().clear();
+    return body;
+  }
+
+  void copy_head(backend_answer& into) {
+    into.status = static_cast<int>(this->parser.get().result_int());
+    into.headers.clear();
+    for (const auto& item : this->parser.get()) {
+      into.headers.push_back({std::string(item.name_string()), std::string(item.value())});
+    }
+  }
+};
+
+void try_handle::abandon() {
+  this->abandoned = true;
+  if (this->socket != nullptr) {
+    this->socket->close(true);
+  }
+}
+
+backend_pool::backend_pool(asio::io_context& io, net::deadline_sweeper& sweep,
+                           const call_codec& with)
+    : context(io), sweeper(sweep), codec(with) {}
+
+backend_pool::~backend_pool() = default;
+
+backend_pool::link_ptr backend_pool::take_idle(const http::endpoint& where, bool repeatable) {
+  const auto found = this->idle.find(where);
+  if (found == this->idle.end()) {
+    return nullptr;
+  }
+  const net::steady_time now = std::chrono::steady_clock::now();
+  auto& links = found->second;
+  while (!links.empty()) {
+    link_ptr candidate = std::move(links.back());
+    links.pop_back();
+    const bool fresh = repeatable || now - candidate->idle_since < longest_idle_once;
+    if (fresh && now < candidate->usable_until && !candidate->socket.spoiled_while_idle()) {
+      candidate->reused = true;
+      return candidate;
+    }
+  }
+  return nullptr;
+}
+
+void backend_pool::keep(const http::endpoint& where, link_ptr used) {
+  auto& links = this->idle[where];
+  if (links.size() >= most_idle) {
+    return;
+  }
+  used->idle_since = std::chrono::steady_clock::now();
+  links.push_back(std::move(used));
+}
+
+void backend_pool::close_idle(const std::function<bool(const http::endpoint&)>& still_listed) {
+  const net::steady_time now = std::chrono::steady_clock::now();
+  for (auto& [where, links] : this->idle) {
+    const bool listed = still_listed(where);
+    std::erase_if(links,
+                  [&](const link_ptr& item) { return !listed || now >= item->usable_until; });
+  }
+  std::erase_if(this->idle, [](const auto& item) { return item.second.empty(); });
+}
+
+asio::awaitable<backend_pool::link_ptr> backend_pool::obtain(const backend_request& request,
+                                                             try_handle& handle,
+                                                             std::string& detail) {
+  link_ptr used = this->take_idle(request.where, request.repeatable);
+  if (used) {
+    ++this->counts.reused;
+    handle.socket = &used->socket;
+    co_return used;
+  }
+  used = std::make_unique<link>(this->context, this->sweeper);
+  handle.socket = &used->socket;
+  const net::steady_time until =
+      std::min(request.until, std::chrono::steady_clock::now() + connect_limit);
+  const error_code error = co_await used->socket.connect(request.where, until);
+  if (error) {
+    handle.socket = nullptr;
+    detail = "connect: " + error.message();
+    co_return nullptr;
+  }
+  ++this->counts.opened;
+  co_return used;
+}
+
+asio::awaitable<try_outcome> backend_pool::run(const backend_request& request,
+                                               const stream_sink& sink, try_handle& handle,
+                                               backend_answer& answer, std::string& detail) {
+  link_ptr used = co_await this->obtain(request, handle, detail);
+  if (handle.abandoned) {
+    co_return try_outcome::abandoned;
+  }
+  if (!used) {
+    co_return try_outcome::not_sent;
+  }
+  // The body may be long, and a server may answer before it has read it all: the
+  // answer is read while the request is still being written.
+  link& current = *used;
+  current.sent = false;
+  current.send_failed = false;
+  current.reusable = false;
+  const auto alive = std::make_shared<link_ptr>(std::move(used));
+  const auto bytes = std::make_shared<std::string>(request_bytes(request));
+  asio::co_spawn(
+      this->context,
+      [](std::shared_ptr<link_ptr> held, std::shared_ptr<std::string> message,
+         net::steady_time until) -> asio::awaitable<void> {
+        const error_code error = co_await (*held)->socket.write_all(*message, until);
+        (*held)->sent = !error;
+        (*held)->send_failed = error.failed();
+      }(alive, bytes, request.until),
+      asio::detached);
+  try_outcome outcome = co_await this->exchange(current, request, sink, answer, detail);
+  handle.socket = nullptr;
+  if (handle.abandoned) {
+    outcome = try_outcome::abandoned;
+  }
+  const bool complete = outcome == try_outcome::whole || outcome == try_outcome::not_run;
+  if (complete && current.reusable && current.sent && current.buffer.empty()) {
+    this->keep(request.where, std::move(*alive));
+  } else {
+    current.socket.close(!complete);
+  }
+  co_return outcome;
+}
+
+asio::awaitable<try_outcome> backend_pool::exchange(link& used, const backend_request& request,
+                                                    const stream_sink& sink, backend_answer& answer,
+                                                    std::string& detail) {
+  for (int foreign = 0; foreign <= most_foreign_answers; ++foreign) {
+    answer_parser from(request.method == "HEAD");
+    error_code error = from.feed(used.buffer);
+    while (!error && !from.parser.is_header_done()) {
+      error = co_await used.socket.read_more(used.buffer, read_size, request.until);
+      if (!error) {
+        error = from.feed(used.buffer);
+      }
+    }
+    if (error) {
+      detail = "head: " + error.message();
+      co_return error == asio::error::timed_out ? try_outcome::timed_out : try_outcome::broken;
+    }
+    constexpr unsigned first_final_status = 200;
+    if (from.parser.get().result_int() < first_final_status) {
+      continue;
+    }
+    from.copy_head(answer);
+    answer.terms = this->codec.decode_answer(answer.status, answer.headers);
+    const bool is_foreign = answer.terms.id && *answer.terms.id != request.id;
+    const stream_sink none;
+    const try_outcome outcome =
+        co_await this->read_body(used, request, is_foreign ? none : sink, from, answer, detail);
+    if (!is_foreign) {
+      co_return outcome;
+    }
+    ++this->counts.foreign_answers;
+    if (outcome != try_outcome::whole && outcome != try_outcome::not_run) {
+      co_return outcome == try_outcome::timed_out ? outcome : try_outcome::broken;
+    }
+  }
+  detail = "too many answers to other calls";
+  co_return try_outcome::broken;
+}
+
+asio::awaitable<try_outcome> backend_pool::read_body(link& used, const backend_request& request,
+                                                     const stream_sink& sink, answer_parser& from,
+                                                     backend_answer& answer, std::string& detail) {
+  const bool is_stream =
+      sink.on_head && answer.status < first_failure_status &&
+      from.parser.get()[bhttp::field::content_type].starts_with("text/event-stream");
+  if (is_stream && !co_await sink.on_head(answer)) {
+    co_return try_outcome::abandoned;
+  }
+  std::string whole;
+  while (true) {
+    const std::string piece = from.take_body();
+    if (is_stream && !piece.empty() && !co_await sink.on_bytes(piece)) {
+      co_return try_outcome::abandoned;
+    }
+    if (!is_stream) {
+      whole += piece;
+    }
+    if (from.parser.is_done()) {
+      break;
+    }
+    if (whole.size() > largest_answer) {
+      detail = "the answer is too large";
+      co_return try_outcome::broken;
+    }
+    error_code error = co_await used.socket.read_more(used.buffer, read_size, request.until);
+    if (error == asio::error::eof && from.parser.need_eof()) {
+      error_code ended;
+      from.parser.put_eof(ended);
+      error = ended;
+    }
+    if (!error) {
+      error = from.feed(used.buffer);
+    }
+    if (error) {
+      detail = "body: " + error.message();
+      co_return error == asio::error::timed_out ? try_outcome::timed_out : try_outcome::broken;
+    }
+  }
+  answer.body = std::move(whole);
+  const auto idle_time = keep_alive_time(answer.headers);
+  const net::steady_time now = std::chrono::steady_clock::now();
+  used.usable_until = now + longest_idle;
+  if (idle_time) {
+    const auto share = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(*idle_time) * idle_share);
+    used.usable_until = now + share;
+  }
+  used.reusable = from.parser.keep_alive() && !from.parser.need_eof();
+  co_return answer.terms.not_run ? try_outcome::not_run : try_outcome::whole;
+}
+
+}  // namespace hawthornlane::relay
--- /dev/null
+++ b/libs/relay/src/caller_link.cc
@@ -0,0 +1,194 @@
+// One caller's connection.
+#include "hawthornlane/relay/caller_link.h"
+
+#include <fmt/format.h>
+
+#include <boost/beast/http.hpp>
+
+#include "hawthornlane/relay/framing.h"
+
+namespace hawthornlane::relay {
+namespace asio = boost::asio;
+namespace bhttp = boost::beast::http;
+using net::error_code;
+
+namespace {
+
+constexpr std::size_t read_size = std::size_t{16} * 1024;
+/// For one write to be taken by a caller; slower ones hold memory too long.
+constexpr auto write_limit = std::chrono::seconds(5);
+/// A whole body may take this many times as long as a head.
+constexpr int body_time_factor = 2;
+/// A little over the limit, so that the refusal can name the header limit.
+constexpr std::size_t head_slack = 1;
+
+using parser_type = bhttp::request_parser<bhttp::string_body>;
+
+net::steady_time after(duration time) { return std::chrono::steady_clock::now() + time; }
+
+/// Feeds `buffer` to the parser and removes what it has taken.
+error_code feed(parser_type& parser, std::string& buffer) {
+  while (!buffer.empty() && !parser.is_done()) {
+    error_code error;
+    const std::size_t taken = parser.put(asio::buffer(buffer), error);
+    buffer.erase(0, taken);
+    if (error == bhttp::error::need_more) {
+      return {};
+    }
+    if (error || taken == 0) {
+      return error;
+    }
+  }
+  return {};
+}
+
+failure fault_of(const error_code& error) {
+  const bool large = error == bhttp::error::body_limit;
+  return {large ? error_kind::body_too_large : error_kind::bad_request, error.message()};
+}
+
+void copy_out(parser_type& parser, http::request& into) {
+  auto& message = parser.get();
+  into.method = std::string(message.method_string());
+  into.target = std::string(message.target());
+  into.path = into.target.substr(0, into.target.find('?'));
+  into.headers.clear();
+  for (const auto& item : message) {
+    into.headers.push_back({std::string(item.name_string()), std::string(item.value())});
+  }
+  into.body = std::move(message.body());
+}
+
+}  // namespace
+
+asio::awaitable<read_outcome> caller_link::read(const caller_limits& limits, http::request& into,
+                                                failure& reason) {
+  this->has_started = false;
+  const net::steady_time idle_until = after(limits.idle_timeout);
+  net::steady_time head_until = net::never;
+  while (!head_length(this->buffer)) {
+    if (this->buffer.size() > limits.header_bytes) {
+      reason = {error_kind::header_too_large, "the head exceeds the limit"};
+      co_return read_outcome::refused;
+    }
+    const bool begun = !this->buffer.empty();
+    if (begun && head_until == net::never) {
+      head_until = after(limits.header_timeout);
+    }
+    const error_code error = co_await this->socket.read_more(
+        this->buffer, std::min(read_size, limits.header_bytes + head_slack),
+        begun ? head_until : idle_until);
+    if (error == asio::error::timed_out && begun) {
+      reason = {error_kind::request_timeout, "the head did not arrive in time"};
+      co_return read_outcome::refused;
+    }
+    if (error) {
+      co_return read_outcome::closed;
+    }
+  }
+  const std::size_t length = *head_length(this->buffer);
+  if (length > limits.header_bytes) {
+    reason = {error_kind::header_too_large, "the head exceeds the limit"};
+    co_return read_outcome::refused;
+  }
+  if (const auto fault = framing_fault(std::string_view(this->buffer).substr(0, length))) {
+    reason = {error_kind::bad_request, *fault};
+    co_return read_outcome::refused;
+  }
+  parser_type parser;
+  parser.eager(true);
+  parser.header_limit(static_cast<std::uint32_t>(length + 1));
+  parser.body_limit(limits.body_bytes);
+  error_code fault = feed(parser, this->buffer);
+  const net::steady_time body_until = after(limits.header_timeout * body_time_factor);
+  const bool asks_first = parser.is_header_done() && !parser.is_done() &&
+                          same_name(parser.get()[bhttp::field::expect], "100-continue");
+  if (!fault && asks_first && !co_await this->send("HTTP/1.1 100 Continue\r\n\r\n")) {
+    co_return read_outcome::closed;
+  }
+  while (!fault && !parser.is_done()) {
+    const error_code error = co_await this->socket.read_more(this->buffer, read_size, body_until);
+    if (error == asio::error::timed_out) {
+      reason = {error_kind::request_timeout, "the body did not arrive in time"};
+      co_return read_outcome::refused;
+    }
+    if (error) {
+      co_return read_outcome::closed;
+    }
+    fault = feed(parser, this->buffer);
+  }
+  if (fault) {
+    reason = fault_of(fault);
+    co_return read_outcome::refused;
+  }
+  this->keep = parser.keep_alive();
+  this->chunks = parser.get().version() > 10;
+  copy_out(parser, into);
+  co_return read_outcome::request;
+}
+
+std::string caller_link::head_bytes(int status, const std::vector<http::header>& headers) const {
+  const auto reason = bhttp::obsolete_reason(static_cast<bhttp::status>(status));
+  std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, std::string_view(reason));
+  for (const http::header& item : headers) {
+    head += fmt::format("{}: {}\r\n", item.name, item.value);
+  }
+  head += this->keep ? "" : "Connection: close\r\n";
+  return head;
+}
+
+asio::awaitable<bool> caller_link::send(std::string_view bytes) {
+  if (this->is_gone) {
+    co_return false;
+  }
+  const error_code error = co_await this->socket.write_all(bytes, after(write_limit));
+  this->is_gone = this->is_gone || error.failed();
+  co_return !this->is_gone;
+}
+
+asio::awaitable<bool> caller_link::respond(int status, const std::vector<http::header>& headers,
+                                           std::string_view body) {
+  constexpr int no_content = 204;
+  constexpr int not_modified = 304;
+  std::string bytes = this->head_bytes(status, headers);
+  if (status != no_content && status != not_modified) {
+    bytes += fmt::format("Content-Length: {}\r\n", body.size());
+  }
+  bytes += "\r\n";
+  bytes += body;
+  this->has_started = true;
+  co_return co_await this->send(bytes);
+}
+
+asio::awaitable<bool> caller_link::start(int status, const std::vector<http::header>& headers) {
+  this->has_started = true;
+  this->keep = this->keep && this->chunks;
+  std::string bytes = this->head_bytes(status, headers);
+  bytes += this->chunks ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
+  co_return co_await this->send(bytes);
+}
+
+asio::awaitable<bool> caller_link::write(std::string_view piece) {
+  if (piece.empty()) {
+    co_return !this->is_gone;
+  }
+  if (!this->chunks) {
+    co_return co_await this->send(piece);
+  }
+  const std::string bytes = fmt::format("{:x}\r\n{}\r\n", piece.size(), piece);
+  co_return co_await this->send(bytes);
+}
+
+asio::awaitable<bool> caller_link::finish() {
+  if (!this->chunks) {
+    co_return !this->is_gone;
+  }
+  co_return co_await this->send("0\r\n\r\n");
+}
+
+void caller_link::break_off() {
+  this->is_gone = true;
+  this->socket.close(true);
+}
+
+}  // namespace hawthornlane::relay
--- /dev/null
+++ b/libs/relay/src/event_splitter.cc
@@ -0,0 +1,80 @@
+// Cuts a stream of server-sent events into whole events.
+#include "hawthornlane/relay/event_splitter.h"
+
+#include <charconv>
+
+namespace hawthornlane::relay {
+namespace {
+
+/// Length of the first event in `bytes` with its empty line; nothing while the
+/// event is not whole. Lines end with LF or CR LF.
+std::optional<std::size_t> event_length(std::string_view bytes) {
+  std::size_t line_start = 0;
+  while (true) {
+    const std::size_t feed = bytes.find('\n', line_start);
+    if (feed == std::string_view::npos) {
+      return std::nullopt;
+    }
+    const std::string_view line = bytes.substr(line_start, feed - line_start);
+    if (line_start > 0 && (line.empty() || line == "\r")) {
+      return feed + 1;
+    }
+    line_start = feed + 1;
+  }
+}
+
+std::string_view field_value(std::string_view line, std::size_t colon) {
+  std::string_view value = line.substr(colon + 1);
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  return value;
+}
+
+stream_event read_event(std::string_view bytes) {
+  stream_event event;
+  event.bytes = std::string(bytes);
+  bool has_data = false;
+  while (!bytes.empty()) {
+    const std::size_t feed = bytes.find('\n');
+    std::string_view line = bytes.substr(0, feed);
+    bytes.remove_prefix(feed + 1);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) {
+      continue;
+    }
+    const std::string_view name = line.substr(0, colon);
+    const std::string_view value = field_value(line, colon);
+    if (name == "id") {
+      std::uint64_t id = 0;
+      const auto read = std::from_chars(value.data(), value.data() + value.size(), id);
+      if (read.ec == std::errc{}) {
+        event.id = id;
+      }
+    } else if (name == "data") {
+      event.data += has_data ? "\n" : "";
+      event.data += value;
+      has_data = true;
+    }
+  }
+  return event;
+}
+
+}  // namespace
+
+std::vector<stream_event> event_splitter::add(std::string_view bytes) {
+  this->rest += bytes;
+  std::vector<stream_event> whole;
+  std::size_t taken = 0;
+  while (const auto length = event_length(std::string_view(this->rest).substr(taken))) {
+    whole.push_back(read_event(std::string_view(this->rest).substr(taken, *length)));
+    taken += *length;
+  }
+  this->rest.erase(0, taken);
+  return whole;
+}
+
+}  // namespace hawthornlane::relay
--- /dev/null
+++ b/libs/relay/src/framing.cc
@@ -0,0 +1,173 @@
+// Strict checks of HTTP heads.
+#include "hawthornlane/relay/framing.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace hawthornlane::relay {
+namespace {
+
+constexpr std::array<std::string_view, 8> connection_headers{
+    "connection", "keep-alive",        "proxy-connection", "te",
+    "trailer",    "transfer-encoding", "upgrade",          "content-length"};
+
+std::string_view trimmed(std::string_view text) {
+  const auto is_blank = [](char letter) { return letter == ' ' || letter == '\t'; };
+  while (!text.empty() && is_blank(text.front())) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && is_blank(text.back())) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+bool is_token(std::string_view name) {
+  constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+  return !name.empty() && std::all_of(name.begin(), name.end(), [&](unsigned char letter) {
+    return std::isalnum(letter) != 0 || marks.find(static_cast<char>(letter)) != marks.npos;
+  });
+}
+
+bool all_digits(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+    return std::isdigit(letter) != 0;
+  });
+}
+
+bool has_control_letter(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](unsigned char letter) {
+    return (letter < 0x20 && letter != '\t') || letter == 0x7f;
+  });
+}
+
+/// What the header lines say of the body.
+struct body_headers {
+  int lengths = 0;
+  int encodings = 0;
+  int hosts = 0;
+};
+
+std::optional<std::string> line_fault(std::string_view line, body_headers& seen) {
+  if (line.front() == ' ' || line.front() == '\t') {
+    return "a header is folded over several lines";
+  }
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) {
+    return "a header line has no valid name";
+  }
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = trimmed(line.substr(colon + 1));
+  if (has_control_letter(value)) {
+    return "a header value has control characters";
+  }
+  if (same_name(name, "content-length")) {
+    ++seen.lengths;
+    if (!all_digits(value)) {
+      return "Content-Length is not a number";
+    }
+  } else if (same_name(name, "transfer-encoding")) {
+    ++seen.encodings;
+    if (!same_name(value, "chunked")) {
+      return "Transfer-Encoding is not chunked alone";
+    }
+  } else if (same_name(name, "host")) {
+    ++seen.hosts;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> request_line_fault(std::string_view line) {
+  const std::size_t first = line.find(' ');
+  const std::size_t last = line.rfind(' ');
+  if (first == std::string_view::npos || first == last || !is_token(line.substr(0, first))) {
+    return "the request line is not METHOD TARGET VERSION";
+  }
+  const std::string_view target = line.substr(first + 1, last - first - 1);
+  if (target.empty() || target.front() != '/' || target.find(' ') != std::string_view::npos ||
+      has_control_letter(target)) {
+    return "the target is not a path";
+  }
+  const std::string_view version = line.substr(last + 1);
+  if (version != "HTTP/1.1" && version != "HTTP/1.0") {
+    return "the version is neither HTTP/1.1 nor HTTP/1.0";
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+bool same_name(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
+    return std::tolower(x) == std::tolower(y);
+  });
+}
+
+std::optional<std::size_t> head_length(std::string_view bytes) {
+  constexpr std::string_view end = "\r\n\r\n";
+  const std::size_t at = bytes.find(end);
+  return at == std::string_view::npos ? std::nullopt : std::optional(at + end.size());
+}
+
+std::optional<std::string> framing_fault(std::string_view head) {
+  body_headers seen;
+  bool first = true;
+  while (!head.empty()) {
+    const std::size_t end = head.find("\r\n");
+    if (end == std::string_view::npos) {
+      return "a line does not end with CR LF";
+    }
+    const std::string_view line = head.substr(0, end);
+    head.remove_prefix(end + 2);
+    if (line.find('\n') != std::string_view::npos || line.find('\r') != std::string_view::npos) {
+      return "a line does not end with CR LF";
+    }
+    if (line.empty()) {
+      break;
+    }
+    const std::optional<std::string> fault =
+        first ? request_line_fault(line) : line_fault(line, seen);
+    if (fault) {
+      return fault;
+    }
+    first = false;
+  }
+  if (seen.lengths > 1) {
+    return "there are several Content-Length headers";
+  }
+  if (seen.encodings > 1 || (seen.encodings == 1 && seen.lengths == 1)) {
+    return "the body's length is given in more than one way";
+  }
+  if (seen.hosts != 1) {
+    return "there is not exactly one Host header";
+  }
+  return std::nullopt;
+}
+
+std::vector<http::header> end_to_end(const std::vector<http::header>& headers) {
+  std::vector<std::string_view> named;
+  for (const http::header& item : headers) {
+    if (!same_name(item.name, "connection")) {
+      continue;
+    }
+    std::string_view rest = item.value;
+    while (!rest.empty()) {
+      const std::size_t comma = std::min(rest.find(','), rest.size());
+      named.push_back(trimmed(rest.substr(0, comma)));
+      rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+  }
+  std::vector<http::header> kept;
+  for (const http::header& item : headers) {
+    const auto is_named = [&item](std::string_view name) { return same_name(item.name, name); };
+    if (std::any_of(connection_headers.begin(), connection_headers.end(), is_named) ||
+        std::any_of(named.begin(), named.end(), is_named)) {
+      continue;
+    }
+    kept.push_back(item);
+  }
+  return kept;
+}
+
+}  // namespace hawthornlane::relay
--- a/libs/telemetry/include/hawthornlane/telemetry/log.h
+++ b/libs/telemetry/include/hawthornlane/telemetry/log.h
@@ -42,6 +42,23 @@
   backend_restored = 602,
   cache_release_retried = 610,
   call_refused = 700,
+  call_ended = 701,
+  configuration_in_force = 800,
+  backend_listed = 810,
+  backend_draining = 811,
+  backend_doubted = 812,
+  backend_gone = 813,
+  host_reachable = 820,
+  host_silent = 821,
+  settings_reread = 830,
+  lines_dropped = 840,
+  ledger_set_changed = 850,
+  ledger_set_change_failed = 851,
+  ledger_copy_started = 852,
+  ledger_copy_finished = 853,
+  disk_opened = 860,
+  disk_failed = 861,
+  turn_refused = 870,
 };
 
 /// How grave an event is.
@@ -71,6 +88,12 @@
 /// Sets the name of this host as it stands in each line; before threads start.
 void set_log_host(std::string name);
 
+/// From now on lines go to standard output through a bounded buffer: `log` never
+/// waits for the reader, and lines that do not fit are dropped and counted.
+void log_to_buffered_stdout();
+/// Writes what the buffer holds, as far as the reader takes it. Call it often.
+void flush_log();
+
 /// Writes one line. Safe from any thread.
 void log(event number, const std::vector<log_field>& fields = {});
 
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -1,13 +1,16 @@
 // The event catalogue and the writing of log lines.
 #include "hawthornlane/telemetry/log.h"
 
+#include <fcntl.h>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <array>
 #include <chrono>
 #include <cstdio>
 #include <mutex>
+#include <utility>
 
 namespace hawthornlane {
 namespace {
@@ -59,14 +62,48 @@
     event_entry{cache_release_retried, "cache_release_retried", warning,
                 "a backend server did not confirm the release of cache"},
     event_entry{call_refused, "call_refused", info, "a call was refused"},
+    event_entry{call_ended, "call_ended", info,
+                "a call was offered to servers; how it ended and what decided it"},
+    event_entry{configuration_in_force, "configuration_in_force", info,
+                "this host now follows a version of the configuration"},
+    event_entry{backend_listed, "backend_listed", info, "a backend server may get calls"},
+    event_entry{backend_draining, "backend_draining", info,
+                "a backend server is leaving and gets nothing new"},
+    event_entry{backend_doubted, "backend_doubted", info,
+                "a backend server's entry went missing after an outage of the store; it is used "
+                "until the doubt is over"},
+    event_entry{backend_gone, "backend_gone", info, "a backend server's entry is gone"},
+    event_entry{host_reachable, "host_reachable", info, "another host answers"},
+    event_entry{host_silent, "host_silent", warning, "another host does not answer"},
+    event_entry{settings_reread, "settings_reread", info, "the settings file was read again"},
+    event_entry{lines_dropped, "lines_dropped", warning,
+                "the reader of the log was too slow; so many lines were dropped"},
+    event_entry{ledger_set_changed, "ledger_set_changed", info,
+                "the set of disks that keep turns and budgets has changed"},
+    event_entry{ledger_set_change_failed, "ledger_set_change_failed", warning,
+                "a change of the set of disks did not go through"},
+    event_entry{ledger_copy_started, "ledger_copy_started", info,
+                "a disk copies what the others hold"},
+    event_entry{ledger_copy_finished, "ledger_copy_finished", info,
+                "a disk holds what the others hold"},
+    event_entry{disk_opened, "disk_opened", info, "the data folder was read"},
+    event_entry{disk_failed, "disk_failed", error, "a write to the data folder failed"},
+    event_entry{turn_refused, "turn_refused", info, "a turn was not admitted; what the disks said"},
 };
 
 constexpr std::array<std::string_view, 3> severity_names{"info", "warning", "error"};
 
+/// Lines that wait for the reader, bytes: some seconds of the heaviest day.
+constexpr std::size_t largest_buffer = std::size_t{256} * 1024;
+
 struct sink_state {
   log_format format = log_format::text;
   std::string host;
   std::mutex mutex;
+  bool buffered = false;
+  /// Invariant: at most `largest_buffer` bytes and one line.
+  std::string waiting;
+  std::uint64_t dropped = 0;
 };
 
 sink_state& sink() {
@@ -142,7 +179,44 @@
                                ? json_line(when, state.host, entry, fields)
                                : text_line(when, state.host, entry, fields);
   const std::lock_guard lock(state.mutex);
-  fmt::print(stderr, "{}\n", line);
+  if (!state.buffered) {
+    fmt::print(stderr, "{}\n", line);
+    return;
+  }
+  if (state.waiting.size() + line.size() > largest_buffer) {
+    ++state.dropped;
+    return;
+  }
+  state.waiting += line;
+  state.waiting += '\n';
+}
+
+void log_to_buffered_stdout() {
+  const std::lock_guard lock(sink().mutex);
+  sink().buffered = true;
+  const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+void flush_log() {
+  sink_state& state = sink();
+  std::uint64_t dropped = 0;
+  {
+    const std::lock_guard lock(state.mutex);
+    while (!state.waiting.empty()) {
+      const ssize_t wrote = ::write(STDOUT_FILENO, state.waiting.data(), state.waiting.size());
+      if (wrote <= 0) {
+        break;
+      }
+      state.waiting.erase(0, static_cast<std::size_t>(wrote));
+    }
+    if (state.waiting.size() < largest_buffer / 2) {
+      dropped = std::exchange(state.dropped, 0);
+    }
+  }
+  if (dropped > 0) {
+    log(event::lines_dropped, {{"lines", std::to_string(dropped)}});
+  }
 }
 
 }  // namespace hawthornlane
--- /dev/null
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_set.h
@@ -0,0 +1,58 @@
+// The set of disks that hold turns and budgets, and what counts as a majority.
+#pragma once
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+#include "hawthornlane/units/ids.h"
+
+namespace hawthornlane {
+
+/// Identity of a disk's contents, made at first use; an empty disk has a new one.
+using disk_id = strong_value<struct disk_id_tag, std::string>;
+/// Number of a set; rises by one with each change. Disks refuse lower ones.
+using set_epoch = strong_value<struct set_epoch_tag, std::uint64_t>;
+
+/// The disks of one epoch. While `next` is not empty the set is joint: whatever is
+/// decided needs a majority of the old members and of the next ones.
+struct ledger_set {
+  set_epoch epoch;
+  std::vector<disk_id> members;
+  std::vector<disk_id> next;
+
+  [[nodiscard]] bool joint() const { return !this->next.empty(); }
+
+  [[nodiscard]] bool has_majority(const std::set<disk_id>& answered) const {
+    return majority_of(this->members, answered) &&
+           (!this->joint() || majority_of(this->next, answered));
+  }
+
+  [[nodiscard]] bool has_all(const std::set<disk_id>& answered) const {
+    const std::vector<disk_id> everyone = this->all();
+    return std::all_of(everyone.begin(), everyone.end(),
+                       [&answered](const disk_id& disk) { return answered.contains(disk); });
+  }
+
+  /// Members of either set, each once.
+  [[nodiscard]] std::vector<disk_id> all() const {
+    std::set<disk_id> everyone(this->members.begin(), this->members.end());
+    everyone.insert(this->next.begin(), this->next.end());
+    return {everyone.begin(), everyone.end()};
+  }
+
+  [[nodiscard]] static bool majority_of(const std::vector<disk_id>& disks,
+                                        const std::set<disk_id>& answered) {
+    const auto count = std::count_if(disks.begin(), disks.end(),
+                                     [&](const disk_id& disk) { return answered.contains(disk); });
+    return static_cast<std::size_t>(count) * 2 > disks.size();
+  }
+
+  friend bool operator==(const ledger_set&, const ledger_set&) = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->epoch, this->members, this->next);
+  }
+};
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/rounds.h
@@ -0,0 +1,155 @@
+// What a front host concludes from the disks' answers. No I/O, clock or randomness.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "hawthornlane/turn_ledger/ledger_records.h"
+
+namespace hawthornlane {
+
+/// Answers of the disks of one set to one question.
+class disk_round {
+public:
+  explicit disk_round(ledger_set asked) : set(std::move(asked)) {}
+
+  void answered(const disk_id& disk) { this->yes.insert(disk); }
+  /// No answer will come from that disk.
+  void failed(const disk_id& disk) { this->no.insert(disk); }
+
+  [[nodiscard]] bool majority() const { return this->set.has_majority(this->yes); }
+  [[nodiscard]] bool complete() const { return this->set.has_all(this->yes); }
+  /// So many disks have failed that no majority can come any more.
+  [[nodiscard]] bool hopeless() const {
+    std::set<disk_id> possible;
+    for (const disk_id& disk : this->set.all()) {
+      if (!this->no.contains(disk)) {
+        possible.insert(disk);
+      }
+    }
+    return !this->set.has_majority(possible);
+  }
+  [[nodiscard]] const ledger_set& of() const { return this->set; }
+  /// Each disk has answered or failed.
+  [[nodiscard]] bool over() const {
+    return this->yes.size() + this->no.size() >= this->set.all().size();
+  }
+
+private:
+  ledger_set set;
+  std::set<disk_id> yes;
+  std::set<disk_id> no;
+};
+
+/// Whether a reservation fits its program's budget.
+enum class budget_verdict : std::uint8_t {
+  /// Not enough answers yet.
+  undecided,
+  fits,
+  exceeds,
+};
+
+/// Decides over one reservation.
+///
+/// Two rounds: the reservation is appended at a majority of disks; only then a
+/// majority is asked what reservations of the program it knows. Of two concurrent
+/// ones the later to be appended sees the other. One round is enough when every
+/// disk has answered the append with its state: of any set of reservations, one
+/// came after each other one at some disk.
+class reservation_check {
+public:
+  reservation_check(ledger_set set, const reservation& own, std::optional<token_count> budget)
+      : appends(set), collects(std::move(set)), budget(budget) {
+    this->merge(own);
+  }
+
+  void on_append(const program_answer& answer) {
+    this->appends.answered(answer.disk);
+    this->merge_all(answer);
+  }
+  void on_append_failed(const disk_id& disk) { this->appends.failed(disk); }
+  /// Only answers to questions that were asked after `appended()` became true.
+  void on_collect(const program_answer& answer) {
+    this->collects.answered(answer.disk);
+    this->merge_all(answer);
+  }
+  void on_collect_failed(const disk_id& disk) { this->collects.failed(disk); }
+
+  /// A majority holds the reservation: the second round may begin.
+  [[nodiscard]] bool appended() const { return this->appends.majority(); }
+  [[nodiscard]] bool hopeless() const {
+    return this->appends.hopeless() || this->collects.hopeless();
+  }
+  [[nodiscard]] budget_verdict verdict() const {
+    if (!this->appends.complete() && !this->collects.majority()) {
+      return budget_verdict::undecided;
+    }
+    const bool fits = !this->budget || this->charged() <= *this->budget;
+    return fits ? budget_verdict::fits : budget_verdict::exceeds;
+  }
+  /// What all known reservations of the program take, this one included.
+  [[nodiscard]] token_count charged() const {
+    token_count sum;
+    for (const auto& [id, item] : this->known) {
+      sum = sum + item.charge();
+    }
+    return sum;
+  }
+
+private:
+  void merge_all(const program_answer& answer) {
+    for (const reservation& item : answer.reservations) {
+      this->merge(item);
+    }
+  }
+  void merge(const reservation& item) {
+    const auto [found, is_new] = this->known.try_emplace(item.id, item);
+    if (!is_new && item.phase > found->second.phase) {
+      found->second = item;
+    }
+  }
+
+  disk_round appends;
+  disk_round collects;
+  std::optional<token_count> budget;
+  std::map<request_id, reservation> known;
+};
+
+/// What is known of a chain of turns.
+enum class chain_verdict : std::uint8_t { undecided, whole, absent };
+
+/// Decides whether a turn exists, and gathers its chain from the disks.
+class chain_check {
+public:
+  explicit chain_check(ledger_set set) : round(std::move(set)) {}
+
+  void on_answer(const chain_answer& answer) {
+    this->round.answered(answer.disk);
+    this->known = this->known || answer.known;
+    if (!answer.turns.empty()) {
+      this->turns = answer.turns;
+    }
+  }
+  void on_failed(const disk_id& disk) { this->round.failed(disk); }
+
+  /// Absent only when a majority says so; a turn that ended whole is at a majority.
+  [[nodiscard]] chain_verdict verdict() const {
+    if (!this->turns.empty()) {
+      return chain_verdict::whole;
+    }
+    const bool absent = this->round.majority() && !this->known;
+    return absent ? chain_verdict::absent : chain_verdict::undecided;
+  }
+  [[nodiscard]] bool hopeless() const { return this->round.hopeless() || this->round.over(); }
+  [[nodiscard]] const std::vector<kept_turn>& chain() const { return this->turns; }
+
+private:
+  disk_round round;
+  bool known = false;
+  std::vector<kept_turn> turns;
+};
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/turn_ledger/src/ledger_copy.cc
@@ -0,0 +1,129 @@
+// What one disk holds of turns and budgets.
+#include "hawthornlane/turn_ledger/ledger_copy.h"
+
+#include <algorithm>
+
+namespace hawthornlane {
+namespace {
+
+std::size_t text_of(const ledger_record& record) {
+  return record.turn ? record.turn->input.size() + record.turn->output.size() : 0;
+}
+
+}  // namespace
+
+bool ledger_copy::apply(const ledger_record& record) {
+  program_state& program = this->by_program[record.program];
+  program.expires_at = std::max(program.expires_at, record.expires_at);
+  const auto [found, is_new] = program.records.try_emplace(record.state.id, record);
+  ledger_record& held = found->second;
+  bool changed = is_new;
+  if (!is_new) {
+    held.expires_at = std::max(held.expires_at, record.expires_at);
+    if (record.state.phase > held.state.phase) {
+      held.state = record.state;
+      changed = true;
+    }
+    if (record.turn && !held.turn) {
+      held.turn = record.turn;
+      changed = true;
+    }
+  }
+  if (changed && held.turn && !this->chains.contains(record.state.id)) {
+    this->chains[record.state.id] = {record.program};
+    this->text_size += text_of(held);
+  }
+  if (changed && held.turn) {
+    this->extend_chain(*held.turn, record.expires_at);
+  }
+  return changed;
+}
+
+void ledger_copy::extend_chain(const kept_turn& turn, wall_ms until) {
+  std::optional<request_id> previous = turn.previous;
+  while (previous) {
+    const auto link = this->chains.find(*previous);
+    if (link == this->chains.end()) {
+      return;
+    }
+    program_state& program = this->by_program.at(link->second.program);
+    program.expires_at = std::max(program.expires_at, until);
+    previous = program.records.at(*previous).turn->previous;
+  }
+}
+
+std::vector<reservation> ledger_copy::reservations_of(const program_id& program) const {
+  std::vector<reservation> all;
+  const auto found = this->by_program.find(program);
+  if (found == this->by_program.end()) {
+    return all;
+  }
+  for (const auto& [id, record] : found->second.records) {
+    all.push_back(record.state);
+  }
+  return all;
+}
+
+const kept_turn* ledger_copy::turn_of(const request_id& id) const {
+  const auto link = this->chains.find(id);
+  if (link == this->chains.end()) {
+    return nullptr;
+  }
+  return &*this->by_program.at(link->second.program).records.at(id).turn;
+}
+
+chain_answer ledger_copy::chain_of(const request_id& last) const {
+  chain_answer answer;
+  const kept_turn* turn = this->turn_of(last);
+  answer.known = turn != nullptr;
+  while (turn != nullptr) {
+    answer.turns.push_back(*turn);
+    if (!turn->previous) {
+      std::reverse(answer.turns.begin(), answer.turns.end());
+      return answer;
+    }
+    turn = this->turn_of(*turn->previous);
+  }
+  // A turn of the chain is missing here.
+  answer.turns.clear();
+  return answer;
+}
+
+copy_page ledger_copy::page_after(const copy_request& from, std::size_t bytes) const {
+  copy_page page;
+  std::size_t size = 0;
+  for (auto program = this->by_program.lower_bound(from.after_program);
+       program != this->by_program.end(); ++program) {
+    const bool resumed = program->first == from.after_program;
+    auto record = resumed ? program->second.records.upper_bound(from.after_request)
+                          : program->second.records.begin();
+    for (; record != program->second.records.end(); ++record) {
+      constexpr std::size_t record_overhead = 200;
+      size += text_of(record->second) + record_overhead;
+      if (size > bytes && !page.records.empty()) {
+        return page;
+      }
+      page.records.push_back(record->second);
+    }
+  }
+  page.last = true;
+  return page;
+}
+
+void ledger_copy::expire(wall_ms now) {
+  for (auto program = this->by_program.begin(); program != this->by_program.end();) {
+    if (program->second.expires_at >= now) {
+      ++program;
+      continue;
+    }
+    for (const auto& [id, record] : program->second.records) {
+      if (record.turn) {
+        this->chains.erase(id);
+        this->text_size -= text_of(record);
+      }
+    }
+    program = this->by_program.erase(program);
+  }
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/turn_ledger/src/set_change.cc
@@ -0,0 +1,171 @@
+// When and how the set of disks changes.
+#include "hawthornlane/turn_ledger/set_change.h"
+
+#include <algorithm>
+
+namespace hawthornlane {
+namespace {
+
+/// A set below this cannot lose a disk and keep every record.
+constexpr std::size_t least_members = 2;
+
+bool contains(const std::vector<disk_id>& disks, const disk_id& disk) {
+  return std::find(disks.begin(), disks.end(), disk) != disks.end();
+}
+
+std::vector<disk_id> without(std::vector<disk_id> disks, const disk_id& disk) {
+  std::erase(disks, disk);
+  return disks;
+}
+
+const disk_view* find(const set_view& view, const disk_id& disk) {
+  for (const disk_view& item : view.disks) {
+    if (item.disk == disk) {
+      return &item;
+    }
+  }
+  return nullptr;
+}
+
+bool is_reachable(const set_view& view, const disk_id& disk) {
+  const disk_view* item = find(view, disk);
+  return item != nullptr && item->reachable;
+}
+
+/// The first of `disks` that can act; the others leave the step to it.
+std::optional<disk_id> first_reachable(const set_view& view, std::vector<disk_id> disks) {
+  std::sort(disks.begin(), disks.end());
+  for (const disk_id& disk : disks) {
+    if (is_reachable(view, disk)) {
+      return disk;
+    }
+  }
+  return std::nullopt;
+}
+
+ledger_set next_epoch(const ledger_set& from) {
+  ledger_set proposed = from;
+  proposed.epoch = from.epoch.next();
+  return proposed;
+}
+
+set_decision propose_first(const set_view& view) {
+  std::vector<disk_id> disks;
+  for (const disk_view& item : view.disks) {
+    if (!item.retiring) {
+      disks.push_back(item.disk);
+    }
+  }
+  std::sort(disks.begin(), disks.end());
+  if (disks.empty() || disks.front() != view.self) {
+    return {};
+  }
+  disks.resize(std::min(disks.size(), view.wanted));
+  return {set_step::propose, {set_epoch(1), disks, {}}, "first set"};
+}
+
+/// The disks that have to copy before the joint set may end.
+std::vector<disk_id> copiers_of(const ledger_set& set) {
+  if (set.next.size() < set.members.size()) {
+    return set.next;
+  }
+  std::vector<disk_id> joiners;
+  for (const disk_id& disk : set.next) {
+    if (!contains(set.members, disk)) {
+      joiners.push_back(disk);
+    }
+  }
+  return joiners;
+}
+
+set_decision decide_joint(const set_view& view, const ledger_set& set) {
+  const std::vector<disk_id> copiers = copiers_of(set);
+  const auto has_copied = [&](const disk_id& disk) {
+    const disk_view* item = find(view, disk);
+    return item != nullptr && item->copied >= set.epoch;
+  };
+  if (contains(copiers, view.self) && !has_copied(view.self)) {
+    return {set_step::copy, {}, "joining"};
+  }
+  if (std::all_of(copiers.begin(), copiers.end(), has_copied)) {
+    if (first_reachable(view, set.next) != view.self) {
+      return {};
+    }
+    ledger_set proposed = next_epoch(set);
+    proposed.members = set.next;
+    proposed.next.clear();
+    return {set_step::propose, proposed, "copied"};
+  }
+  const bool stuck = std::any_of(copiers.begin(), copiers.end(), [&](const disk_id& disk) {
+    return !has_copied(disk) && !is_reachable(view, disk);
+  });
+  if (stuck && first_reachable(view, set.members) == view.self) {
+    ledger_set proposed = next_epoch(set);
+    proposed.next.clear();
+    return {set_step::propose, proposed, "a joining disk is gone"};
+  }
+  return {};
+}
+
+set_decision decide_single(const set_view& view, const ledger_set& set) {
+  std::vector<disk_id> lost;
+  std::vector<disk_id> retiring;
+  for (const disk_id& disk : set.members) {
+    const disk_view* item = find(view, disk);
+    if (item == nullptr || !item->reachable) {
+      lost.push_back(disk);
+    } else if (item->retiring) {
+      retiring.push_back(disk);
+    }
+  }
+  std::vector<disk_id> spares;
+  for (const disk_view& item : view.disks) {
+    if (item.reachable && !item.retiring && !contains(set.members, item.disk)) {
+      spares.push_back(item.disk);
+    }
+  }
+  const std::vector<disk_id>& leaving = retiring.empty() ? lost : retiring;
+  const bool too_few = set.members.size() < view.wanted;
+  if (!spares.empty() && (!leaving.empty() || too_few)) {
+    if (first_reachable(view, spares) != view.self) {
+      return {};
+    }
+    ledger_set proposed = next_epoch(set);
+    proposed.next = set.members;
+    // A lost disk's place goes first: with it the set can bear one loss less.
+    if (!lost.empty()) {
+      proposed.next = without(set.members, lost.front());
+    } else if (!retiring.empty()) {
+      proposed.next = without(set.members, retiring.front());
+    }
+    proposed.next.push_back(view.self);
+    return {set_step::propose, proposed, leaving.empty() ? "too few disks" : "replacement"};
+  }
+  const bool may_shrink = lost.empty() && set.members.size() > least_members;
+  if (!retiring.empty() && may_shrink) {
+    const std::vector<disk_id> rest = without(set.members, retiring.front());
+    if (first_reachable(view, rest) != view.self) {
+      return {};
+    }
+    ledger_set proposed = next_epoch(set);
+    proposed.next = rest;
+    return {set_step::propose, proposed, "retirement without a spare"};
+  }
+  return {};
+}
+
+}  // namespace
+
+std::size_t read_quorum(const std::vector<disk_id>& members) {
+  const std::size_t majority = members.size() / 2 + 1;
+  return members.size() - majority + 1;
+}
+
+set_decision decide_set_change(const set_view& view) {
+  if (!view.set) {
+    return propose_first(view);
+  }
+  return view.set->joint() ? decide_joint(view, *view.set) : decide_single(view, *view.set);
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/turn_log/src/turn_log.cc
@@ -0,0 +1,338 @@
+// An append-only log on a small disk.
+#include "hawthornlane/turn_log/turn_log.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <condition_variable>
+#include <cstring>
+#include <filesystem>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace hawthornlane {
+namespace {
+
+constexpr std::string_view prefix = "turns-";
+constexpr std::string_view suffix = ".log";
+constexpr std::size_t record_head_size = 8;
+constexpr std::size_t largest_record = std::size_t{16} * 1024 * 1024;
+constexpr mode_t file_mode = 0644;
+
+std::string errno_text() { return std::strerror(errno); }
+
+std::optional<std::uint64_t> segment_number(const std::string& name) {
+  if (!name.starts_with(prefix) || !name.ends_with(suffix)) {
+    return std::nullopt;
+  }
+  const std::string_view digits =
+      std::string_view(name).substr(prefix.size(), name.size() - prefix.size() - suffix.size());
+  std::uint64_t number = 0;
+  const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  const bool whole = read.ec == std::errc{} && read.ptr == digits.data() + digits.size();
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+std::string segment_path(const std::string& folder, std::uint64_t number) {
+  return fmt::format("{}/{}{:08}{}", folder, prefix, number, suffix);
+}
+
+std::string framed(std::string_view record) {
+  const auto length = static_cast<std::uint32_t>(record.size());
+  const std::uint32_t sum = XXH32(record.data(), record.size(), length);
+  std::string bytes(record_head_size, '\0');
+  std::memcpy(bytes.data(), &length, sizeof length);
+  std::memcpy(bytes.data() + sizeof length, &sum, sizeof sum);
+  bytes += record;
+  return bytes;
+}
+
+/// Hands on the whole records of a segment; how many bytes they take.
+std::size_t replay(std::string_view bytes, const std::function<void(std::string_view)>& on_record,
+                   std::size_t& records) {
+  std::size_t at = 0;
+  while (bytes.size() - at >= record_head_size) {
+    std::uint32_t length = 0;
+    std::uint32_t sum = 0;
+    std::memcpy(&length, bytes.data() + at, sizeof length);
+    std::memcpy(&sum, bytes.data() + at + sizeof length, sizeof sum);
+    const bool fits =
+        length > 0 && length <= largest_record && bytes.size() - at - record_head_size >= length;
+    if (!fits) {
+      break;
+    }
+    const std::string_view record = bytes.substr(at + record_head_size, length);
+    if (XXH32(record.data(), record.size(), length) != sum) {
+      break;
+    }
+    on_record(record);
+    ++records;
+    at += record_head_size + length;
+  }
+  return at;
+}
+
+bool write_whole(int file, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t wrote = ::write(file, bytes.data(), bytes.size());
+    if (wrote < 0 && errno == EINTR) {
+      continue;
+    }
+    if (wrote <= 0) {
+      return false;
+    }
+    bytes.remove_prefix(static_cast<std::size_t>(wrote));
+  }
+  return true;
+}
+
+bool sync_folder(const std::string& folder) {
+  const int handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY);
+  if (handle < 0) {
+    return false;
+  }
+  const bool good = ::fsync(handle) == 0;
+  ::close(handle);
+  return good;
+}
+
+class segmented_log final : public turn_log {
+public:
+  segmented_log(std::string in, std::uint64_t next, std::map<std::uint64_t, std::uint64_t> found,
+                std::uint64_t bytes, group_done told)
+      : folder(std::move(in)),
+        segment(next),
+        total(bytes),
+        sizes(std::move(found)),
+        on_durable(std::move(told)),
+        writer([this] { this->run(); }) {}
+  ~segmented_log() override {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->stopping = true;
+    }
+    this->wakeup.notify_one();
+    this->writer.join();
+    if (this->file >= 0) {
+      ::close(this->file);
+    }
+  }
+
+  std::uint64_t append(std::string record) override {
+    const std::string bytes = framed(record);
+    std::uint64_t number = 0;
+    {
+      const std::lock_guard lock(this->mutex);
+      this->waiting += bytes;
+      number = ++this->appended;
+    }
+    this->wakeup.notify_one();
+    return number;
+  }
+
+  std::uint64_t start_segment() override {
+    const std::lock_guard lock(this->mutex);
+    this->rotate = true;
+    return this->segment + 1;
+  }
+
+  void remove_before(std::uint64_t number) override {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->remove_below = std::max(this->remove_below, number);
+    }
+    this->wakeup.notify_one();
+  }
+
+  std::uint64_t size() const override {
+    const std::lock_guard lock(this->mutex);
+    return this->total;
+  }
+
+private:
+  struct job {
+    std::string bytes;
+    std::uint64_t up_to = 0;
+    bool rotate = false;
+    std::uint64_t remove_below = 0;
+    bool stop = false;
+  };
+
+  job next_job() {
+    std::unique_lock lock(this->mutex);
+    this->wakeup.wait(lock, [this] {
+      return !this->waiting.empty() || this->stopping || this->remove_below > 0;
+    });
+    job taken;
+    taken.bytes = std::move(this->waiting);
+    this->waiting.clear();
+    taken.up_to = this->appended;
+    taken.rotate = std::exchange(this->rotate, false);
+    taken.remove_below = std::exchange(this->remove_below, 0);
+    taken.stop = this->stopping;
+    return taken;
+  }
+
+  void run() {
+    while (true) {
+      const job one = this->next_job();
+      if (one.rotate) {
+        this->close_segment();
+      }
+      if (!one.bytes.empty()) {
+        this->is_good = this->is_good && this->write_group(one.bytes);
+        this->on_durable(one.up_to, this->is_good);
+      }
+      if (one.remove_below > 0 && this->is_good) {
+        this->remove_segments(one.remove_below);
+      }
+      if (one.stop) {
+        return;
+      }
+    }
+  }
+
+  void close_segment() {
+    const std::lock_guard lock(this->mutex);
+    if (this->file >= 0) {
+      ::close(this->file);
+      this->file = -1;
+    }
+    ++this->segment;
+  }
+
+  bool write_group(std::string_view bytes) {
+    if (this->file < 0) {
+      this->file = ::open(segment_path(this->folder, this->segment).c_str(),
+                          O_WRONLY | O_CREAT | O_APPEND, file_mode);
+    }
+    if (this->file < 0 || !write_whole(this->file, bytes) || ::fdatasync(this->file) != 0) {
+      return false;
+    }
+    const std::lock_guard lock(this->mutex);
+    this->sizes[this->segment] += bytes.size();
+    this->total += bytes.size();
+    return true;
+  }
+
+  void remove_segments(std::uint64_t below) {
+    const std::lock_guard lock(this->mutex);
+    while (!this->sizes.empty() && this->sizes.begin()->first < below &&
+           this->sizes.begin()->first != this->segment) {
+      const auto oldest = this->sizes.begin();
+      if (::unlink(segment_path(this->folder, oldest->first).c_str()) != 0) {
+        return;
+      }
+      this->total -= oldest->second;
+      this->sizes.erase(oldest);
+    }
+    sync_folder(this->folder);
+  }
+
+  std::string folder;
+  mutable std::mutex mutex;
+  std::condition_variable wakeup;
+  /// Guarded by `mutex`, as are the next seven.
+  std::string waiting;
+  std::uint64_t appended = 0;
+  std::uint64_t segment;
+  std::uint64_t total;
+  /// Bytes of each segment; `total` is their sum.
+  std::map<std::uint64_t, std::uint64_t> sizes;
+  bool rotate = false;
+  std::uint64_t remove_below = 0;
+  bool stopping = false;
+  /// Used by the writer alone.
+  int file = -1;
+  bool is_good = true;
+  group_done on_durable;
+  std::thread writer;
+};
+
+std::optional<std::string> read_file(const std::string& path) {
+  const int file = ::open(path.c_str(), O_RDONLY);
+  if (file < 0) {
+    return std::nullopt;
+  }
+  std::string text;
+  constexpr std::size_t step = std::size_t{1} << 20U;
+  while (true) {
+    const std::size_t before = text.size();
+    text.resize(before + step);
+    const ssize_t got = ::read(file, text.data() + before, step);
+    text.resize(before + static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+    if (got < 0) {
+      ::close(file);
+      return std::nullopt;
+    }
+    if (got == 0) {
+      ::close(file);
+      return text;
+    }
+  }
+}
+
+std::vector<std::uint64_t> list_segments(const std::string& folder) {
+  std::vector<std::uint64_t> numbers;
+  for (const auto& item : std::filesystem::directory_iterator(folder)) {
+    if (const auto number = segment_number(item.path().filename().string())) {
+      numbers.push_back(*number);
+    }
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
+}  // namespace
+
+std::unique_ptr<turn_log> turn_log::open(const std::string& folder,
+                                         const std::function<void(std::string_view)>& on_record,
+                                         group_done on_durable, log_recovery& found,
+                                         failure& reason) {
+  std::map<std::uint64_t, std::uint64_t> sizes;
+  std::uint64_t total = 0;
+  std::uint64_t next = 1;
+  try {
+    for (const std::uint64_t number : list_segments(folder)) {
+      const auto text = read_file(segment_path(folder, number));
+      if (!text) {
+        reason = {error_kind::internal, fmt::format("segment {}: {}", number, errno_text())};
+        return nullptr;
+      }
+      found.torn_bytes += text->size() - replay(*text, on_record, found.records);
+      ++found.segments;
+      sizes[number] = text->size();
+      total += text->size();
+      next = number + 1;
+    }
+  } catch (const std::filesystem::filesystem_error& fault) {
+    reason = {error_kind::internal, fault.what()};
+    return nullptr;
+  }
+  return std::make_unique<segmented_log>(folder, next, std::move(sizes), total,
+                                         std::move(on_durable));
+}
+
+std::optional<std::string> read_small_file(const std::string& path) { return read_file(path); }
+
+bool write_small_file(const std::string& path, std::string_view text, failure& reason) {
+  const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, file_mode);
+  const bool good = file >= 0 && write_whole(file, text) && ::fsync(file) == 0;
+  if (!good) {
+    reason = {error_kind::internal, path + ": " + errno_text()};
+  }
+  if (file >= 0) {
+    ::close(file);
+  }
+  return good;
+}
+
+}  // namespace hawthornlane
--- a/libs/units/include/hawthornlane/units/ids.h
+++ b/libs/units/include/hawthornlane/units/ids.h
@@ -25,6 +25,10 @@
 using model_name = strong_value<struct model_name_tag, std::string>;
 /// Id of one agent program; carries its shard, see `make_program_id`.
 using program_id = strong_value<struct program_id_tag, std::string>;
+/// Id that a caller gave one attempt of a call; each attempt has its own.
+using request_id = strong_value<struct request_id_tag, std::string>;
+/// One line of turns of a program; sub-agents run on lines of their own.
+using session_id = strong_value<struct session_id_tag, std::string>;
 /// One of a fixed count of slices of the ownership space.
 using shard_id = strong_value<struct shard_id_tag, std::uint32_t>;
 /// Fencing token of a shard; rises by one with each change of owner.
