--- /dev/null
+++ b/libs/turn_ledger/test/turn_ledger_test.cc
@@ -0,0 +1,251 @@
+// Tables over one disk's copy, chains, majorities and changes of the set.
+#include <catch2/catch.hpp>
+
+#include "hawthornlane/turn_ledger/ledger_copy.h"
+#include "hawthornlane/turn_ledger/rounds.h"
+#include "hawthornlane/turn_ledger/set_change.h"
+
+using namespace hawthornlane;
+
+namespace {
+
+ledger_record record(const std::string& program, const std::string& id, reservation_phase phase,
+                     std::int64_t used = 0, std::int64_t expires = 1000) {
+  ledger_record item;
+  item.program = program_id(program);
+  item.state = {request_id(id), token_count(100), token_count(used), phase};
+  item.expires_at = wall_ms(expires);
+  return item;
+}
+
+ledger_record turn(const std::string& program, const std::string& id, const std::string& previous,
+                   std::int64_t expires = 1000) {
+  ledger_record item = record(program, id, reservation_phase::settled, 12, expires);
+  item.turn = kept_turn{request_id(id), std::nullopt, "in-" + id, "out-" + id + "\n"};
+  if (!previous.empty()) {
+    item.turn->previous = request_id(previous);
+  }
+  return item;
+}
+
+disk_id disk(const std::string& name) { return disk_id(name); }
+
+chain_answer chain(const std::string& from, bool known, std::vector<kept_turn> turns = {}) {
+  chain_answer answer;
+  answer.disk = disk(from);
+  answer.known = known;
+  answer.turns = std::move(turns);
+  return answer;
+}
+
+}  // namespace
+
+TEST_CASE("a reservation never goes back, whatever order its records arrive in") {
+  using enum reservation_phase;
+  const auto [first, second, expected] =
+      GENERATE(Catch::Generators::table<reservation_phase, reservation_phase, std::int64_t>({
+          {open, settled, 30},
+          {settled, open, 30},
+          {open, withdrawn, 0},
+          {withdrawn, open, 0},
+          {open, open, 100},
+      }));
+  ledger_copy copy;
+  copy.apply(record("p", "r", first, 30));
+  copy.apply(record("p", "r", second, 30));
+  REQUIRE(copy.reservations_of(program_id("p")).size() == 1);
+  CHECK(copy.reservations_of(program_id("p")).front().charge() == token_count(expected));
+}
+
+TEST_CASE("a record that changes nothing needs no write") {
+  ledger_copy copy;
+  CHECK(copy.apply(turn("p", "t1", "")));
+  CHECK_FALSE(copy.apply(turn("p", "t1", "")));
+  CHECK_FALSE(copy.apply(record("p", "t1", reservation_phase::open)));
+}
+
+TEST_CASE("a chain comes whole and oldest first, or not at all") {
+  ledger_copy copy;
+  copy.apply(turn("p", "t1", ""));
+  copy.apply(turn("p", "t2", "t1"));
+  copy.apply(turn("q", "t3", "t2"));
+  copy.apply(turn("p", "t5", "t4"));
+  const chain_answer whole = copy.chain_of(request_id("t3"));
+  REQUIRE(whole.turns.size() == 3);
+  CHECK(whole.turns.front().id == request_id("t1"));
+  const chain_answer gap = copy.chain_of(request_id("t5"));
+  CHECK(gap.known);
+  CHECK(gap.turns.empty());
+  CHECK_FALSE(copy.chain_of(request_id("t9")).known);
+}
+
+TEST_CASE("a turn lives as long as a program that goes on from it") {
+  ledger_copy copy;
+  copy.apply(turn("p", "t1", "", 1000));
+  copy.apply(turn("q", "t2", "t1", 5000));
+  copy.expire(wall_ms(2000));
+  CHECK(copy.chain_of(request_id("t2")).turns.size() == 2);
+  copy.expire(wall_ms(6000));
+  CHECK(copy.programs() == 0);
+  CHECK(copy.turns() == 0);
+  CHECK(copy.text_bytes() == 0);
+}
+
+TEST_CASE("pages bring every record once") {
+  ledger_copy copy;
+  for (int program = 0; program < 7; ++program) {
+    for (int id = 0; id < 5; ++id) {
+      copy.apply(turn("p" + std::to_string(program),
+                      "t" + std::to_string(program) + "-" + std::to_string(id), ""));
+    }
+  }
+  ledger_copy target;
+  copy_request from;
+  int pages = 0;
+  while (true) {
+    const copy_page page = copy.page_after(from, 700);
+    for (const ledger_record& item : page.records) {
+      CHECK(target.apply(item));
+    }
+    ++pages;
+    if (page.last) {
+      break;
+    }
+    from = {page.records.back().program, page.records.back().state.id};
+  }
+  CHECK(pages > 3);
+  CHECK(target.turns() == 35);
+}
+
+TEST_CASE("a turn is absent only when a majority says so") {
+  const ledger_set set{set_epoch(1), {disk("A"), disk("B"), disk("C")}, {}};
+  chain_check check(set);
+  check.on_answer(chain("A", false));
+  CHECK(check.verdict() == chain_verdict::undecided);
+  SECTION("a second disk does not know it either") {
+    check.on_answer(chain("B", false));
+    CHECK(check.verdict() == chain_verdict::absent);
+  }
+  SECTION("a second disk holds it") {
+    check.on_answer(chain("B", true, {kept_turn{request_id("t"), std::nullopt, "i", "o"}}));
+    CHECK(check.verdict() == chain_verdict::whole);
+  }
+  SECTION("a second disk knows of it without its whole chain") {
+    check.on_answer(chain("B", true));
+    CHECK(check.verdict() == chain_verdict::undecided);
+    check.on_failed(disk("C"));
+    CHECK(check.hopeless());
+  }
+  SECTION("the others fail") {
+    check.on_failed(disk("B"));
+    check.on_failed(disk("C"));
+    CHECK(check.verdict() == chain_verdict::undecided);
+    CHECK(check.hopeless());
+  }
+}
+
+TEST_CASE("a joint set needs a majority of both of its sets") {
+  const ledger_set set{
+      set_epoch(2), {disk("A"), disk("B"), disk("C")}, {disk("A"), disk("D"), disk("E")}};
+  CHECK_FALSE(set.has_majority({disk("A"), disk("B")}));
+  CHECK_FALSE(set.has_majority({disk("A"), disk("D")}));
+  CHECK(set.has_majority({disk("A"), disk("B"), disk("D")}));
+  CHECK(set.all().size() == 5);
+}
+
+TEST_CASE("how many old members a joining disk copies from") {
+  const auto [members, expected] = GENERATE(
+      Catch::Generators::table<std::size_t, std::size_t>({{1, 1}, {2, 1}, {3, 2}, {4, 2}, {5, 3}}));
+  CHECK(read_quorum(std::vector<disk_id>(members, disk("A"))) == expected);
+}
+
+namespace {
+
+/// Disks by name: lower case is silent, '!' after a name means retiring, '+' copied.
+std::vector<disk_view> disks_from(const std::string& text, set_epoch copied) {
+  std::vector<disk_view> disks;
+  for (const char letter : text) {
+    if (letter == '!') {
+      disks.back().retiring = true;
+    } else if (letter == '+') {
+      disks.back().copied = copied;
+    } else {
+      const char upper = static_cast<char>(std::toupper(letter));
+      disks.push_back({disk(std::string(1, upper)), upper == letter, false, set_epoch(0)});
+    }
+  }
+  return disks;
+}
+
+std::vector<disk_id> names(const std::string& text) {
+  std::vector<disk_id> disks;
+  for (const char letter : text) {
+    disks.push_back(disk(std::string(1, letter)));
+  }
+  return disks;
+}
+
+std::string text_of(const std::vector<disk_id>& disks) {
+  std::string text;
+  for (const disk_id& item : disks) {
+    text += item.get();
+  }
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("when the set of disks changes, and who proposes it") {
+  struct row {
+    const char* what;
+    const char* members;
+    const char* next;
+    const char* disks;
+    const char* self;
+    set_step step;
+    const char* members_after;
+    const char* next_after;
+  };
+  using enum set_step;
+  const row rows[] = {
+      {"the first set is made by the first disk", "", "", "ABC", "A", propose, "ABC", ""},
+      {"the others wait for it", "", "", "ABC", "B", nothing, "", ""},
+      {"the first set is no larger than wanted", "", "", "ABCD", "A", propose, "ABC", ""},
+      {"all is well", "ABC", "", "ABC", "A", nothing, "", ""},
+      {"a spare stands by", "ABC", "", "ABCD", "D", nothing, "", ""},
+      {"a wiped disk comes back as a new one", "ABC", "", "ABD", "D", propose, "ABC", "ABD"},
+      {"the spare leaves nothing to others", "ABC", "", "ABD", "A", nothing, "", ""},
+      {"a silent disk is replaced by a spare", "ABC", "", "ABcD", "D", propose, "ABC", "ABD"},
+      {"a silent disk without a spare stays", "ABC", "", "ABc", "A", nothing, "", ""},
+      {"a retiring disk is replaced by a spare", "ABC", "", "AB!CD", "D", propose, "ABC", "ACD"},
+      {"a retiring disk without a spare leaves", "ABC", "", "ABC!", "A", propose, "ABC", "AB"},
+      {"but not while another disk is lost", "ABC", "", "AbC!", "A", nothing, "", ""},
+      {"nor from a set of two", "AB", "", "AB!", "A", nothing, "", ""},
+      {"a set that is too small grows", "AB", "", "ABD", "D", propose, "AB", "ABD"},
+      {"a lost disk of two is replaced", "AB", "", "AD", "D", propose, "AB", "AD"},
+      {"the joining disk copies", "ABC", "ABD", "ABD", "D", copy, "", ""},
+      {"the others wait while it copies", "ABC", "ABD", "ABD", "A", nothing, "", ""},
+      {"the joint set ends once it has copied", "ABC", "ABD", "ABD+", "A", propose, "ABD", ""},
+      {"a joining disk that is gone is given up", "ABC", "ABD", "ABCd", "A", propose, "ABC", ""},
+      {"all that stay copy when a set shrinks", "ABC", "AB", "ABC!", "B", copy, "", ""},
+      {"a set has shrunk", "ABC", "AB", "A+B+C!", "A", propose, "AB", ""},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    set_view view;
+    view.self = disk(item.self);
+    const bool exists = *item.members != '\0';
+    if (exists) {
+      view.set = ledger_set{set_epoch(7), names(item.members), names(item.next)};
+    }
+    view.disks = disks_from(item.disks, set_epoch(7));
+    const set_decision decision = decide_set_change(view);
+    CHECK(decision.step == item.step);
+    if (decision.step != propose) {
+      continue;
+    }
+    CHECK(decision.proposed.epoch == set_epoch(exists ? 8 : 1));
+    CHECK(text_of(decision.proposed.members) == item.members_after);
+    CHECK(text_of(decision.proposed.next) == item.next_after);
+  }
+}
