Let one of two disks go on alone when the other is lost

Ruled out: overload and slow disks (disk hosts at 0.02 cores); the refusals all say that no majority of epoch 3, 4 or 5 answers. Mend: what two disks decided is on both, so the other one becomes the set by two conditional updates, and grows again; a copier stops at its read quorum; a turn waits up to 0.3 s for a set that changes, and a refusal names a return time that spans such a change.

--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -30,15 +30,20 @@
 namespace {
 
 /// Between two probes of the other disk hosts.
-constexpr auto probe_pause = std::chrono::milliseconds(500);
+constexpr auto probe_pause = std::chrono::milliseconds(250);
 constexpr duration probe_limit = std::chrono::milliseconds(600);
 /// A disk host that has been silent for this long may be replaced. A restart takes
 /// two to three seconds; copying to a spare costs more than waiting for it.
 constexpr auto patience = std::chrono::milliseconds(3500);
+/// One of a set of two: without it nothing can be decided, so waiting costs service.
+/// Several probes and a repeated packet fit in; a hiccup must not leave one alone.
+constexpr auto patience_of_two = std::chrono::milliseconds(1000);
 /// Disk hosts start within 0.3 s of each other; the first set waits for them.
 constexpr auto first_set_wait = std::chrono::milliseconds(1500);
 /// Between two decisions over the set.
-constexpr auto duty_pause = std::chrono::milliseconds(300);
+constexpr auto duty_pause = std::chrono::milliseconds(200);
+/// Decisions that follow each other at once, such as a joint set and its end.
+constexpr int most_steps = 4;
 constexpr duration fence_limit = std::chrono::milliseconds(1500);
 constexpr duration copy_limit = std::chrono::milliseconds(1500);
 /// Between two pages, so that copying leaves most of a half core to turns.
@@ -266,13 +271,15 @@
 
   set_view view() const {
     const net::steady_time now = steady::now();
+    const bool of_two = this->set && this->set->members.size() == 2;
+    const auto wait = of_two ? patience_of_two : patience;
     set_view view;
     view.self = this->ledger.identity();
     view.set = this->set;
     view.wanted = std::size_t{2} * this->settings.tolerated_losses + 1;
     view.disks.push_back({view.self, true, this->retiring.contains(this->self.name), this->copied});
     for (const auto& [name, other] : this->peers) {
-      view.disks.push_back({disk_id(other.entry.disk), now - other.heard_at < patience,
+      view.disks.push_back({disk_id(other.entry.disk), now - other.heard_at < wait,
                             this->retiring.contains(name), other.heard.copied});
     }
     return view;
@@ -290,15 +297,21 @@
     if (too_early || !self->fleet.hosts().heard()) {
       co_return;
     }
-    const set_decision decision = decide_set_change(self->view());
-    if (decision.step == set_step::propose) {
-      co_await propose(self, decision);
-    } else if (decision.step == set_step::copy) {
-      co_await copy_from_members(self);
+    for (int step = 0; step < most_steps; ++step) {
+      const set_decision decision = decide_set_change(self->view());
+      if (decision.step == set_step::nothing) {
+        break;
+      }
+      const bool went_on = decision.step == set_step::propose ? co_await propose(self, decision)
+                                                              : co_await copy_from_members(self);
+      if (!went_on) {
+        break;
+      }
     }
   }
 
-  static asio::awaitable<void> propose(std::shared_ptr<state> self, set_decision decision) {
+  /// True when the store holds the proposed set now.
+  static asio::awaitable<bool> propose(std::shared_ptr<state> self, set_decision decision) {
     const std::string spec = platform_adapter::ledger_set_spec(decision.proposed);
     failure reason;
     store_outcome outcome = store_outcome::refused;
@@ -324,19 +337,28 @@
         {{"epoch", std::to_string(decision.proposed.epoch.get())},
          {"reason", decision.reason},
          {"detail", reason.detail}});
+    co_return self->set&& * self->set == decision.proposed;
   }
 
   /// Raises the fence at the old members and copies what they hold, until a read
   /// quorum of them is done.
-  static asio::awaitable<void> copy_from_members(std::shared_ptr<state> self) {
+  static asio::awaitable<bool> copy_from_members(std::shared_ptr<state> self) {
     const ledger_set joint = *self->set;
+    const std::size_t needed = read_quorum(joint.members);
+    // This disk first, where it is one of them: it costs nothing.
+    std::vector<disk_id> order = joint.members;
+    std::stable_partition(order.begin(), order.end(),
+                          [&](const disk_id& member) { return member == self->ledger.identity(); });
     log(event::ledger_copy_started, {{"epoch", std::to_string(joint.epoch.get())}});
     std::size_t sources = 0;
-    for (const disk_id& member : joint.members) {
+    for (const disk_id& member : order) {
+      if (sources >= needed) {
+        break;
+      }
       const bool good = co_await copy_from(self, joint, member);
       sources += good ? 1 : 0;
     }
-    const bool enough = sources >= read_quorum(joint.members);
+    const bool enough = sources >= needed;
     if (enough) {
       self->copied = joint.epoch;
       self->ledger.set_copied(joint.epoch);
@@ -345,6 +367,7 @@
                                       {"sources", std::to_string(sources)},
                                       {"enough", enough ? "yes" : "no"},
                                       {"turns", std::to_string(self->ledger.held().turns())}});
+    co_return enough;
   }
 
   /// A call to another disk host, or to this one's own ledger.
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -32,6 +32,10 @@
 /// Spreads callers that were refused together over twice that time.
 constexpr double retry_spread = 0.25;
 
+/// While too few disk hosts answer, a refused turn comes back after about the time
+/// that a set takes to change; its program has few tries, and they must span that.
+constexpr double ledger_retry_seconds = 0.8;
+
 std::uint64_t hash_of(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
 
 /// What keeps calls of the same object at the same server. The last shared part of
@@ -215,7 +219,9 @@
   std::vector<http::header> headers{{"Content-Type", "application/json"}};
   if (row.retry_later) {
     const double part = static_cast<double>(hash_of(id) % 1000) / 1000;
-    headers.push_back({"Retry-After", fmt::format("{:.2f}", retry_seconds + retry_spread * part)});
+    const double least =
+        why.kind == error_kind::history_unavailable ? ledger_retry_seconds : retry_seconds;
+    headers.push_back({"Retry-After", fmt::format("{:.2f}", least + retry_spread * part)});
   }
   this->metrics.count(fmt::format("refused_{}", row.name));
   log(event::call_refused, {{"request", id},
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -20,9 +20,10 @@
 /// After a majority has the reservation, the last disk gets this long to make the
 /// second round needless: about the spread of healthy disks' syncs.
 constexpr auto last_disk_wait = std::chrono::milliseconds(4);
-/// A set that has changed is learnt from the refusal; more than two changes within
-/// one admission mean trouble.
-constexpr int most_set_changes = 3;
+/// While the set of disks changes, a turn is tried again for this long before it is
+/// refused: a change that needs no copying takes less.
+constexpr auto admit_patience = std::chrono::milliseconds(300);
+constexpr auto admit_pause = std::chrono::milliseconds(40);
 constexpr auto settle_pause = std::chrono::milliseconds(50);
 /// Whole turns kept in memory, bytes: about a sixth of the smallest host's memory.
 constexpr std::size_t cache_bytes = std::size_t{16} * 1024 * 1024;
@@ -293,7 +294,8 @@
   if (turn.kept && turn.previous) {
     cached = this->cache.history(*turn.previous);
   }
-  for (int change = 0; change < most_set_changes; ++change) {
+  const net::steady_time patient_until = std::min(until, steady::now() + admit_patience);
+  while (true) {
     if (!this->set) {
       result.detail = "the set of disks is not known yet";
       co_return result;
@@ -302,10 +304,19 @@
     state->until = until;
     state->needs_chain = turn.kept && turn.previous && !cached;
     const bool concluded = co_await this->admit_once(state, result);
-    if (concluded) {
+    if (concluded && result.kind != admission_kind::unavailable) {
+      break;
+    }
+    if (!concluded) {
+      result.detail = "the set of disks is changing";
+    }
+    if (steady::now() + admit_pause >= patient_until) {
       break;
     }
-    result.detail = "the set of disks is changing";
+    if (concluded) {
+      net::async_signal pause(this->context);
+      co_await pause.wait_until(steady::now() + admit_pause);
+    }
   }
   if (result.kind == admission_kind::admitted && cached) {
     result.history = std::move(*cached);
--- a/libs/turn_ledger/src/set_change.cc
+++ b/libs/turn_ledger/src/set_change.cc
@@ -124,6 +124,17 @@
       spares.push_back(item.disk);
     }
   }
+  // Two disks decide only together, so the loss of one stops them. What was decided
+  // is on both: the other one goes on alone until a disk joins it.
+  if (set.members.size() == least_members && lost.size() == 1) {
+    const std::vector<disk_id> rest = without(set.members, lost.front());
+    if (rest.front() != view.self) {
+      return {};
+    }
+    ledger_set proposed = next_epoch(set);
+    proposed.next = rest;
+    return {set_step::propose, proposed, "one of two is lost"};
+  }
   const std::vector<disk_id>& leaving = retiring.empty() ? lost : retiring;
   const bool too_few = set.members.size() < view.wanted;
   if (!spares.empty() && (!leaving.empty() || too_few)) {
