Read the store at one front host for all, and tell the rest by gossip

Ruled out: fewer but longer watches; they go deaf while the store drops its history, so a read at a fixed pace is needed anyway and then suffices.

--- a/libs/discovery/include/hawthornlane/discovery/fleet_state.h
+++ b/libs/discovery/include/hawthornlane/discovery/fleet_state.h
@@ -43,6 +43,7 @@
   /// Revision at which this host last saw the backend servers change. Another host
   /// that has seen them at this revision or later lacks nothing.
   [[nodiscard]] store_revision backends_changed_at() const { return this->servers_changed_at; }
+  [[nodiscard]] store_revision hosts_changed_at() const { return this->hosts_changed; }
   [[nodiscard]] const host_registry& hosts() const { return this->host_list; }
   /// Servers of a service that may get new calls; those in doubt included.
   [[nodiscard]] std::vector<backend_entry> usable_backends(const service_name& service) const;
@@ -53,6 +54,7 @@
   void on_hosts_changed(std::function<void()> hook) { this->hosts_hook = std::move(hook); }
 
 private:
+  void note_host_changes(const std::map<host_id, host_entry>& before);
   /// Logs and tells what differs from `before`.
   void note_backend_changes(const std::map<backend_server_id, backend_entry>& before,
                             source_name source);
@@ -63,6 +65,7 @@
   backend_registry servers;
   store_revision servers_changed_at;
   host_registry host_list;
+  store_revision hosts_changed;
   std::function<void()> backends_hook = [] {};
   std::function<void()> hosts_hook = [] {};
 };
--- a/libs/discovery/src/fleet_state.cc
+++ b/libs/discovery/src/fleet_state.cc
@@ -84,16 +84,25 @@
   }
 }
 
+void fleet_state::note_host_changes(const std::map<host_id, host_entry>& before) {
+  if (before != this->host_list.listed()) {
+    this->hosts_changed = this->host_list.at();
+    this->hosts_hook();
+  }
+}
+
 void fleet_state::list_hosts(store_revision at, const std::vector<host_entry>& entries) {
+  const auto before = this->host_list.listed();
   if (this->host_list.apply_listing(at, entries, scheduler_now())) {
-    this->hosts_hook();
+    this->note_host_changes(before);
   }
 }
 
 void fleet_state::change_hosts(store_revision at,
                                const std::vector<entry_change<host_entry>>& changes) {
+  const auto before = this->host_list.listed();
   if (this->host_list.apply_changes(at, changes, scheduler_now())) {
-    this->hosts_hook();
+    this->note_host_changes(before);
   }
 }
 
--- a/libs/discovery/src/store_follower.cc
+++ b/libs/discovery/src/store_follower.cc
@@ -21,6 +21,9 @@
 constexpr auto first_pause = std::chrono::milliseconds(200);
 constexpr auto longest_pause = std::chrono::milliseconds(1000);
 
+/// After news, before the next wait: others follow within this time.
+constexpr auto gather_time = std::chrono::milliseconds(400);
+
 }  // namespace
 
 struct store_follower::state {
@@ -47,13 +50,19 @@
     }
   }
 
-  static asio::awaitable<void> wait(std::shared_ptr<state> self) {
-    self->timer.expires_after(self->pause);
-    self->pause = std::min(self->pause * 2, longest_pause);
+  static asio::awaitable<void> pause_for(std::shared_ptr<state> self,
+                                         std::chrono::milliseconds time) {
+    self->timer.expires_after(time);
     boost::system::error_code ignored;
     co_await self->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   }
 
+  static asio::awaitable<void> wait(std::shared_ptr<state> self) {
+    const std::chrono::milliseconds time = self->pause;
+    self->pause = std::min(self->pause * 2, longest_pause);
+    co_await pause_for(self, time);
+  }
+
   /// Lists until it succeeds; the revision to watch from.
   static asio::awaitable<store_revision> list(std::shared_ptr<state> self) {
     while (!self->stopped) {
@@ -89,6 +98,8 @@
         from = std::max(from, page.at);
         if (!page.items.empty()) {
           self->hooks.on_changes(page);
+          // Changes come in crowds, when many hosts start: one call for all of them.
+          co_await pause_for(self, gather_time);
         }
         continue;
       }
--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -22,7 +22,7 @@
 /// The calls of one front host. For one thread.
 class call_service {
 public:
-  call_service(boost::asio::io_context& context, availability_zone here,
+  call_service(boost::asio::io_context& context, host_id own, availability_zone here,
                discovery::fleet_state& fleet, relay::backend_pool& backends,
                const relay::call_codec& codec, turn_keeper& turns, call_metrics& metrics);
   call_service(const call_service&) = delete;
@@ -64,6 +64,7 @@
   void log_call(const call& one) const;
 
   boost::asio::io_context& context;
+  host_id own;
   availability_zone zone;
   discovery::fleet_state& fleet;
   relay::backend_pool& backends;
--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -7,6 +7,7 @@
 
 #include "hawthornlane/fleet/fleet_view.h"
 #include "hawthornlane/net/message_bytes.h"
+#include "hawthornlane/turn_ledger/ledger_set.h"
 
 namespace hawthornlane::http {
 template <class Archive>
@@ -30,7 +31,13 @@
 namespace hawthornlane::front {
 
 /// Methods between front hosts.
-enum class gossip_method : std::uint16_t { digest = 1, configuration = 2, backends = 3 };
+enum class gossip_method : std::uint16_t {
+  digest = 1,
+  configuration = 2,
+  backends = 3,
+  hosts = 4,
+  ledger = 5
+};
 
 /// What one front host knows and is, as told to another.
 struct gossip_digest {
@@ -41,22 +48,28 @@
   config_version configuration;
   /// When the backend servers last changed as far as this host knows.
   store_revision backends_changed_at;
-  /// Age of the newest read of the store that this host knows of.
+  store_revision hosts_at;
+  /// Epoch of the newest set of disks that this host knows; 0: none.
+  set_epoch ledger_at;
+  /// The newest read of the store that this host knows of: whose, and how old. No
+  /// name: none yet.
+  host_id checked_by;
   duration checked_ago{};
 
   template <class Archive>
   void serialize(Archive& archive) {
     std::int64_t age = this->checked_ago.count();
     archive(this->self, this->ready, this->leaving, this->configuration, this->backends_changed_at,
-            age);
+            this->hosts_at, this->ledger_at, this->checked_by, age);
     this->checked_ago = duration(age);
   }
 };
 
-/// One host's whole registry of backend servers.
-struct backends_snapshot {
+/// One host's whole registry of one kind of entry.
+template <class Entry>
+struct registry_snapshot {
   store_revision at;
-  std::vector<backend_entry> entries;
+  std::vector<Entry> entries;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,17 +17,22 @@
 
 namespace hawthornlane::front {
 
+/// What the gossip takes from and gives to the rest of the host.
+struct gossip_hooks {
+  /// What this host is and knows.
+  std::function<gossip_digest()> self;
+  /// Decodes a configuration as the store holds it.
+  std::function<std::optional<configuration>(const std::string& text)> decode_configuration;
+  /// The newest set of disks that this host knows, if any.
+  std::function<std::optional<ledger_set>()> ledger;
+  std::function<void(const ledger_set&, const host_id& from)> take_ledger;
+};
+
 /// One host's talk with the other front hosts. For one thread.
 class peer_gossip {
 public:
-  using digest_source = std::function<gossip_digest()>;
-  /// Decodes a configuration as the store holds it.
-  using configuration_decoder =
-      std::function<std::optional<configuration>(const std::string& text)>;
-
   peer_gossip(boost::asio::io_context& context, net::deadline_sweeper& sweeper,
-              discovery::fleet_state& fleet, check_schedule& checks, digest_source self,
-              configuration_decoder decode);
+              discovery::fleet_state& fleet, check_schedule& checks, gossip_hooks hooks);
   peer_gossip(const peer_gossip&) = delete;
   peer_gossip& operator=(const peer_gossip&) = delete;
   ~peer_gossip();
@@ -51,13 +57,17 @@
   void probe(peer& other);
   void hear(peer& other, const gossip_digest& digest);
   void pull(peer& other);
+  /// Asks a peer for its whole registry of one kind.
+  template <class Entry>
+  void pull_registry(peer& other, gossip_method method,
+                     std::function<void(const registry_snapshot<Entry>&, const host_id&)> take);
+  void add_peer(const host_entry& entry);
 
   boost::asio::io_context& context;
   net::deadline_sweeper& sweeper;
   discovery::fleet_state& fleet;
   check_schedule& checks;
-  digest_source self;
-  configuration_decoder decode;
+  gossip_hooks hooks;
   std::map<host_id, std::shared_ptr<peer>> peers;
   net::steady_time next_probe{};
 };
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -152,11 +152,12 @@
   bool caller_left = false;
 };
 
-call_service::call_service(asio::io_context& io, availability_zone here,
+call_service::call_service(asio::io_context& io, host_id name, availability_zone here,
                            discovery::fleet_state& state, relay::backend_pool& pool,
                            const relay::call_codec& with, turn_keeper& keeper,
                            call_metrics& counters)
     : context(io),
+      own(std::move(name)),
       zone(std::move(here)),
       fleet(state),
       backends(pool),
@@ -171,7 +172,8 @@
   if (found != this->pools.end()) {
     return found->second;
   }
-  server_pool& pool = this->pools.try_emplace(name, pool_rules{}, this->zone).first->second;
+  server_pool& pool =
+      this->pools.try_emplace(name, pool_rules{}, this->own, this->zone).first->second;
   pool.set_servers(this->fleet.usable_backends(name), discovery::scheduler_now());
   return pool;
 }
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "hawthornlane/discovery/registration.h"
-#include "hawthornlane/discovery/store_follower.h"
 #include "hawthornlane/front/call_service.h"
 #include "hawthornlane/front/ledger_client.h"
 #include "hawthornlane/front/peer_gossip.h"
@@ -40,6 +39,8 @@
 constexpr duration turn_away_before = std::chrono::milliseconds(3200);
 /// Hosts change seldom, and their changes are learnt from refusals too.
 constexpr auto host_check_pause = std::chrono::seconds(3);
+/// Between two tries of a new host to learn of the others.
+constexpr auto host_read_pause = std::chrono::milliseconds(400);
 /// Between two sweeps over idle connections to servers.
 constexpr auto idle_pause = std::chrono::seconds(1);
 
@@ -53,11 +54,11 @@
         sweeper(io),
         codec(platform_adapter::make_call_codec()),
         store(settings.store),
+        checks(settings.host, discovery::scheduler_now()),
         backends(io, sweeper, codec),
         ledger(io, sweeper, fleet),
-        calls(io, settings.zone, fleet, backends, codec, ledger, metrics),
-        gossip(
-            io, sweeper, fleet, checks, [this] { return this->digest(); }, decode_configuration),
+        calls(io, settings.host, settings.zone, fleet, backends, codec, ledger, metrics),
+        gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
         acceptor(io) {}
 
   asio::io_context& context;
@@ -78,11 +79,11 @@
   tcp::acceptor acceptor;
   std::unique_ptr<net::rpc_server> peers;
   std::vector<std::unique_ptr<http::server>> small_servers;
-  std::vector<std::unique_ptr<discovery::store_follower>> followers;
   host_entry self;
   bool leaving = false;
   net::steady_time leaving_since{};
-  std::map<object_kind, net::steady_time> lost_at;
+  bool store_reachable = true;
+  net::steady_time store_lost_at{};
   net::steady_time next_idle_sweep{};
   std::size_t connections = 0;
 
@@ -97,6 +98,17 @@
     return config;
   }
 
+  gossip_hooks make_gossip_hooks() {
+    gossip_hooks hooks;
+    hooks.self = [this] { return this->digest(); };
+    hooks.decode_configuration = decode_configuration;
+    hooks.ledger = [this] { return this->ledger.current(); };
+    hooks.take_ledger = [this](const ledger_set& set, const host_id& from) {
+      this->ledger.take_set(set, from.get());
+    };
+    return hooks;
+  }
+
   gossip_digest digest() const {
     gossip_digest own;
     own.self = this->self;
@@ -104,7 +116,12 @@
     own.leaving = this->leaving;
     own.configuration = this->fleet.table() ? this->fleet.table()->version() : config_version(0);
     own.backends_changed_at = this->fleet.backends_changed_at();
-    own.checked_ago = this->checks.age(discovery::scheduler_now());
+    own.hosts_at = this->fleet.hosts_changed_at();
+    own.ledger_at = this->ledger.current() ? this->ledger.current()->epoch : set_epoch(0);
+    if (this->checks.heard()) {
+      own.checked_by = this->checks.last_reader();
+      own.checked_ago = this->checks.age(discovery::scheduler_now());
+    }
     return own;
   }
 
@@ -123,10 +140,10 @@
       this->ledger.refresh_hosts();
     });
     this->listen();
-    this->follow_store();
     asio::co_spawn(this->context,
                    discovery::keep_registered(this->context, this->store, this->self),
                    asio::detached);
+    asio::co_spawn(this->context, read_hosts(this->shared_from_this()), asio::detached);
     this->sweeper.on_pass([this] { this->on_pass(); });
   }
 
@@ -206,61 +223,24 @@
     return this->metrics.text();
   }
 
-  discovery::follower_hooks hooks_for(object_kind kind) {
-    discovery::follower_hooks hooks;
-    hooks.on_reachable = [this, kind](bool reachable, const std::string& detail) {
-      this->note_store(kind, reachable, detail);
-    };
-    return hooks;
-  }
-
-  void note_store(object_kind kind, bool reachable, const std::string& detail) {
-    const std::string what(platform_adapter::path_of(kind));
+  /// The store stopped answering this host, or answers again.
+  void note_store(bool reachable, const std::string& detail) {
+    if (reachable == this->store_reachable) {
+      return;
+    }
+    this->store_reachable = reachable;
     if (!reachable) {
-      this->lost_at[kind] = steady::now();
-      log(event::platform_unreachable, {{"kind", what}, {"detail", detail}});
+      this->store_lost_at = steady::now();
+      log(event::platform_unreachable, {{"detail", detail}});
       return;
     }
-    const duration away = std::chrono::duration_cast<duration>(steady::now() - this->lost_at[kind]);
-    log(event::platform_reachable,
-        {{"kind", what}, {"away_ms", std::to_string(away.count() / 1000)}});
-    if (kind == object_kind::backend_servers && away >= lapsing_outage) {
+    const duration away = std::chrono::duration_cast<duration>(steady::now() - this->store_lost_at);
+    log(event::platform_reachable, {{"away_ms", std::to_string(away.count() / 1000)}});
+    if (away >= lapsing_outage) {
       this->fleet.store_is_back();
     }
   }
 
-  void follow_store() {
-    discovery::follower_hooks config = this->hooks_for(object_kind::configuration);
-    config.on_listing = [this](const object_page& page) { this->take_configuration(page); };
-    config.on_changes = config.on_listing;
-    this->follow(object_kind::configuration, std::move(config));
-
-    discovery::follower_hooks servers = this->hooks_for(object_kind::backend_servers);
-    servers.on_listing = [this](const object_page& page) {
-      this->fleet.list_backends(page.at, discovery::backend_entries_of(page), "store");
-    };
-    servers.on_changes = [this](const object_page& page) {
-      this->fleet.change_backends(page.at, discovery::backend_changes_of(page), "store");
-    };
-    this->follow(object_kind::backend_servers, std::move(servers));
-
-    discovery::follower_hooks hosts = this->hooks_for(object_kind::hosts);
-    hosts.on_listing = [this](const object_page& page) {
-      this->ledger.take_set(page);
-      this->fleet.list_hosts(page.at, discovery::host_entries_of(page));
-    };
-    hosts.on_changes = [this](const object_page& page) {
-      this->ledger.take_set(page);
-      this->fleet.change_hosts(page.at, discovery::host_changes_of(page));
-    };
-    this->follow(object_kind::hosts, std::move(hosts));
-  }
-
-  void follow(object_kind kind, discovery::follower_hooks hooks) {
-    this->followers.push_back(std::make_unique<discovery::store_follower>(
-        this->context, this->store, kind, std::move(hooks)));
-  }
-
   void take_configuration(const object_page& page) {
     for (const auto& item : page.items) {
       if (item.removed) {
@@ -339,36 +319,53 @@
     }
   }
 
-  /// Reads the store again, since a watch may have gone deaf, and tells the others.
+  /// Reads the store for all hosts and tells them.
   static asio::awaitable<void> check_store(std::shared_ptr<state> self) {
     self->checking = true;
     const timestamp began = discovery::scheduler_now();
     self->checks.began(began);
     failure reason;
-    object_page config;
-    object_page servers;
-    auto outcome = co_await self->store.list(object_kind::configuration, config, reason);
-    if (outcome == platform_adapter::store_outcome::done) {
-      self->take_configuration(config);
-      outcome = co_await self->store.list(object_kind::backend_servers, servers, reason);
+    object_page page;
+    const auto took = [&](platform_adapter::store_outcome outcome) {
+      const bool good = outcome == platform_adapter::store_outcome::done;
+      self->note_store(good, reason.detail);
+      return good;
+    };
+    bool good = took(co_await self->store.list(object_kind::configuration, page, reason));
+    if (good) {
+      self->take_configuration(page);
+      good = took(co_await self->store.list(object_kind::backend_servers, page, reason));
     }
-    if (outcome == platform_adapter::store_outcome::done) {
-      self->fleet.list_backends(servers.at, discovery::backend_entries_of(servers), "check");
-      self->checks.checked(began);
+    if (good) {
+      self->fleet.list_backends(page.at, discovery::backend_entries_of(page), "store");
+      const bool hosts_due = !self->fleet.hosts().heard() || steady::now() >= self->next_host_check;
+      self->checks.checked(self->self.name, began);
       self->gossip.tell_all();
-    }
-    if (steady::now() >= self->next_host_check) {
-      self->next_host_check = steady::now() + host_check_pause;
-      object_page hosts;
-      if (co_await self->store.list(object_kind::hosts, hosts, reason) ==
-          platform_adapter::store_outcome::done) {
-        self->ledger.take_set(hosts);
-        self->fleet.list_hosts(hosts.at, discovery::host_entries_of(hosts));
+      if (hosts_due && took(co_await self->store.list(object_kind::hosts, page, reason))) {
+        self->next_host_check = steady::now() + host_check_pause;
+        self->ledger.take_set(page);
+        self->fleet.list_hosts(page.at, discovery::host_entries_of(page));
       }
     }
     self->checking = false;
   }
 
+  /// A new host needs the others' addresses to hear the rest from them.
+  static asio::awaitable<void> read_hosts(std::shared_ptr<state> self) {
+    while (!self->fleet.hosts().heard()) {
+      failure reason;
+      object_page page;
+      const auto outcome = co_await self->store.list(object_kind::hosts, page, reason);
+      if (outcome == platform_adapter::store_outcome::done) {
+        self->ledger.take_set(page);
+        self->fleet.list_hosts(page.at, discovery::host_entries_of(page));
+        co_return;
+      }
+      net::async_signal pause(self->context);
+      co_await pause.wait_until(steady::now() + host_read_pause);
+    }
+  }
+
   void close_idle() {
     std::set<http::endpoint> listed;
     for (const auto& [id, entry] : this->fleet.backends().listed()) {
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -34,34 +34,38 @@
 };
 
 peer_gossip::peer_gossip(boost::asio::io_context& io, net::deadline_sweeper& sweep,
-                         discovery::fleet_state& state, check_schedule& schedule, digest_source own,
-                         configuration_decoder decoder)
-    : context(io),
-      sweeper(sweep),
-      fleet(state),
-      checks(schedule),
-      self(std::move(own)),
-      decode(std::move(decoder)) {}
+                         discovery::fleet_state& state, check_schedule& schedule, gossip_hooks with)
+    : context(io), sweeper(sweep), fleet(state), checks(schedule), hooks(std::move(with)) {}
 
 peer_gossip::~peer_gossip() = default;
 
+void peer_gossip::add_peer(const host_entry& entry) {
+  if (entry.role != host_role::front || entry.name == this->hooks.self().self.name) {
+    return;
+  }
+  const auto known = this->peers.find(entry.name);
+  if (known != this->peers.end() && known->second->entry == entry) {
+    return;
+  }
+  if (known != this->peers.end() && known->second->entry.start > entry.start) {
+    return;
+  }
+  auto other = std::make_shared<peer>();
+  other->entry = entry;
+  other->link = std::make_unique<net::rpc_client>(this->context, this->sweeper, entry.peers_at);
+  other->heard_at = steady::now();
+  this->peers[entry.name] = other;
+  this->probe(*other);
+}
+
 void peer_gossip::refresh_hosts() {
   const auto& listed = this->fleet.hosts().listed();
-  const host_id own = this->self().self.name;
-  std::erase_if(this->peers, [&listed](const auto& item) { return !listed.contains(item.first); });
+  const net::steady_time now = steady::now();
+  std::erase_if(this->peers, [&](const auto& item) {
+    return !listed.contains(item.first) && now - item.second->heard_at > silence;
+  });
   for (const auto& [name, entry] : listed) {
-    if (entry.role != host_role::front || name == own) {
-      continue;
-    }
-    const auto known = this->peers.find(name);
-    if (known != this->peers.end() && known->second->entry == entry) {
-      continue;
-    }
-    auto other = std::make_shared<peer>();
-    other->entry = entry;
-    other->link = std::make_unique<net::rpc_client>(this->context, this->sweeper, entry.peers_at);
-    other->heard_at = steady::now();
-    this->peers[name] = std::move(other);
+    this->add_peer(entry);
   }
 }
 
@@ -86,7 +90,7 @@
 }
 
 void peer_gossip::probe(peer& other) {
-  const auto payload = to_bytes(this->self());
+  const auto payload = to_bytes(this->hooks.self());
   const auto known = this->peers.find(other.entry.name)->second;
   other.link->call(static_cast<std::uint16_t>(gossip_method::digest), payload, probe_limit,
                    [this, weak = std::weak_ptr(known)](net::rpc_failure why, std::string answer) {
@@ -110,15 +114,21 @@
   const bool newer_config =
       digest.configuration.get() != 0 && (!table || digest.configuration > table->version());
   const bool newer_backends = digest.backends_changed_at > this->fleet.backends().at();
-  this->checks.checked(discovery::scheduler_now() - digest.checked_ago);
-  if (!newer_config && !newer_backends) {
+  const bool newer_hosts = digest.hosts_at > this->fleet.hosts().at();
+  if (!digest.checked_by.get().empty()) {
+    this->checks.checked(digest.checked_by, discovery::scheduler_now() - digest.checked_ago);
+  }
+  const auto own_set = this->hooks.ledger();
+  const bool newer_set =
+      digest.ledger_at.get() != 0 && (!own_set || digest.ledger_at > own_set->epoch);
+  if (!newer_config && !newer_backends && !newer_hosts && !newer_set) {
     other.ahead_since = net::never;
     return;
   }
   if (other.ahead_since == net::never) {
     other.ahead_since = now;
   }
-  const bool lost = !table || !this->fleet.backends().heard();
+  const bool lost = !table || !this->fleet.backends().heard() || !own_set;
   const bool from_reader = digest.checked_ago < just_read;
   if (!other.asked && (lost || from_reader || now - other.ahead_since >= pull_after)) {
     this->pull(other);
@@ -127,7 +137,7 @@
 
 std::size_t peer_gossip::rank() const {
   const net::steady_time now = steady::now();
-  const host_id own = this->self().self.name;
+  const host_id own = this->hooks.self().self.name;
   std::size_t before = 0;
   for (const auto& [name, other] : this->peers) {
     before += name < own && now - other->heard_at < silence ? 1 : 0;
@@ -145,25 +155,65 @@
                      if (!told || why != net::rpc_failure::none || text.empty()) {
                        return;
                      }
-                     if (const auto config = this->decode(text)) {
+                     if (const auto config = this->hooks.decode_configuration(text)) {
                        this->fleet.offer_configuration(*config, text, told->entry.name.get());
                      }
                    });
-  other.link->call(static_cast<std::uint16_t>(gossip_method::backends), "", pull_limit,
+  other.link->call(static_cast<std::uint16_t>(gossip_method::ledger), "", pull_limit,
                    [this, weak](net::rpc_failure why, const std::string& bytes) {
+                     const auto told = weak.lock();
+                     const auto set = from_bytes<ledger_set>(bytes);
+                     if (told && why == net::rpc_failure::none && set) {
+                       this->hooks.take_ledger(*set, told->entry.name);
+                     }
+                   });
+  this->pull_registry<backend_entry>(
+      other, gossip_method::backends,
+      [this](const registry_snapshot<backend_entry>& told, const host_id& from) {
+        this->fleet.list_backends(told.at, told.entries, from.get());
+      });
+  this->pull_registry<host_entry>(
+      other, gossip_method::hosts,
+      [this](const registry_snapshot<host_entry>& told, const host_id&) {
+        this->fleet.list_hosts(told.at, told.entries);
+      });
+}
+
+template <class Entry>
+void peer_gossip::pull_registry(
+    peer& other, gossip_method method,
+    std::function<void(const registry_snapshot<Entry>&, const host_id&)> take) {
+  const auto weak = std::weak_ptr(this->peers.find(other.entry.name)->second);
+  other.link->call(static_cast<std::uint16_t>(method), "", pull_limit,
+                   [weak, take = std::move(take)](net::rpc_failure why, const std::string& bytes) {
                      const auto told = weak.lock();
                      if (!told) {
                        return;
                      }
                      told->asked = false;
-                     const auto snapshot = from_bytes<backends_snapshot>(bytes);
-                     if (why == net::rpc_failure::none && snapshot) {
-                       this->fleet.list_backends(snapshot->at, snapshot->entries,
-                                                 told->entry.name.get());
+                     const auto snapshot = from_bytes<registry_snapshot<Entry>>(bytes);
+                     // Revision 0: the peer knows nothing itself.
+                     if (why == net::rpc_failure::none && snapshot && snapshot->at.get() != 0) {
+                       take(*snapshot, told->entry.name);
                      }
                    });
 }
 
+namespace {
+
+template <class Registry>
+std::string snapshot_bytes(const Registry& from) {
+  using entry_type = typename std::decay_t<decltype(from.listed())>::mapped_type;
+  registry_snapshot<entry_type> snapshot;
+  snapshot.at = from.at();
+  for (const auto& [key, entry] : from.listed()) {
+    snapshot.entries.push_back(entry);
+  }
+  return to_bytes(snapshot);
+}
+
+}  // namespace
+
 std::optional<std::string> peer_gossip::serve(gossip_method method, const std::string& payload) {
   switch (method) {
     case gossip_method::digest: {
@@ -171,21 +221,23 @@
       if (!digest) {
         return std::nullopt;
       }
+      // A host may be heard before the store's news of it come.
+      this->add_peer(digest->self);
       const auto known = this->peers.find(digest->self.name);
       if (known != this->peers.end()) {
         this->hear(*known->second, *digest);
       }
-      return to_bytes(this->self());
+      return to_bytes(this->hooks.self());
     }
     case gossip_method::configuration:
       return this->fleet.configuration_text();
-    case gossip_method::backends: {
-      backends_snapshot snapshot;
-      snapshot.at = this->fleet.backends().at();
-      for (const auto& [id, entry] : this->fleet.backends().listed()) {
-        snapshot.entries.push_back(entry);
-      }
-      return to_bytes(snapshot);
+    case gossip_method::backends:
+      return snapshot_bytes(this->fleet.backends());
+    case gossip_method::hosts:
+      return snapshot_bytes(this->fleet.hosts());
+    case gossip_method::ledger: {
+      const auto set = this->hooks.ledger();
+      return set ? std::optional(to_bytes(*set)) : std::nullopt;
     }
   }
   return std::nullopt;
--- /dev/null
+++ b/libs/front/test/gossip_messages_test.cc
@@ -0,0 +1,56 @@
+// Messages between front hosts survive the wire whole, and malformed ones do not
+// pass.
+#include "hawthornlane/front/gossip_messages.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornlane;
+using namespace hawthornlane::front;
+using namespace std::chrono_literals;
+
+namespace {
+
+gossip_digest full_digest() {
+  gossip_digest digest;
+  digest.self.name = host_id("front-1");
+  digest.self.start = incarnation(7);
+  digest.self.role = host_role::front;
+  digest.self.zone = availability_zone("a");
+  digest.self.region = "r";
+  digest.self.callers_at = "10.0.0.1:80";
+  digest.self.peers_at = {"10.0.0.1", 81};
+  digest.ready = true;
+  digest.leaving = true;
+  digest.configuration = config_version(9);
+  digest.backends_changed_at = store_revision(11);
+  digest.hosts_at = store_revision(12);
+  digest.ledger_at = set_epoch(13);
+  digest.checked_by = host_id("front-2");
+  digest.checked_ago = 345ms;
+  return digest;
+}
+
+}  // namespace
+
+TEST_CASE("each field of a digest arrives") {
+  const gossip_digest sent = full_digest();
+  const auto read = from_bytes<gossip_digest>(to_bytes(sent));
+  REQUIRE(read);
+  CHECK(read->self == sent.self);
+  CHECK(read->ready);
+  CHECK(read->leaving);
+  CHECK(read->configuration == sent.configuration);
+  CHECK(read->backends_changed_at == sent.backends_changed_at);
+  CHECK(read->hosts_at == sent.hosts_at);
+  CHECK(read->ledger_at == sent.ledger_at);
+  CHECK(read->checked_by == sent.checked_by);
+  CHECK(read->checked_ago == sent.checked_ago);
+}
+
+TEST_CASE("a digest that is cut anywhere is refused") {
+  const std::string whole = to_bytes(full_digest());
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    INFO("length " << length);
+    CHECK_FALSE(from_bytes<gossip_digest>(whole.substr(0, length)));
+  }
+}
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -67,7 +67,7 @@
 /// Decides for one service at one host. No I/O, clock or randomness.
 class server_pool {
 public:
-  server_pool(pool_rules rules, availability_zone here);
+  server_pool(pool_rules rules, const host_id& own, availability_zone here);
 
   /// The servers that may get calls now: listed and not draining.
   std::vector<placement> set_servers(const std::vector<backend_entry>& servers, timestamp now);
@@ -88,7 +88,7 @@
   [[nodiscard]] std::size_t servers_usable(timestamp now) const;
   /// Servers that are excluded after failures, for the operator.
   [[nodiscard]] std::vector<backend_server_id> excluded(timestamp now) const;
-  [[nodiscard]] const std::vector<backend_server_id> listed() const;
+  [[nodiscard]] std::vector<backend_server_id> listed() const;
 
 private:
   struct server_state {
@@ -117,8 +117,8 @@
   std::map<placement_id, backend_server_id> running;
   std::map<queue_key, placement_request> queue;
   std::map<placement_id, queue_key> queued;
-  /// Rotates the choice between equally busy servers.
-  std::uint64_t turn = 0;
+  /// Makes the order in which this host prefers equally busy servers its own.
+  std::uint64_t own_key;
 };
 
 }  // namespace hawthornlane
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-server_pool::server_pool(pool_rules with, availability_zone here)
-    : rules(with), zone(std::move(here)) {}
+server_pool::server_pool(pool_rules with, const host_id& own, availability_zone here)
+    : rules(with), zone(std::move(here)), own_key(XXH64(own.get().data(), own.get().size(), 0)) {}
 
 std::uint32_t server_pool::limit_of(const server_state& server) const {
   const double share = std::ceil(server.entry.slots * this->rules.slots_share);
@@ -45,7 +45,6 @@
   server_state* preferred = nullptr;
   std::uint64_t preferred_weight = 0;
   std::uint64_t least_rank = 0;
-  ++this->turn;
   for (auto& [id, server] : this->servers) {
     const bool free = server.inside < this->limit_of(server);
     if (!this->may_take(server, now) || !free || request.tried.contains(id)) {
@@ -56,9 +55,10 @@
       preferred = &server;
       preferred_weight = weight;
     }
-    // Among equally busy servers: those in this zone first, then by rotation.
+    // Among equally busy servers: those in this zone first, then in an order of this
+    // host's own, so that it uses its kept connections and others use others.
     const std::uint64_t far = server.entry.zone == this->zone ? 0 : 1;
-    const std::uint64_t rank = far << 32U | (weight_of(id, this->turn) & 0xffffffffU);
+    const std::uint64_t rank = far << 32U | (weight_of(id, this->own_key) & 0xffffffffU);
     const bool better = least == nullptr || server.inside < least->inside ||
                         (server.inside == least->inside && rank < least_rank);
     if (better) {
@@ -210,7 +210,7 @@
   return ids;
 }
 
-const std::vector<backend_server_id> server_pool::listed() const {
+std::vector<backend_server_id> server_pool::listed() const {
   std::vector<backend_server_id> ids;
   for (const auto& [id, server] : this->servers) {
     if (server.listed) {
