Reach disk hosts by way of another front host when cut off from them

Ruled out: slow disks and overload (0.04 of 0.5 cores); leaving the directory would send callers away, but the plain calls they serve need no disk. Mend: a question that a disk host does not answer in 0.2 s goes by way of the front host that reaches most; probes end the suspicion. Tests: a host whose disk addresses lead nowhere admits by the other way, and one disk is no majority by whatever way.

--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -36,7 +36,9 @@
   configuration = 2,
   backends = 3,
   hosts = 4,
-  ledger = 5
+  ledger = 5,
+  /// Passes a question on to a disk host.
+  relay = 6
 };
 
 /// What one front host knows and is, as told to another.
@@ -44,6 +46,8 @@
   host_entry self;
   bool ready = false;
   bool leaving = false;
+  /// Disk hosts that this host reaches itself.
+  std::uint32_t disks_reached = 0;
   /// 0: none yet.
   config_version configuration;
   /// When the backend servers last changed as far as this host knows.
@@ -59,8 +63,8 @@
   template <class Archive>
   void serialize(Archive& archive) {
     std::int64_t age = this->checked_ago.count();
-    archive(this->self, this->ready, this->leaving, this->configuration, this->backends_changed_at,
-            this->hosts_at, this->ledger_at, this->checked_by, age);
+    archive(this->self, this->ready, this->leaving, this->disks_reached, this->configuration,
+            this->backends_changed_at, this->hosts_at, this->ledger_at, this->checked_by, age);
     this->checked_ago = duration(age);
   }
 };
@@ -77,4 +81,16 @@
   }
 };
 
+/// A question to a disk host, passed on by a front host that reaches it.
+struct relayed_question {
+  disk_id disk;
+  std::uint16_t method = 0;
+  std::string payload;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->disk, this->method, this->payload);
+  }
+};
+
 }  // namespace hawthornlane::front
--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -9,6 +10,7 @@
 #include <unordered_map>
 
 #include "hawthornlane/discovery/fleet_state.h"
+#include "hawthornlane/front/gossip_messages.h"
 #include "hawthornlane/front/turn_cache.h"
 #include "hawthornlane/front/turn_keeper.h"
 #include "hawthornlane/net/rpc.h"
@@ -36,6 +38,17 @@
                                       net::steady_time until) override;
   void withdraw(const turn_request& turn) override;
 
+  /// Passes a question to a disk host on by way of another front host.
+  using relay_hook =
+      std::function<void(const relayed_question&, duration limit, net::rpc_done done)>;
+  void set_relay(relay_hook hook) { this->relay = std::move(hook); }
+  /// Serves another front host that does not reach a disk host itself.
+  void serve_relayed(const std::string& payload, const net::rpc_reply& reply);
+  /// Looks whether disk hosts that were not reached can be reached again.
+  void tick();
+  /// Disk hosts that this host reaches itself.
+  [[nodiscard]] std::uint32_t reached() const;
+
   [[nodiscard]] const std::optional<ledger_set>& current() const { return this->set; }
 
 private:
@@ -43,7 +56,12 @@
   struct admission_state;
   struct settle_state;
 
-  [[nodiscard]] net::rpc_client* link_to(const disk_id& disk);
+  /// Asks a disk host, itself or by way of another front host.
+  void ask(const disk_id& disk, ledger_method method, const std::string& payload, duration limit,
+           net::rpc_done done);
+  void ask_by_relay(const disk_id& disk, ledger_method method, const std::string& payload,
+                    duration limit, net::rpc_done done);
+  void suspect(const disk_id& disk);
   boost::asio::awaitable<bool> admit_once(std::shared_ptr<admission_state> state,
                                           turn_admission& result);
   void send_appends(const std::shared_ptr<admission_state>& state);
@@ -57,6 +75,8 @@
   const discovery::fleet_state& fleet;
   std::optional<ledger_set> set;
   std::map<disk_id, disk_link> links;
+  relay_hook relay;
+  net::steady_time next_probe{};
   turn_cache cache;
 };
 
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -117,6 +117,7 @@
     own.configuration = this->fleet.table() ? this->fleet.table()->version() : config_version(0);
     own.backends_changed_at = this->fleet.backends_changed_at();
     own.hosts_at = this->fleet.hosts_changed_at();
+    own.disks_reached = this->ledger.reached();
     own.ledger_at = this->ledger.current() ? this->ledger.current()->epoch : set_epoch(0);
     if (this->checks.heard()) {
       own.checked_by = this->checks.last_reader();
@@ -141,6 +142,10 @@
       this->gossip.refresh_hosts();
       this->ledger.refresh_hosts();
     });
+    this->ledger.set_relay(
+        [this](const relayed_question& question, duration limit, net::rpc_done done) {
+          this->gossip.relay(question, limit, std::move(done));
+        });
     this->listen();
     asio::co_spawn(this->context,
                    discovery::keep_registered(this->context, this->store, this->self),
@@ -153,6 +158,10 @@
     this->peers = std::make_unique<net::rpc_server>(
         this->context, this->sweeper, this->settings.peers_at,
         [this](std::uint16_t method, const std::string& payload, const net::rpc_reply& reply) {
+          if (static_cast<gossip_method>(method) == gossip_method::relay) {
+            this->ledger.serve_relayed(payload, reply);
+            return;
+          }
           reply(this->gossip.serve(static_cast<gossip_method>(method), payload));
         });
     this->serve_small(this->settings.ready_at, [this](const http::request& ask) {
@@ -307,6 +316,7 @@
     this->calls.tick();
     this->fleet.settle();
     this->gossip.tick();
+    this->ledger.tick();
     flush_log();
     const net::steady_time now = steady::now();
     if (now >= this->next_idle_sweep) {
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "hawthornlane/net/async_signal.h"
 #include "hawthornlane/net/message_bytes.h"
 #include "hawthornlane/telemetry/log.h"
@@ -16,7 +18,12 @@
 /// An append waits for a sync of 2 to 5 ms and for those before it; one that takes
 /// this long comes from a disk host in trouble.
 constexpr duration append_limit = std::chrono::milliseconds(500);
-constexpr duration read_limit = std::chrono::milliseconds(300);
+/// A healthy disk host answers within some ten milliseconds, also under load; then
+/// the question goes by way of another front host, which may still reach it.
+constexpr duration direct_patience = std::chrono::milliseconds(200);
+/// Between two probes of a disk host that is not reached.
+constexpr auto disk_probe_pause = std::chrono::milliseconds(300);
+constexpr duration read_limit = std::chrono::milliseconds(400);
 /// After a majority has the reservation, the last disk gets this long to make the
 /// second round needless: about the spread of healthy disks' syncs.
 constexpr auto last_disk_wait = std::chrono::milliseconds(4);
@@ -56,6 +63,9 @@
 struct ledger_client::disk_link {
   host_entry host;
   std::unique_ptr<net::rpc_client> link;
+  /// It did not answer in time; questions go by way of other front hosts until a
+  /// probe is answered.
+  bool suspected = false;
 };
 
 /// One try to admit a turn at one set. Shared with the answers that are still on
@@ -135,9 +145,89 @@
   }
 }
 
-net::rpc_client* ledger_client::link_to(const disk_id& disk) {
+void ledger_client::suspect(const disk_id& disk) {
+  disk_link& known = this->links.at(disk);
+  if (!known.suspected) {
+    known.suspected = true;
+    log(event::host_silent, {{"peer", known.host.name.get()}, {"detail", "disk host"}});
+  }
+}
+
+void ledger_client::ask_by_relay(const disk_id& disk, ledger_method method,
+                                 const std::string& payload, duration limit, net::rpc_done done) {
+  const relayed_question question{disk, static_cast<std::uint16_t>(method), payload};
+  this->relay(question, limit, std::move(done));
+}
+
+void ledger_client::ask(const disk_id& disk, ledger_method method, const std::string& payload,
+                        duration limit, net::rpc_done done) {
   const auto found = this->links.find(disk);
-  return found == this->links.end() ? nullptr : found->second.link.get();
+  if (found == this->links.end() || found->second.suspected) {
+    this->ask_by_relay(disk, method, payload, limit, std::move(done));
+    return;
+  }
+  const duration direct_limit = std::min(limit, direct_patience);
+  const auto retry = [this, disk, method, payload, rest = limit - direct_limit,
+                      done = std::move(done)](net::rpc_failure why, std::string answer) {
+    const bool silent = why == net::rpc_failure::unknown || why == net::rpc_failure::unreachable;
+    if (!silent) {
+      done(why, std::move(answer));
+      return;
+    }
+    this->suspect(disk);
+    if (rest <= duration::zero()) {
+      done(why, {});
+      return;
+    }
+    this->ask_by_relay(disk, method, payload, rest, done);
+  };
+  found->second.link->call(static_cast<std::uint16_t>(method), payload, direct_limit, retry);
+}
+
+void ledger_client::serve_relayed(const std::string& payload, const net::rpc_reply& reply) {
+  const auto question = from_bytes<relayed_question>(payload);
+  const auto found = question ? this->links.find(question->disk) : this->links.end();
+  // Passed on once only: a host that does not reach the disk host says so.
+  if (found == this->links.end() || found->second.suspected) {
+    reply(std::nullopt);
+    return;
+  }
+  found->second.link->call(question->method, question->payload, direct_patience,
+                           [reply](net::rpc_failure why, std::string answer) {
+                             const bool good = why == net::rpc_failure::none;
+                             reply(good ? std::optional(std::move(answer)) : std::nullopt);
+                           });
+}
+
+void ledger_client::tick() {
+  const net::steady_time now = steady::now();
+  if (now < this->next_probe) {
+    return;
+  }
+  this->next_probe = now + disk_probe_pause;
+  for (auto& [disk, known] : this->links) {
+    if (!known.suspected) {
+      continue;
+    }
+    known.link->call(static_cast<std::uint16_t>(ledger_method::probe), "", direct_patience,
+                     [this, disk = disk](net::rpc_failure why, const std::string& bytes) {
+                       const auto answer = from_bytes<probe_answer>(bytes);
+                       const auto found = this->links.find(disk);
+                       if (why != net::rpc_failure::none || !answer || answer->disk != disk ||
+                           found == this->links.end()) {
+                         return;
+                       }
+                       found->second.suspected = false;
+                       log(event::host_reachable,
+                           {{"peer", found->second.host.name.get()}, {"detail", "disk host"}});
+                     });
+  }
+}
+
+std::uint32_t ledger_client::reached() const {
+  return static_cast<std::uint32_t>(
+      std::count_if(this->links.begin(), this->links.end(),
+                    [](const auto& item) { return !item.second.suspected; }));
 }
 
 void ledger_client::note_stale(const std::optional<ledger_set>& newest) {
@@ -152,26 +242,21 @@
   request.record = record_of(state->turn, reservation_phase::open, token_count(0));
   const std::string bytes = to_bytes(request);
   for (const disk_id& disk : state->set.all()) {
-    net::rpc_client* link = this->link_to(disk);
-    if (link == nullptr) {
-      state->check.on_append_failed(disk);
-      continue;
-    }
-    link->call(static_cast<std::uint16_t>(ledger_method::append), bytes, append_limit,
-               [this, state, disk](net::rpc_failure why, const std::string& payload) {
-                 const auto answer = why == net::rpc_failure::none
-                                         ? from_bytes<program_answer>(payload)
-                                         : std::nullopt;
-                 if (!answer || answer->disk != disk) {
-                   state->check.on_append_failed(disk);
-                 } else if (answer->stale) {
-                   state->stale = true;
-                   this->note_stale(answer->newest);
-                 } else {
-                   state->check.on_append(*answer);
-                 }
-                 state->signal.wake();
-               });
+    this->ask(disk, ledger_method::append, bytes, append_limit,
+              [this, state, disk](net::rpc_failure why, const std::string& payload) {
+                const auto answer = why == net::rpc_failure::none
+                                        ? from_bytes<program_answer>(payload)
+                                        : std::nullopt;
+                if (!answer || answer->disk != disk) {
+                  state->check.on_append_failed(disk);
+                } else if (answer->stale) {
+                  state->stale = true;
+                  this->note_stale(answer->newest);
+                } else {
+                  state->check.on_append(*answer);
+                }
+                state->signal.wake();
+              });
   }
 }
 
@@ -179,52 +264,42 @@
   state->collecting = true;
   const std::string bytes = to_bytes(collect_request{state->set.epoch, state->turn.program});
   for (const disk_id& disk : state->set.all()) {
-    net::rpc_client* link = this->link_to(disk);
-    if (link == nullptr) {
-      state->check.on_collect_failed(disk);
-      continue;
-    }
-    link->call(static_cast<std::uint16_t>(ledger_method::collect), bytes, read_limit,
-               [this, state, disk](net::rpc_failure why, const std::string& payload) {
-                 const auto answer = why == net::rpc_failure::none
-                                         ? from_bytes<program_answer>(payload)
-                                         : std::nullopt;
-                 if (!answer || answer->disk != disk) {
-                   state->check.on_collect_failed(disk);
-                 } else if (answer->stale) {
-                   state->stale = true;
-                   this->note_stale(answer->newest);
-                 } else {
-                   state->check.on_collect(*answer);
-                 }
-                 state->signal.wake();
-               });
+    this->ask(disk, ledger_method::collect, bytes, read_limit,
+              [this, state, disk](net::rpc_failure why, const std::string& payload) {
+                const auto answer = why == net::rpc_failure::none
+                                        ? from_bytes<program_answer>(payload)
+                                        : std::nullopt;
+                if (!answer || answer->disk != disk) {
+                  state->check.on_collect_failed(disk);
+                } else if (answer->stale) {
+                  state->stale = true;
+                  this->note_stale(answer->newest);
+                } else {
+                  state->check.on_collect(*answer);
+                }
+                state->signal.wake();
+              });
   }
 }
 
 void ledger_client::send_chain_reads(const std::shared_ptr<admission_state>& state) {
   const std::string bytes = to_bytes(chain_request{state->set.epoch, *state->turn.previous});
   for (const disk_id& disk : state->set.all()) {
-    net::rpc_client* link = this->link_to(disk);
-    if (link == nullptr) {
-      state->chain.on_failed(disk);
-      continue;
-    }
-    link->call(static_cast<std::uint16_t>(ledger_method::chain), bytes, read_limit,
-               [this, state, disk](net::rpc_failure why, const std::string& payload) {
-                 const auto answer = why == net::rpc_failure::none
-                                         ? from_bytes<chain_answer>(payload)
-                                         : std::nullopt;
-                 if (!answer || answer->disk != disk) {
-                   state->chain.on_failed(disk);
-                 } else if (answer->stale) {
-                   state->stale = true;
-                   this->note_stale(answer->newest);
-                 } else {
-                   state->chain.on_answer(*answer);
-                 }
-                 state->signal.wake();
-               });
+    this->ask(disk, ledger_method::chain, bytes, read_limit,
+              [this, state, disk](net::rpc_failure why, const std::string& payload) {
+                const auto answer = why == net::rpc_failure::none
+                                        ? from_bytes<chain_answer>(payload)
+                                        : std::nullopt;
+                if (!answer || answer->disk != disk) {
+                  state->chain.on_failed(disk);
+                } else if (answer->stale) {
+                  state->stale = true;
+                  this->note_stale(answer->newest);
+                } else {
+                  state->chain.on_answer(*answer);
+                }
+                state->signal.wake();
+              });
   }
 }
 
@@ -350,26 +425,21 @@
     const std::string bytes = to_bytes(request);
     const auto state = std::make_shared<settle_state>(this->context, *this->set);
     for (const disk_id& disk : this->set->all()) {
-      net::rpc_client* link = this->link_to(disk);
-      if (link == nullptr) {
-        state->round.failed(disk);
-        continue;
-      }
-      link->call(static_cast<std::uint16_t>(ledger_method::append), bytes, append_limit,
-                 [this, state, disk](net::rpc_failure why, const std::string& payload) {
-                   const auto answer = why == net::rpc_failure::none
-                                           ? from_bytes<program_answer>(payload)
-                                           : std::nullopt;
-                   if (!answer || answer->disk != disk) {
-                     state->round.failed(disk);
-                   } else if (answer->stale) {
-                     state->stale = true;
-                     this->note_stale(answer->newest);
-                   } else {
-                     state->round.answered(disk);
-                   }
-                   state->signal.wake();
-                 });
+      this->ask(disk, ledger_method::append, bytes, append_limit,
+                [this, state, disk](net::rpc_failure why, const std::string& payload) {
+                  const auto answer = why == net::rpc_failure::none
+                                          ? from_bytes<program_answer>(payload)
+                                          : std::nullopt;
+                  if (!answer || answer->disk != disk) {
+                    state->round.failed(disk);
+                  } else if (answer->stale) {
+                    state->stale = true;
+                    this->note_stale(answer->newest);
+                  } else {
+                    state->round.answered(disk);
+                  }
+                  state->signal.wake();
+                });
     }
     while (!state->round.majority() && !state->round.hopeless() && !state->stale &&
            steady::now() < until) {
@@ -401,13 +471,11 @@
   request.record = record_of(turn, reservation_phase::withdrawn, token_count(0));
   const std::string bytes = to_bytes(request);
   for (const disk_id& disk : this->set->all()) {
-    if (net::rpc_client* link = this->link_to(disk)) {
-      link->call(static_cast<std::uint16_t>(ledger_method::append), bytes, append_limit,
-                 [](net::rpc_failure, const std::string&) {
-                   // Without the withdrawal the reservation counts in full: a later
-                   // turn may be refused too early, but the budget holds.
-                 });
-    }
+    this->ask(disk, ledger_method::append, bytes, append_limit,
+              [](net::rpc_failure, const std::string&) {
+                // Without the withdrawal the reservation counts in full: a later turn
+                // may be refused too early, but the budget holds.
+              });
   }
 }
 
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -135,6 +135,25 @@
   }
 }
 
+void peer_gossip::relay(const relayed_question& question, duration limit, net::rpc_done done) {
+  const net::steady_time now = steady::now();
+  peer* best = nullptr;
+  for (const auto& [name, other] : this->peers) {
+    if (now - other->heard_at >= silence || other->heard.disks_reached == 0) {
+      continue;
+    }
+    if (best == nullptr || other->heard.disks_reached > best->heard.disks_reached) {
+      best = other.get();
+    }
+  }
+  if (best == nullptr) {
+    done(net::rpc_failure::unreachable, {});
+    return;
+  }
+  best->link->call(static_cast<std::uint16_t>(gossip_method::relay), to_bytes(question), limit,
+                   std::move(done));
+}
+
 std::size_t peer_gossip::rank() const {
   const net::steady_time now = steady::now();
   const host_id own = this->hooks.self().self.name;
@@ -239,6 +258,9 @@
       const auto set = this->hooks.ledger();
       return set ? std::optional(to_bytes(*set)) : std::nullopt;
     }
+    case gossip_method::relay:
+      // Served by the ledger, which answers later.
+      return std::nullopt;
   }
   return std::nullopt;
 }
--- a/libs/front/test/gossip_messages_test.cc
+++ b/libs/front/test/gossip_messages_test.cc
@@ -21,6 +21,7 @@
   digest.self.peers_at = {"10.0.0.1", 81};
   digest.ready = true;
   digest.leaving = true;
+  digest.disks_reached = 3;
   digest.configuration = config_version(9);
   digest.backends_changed_at = store_revision(11);
   digest.hosts_at = store_revision(12);
@@ -39,6 +40,7 @@
   CHECK(read->self == sent.self);
   CHECK(read->ready);
   CHECK(read->leaving);
+  CHECK(read->disks_reached == 3);
   CHECK(read->configuration == sent.configuration);
   CHECK(read->backends_changed_at == sent.backends_changed_at);
   CHECK(read->hosts_at == sent.hosts_at);
--- /dev/null
+++ b/libs/front/test/ledger_client_test.cc
@@ -0,0 +1,113 @@
+// A front host that does not reach the disk hosts asks by way of another one.
+#include "hawthornlane/front/ledger_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include "hawthornlane/net/message_bytes.h"
+#include "hawthornlane/turn_ledger/ledger_copy.h"
+
+using namespace hawthornlane;
+using namespace hawthornlane::front;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// Three disks whose addresses lead nowhere; another front host reaches some.
+class cut_off_host {
+public:
+  explicit cut_off_host(std::set<disk_id> reached_by_peer)
+      : sweeper(context), ledger(context, sweeper, fleet), reached(std::move(reached_by_peer)) {
+    std::vector<host_entry> hosts;
+    for (const char* name : {"a", "b", "c"}) {
+      host_entry entry;
+      entry.name = host_id(name);
+      entry.role = host_role::disk;
+      entry.disk = name;
+      // Port 1 has no listener: the connection is reset at once.
+      entry.peers_at = {"127.0.0.1", 1};
+      hosts.push_back(entry);
+    }
+    this->fleet.list_hosts(store_revision(1), hosts);
+    this->ledger.refresh_hosts();
+    this->ledger.take_set({set_epoch(1), {disk_id("a"), disk_id("b"), disk_id("c")}, {}}, "test");
+    this->ledger.set_relay([this](const relayed_question& question, duration, net::rpc_done done) {
+      this->relay(question, done);
+    });
+  }
+
+  turn_admission admit(const turn_request& turn) {
+    turn_admission result;
+    bool done = false;
+    asio::co_spawn(
+        this->context,
+        [&]() -> asio::awaitable<void> {
+          const net::steady_time until = std::chrono::steady_clock::now() + 2s;
+          result = co_await this->ledger.admit(turn, until);
+          done = true;
+        },
+        asio::detached);
+    while (!done) {
+      this->context.run_one();
+    }
+    return result;
+  }
+
+  int relayed = 0;
+  std::map<disk_id, ledger_copy> copies;
+
+private:
+  void relay(const relayed_question& question, const net::rpc_done& done) {
+    ++this->relayed;
+    if (!this->reached.contains(question.disk)) {
+      done(net::rpc_failure::refused, {});
+      return;
+    }
+    ledger_copy& copy = this->copies[question.disk];
+    program_answer answer;
+    answer.disk = question.disk;
+    if (const auto request = from_bytes<append_request>(question.payload)) {
+      copy.apply(request->record);
+      answer.reservations = copy.reservations_of(request->record.program);
+    } else if (const auto collect = from_bytes<collect_request>(question.payload)) {
+      answer.reservations = copy.reservations_of(collect->program);
+    }
+    done(net::rpc_failure::none, to_bytes(answer));
+  }
+
+  asio::io_context context;
+  net::deadline_sweeper sweeper;
+  discovery::fleet_state fleet;
+  ledger_client ledger;
+  std::set<disk_id> reached;
+};
+
+turn_request turn(const std::string& id) {
+  turn_request request;
+  request.id = request_id(id);
+  request.program = program_id("p");
+  request.most = token_count(30);
+  request.budget = token_count(70);
+  request.retention = 60s;
+  return request;
+}
+
+}  // namespace
+
+TEST_CASE("questions go by way of a front host that reaches the disk hosts") {
+  cut_off_host host({disk_id("a"), disk_id("b")});
+  CHECK(host.admit(turn("t1")).kind == admission_kind::admitted);
+  CHECK(host.admit(turn("t2")).kind == admission_kind::admitted);
+  CHECK(host.admit(turn("t3")).kind == admission_kind::over_budget);
+  CHECK(host.relayed > 0);
+  CHECK(host.copies[disk_id("a")].reservations_of(program_id("p")).size() == 3);
+}
+
+TEST_CASE("one disk host alone does not make a majority, by whatever way") {
+  cut_off_host host({disk_id("a")});
+  const turn_admission admission = host.admit(turn("t1"));
+  CHECK(admission.kind == admission_kind::unavailable);
+  CHECK_FALSE(admission.detail.empty());
+}
