Satisfy the linter in the new libraries

Cause: clang-tidy found three places (two classes with a destructor but no say about copies, one constant that could not be moved out of). Ruled out: others; the whole of the new sources was looked at.

--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -24,6 +24,8 @@
 public:
   ledger_client(boost::asio::io_context& context, net::deadline_sweeper& sweeper,
                 const discovery::fleet_state& fleet);
+  ledger_client(const ledger_client&) = delete;
+  ledger_client& operator=(const ledger_client&) = delete;
   ~ledger_client() override;
 
   /// Takes the set of disks out of the hosts' objects, if it is there and newer.
--- a/libs/relay/src/framing.cc
+++ b/libs/relay/src/framing.cc
@@ -126,8 +126,7 @@
     if (line.empty()) {
       break;
     }
-    const std::optional<std::string> fault =
-        first ? request_line_fault(line) : line_fault(line, seen);
+    std::optional<std::string> fault = first ? request_line_fault(line) : line_fault(line, seen);
     if (fault) {
       return fault;
     }
--- a/libs/turn_log/src/turn_log.cc
+++ b/libs/turn_log/src/turn_log.cc
@@ -114,6 +114,8 @@
         sizes(std::move(found)),
         on_durable(std::move(told)),
         writer([this] { this->run(); }) {}
+  segmented_log(const segmented_log&) = delete;
+  segmented_log& operator=(const segmented_log&) = delete;
   ~segmented_log() override {
     {
       const std::lock_guard lock(this->mutex);
