Keep callers in their zone, and probe other hosts less often when there are many

Cause: bytes between zones and gossip of all with all (57 hosts: 8,000 probes a second) are paid for; a call across zones takes 3 ms more each way. Mend: address_choice (a decision with a table test) names the caller's own zone while it has two ready hosts and half an even share; probes wait 16 ms for each other host, 0.4 s at least.

--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -56,6 +56,9 @@
 private:
   struct peer;
 
+  [[nodiscard]] std::chrono::milliseconds probe_pause() const;
+  /// After this long without a word another host counts as gone.
+  [[nodiscard]] std::chrono::milliseconds silence() const;
   void probe(peer& other);
   void hear(peer& other, const gossip_digest& digest);
   void pull(peer& other);
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "hawthornlane/discovery/registration.h"
+#include "hawthornlane/front/address_choice.h"
 #include "hawthornlane/front/call_service.h"
 #include "hawthornlane/front/ledger_client.h"
 #include "hawthornlane/front/peer_gossip.h"
@@ -202,16 +203,15 @@
   }
 
   http::response addresses(const http::request& ask) {
-    if (!platform_adapter::address_question_from(ask)) {
+    const auto question = platform_adapter::address_question_from(ask);
+    if (!question) {
       return platform_adapter::state_answer(false);
     }
-    std::vector<std::string> list;
+    std::vector<host_entry> ready = this->gossip.ready_hosts();
     if (this->ready()) {
-      list.push_back(this->self.callers_at);
-    }
-    for (const host_entry& other : this->gossip.ready_hosts()) {
-      list.push_back(other.callers_at);
+      ready.push_back(this->self);
     }
+    const std::vector<std::string> list = addresses_for(question->zone, ready);
     if (list.empty()) {
       return platform_adapter::state_answer(false);
     }
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -1,6 +1,8 @@
 // Front hosts tell each other that they live and what they know.
 #include "hawthornlane/front/peer_gossip.h"
 
+#include <algorithm>
+
 #include "hawthornlane/telemetry/log.h"
 
 namespace hawthornlane::front {
@@ -8,11 +10,14 @@
 
 using steady = std::chrono::steady_clock;
 
-/// Between two probes of each other host. A host that has died is left out of
-/// address answers after `silence`, within the time that callers keep an answer.
-constexpr auto probe_pause = std::chrono::milliseconds(400);
+/// Between two probes of each other host, at least, and for each other host: what
+/// probes cost a host grows with their number, so many hosts probe more slowly.
+constexpr std::chrono::milliseconds least_probe_pause{400};
+constexpr std::chrono::milliseconds probe_pause_each{16};
+/// A host that has missed so many probes is left out of address answers.
+constexpr int probes_missed = 3;
+constexpr std::chrono::milliseconds probe_slack{100};
 constexpr duration probe_limit = std::chrono::milliseconds(600);
-constexpr auto silence = std::chrono::milliseconds(1300);
 /// Another host that knows more is asked for it only when it still knows more after
 /// this long: mostly the store's own news are just on their way.
 constexpr auto pull_after = std::chrono::milliseconds(120);
@@ -39,6 +44,14 @@
 
 peer_gossip::~peer_gossip() = default;
 
+std::chrono::milliseconds peer_gossip::probe_pause() const {
+  return std::max(least_probe_pause, probe_pause_each * static_cast<int>(this->peers.size()));
+}
+
+std::chrono::milliseconds peer_gossip::silence() const {
+  return this->probe_pause() * probes_missed + probe_slack;
+}
+
 void peer_gossip::add_peer(const host_entry& entry) {
   if (entry.role != host_role::front || entry.name == this->hooks.self().self.name) {
     return;
@@ -62,7 +75,7 @@
   const auto& listed = this->fleet.hosts().listed();
   const net::steady_time now = steady::now();
   std::erase_if(this->peers, [&](const auto& item) {
-    return !listed.contains(item.first) && now - item.second->heard_at > silence;
+    return !listed.contains(item.first) && now - item.second->heard_at > this->silence();
   });
   for (const auto& [name, entry] : listed) {
     this->add_peer(entry);
@@ -74,14 +87,14 @@
   if (now < this->next_probe) {
     return;
   }
-  this->next_probe = now + probe_pause;
+  this->next_probe = now + this->probe_pause();
   this->tell_all();
 }
 
 void peer_gossip::tell_all() {
   const net::steady_time now = steady::now();
   for (const auto& [name, other] : this->peers) {
-    if (other->reachable && now - other->heard_at > silence) {
+    if (other->reachable && now - other->heard_at > this->silence()) {
       other->reachable = false;
       log(event::host_silent, {{"peer", name.get()}});
     }
@@ -139,7 +152,7 @@
   const net::steady_time now = steady::now();
   peer* best = nullptr;
   for (const auto& [name, other] : this->peers) {
-    if (now - other->heard_at >= silence || other->heard.disks_reached == 0) {
+    if (now - other->heard_at > this->silence() || other->heard.disks_reached == 0) {
       continue;
     }
     if (best == nullptr || other->heard.disks_reached > best->heard.disks_reached) {
@@ -159,7 +172,7 @@
   const host_id own = this->hooks.self().self.name;
   std::size_t before = 0;
   for (const auto& [name, other] : this->peers) {
-    before += name < own && now - other->heard_at < silence ? 1 : 0;
+    before += name < own && now - other->heard_at < this->silence() ? 1 : 0;
   }
   return before;
 }
@@ -269,7 +282,7 @@
   const net::steady_time now = steady::now();
   std::vector<host_entry> ready;
   for (const auto& [name, other] : this->peers) {
-    if (other->heard.ready && !other->heard.leaving && now - other->heard_at < silence) {
+    if (other->heard.ready && !other->heard.leaving && now - other->heard_at < this->silence()) {
       ready.push_back(other->entry);
     }
   }
