--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -14,6 +14,9 @@
   return XXH64(server.get().data(), server.get().size(), key);
 }
 
+/// Set in the weight of a server of this zone, above all others.
+constexpr std::uint64_t near_bit = std::uint64_t{1} << 63U;
+
 }  // namespace
 
 server_pool::server_pool(pool_rules with, const host_id& own, availability_zone here)
@@ -50,14 +53,18 @@
     if (!this->may_take(server, now) || !free || request.tried.contains(id)) {
       continue;
     }
-    const std::uint64_t weight = request.affinity == 0 ? 0 : weight_of(id, request.affinity);
+    const bool near = server.entry.zone == this->zone;
+    // An object's server is one of this zone where it has any: callers stay in their
+    // zone, so its front hosts agree, and prompts are the most of all bytes.
+    const std::uint64_t weight =
+        request.affinity == 0 ? 0 : weight_of(id, request.affinity) >> 1U | (near ? near_bit : 0);
     if (request.affinity != 0 && (preferred == nullptr || weight > preferred_weight)) {
       preferred = &server;
       preferred_weight = weight;
     }
     // Among equally busy servers: those in this zone first, then in an order of this
     // host's own, so that it uses its kept connections and others use others.
-    const std::uint64_t far = server.entry.zone == this->zone ? 0 : 1;
+    const std::uint64_t far = near ? 0 : 1;
     const std::uint64_t rank = far << 32U | (weight_of(id, this->own_key) & 0xffffffffU);
     const bool better = least == nullptr || server.inside < least->inside ||
                         (server.inside == least->inside && rank < least_rank);
--- a/libs/placement/test/server_pool_test.cc
+++ b/libs/placement/test/server_pool_test.cc
@@ -74,6 +74,17 @@
   CHECK(pool.last_server() != home);
 }
 
+TEST_CASE("an object's server is in this zone while one there is not much busier") {
+  pool_fixture pool({server("far-1", "there"), server("far-2", "there"), server("near")});
+  for (std::uint64_t object = 1; object < 20; ++object) {
+    placement_request request = call(object);
+    request.affinity = object * 7919;
+    pool.submit(request);
+    CHECK(pool.last_server() == "near");
+    pool.pool.finished(request.id, server_outcome::answered, at(1s));
+  }
+}
+
 TEST_CASE("what waits goes by priority, then by when it is wanted") {
   pool_fixture pool({server("a")});
   pool.submit(call(1));
