Keep a retiring disk for half of its time, and read a joining disk's address at once

Ruled out: copying (8 MB, some 100 ms). Mend: without a spare a retiring disk leaves only after half of the time given; a front host whose set names an unknown disk reads the hosts at once. Also: a refusal while no server of a service is registered names a later return.

--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
-#include <set>
 
 #include "hawthornlane/discovery/fleet_state.h"
 #include "hawthornlane/discovery/registration.h"
@@ -81,8 +80,12 @@
   host_entry self;
   std::optional<ledger_set> set;
   store_revision set_revision;
-  std::set<host_id> retiring;
-  std::set<host_id> completed;
+  /// Hosts to be emptied, and since when this host knows.
+  struct known_retirement {
+    platform_adapter::retirement request;
+    net::steady_time since;
+  };
+  std::map<host_id, known_retirement> retirements;
   net::steady_time started = steady::now();
   net::steady_time next_probe{};
   net::steady_time next_duty{};
@@ -169,7 +172,7 @@
     discovery::follower_hooks retirements;
     retirements.on_reachable = [](bool, const std::string&) {};
     retirements.on_listing = [this](const object_page& page) {
-      this->retiring.clear();
+      this->retirements.clear();
       this->take_retirements(page);
     };
     retirements.on_changes = [this](const object_page& page) { this->take_retirements(page); };
@@ -181,13 +184,18 @@
     for (const auto& item : page.items) {
       const host_id name(item.object.name);
       if (item.removed) {
-        this->retiring.erase(name);
+        this->retirements.erase(name);
         continue;
       }
-      this->retiring.insert(name);
-      if (platform_adapter::is_retirement_completed(item.object)) {
-        this->completed.insert(name);
+      failure reason;
+      const auto request = platform_adapter::retirement_from(item.object, reason);
+      if (!request) {
+        log(event::platform_unreachable, {{"detail", "retirement: " + reason.detail}});
+        continue;
       }
+      const auto known = this->retirements.find(name);
+      const bool is_new = known == this->retirements.end();
+      this->retirements[name] = {*request, is_new ? steady::now() : known->second.since};
     }
   }
 
@@ -269,6 +277,15 @@
     }
   }
 
+  bool is_retiring(const host_id& name) const { return this->retirements.contains(name); }
+
+  /// Half of the time to empty a host is left for a spare to come.
+  bool must_leave(const host_id& name) const {
+    const auto known = this->retirements.find(name);
+    return known != this->retirements.end() &&
+           steady::now() - known->second.since >= known->second.request.within / 2;
+  }
+
   set_view view() const {
     const net::steady_time now = steady::now();
     const bool of_two = this->set && this->set->members.size() == 2;
@@ -277,10 +294,11 @@
     view.self = this->ledger.identity();
     view.set = this->set;
     view.wanted = std::size_t{2} * this->settings.tolerated_losses + 1;
-    view.disks.push_back({view.self, true, this->retiring.contains(this->self.name), this->copied});
+    view.disks.push_back({view.self, true, this->is_retiring(this->self.name),
+                          this->must_leave(this->self.name), this->copied});
     for (const auto& [name, other] : this->peers) {
       view.disks.push_back({disk_id(other.entry.disk), now - other.heard_at < wait,
-                            this->retiring.contains(name), other.heard.copied});
+                            this->is_retiring(name), this->must_leave(name), other.heard.copied});
     }
     return view;
   }
@@ -447,7 +465,8 @@
   /// Tells the platform that this host may be taken away, once no set holds its disk.
   static asio::awaitable<void> complete_retirement(std::shared_ptr<state> self) {
     const host_id& own = self->self.name;
-    if (!self->retiring.contains(own) || self->completed.contains(own) || !self->set) {
+    const auto known = self->retirements.find(own);
+    if (known == self->retirements.end() || known->second.request.completed || !self->set) {
       co_return;
     }
     const std::vector<disk_id> holders = self->set->all();
@@ -461,7 +480,7 @@
         co_await self->store.set_status(object_kind::retirements, own.get(),
                                         platform_adapter::retirement_completed_status(), reason);
     if (outcome == store_outcome::done) {
-      self->completed.insert(own);
+      self->retirements.at(own).request.completed = true;
     }
   }
 };
--- a/libs/errors/include/hawthornlane/errors/error_kind.h
+++ b/libs/errors/include/hawthornlane/errors/error_kind.h
@@ -41,6 +41,7 @@
   deadline_exceeded,
   turn_unknown,
   history_unavailable,
+  no_listed_server,
   internal,
 };
 
--- a/libs/errors/src/error_kind.cc
+++ b/libs/errors/src/error_kind.cc
@@ -70,6 +70,8 @@
                  "the turn that this one goes on from does not exist"},
     error_answer{history_unavailable, "history_unavailable", 503, outcome::not_run, true,
                  "too few disk hosts answer to read or keep what was said"},
+    error_answer{no_listed_server, "no_listed_server", 503, outcome::not_run, true,
+                 "no backend server of the service is registered"},
     error_answer{internal, "internal", 500, outcome::may_have_run, false, "a fault in the host"},
 };
 
--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -48,6 +48,8 @@
   void serve_relayed(const std::string& payload, const net::rpc_reply& reply);
   /// Looks whether disk hosts that were not reached can be reached again.
   void tick();
+  /// The set names a disk whose host is not known yet.
+  [[nodiscard]] bool lacks_address() const;
   /// Disk hosts that this host reaches itself.
   [[nodiscard]] std::uint32_t reached() const;
 
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -32,9 +32,10 @@
 /// Spreads callers that were refused together over twice that time.
 constexpr double retry_spread = 0.25;
 
-/// While too few disk hosts answer, a refused turn comes back after about the time
-/// that a set takes to change; its program has few tries, and they must span that.
-constexpr double ledger_retry_seconds = 0.8;
+/// While too few disk hosts answer, or no server is listed after an outage of the
+/// store, a refused call comes back after about half the time that such a state
+/// takes to end; its program has few tries, and they must span that.
+constexpr double recovery_retry_seconds = 0.8;
 
 std::uint64_t hash_of(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
 
@@ -221,8 +222,10 @@
   std::vector<http::header> headers{{"Content-Type", "application/json"}};
   if (row.retry_later) {
     const double part = static_cast<double>(hash_of(id) % 1000) / 1000;
-    const double least =
-        why.kind == error_kind::history_unavailable ? ledger_retry_seconds : retry_seconds;
+    const bool long_wait = why.kind == error_kind::history_unavailable ||
+                           why.kind == error_kind::not_ready ||
+                           why.kind == error_kind::no_listed_server;
+    const double least = long_wait ? recovery_retry_seconds : retry_seconds;
     headers.push_back({"Retry-After", fmt::format("{:.2f}", least + retry_spread * part)});
   }
   this->metrics.count(fmt::format("refused_{}", row.name));
@@ -294,8 +297,9 @@
       break;
     }
     if (!got.server) {
-      const failure why{error_kind::no_backend_server,
-                        one.detail.empty() ? "no server can take it in its time" : one.detail};
+      const bool none_listed = pool.listed().empty();
+      failure why{none_listed ? error_kind::no_listed_server : error_kind::no_backend_server,
+                  one.detail.empty() ? "no server can take it in its time" : one.detail};
       co_await this->give_up(one, why);
       break;
     }
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -40,8 +40,8 @@
 constexpr duration turn_away_before = std::chrono::milliseconds(3200);
 /// Hosts change seldom, and their changes are learnt from refusals too.
 constexpr auto host_check_pause = std::chrono::seconds(3);
-/// Between two tries of a new host to learn of the others.
-constexpr auto host_read_pause = std::chrono::milliseconds(400);
+/// Between two reads of a host that lacks the others' addresses.
+constexpr auto host_read_pause = std::chrono::milliseconds(300);
 /// Between two sweeps over idle connections to servers.
 constexpr auto idle_pause = std::chrono::seconds(1);
 
@@ -71,6 +71,8 @@
   discovery::fleet_state fleet;
   check_schedule checks;
   bool checking = false;
+  bool reading_hosts = false;
+  net::steady_time next_host_read{};
   net::steady_time next_host_check{};
   call_metrics metrics;
   relay::backend_pool backends;
@@ -151,7 +153,6 @@
     asio::co_spawn(this->context,
                    discovery::keep_registered(this->context, this->store, this->self),
                    asio::detached);
-    asio::co_spawn(this->context, read_hosts(this->shared_from_this()), asio::detached);
     this->sweeper.on_pass([this] { this->on_pass(); });
   }
 
@@ -323,6 +324,10 @@
       this->next_idle_sweep = now + idle_pause;
       this->close_idle();
     }
+    const bool hosts_wanted = !this->fleet.hosts().heard() || this->ledger.lacks_address();
+    if (hosts_wanted && !this->reading_hosts && now >= this->next_host_read) {
+      asio::co_spawn(this->context, read_hosts(this->shared_from_this()), asio::detached);
+    }
     if (!this->checking && this->checks.due(discovery::scheduler_now(), this->gossip.rank())) {
       asio::co_spawn(this->context, check_store(this->shared_from_this()), asio::detached);
     }
@@ -362,20 +367,19 @@
     self->checking = false;
   }
 
-  /// A new host needs the others' addresses to hear the rest from them.
+  /// Reads the other hosts' entries: a new host needs them to hear the rest from
+  /// them, and a new disk's host cannot be asked before its address is known.
   static asio::awaitable<void> read_hosts(std::shared_ptr<state> self) {
-    while (!self->fleet.hosts().heard()) {
-      failure reason;
-      object_page page;
-      const auto outcome = co_await self->store.list(object_kind::hosts, page, reason);
-      if (outcome == platform_adapter::store_outcome::done) {
-        self->ledger.take_set(page);
-        self->fleet.list_hosts(page.at, discovery::host_entries_of(page));
-        co_return;
-      }
-      net::async_signal pause(self->context);
-      co_await pause.wait_until(steady::now() + host_read_pause);
+    self->reading_hosts = true;
+    self->next_host_read = steady::now() + host_read_pause;
+    failure reason;
+    object_page page;
+    const auto outcome = co_await self->store.list(object_kind::hosts, page, reason);
+    if (outcome == platform_adapter::store_outcome::done) {
+      self->ledger.take_set(page);
+      self->fleet.list_hosts(page.at, discovery::host_entries_of(page));
     }
+    self->reading_hosts = false;
   }
 
   void close_idle() {
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -224,6 +224,15 @@
   }
 }
 
+bool ledger_client::lacks_address() const {
+  if (!this->set) {
+    return false;
+  }
+  const std::vector<disk_id> disks = this->set->all();
+  return std::any_of(disks.begin(), disks.end(),
+                     [this](const disk_id& disk) { return !this->links.contains(disk); });
+}
+
 std::uint32_t ledger_client::reached() const {
   return static_cast<std::uint32_t>(
       std::count_if(this->links.begin(), this->links.end(),
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/set_change.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/set_change.h
@@ -18,6 +18,8 @@
   bool reachable = true;
   /// The operator wants its host emptied.
   bool retiring = false;
+  /// So much of the time to empty it has passed that it leaves without a spare.
+  bool must_leave = false;
   /// The epoch of the joint set up to which it has copied.
   set_epoch copied;
 };
--- a/libs/turn_ledger/src/set_change.cc
+++ b/libs/turn_ledger/src/set_change.cc
@@ -110,12 +110,16 @@
 set_decision decide_single(const set_view& view, const ledger_set& set) {
   std::vector<disk_id> lost;
   std::vector<disk_id> retiring;
+  std::vector<disk_id> due;
   for (const disk_id& disk : set.members) {
     const disk_view* item = find(view, disk);
     if (item == nullptr || !item->reachable) {
       lost.push_back(disk);
     } else if (item->retiring) {
       retiring.push_back(disk);
+      if (item->must_leave) {
+        due.push_back(disk);
+      }
     }
   }
   std::vector<disk_id> spares;
@@ -153,8 +157,9 @@
     return {set_step::propose, proposed, leaving.empty() ? "too few disks" : "replacement"};
   }
   const bool may_shrink = lost.empty() && set.members.size() > least_members;
-  if (!retiring.empty() && may_shrink) {
-    const std::vector<disk_id> rest = without(set.members, retiring.front());
+  // Until then it still counts: a set that shrinks early bears no loss meanwhile.
+  if (!due.empty() && may_shrink) {
+    const std::vector<disk_id> rest = without(set.members, due.front());
     if (first_reachable(view, rest) != view.self) {
       return {};
     }
