Refuse older sets of disks as soon as a newer one is known

Ruled out: detection (1 s, as meant) and the store (two updates in 50 ms). Mend: a disk raises its fence when it learns of a newer set; refusing is always safe. Test: askers of an older set learn of the newest (failed before).

--- a/libs/disk/include/hawthornlane/disk/ledger_store.h
+++ b/libs/disk/include/hawthornlane/disk/ledger_store.h
@@ -40,8 +40,12 @@
   [[nodiscard]] std::uint64_t log_bytes() const { return this->log->size(); }
   [[nodiscard]] bool failed() const { return this->broken; }
 
-  /// The set that goes out with a refusal, so that the asker learns of it.
-  void set_newest(const ledger_set& set) { this->newest = set; }
+  /// The newest set. Askers of older ones are refused from now on, and told of it:
+  /// one that waits for a disk of an older set would wait in vain.
+  void set_newest(const ledger_set& set) {
+    this->newest = set;
+    this->copy.raise_fence(set.epoch);
+  }
   /// This disk has copied for the joint set of that epoch.
   void set_copied(set_epoch epoch) { this->copied = epoch; }
 
