--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -41,6 +41,9 @@
 constexpr auto first_set_wait = std::chrono::milliseconds(1500);
 /// Between two decisions over the set.
 constexpr auto duty_pause = std::chrono::milliseconds(200);
+/// For the first disk to make a change that is due, before the next one does: two
+/// updates of the store on a slow day.
+constexpr auto time_for_each = std::chrono::milliseconds(1000);
 /// Decisions that follow each other at once, such as a joint set and its end.
 constexpr int most_steps = 4;
 constexpr duration fence_limit = std::chrono::milliseconds(1500);
@@ -91,6 +94,9 @@
   net::steady_time next_duty{};
   net::steady_time next_tick{};
   bool duty_running = false;
+  /// Since when a change of the set of that epoch is due.
+  net::steady_time due_since{};
+  set_epoch due_at_epoch;
   set_epoch copied;
   std::map<std::string, std::uint64_t> counts;
 
@@ -286,6 +292,21 @@
            steady::now() - known->second.since >= known->second.request.within / 2;
   }
 
+  /// So many disks before this one have had their time to make a change that is due.
+  std::size_t passed_over() {
+    set_view anybody = this->view();
+    anybody.passed_over = anybody.disks.size();
+    const bool due = decide_set_change(anybody).step == set_step::propose;
+    const net::steady_time now = steady::now();
+    const set_epoch epoch = this->set ? this->set->epoch : set_epoch(0);
+    if (!due || epoch != this->due_at_epoch) {
+      this->due_at_epoch = epoch;
+      this->due_since = now;
+      return 0;
+    }
+    return static_cast<std::size_t>((now - this->due_since) / time_for_each);
+  }
+
   set_view view() const {
     const net::steady_time now = steady::now();
     const bool of_two = this->set && this->set->members.size() == 2;
@@ -316,7 +337,9 @@
       co_return;
     }
     for (int step = 0; step < most_steps; ++step) {
-      const set_decision decision = decide_set_change(self->view());
+      set_view view = self->view();
+      view.passed_over = self->passed_over();
+      const set_decision decision = decide_set_change(view);
       if (decision.step == set_step::nothing) {
         break;
       }
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/set_change.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/set_change.h
@@ -32,6 +32,9 @@
   /// Registered disks, this one included. A member that is not among them is lost:
   /// its host has come back with an empty disk or has been removed.
   std::vector<disk_view> disks;
+  /// The first disk that can make a change makes it. So many before this one have
+  /// had their time and did not: they may not reach the store.
+  std::size_t passed_over = 0;
   /// Disks that a set should have: twice the losses to be borne at once, and one.
   std::size_t wanted = 3;
 };
--- a/libs/turn_ledger/src/set_change.cc
+++ b/libs/turn_ledger/src/set_change.cc
@@ -32,15 +32,21 @@
   return item != nullptr && item->reachable;
 }
 
-/// The first of `disks` that can act; the others leave the step to it.
-std::optional<disk_id> first_reachable(const set_view& view, std::vector<disk_id> disks) {
+/// True when it is this disk's turn among `disks`: the first that is reachable, and
+/// those after it once the ones before them have had their time.
+bool is_own_turn(const set_view& view, std::vector<disk_id> disks) {
   std::sort(disks.begin(), disks.end());
+  std::size_t before = 0;
   for (const disk_id& disk : disks) {
-    if (is_reachable(view, disk)) {
-      return disk;
+    if (!is_reachable(view, disk)) {
+      continue;
     }
+    if (disk == view.self) {
+      return before <= view.passed_over;
+    }
+    ++before;
   }
-  return std::nullopt;
+  return false;
 }
 
 ledger_set next_epoch(const ledger_set& from) {
@@ -88,7 +94,7 @@
     return {set_step::copy, {}, "joining"};
   }
   if (std::all_of(copiers.begin(), copiers.end(), has_copied)) {
-    if (first_reachable(view, set.next) != view.self) {
+    if (!is_own_turn(view, set.next)) {
       return {};
     }
     ledger_set proposed = next_epoch(set);
@@ -99,7 +105,7 @@
   const bool stuck = std::any_of(copiers.begin(), copiers.end(), [&](const disk_id& disk) {
     return !has_copied(disk) && !is_reachable(view, disk);
   });
-  if (stuck && first_reachable(view, set.members) == view.self) {
+  if (stuck && is_own_turn(view, set.members)) {
     ledger_set proposed = next_epoch(set);
     proposed.next.clear();
     return {set_step::propose, proposed, "a joining disk is gone"};
@@ -132,7 +138,7 @@
   // is on both: the other one goes on alone until a disk joins it.
   if (set.members.size() == least_members && lost.size() == 1) {
     const std::vector<disk_id> rest = without(set.members, lost.front());
-    if (rest.front() != view.self) {
+    if (!is_own_turn(view, rest)) {
       return {};
     }
     ledger_set proposed = next_epoch(set);
@@ -142,7 +148,7 @@
   const std::vector<disk_id>& leaving = retiring.empty() ? lost : retiring;
   const bool too_few = set.members.size() < view.wanted;
   if (!spares.empty() && (!leaving.empty() || too_few)) {
-    if (first_reachable(view, spares) != view.self) {
+    if (!is_own_turn(view, spares)) {
       return {};
     }
     ledger_set proposed = next_epoch(set);
@@ -160,7 +166,7 @@
   // Until then it still counts: a set that shrinks early bears no loss meanwhile.
   if (!due.empty() && may_shrink) {
     const std::vector<disk_id> rest = without(set.members, due.front());
-    if (first_reachable(view, rest) != view.self) {
+    if (!is_own_turn(view, rest)) {
       return {};
     }
     ledger_set proposed = next_epoch(set);
--- a/libs/turn_ledger/test/turn_ledger_test.cc
+++ b/libs/turn_ledger/test/turn_ledger_test.cc
@@ -259,3 +259,13 @@
     CHECK(text_of(decision.proposed.next) == item.next_after);
   }
 }
+
+TEST_CASE("a change that the first disk does not make is made by the next one") {
+  set_view view;
+  view.set = ledger_set{set_epoch(7), names("ABC"), {}};
+  view.disks = disks_from("ABC?", set_epoch(7));
+  view.self = disk("B");
+  CHECK(decide_set_change(view).step == set_step::nothing);
+  view.passed_over = 1;
+  CHECK(decide_set_change(view).step == set_step::propose);
+}
