Split long functions and share what stood twice

Cause: duplicates and a read of the change: four copies of asking all disks, two copies of a daemon's main, two of a test's folder, a 75-line request reader. Ruled out: changes of behaviour; deployment_test passes unchanged.

--- a/cmake/hawthornlane.cmake
+++ b/cmake/hawthornlane.cmake
@@ -36,6 +36,7 @@
 
 # The one translation unit that holds Catch2's main.
 add_library(hawthornlane_test_main STATIC ${CMAKE_SOURCE_DIR}/cmake/test_main.cc)
+target_include_directories(hawthornlane_test_main PUBLIC ${CMAKE_SOURCE_DIR}/cmake/test_support)
 
 # hawthornlane_test(NAME source...): a Catch2 program registered with CTest.
 function(hawthornlane_test name)
--- a/libs/disk/test/ledger_store_test.cc
+++ b/libs/disk/test/ledger_store_test.cc
@@ -2,35 +2,17 @@
 // askers of an older set are refused and told of the newest.
 #include "hawthornlane/disk/ledger_store.h"
 
-#include <unistd.h>
-
 #include <catch2/catch.hpp>
-#include <filesystem>
 
 #include "hawthornlane/net/message_bytes.h"
+#include "scratch_folder.h"
 
 using namespace hawthornlane;
 using namespace hawthornlane::disk;
+using test_support::scratch_folder;
 
 namespace {
 
-class scratch_folder {
-public:
-  scratch_folder()
-      : path(std::filesystem::temp_directory_path() /
-             ("hawthornlane-ledger-store-" + std::to_string(::getpid()))) {
-    std::filesystem::remove_all(this->path);
-    std::filesystem::create_directories(this->path);
-  }
-  scratch_folder(const scratch_folder&) = delete;
-  scratch_folder& operator=(const scratch_folder&) = delete;
-  ~scratch_folder() { std::filesystem::remove_all(this->path); }
-  [[nodiscard]] std::string name() const { return this->path.string(); }
-
-private:
-  std::filesystem::path path;
-};
-
 /// A ledger store and the event loop that brings its answers.
 class open_store {
 public:
@@ -72,7 +54,7 @@
 }  // namespace
 
 TEST_CASE("what was acknowledged is there after a restart, with the same identity") {
-  const scratch_folder folder;
+  const scratch_folder folder("ledger-store");
   disk_id first;
   {
     open_store disk(folder.name());
@@ -90,15 +72,15 @@
 TEST_CASE("an empty folder is another disk") {
   disk_id first;
   {
-    const scratch_folder folder;
+    const scratch_folder folder("ledger-store");
     first = open_store(folder.name()).store.identity();
   }
-  const scratch_folder folder;
+  const scratch_folder folder("ledger-store");
   CHECK(open_store(folder.name()).store.identity() != first);
 }
 
 TEST_CASE("once a newer set is known, askers of an older one learn of it") {
-  const scratch_folder folder;
+  const scratch_folder folder("ledger-store");
   open_store disk(folder.name());
   const ledger_set alone{set_epoch(9), {disk.store.identity()}, {}};
   CHECK_FALSE(disk.ask<program_answer>(ledger_method::append, append(8, "t1"))->stale);
@@ -114,7 +96,7 @@
 }
 
 TEST_CASE("a log that grows long is shortened without losing what lives") {
-  const scratch_folder folder;
+  const scratch_folder folder("ledger-store");
   constexpr std::uint64_t disk_bytes = 200'000;
   {
     open_store disk(folder.name(), disk_bytes);
@@ -136,7 +118,7 @@
 }
 
 TEST_CASE("what is no request of the ledger is refused") {
-  const scratch_folder folder;
+  const scratch_folder folder("ledger-store");
   open_store disk(folder.name());
   for (const ledger_method method :
        {ledger_method::append, ledger_method::collect, ledger_method::chain, ledger_method::fence,
--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -68,9 +68,24 @@
   void suspect(const disk_id& disk);
   boost::asio::awaitable<bool> admit_once(std::shared_ptr<admission_state> state,
                                           turn_admission& result);
+  /// What is done with the answers of one round of questions.
+  template <class Answer>
+  struct round_hooks {
+    std::function<void(const Answer&)> answered;
+    /// No answer will come from that disk.
+    std::function<void(const disk_id&)> failed;
+    /// The set is not the newest any more.
+    std::function<void()> stale;
+  };
+  /// Asks every disk of a set the same question.
+  template <class Answer>
+  void ask_all(const ledger_set& disks, ledger_method method, const std::string& payload,
+               duration limit, const round_hooks<Answer>& hooks);
+
   void send_appends(const std::shared_ptr<admission_state>& state);
   void send_collects(const std::shared_ptr<admission_state>& state);
   void send_chain_reads(const std::shared_ptr<admission_state>& state);
+  std::shared_ptr<settle_state> send_settlement(const append_request& request);
   void conclude(const admission_state& state, turn_admission& result);
   void note_stale(const std::optional<ledger_set>& newest);
 
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -89,6 +89,10 @@
   net::steady_time appended_at = net::never;
   net::steady_time until;
 
+  void note_stale() {
+    this->stale = true;
+    this->signal.wake();
+  }
   [[nodiscard]] bool chain_decided() const {
     return !this->needs_chain || this->chain.verdict() != chain_verdict::undecided;
   }
@@ -245,71 +249,73 @@
   }
 }
 
-void ledger_client::send_appends(const std::shared_ptr<admission_state>& state) {
-  append_request request;
-  request.epoch = state->set.epoch;
-  request.record = record_of(state->turn, reservation_phase::open, token_count(0));
-  const std::string bytes = to_bytes(request);
-  for (const disk_id& disk : state->set.all()) {
-    this->ask(disk, ledger_method::append, bytes, append_limit,
-              [this, state, disk](net::rpc_failure why, const std::string& payload) {
-                const auto answer = why == net::rpc_failure::none
-                                        ? from_bytes<program_answer>(payload)
-                                        : std::nullopt;
+template <class Answer>
+void ledger_client::ask_all(const ledger_set& disks, ledger_method method,
+                            const std::string& payload, duration limit,
+                            const round_hooks<Answer>& hooks) {
+  for (const disk_id& disk : disks.all()) {
+    this->ask(disk, method, payload, limit,
+              [this, disk, hooks](net::rpc_failure why, const std::string& bytes) {
+                const bool good = why == net::rpc_failure::none;
+                const auto answer = good ? from_bytes<Answer>(bytes) : std::nullopt;
                 if (!answer || answer->disk != disk) {
-                  state->check.on_append_failed(disk);
+                  hooks.failed(disk);
                 } else if (answer->stale) {
-                  state->stale = true;
                   this->note_stale(answer->newest);
+                  hooks.stale();
                 } else {
-                  state->check.on_append(*answer);
+                  hooks.answered(*answer);
                 }
-                state->signal.wake();
               });
   }
 }
 
+void ledger_client::send_appends(const std::shared_ptr<admission_state>& state) {
+  append_request request;
+  request.epoch = state->set.epoch;
+  request.record = record_of(state->turn, reservation_phase::open, token_count(0));
+  round_hooks<program_answer> hooks;
+  hooks.answered = [state](const program_answer& answer) {
+    state->check.on_append(answer);
+    state->signal.wake();
+  };
+  hooks.failed = [state](const disk_id& disk) {
+    state->check.on_append_failed(disk);
+    state->signal.wake();
+  };
+  hooks.stale = [state] { state->note_stale(); };
+  this->ask_all(state->set, ledger_method::append, to_bytes(request), append_limit, hooks);
+}
+
 void ledger_client::send_collects(const std::shared_ptr<admission_state>& state) {
   state->collecting = true;
-  const std::string bytes = to_bytes(collect_request{state->set.epoch, state->turn.program});
-  for (const disk_id& disk : state->set.all()) {
-    this->ask(disk, ledger_method::collect, bytes, read_limit,
-              [this, state, disk](net::rpc_failure why, const std::string& payload) {
-                const auto answer = why == net::rpc_failure::none
-                                        ? from_bytes<program_answer>(payload)
-                                        : std::nullopt;
-                if (!answer || answer->disk != disk) {
-                  state->check.on_collect_failed(disk);
-                } else if (answer->stale) {
-                  state->stale = true;
-                  this->note_stale(answer->newest);
-                } else {
-                  state->check.on_collect(*answer);
-                }
-                state->signal.wake();
-              });
-  }
+  const collect_request request{state->set.epoch, state->turn.program};
+  round_hooks<program_answer> hooks;
+  hooks.answered = [state](const program_answer& answer) {
+    state->check.on_collect(answer);
+    state->signal.wake();
+  };
+  hooks.failed = [state](const disk_id& disk) {
+    state->check.on_collect_failed(disk);
+    state->signal.wake();
+  };
+  hooks.stale = [state] { state->note_stale(); };
+  this->ask_all(state->set, ledger_method::collect, to_bytes(request), read_limit, hooks);
 }
 
 void ledger_client::send_chain_reads(const std::shared_ptr<admission_state>& state) {
-  const std::string bytes = to_bytes(chain_request{state->set.epoch, *state->turn.previous});
-  for (const disk_id& disk : state->set.all()) {
-    this->ask(disk, ledger_method::chain, bytes, read_limit,
-              [this, state, disk](net::rpc_failure why, const std::string& payload) {
-                const auto answer = why == net::rpc_failure::none
-                                        ? from_bytes<chain_answer>(payload)
-                                        : std::nullopt;
-                if (!answer || answer->disk != disk) {
-                  state->chain.on_failed(disk);
-                } else if (answer->stale) {
-                  state->stale = true;
-                  this->note_stale(answer->newest);
-                } else {
-                  state->chain.on_answer(*answer);
-                }
-                state->signal.wake();
-              });
-  }
+  const chain_request request{state->set.epoch, *state->turn.previous};
+  round_hooks<chain_answer> hooks;
+  hooks.answered = [state](const chain_answer& answer) {
+    state->chain.on_answer(answer);
+    state->signal.wake();
+  };
+  hooks.failed = [state](const disk_id& disk) {
+    state->chain.on_failed(disk);
+    state->signal.wake();
+  };
+  hooks.stale = [state] { state->note_stale(); };
+  this->ask_all(state->set, ledger_method::chain, to_bytes(request), read_limit, hooks);
 }
 
 void ledger_client::conclude(const admission_state& state, turn_admission& result) {
@@ -419,8 +425,32 @@
   disk_round round;
   net::async_signal signal;
   bool stale = false;
+
+  [[nodiscard]] bool over() const {
+    return this->stale || this->round.majority() || this->round.hopeless();
+  }
 };
 
+std::shared_ptr<ledger_client::settle_state> ledger_client::send_settlement(
+    const append_request& request) {
+  const auto state = std::make_shared<settle_state>(this->context, *this->set);
+  round_hooks<program_answer> hooks;
+  hooks.answered = [state](const program_answer& answer) {
+    state->round.answered(answer.disk);
+    state->signal.wake();
+  };
+  hooks.failed = [state](const disk_id& disk) {
+    state->round.failed(disk);
+    state->signal.wake();
+  };
+  hooks.stale = [state] {
+    state->stale = true;
+    state->signal.wake();
+  };
+  this->ask_all(*this->set, ledger_method::append, to_bytes(request), append_limit, hooks);
+  return state;
+}
+
 asio::awaitable<bool> ledger_client::settle(turn_request turn, turn_result result,
                                             net::steady_time until) {
   append_request request;
@@ -431,27 +461,8 @@
   }
   while (this->set) {
     request.epoch = this->set->epoch;
-    const std::string bytes = to_bytes(request);
-    const auto state = std::make_shared<settle_state>(this->context, *this->set);
-    for (const disk_id& disk : this->set->all()) {
-      this->ask(disk, ledger_method::append, bytes, append_limit,
-                [this, state, disk](net::rpc_failure why, const std::string& payload) {
-                  const auto answer = why == net::rpc_failure::none
-                                          ? from_bytes<program_answer>(payload)
-                                          : std::nullopt;
-                  if (!answer || answer->disk != disk) {
-                    state->round.failed(disk);
-                  } else if (answer->stale) {
-                    state->stale = true;
-                    this->note_stale(answer->newest);
-                  } else {
-                    state->round.answered(disk);
-                  }
-                  state->signal.wake();
-                });
-    }
-    while (!state->round.majority() && !state->round.hopeless() && !state->stale &&
-           steady::now() < until) {
+    const auto state = this->send_settlement(request);
+    while (!state->over() && steady::now() < until) {
       co_await state->signal.wait_until(until);
     }
     if (state->round.majority()) {
@@ -478,14 +489,13 @@
   append_request request;
   request.epoch = this->set->epoch;
   request.record = record_of(turn, reservation_phase::withdrawn, token_count(0));
-  const std::string bytes = to_bytes(request);
-  for (const disk_id& disk : this->set->all()) {
-    this->ask(disk, ledger_method::append, bytes, append_limit,
-              [](net::rpc_failure, const std::string&) {
-                // Without the withdrawal the reservation counts in full: a later turn
-                // may be refused too early, but the budget holds.
-              });
-  }
+  round_hooks<program_answer> hooks;
+  // Without the withdrawal the reservation counts in full: a later turn may be
+  // refused too early, but the budget holds.
+  hooks.answered = [](const program_answer&) {};
+  hooks.failed = [](const disk_id&) {};
+  hooks.stale = [] {};
+  this->ask_all(*this->set, ledger_method::append, to_bytes(request), append_limit, hooks);
 }
 
 }  // namespace hawthornlane::front
--- a/libs/relay/include/hawthornlane/relay/caller_link.h
+++ b/libs/relay/include/hawthornlane/relay/caller_link.h
@@ -56,6 +56,12 @@
   [[nodiscard]] net::timed_socket& connection() { return this->socket; }
 
 private:
+  struct request_parser;
+  /// Reads until the head is whole and checks it; `length` is its size.
+  boost::asio::awaitable<read_outcome> read_head(const caller_limits& limits, std::size_t& length,
+                                                 failure& reason);
+  boost::asio::awaitable<read_outcome> read_body(const caller_limits& limits, request_parser& from,
+                                                 failure& reason);
   boost::asio::awaitable<bool> send(std::string_view bytes);
   [[nodiscard]] std::string head_bytes(int status, const std::vector<http::header>& headers) const;
 
--- a/libs/relay/src/caller_link.cc
+++ b/libs/relay/src/caller_link.cc
@@ -24,6 +24,9 @@
 
 using parser_type = bhttp::request_parser<bhttp::string_body>;
 
+/// As Beast numbers versions.
+constexpr unsigned http_1_0 = 10;
+
 net::steady_time after(duration time) { return std::chrono::steady_clock::now() + time; }
 
 /// Feeds `buffer` to the parser and removes what it has taken.
@@ -61,16 +64,15 @@
 
 }  // namespace
 
-asio::awaitable<read_outcome> caller_link::read(const caller_limits& limits, http::request& into,
-                                                failure& reason) {
-  this->has_started = false;
+struct caller_link::request_parser {
+  parser_type parser;
+};
+
+asio::awaitable<read_outcome> caller_link::read_head(const caller_limits& limits,
+                                                     std::size_t& length, failure& reason) {
   const net::steady_time idle_until = after(limits.idle_timeout);
   net::steady_time head_until = net::never;
-  while (!head_length(this->buffer)) {
-    if (this->buffer.size() > limits.header_bytes) {
-      reason = {error_kind::header_too_large, "the head exceeds the limit"};
-      co_return read_outcome::refused;
-    }
+  while (!head_length(this->buffer) && this->buffer.size() <= limits.header_bytes) {
     const bool begun = !this->buffer.empty();
     if (begun && head_until == net::never) {
       head_until = after(limits.header_timeout);
@@ -86,7 +88,7 @@
       co_return read_outcome::closed;
     }
   }
-  const std::size_t length = *head_length(this->buffer);
+  length = head_length(this->buffer).value_or(this->buffer.size());
   if (length > limits.header_bytes) {
     reason = {error_kind::header_too_large, "the head exceeds the limit"};
     co_return read_outcome::refused;
@@ -95,19 +97,20 @@
     reason = {error_kind::bad_request, *fault};
     co_return read_outcome::refused;
   }
-  parser_type parser;
-  parser.eager(true);
-  parser.header_limit(static_cast<std::uint32_t>(length + 1));
-  parser.body_limit(limits.body_bytes);
-  error_code fault = feed(parser, this->buffer);
-  const net::steady_time body_until = after(limits.header_timeout * body_time_factor);
-  const bool asks_first = parser.is_header_done() && !parser.is_done() &&
-                          same_name(parser.get()[bhttp::field::expect], "100-continue");
+  co_return read_outcome::request;
+}
+
+asio::awaitable<read_outcome> caller_link::read_body(const caller_limits& limits,
+                                                     request_parser& from, failure& reason) {
+  error_code fault = feed(from.parser, this->buffer);
+  const net::steady_time until = after(limits.header_timeout * body_time_factor);
+  const bool asks_first = from.parser.is_header_done() && !from.parser.is_done() &&
+                          same_name(from.parser.get()[bhttp::field::expect], "100-continue");
   if (!fault && asks_first && !co_await this->send("HTTP/1.1 100 Continue\r\n\r\n")) {
     co_return read_outcome::closed;
   }
-  while (!fault && !parser.is_done()) {
-    const error_code error = co_await this->socket.read_more(this->buffer, read_size, body_until);
+  while (!fault && !from.parser.is_done()) {
+    const error_code error = co_await this->socket.read_more(this->buffer, read_size, until);
     if (error == asio::error::timed_out) {
       reason = {error_kind::request_timeout, "the body did not arrive in time"};
       co_return read_outcome::refused;
@@ -115,15 +118,34 @@
     if (error) {
       co_return read_outcome::closed;
     }
-    fault = feed(parser, this->buffer);
+    fault = feed(from.parser, this->buffer);
   }
   if (fault) {
     reason = fault_of(fault);
     co_return read_outcome::refused;
   }
-  this->keep = parser.keep_alive();
-  this->chunks = parser.get().version() > 10;
-  copy_out(parser, into);
+  co_return read_outcome::request;
+}
+
+asio::awaitable<read_outcome> caller_link::read(const caller_limits& limits, http::request& into,
+                                                failure& reason) {
+  this->has_started = false;
+  std::size_t length = 0;
+  read_outcome outcome = co_await this->read_head(limits, length, reason);
+  if (outcome != read_outcome::request) {
+    co_return outcome;
+  }
+  request_parser from;
+  from.parser.eager(true);
+  from.parser.header_limit(static_cast<std::uint32_t>(length + 1));
+  from.parser.body_limit(limits.body_bytes);
+  outcome = co_await this->read_body(limits, from, reason);
+  if (outcome != read_outcome::request) {
+    co_return outcome;
+  }
+  this->keep = from.parser.keep_alive();
+  this->chunks = from.parser.get().version() > http_1_0;
+  copy_out(from.parser, into);
   co_return read_outcome::request;
 }
 
--- a/libs/turn_log/test/turn_log_test.cc
+++ b/libs/turn_log/test/turn_log_test.cc
@@ -1,8 +1,6 @@
 // The log after crashes: torn tails, bytes that changed, segments that went.
 #include "hawthornlane/turn_log/turn_log.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <condition_variable>
@@ -10,36 +8,21 @@
 #include <fstream>
 #include <mutex>
 
+#include "scratch_folder.h"
+
 using namespace hawthornlane;
+using test_support::scratch_folder;
 
 namespace {
 
-/// A folder that goes with the test.
-class scratch_folder {
-public:
-  scratch_folder()
-      : path(std::filesystem::temp_directory_path() /
-             ("hawthornlane-turn-log-" + std::to_string(::getpid()))) {
-    std::filesystem::remove_all(this->path);
-    std::filesystem::create_directories(this->path);
-  }
-  scratch_folder(const scratch_folder&) = delete;
-  scratch_folder& operator=(const scratch_folder&) = delete;
-  ~scratch_folder() { std::filesystem::remove_all(this->path); }
-
-  [[nodiscard]] std::string name() const { return this->path.string(); }
-  [[nodiscard]] std::vector<std::filesystem::path> segments() const {
-    std::vector<std::filesystem::path> found;
-    for (const auto& item : std::filesystem::directory_iterator(this->path)) {
-      found.push_back(item.path());
-    }
-    std::sort(found.begin(), found.end());
-    return found;
+std::vector<std::filesystem::path> segments_in(const scratch_folder& folder) {
+  std::vector<std::filesystem::path> found;
+  for (const auto& item : std::filesystem::directory_iterator(folder.path())) {
+    found.push_back(item.path());
   }
-
-private:
-  std::filesystem::path path;
-};
+  std::sort(found.begin(), found.end());
+  return found;
+}
 
 /// Waits until a record is durable.
 class durability {
@@ -91,7 +74,7 @@
 }  // namespace
 
 TEST_CASE("records come back in order over several openings") {
-  const scratch_folder folder;
+  const scratch_folder folder("turn-log");
   write(folder, {"one", "two"});
   write(folder, {"three"});
   log_recovery found;
@@ -103,9 +86,9 @@
 TEST_CASE("a tail that is torn anywhere loses only what was torn") {
   for (std::uintmax_t cut = 1; cut <= 11; ++cut) {
     INFO("cut off " << cut << " bytes");
-    const scratch_folder folder;
+    const scratch_folder folder("turn-log");
     write(folder, {"one", "two"});
-    const auto segment = folder.segments().front();
+    const auto segment = segments_in(folder).front();
     std::filesystem::resize_file(segment, std::filesystem::file_size(segment) - cut);
     write(folder, {"three"});
     log_recovery found;
@@ -115,9 +98,9 @@
 }
 
 TEST_CASE("a record whose bytes changed ends its segment") {
-  const scratch_folder folder;
+  const scratch_folder folder("turn-log");
   write(folder, {"one", "two"});
-  const auto segment = folder.segments().front();
+  const auto segment = segments_in(folder).front();
   std::fstream file(segment, std::ios::in | std::ios::out | std::ios::binary);
   file.seekp(9);
   file.put('X');
@@ -128,7 +111,7 @@
 }
 
 TEST_CASE("segments go once what lives was written again") {
-  const scratch_folder folder;
+  const scratch_folder folder("turn-log");
   write(folder, {"dead", "alive"});
   durability done;
   log_recovery found;
--- a/programs/hawthornlane_disk.cc
+++ b/programs/hawthornlane_disk.cc
@@ -1,6 +1,4 @@
 // The daemon of a disk host on the users' platform.
-#include <cstdio>
-
 #include "hawthornlane/disk/disk_host.h"
 #include "run_host.h"
 
@@ -50,28 +48,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, "hawthornlane 0.1");
-  if (arguments.at("--describe-config").asBool()) {
-    fmt::print("{}", describe(disk::disk_schema()));
-    return exit_good;
-  }
-  const std::string path = settings_path(arguments.at("--config"));
-  const auto settings = load_settings<disk::disk_settings>(path, disk::read_disk_settings);
-  if (!settings) {
-    return exit_settings;
-  }
-  if (arguments.at("--check-config").asBool()) {
-    fmt::print("{}: good\n", path);
-    return exit_good;
-  }
-  set_log_format(log_format::json);
-  set_log_host(settings->host.get());
-  log_to_buffered_stdout();
-  try {
-    return run(*settings, path);
-  } catch (const std::exception& fault) {
-    flush_log();
-    fmt::print(stderr, "hawthornlane-disk: {}\n", fault.what());
-    return exit_fault;
-  }
+  const host_program<disk::disk_settings> what{"hawthornlane-disk", usage, disk::disk_schema,
+                                               disk::read_disk_settings, run};
+  return daemon_main(argc, argv, what);
 }
--- a/programs/hawthornlane_front.cc
+++ b/programs/hawthornlane_front.cc
@@ -1,6 +1,4 @@
 // The daemon of a front host on the users' platform.
-#include <cstdio>
-
 #include "hawthornlane/front/front_host.h"
 #include "run_host.h"
 
@@ -45,28 +43,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, "hawthornlane 0.1");
-  if (arguments.at("--describe-config").asBool()) {
-    fmt::print("{}", describe(front::front_schema()));
-    return exit_good;
-  }
-  const std::string path = settings_path(arguments.at("--config"));
-  const auto settings = load_settings<front::front_settings>(path, front::read_front_settings);
-  if (!settings) {
-    return exit_settings;
-  }
-  if (arguments.at("--check-config").asBool()) {
-    fmt::print("{}: good\n", path);
-    return exit_good;
-  }
-  set_log_format(log_format::json);
-  set_log_host(settings->host.get());
-  log_to_buffered_stdout();
-  try {
-    return run(*settings, path);
-  } catch (const std::exception& fault) {
-    flush_log();
-    fmt::print(stderr, "hawthornlane-front: {}\n", fault.what());
-    return exit_fault;
-  }
+  const host_program<front::front_settings> what{"hawthornlane-front", usage, front::front_schema,
+                                                 front::read_front_settings, run};
+  return daemon_main(argc, argv, what);
 }
--- a/programs/run_host.h
+++ b/programs/run_host.h
@@ -87,4 +87,45 @@
   });
 }
 
+/// What makes one daemon different from another.
+template <class Settings>
+struct host_program {
+  const char* name;
+  const char* usage;
+  std::function<const std::vector<key_rule>&()> schema;
+  std::function<std::optional<Settings>(std::string_view, std::vector<ini_problem>&)> read;
+  /// Runs until a planned stop has ended.
+  std::function<int(const Settings&, const std::string& path)> run;
+};
+
+/// The daemons' common main: command line, settings, logs, faults.
+template <class Settings>
+int daemon_main(int argc, char** argv, const host_program<Settings>& what) {
+  const auto arguments =
+      docopt::docopt(what.usage, {argv + 1, argv + argc}, true, "hawthornlane 0.1");
+  if (arguments.at("--describe-config").asBool()) {
+    fmt::print("{}", describe(what.schema()));
+    return exit_good;
+  }
+  const std::string path = settings_path(arguments.at("--config"));
+  const auto settings = load_settings<Settings>(path, what.read);
+  if (!settings) {
+    return exit_settings;
+  }
+  if (arguments.at("--check-config").asBool()) {
+    fmt::print("{}: good\n", path);
+    return exit_good;
+  }
+  set_log_format(log_format::json);
+  set_log_host(settings->host.get());
+  log_to_buffered_stdout();
+  try {
+    return what.run(*settings, path);
+  } catch (const std::exception& fault) {
+    flush_log();
+    fmt::print(stderr, "{}: {}\n", what.name, fault.what());
+    return exit_fault;
+  }
+}
+
 }  // namespace hawthornlane::programs
