Tell waiting callers of a call that is given up, but not from a destructor

The client of a disk host failed its waiting calls from its destructor, and one of those looked into the map that was being destroyed and threw. Ruled out: the log's thread and the stand-ins; five traces by the debugger show the same stack. It could also hit a running front host when a disk host's entry changes. Test: rpc_test 'a client that goes away' failed before.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "hawthornlane/discovery/fleet_state.h"
@@ -51,6 +52,11 @@
   server_pool& pool_of(const service_name& name);
   void deliver(const std::vector<placement>& placed);
   boost::asio::awaitable<void> run(call& one);
+  /// Decodes the call and finds its route; why it cannot be served otherwise.
+  std::optional<failure> prepare(call& one);
+  /// Offers the call to one server; true when it is to be offered to another one.
+  boost::asio::awaitable<bool> run_once(call& one, server_pool& pool);
+  static token_count tokens_handed_out(const call& one);
   boost::asio::awaitable<bool> admit(call& one);
   boost::asio::awaitable<acquired> acquire(call& one, server_pool& pool);
   boost::asio::awaitable<relay::try_outcome> try_server(call& one, const backend_entry& server);
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -26,6 +26,8 @@
 /// A stream that runs past its time gets this much longer to end by itself; the
 /// server stops at the time that it was told.
 constexpr duration timeout_slack = std::chrono::milliseconds(150);
+/// For keeping what a turn that broke has used; until then it counts in full.
+constexpr auto settle_patience = std::chrono::seconds(2);
 /// For a caller that was refused because nothing can serve it right now: about the
 /// time of one call, so that a place is likely to be free.
 constexpr double retry_seconds = 0.25;
@@ -255,81 +257,88 @@
   --this->calls;
 }
 
-asio::awaitable<void> call_service::run(call& one) {
+std::optional<failure> call_service::prepare(call& one) {
   failure reason;
   auto terms = this->codec.decode_call(one.request, reason);
   if (!terms) {
-    co_await this->refuse(one.caller, reason, "");
-    co_return;
+    return reason;
   }
   one.terms = std::move(*terms);
   one.table = this->fleet.table();
-  if (!one.table || this->turning_away) {
-    // GCC 12 destroys an aggregate made inside a co_await expression twice, so each
-    // is named first.
-    failure why{error_kind::not_ready, "no configuration is known yet"};
-    if (one.table) {
-      why = {error_kind::host_leaving, "the host is about to stop"};
-    }
-    co_await this->refuse(one.caller, why, one.terms.id.get());
-    co_return;
+  if (!one.table) {
+    return failure{error_kind::not_ready, "no configuration is known yet"};
+  }
+  if (this->turning_away) {
+    return failure{error_kind::host_leaving, "the host is about to stop"};
   }
   one.taken = one.table->find(one.terms.host_name, one.request.path);
   if (one.taken == nullptr) {
-    const failure why{error_kind::not_found,
-                      fmt::format("no route for {}{} in version {}", one.terms.host_name,
-                                  one.request.path, one.table->version().get())};
-    co_await this->refuse(one.caller, why, one.terms.id.get());
-    co_return;
+    return failure{error_kind::not_found,
+                   fmt::format("no route for {}{} in version {}", one.terms.host_name,
+                               one.request.path, one.table->version().get())};
   }
   const duration longest = one.terms.deadline.value_or(one.taken->timeout);
   one.until = one.arrived + std::min(longest, one.taken->timeout);
+  return std::nullopt;
+}
+
+asio::awaitable<void> call_service::run(call& one) {
+  const std::optional<failure> unfit = this->prepare(one);
+  if (unfit) {
+    co_await this->refuse(one.caller, *unfit, one.terms.id.get());
+    co_return;
+  }
   if (!co_await this->admit(one)) {
     co_return;
   }
   server_pool& pool =
       this->pool_of(route_table::choose_service(*one.taken, service_draw(one.terms)));
-  while (true) {
-    const acquired got = co_await this->acquire(one, pool);
-    if (got.caller_left) {
-      one.outcome = "caller_left";
-      co_await this->settle_broken(one);
-      break;
-    }
-    if (!got.server) {
-      const bool none_listed = pool.listed().empty();
-      failure why{none_listed ? error_kind::no_listed_server : error_kind::no_backend_server,
-                  one.detail.empty() ? "no server can take it in its time" : one.detail};
-      co_await this->give_up(one, why);
-      break;
-    }
-    const try_outcome outcome = co_await this->try_server(one, *got.server);
-    this->deliver(pool.finished(got.id, health_of(outcome), discovery::scheduler_now()));
-    one.outcome = name_of(outcome);
-    if (outcome == try_outcome::whole) {
-      co_await this->finish_whole(one);
-      break;
-    }
-    if (outcome == try_outcome::abandoned) {
-      co_await this->settle_broken(one);
-      break;
-    }
-    one.tried.insert(got.server->id);
-    if (this->may_try_again(one, outcome)) {
-      continue;
-    }
-    const bool late = outcome == try_outcome::timed_out;
-    const bool never_ran = one.runs == 0;
-    const error_kind kind = never_ran ? error_kind::no_backend_server
-                            : late    ? error_kind::deadline_exceeded
-                                      : error_kind::backend_failed;
-    const failure why{kind, one.detail};
-    co_await this->give_up(one, why);
-    break;
+  bool again = true;
+  while (again) {
+    again = co_await this->run_once(one, pool);
   }
   this->log_call(one);
 }
 
+asio::awaitable<bool> call_service::run_once(call& one, server_pool& pool) {
+  const acquired got = co_await this->acquire(one, pool);
+  if (got.caller_left) {
+    one.outcome = "caller_left";
+    co_await this->settle_broken(one);
+    co_return false;
+  }
+  if (!got.server) {
+    const bool none_listed = pool.listed().empty();
+    const failure why{none_listed ? error_kind::no_listed_server : error_kind::no_backend_server,
+                      one.detail.empty() ? "no server can take it in its time" : one.detail};
+    co_await this->give_up(one, why);
+    co_return false;
+  }
+  const try_outcome outcome = co_await this->try_server(one, *got.server);
+  this->deliver(pool.finished(got.id, health_of(outcome), discovery::scheduler_now()));
+  one.outcome = name_of(outcome);
+  if (outcome == try_outcome::whole) {
+    co_await this->finish_whole(one);
+    co_return false;
+  }
+  if (outcome == try_outcome::abandoned) {
+    co_await this->settle_broken(one);
+    co_return false;
+  }
+  one.tried.insert(got.server->id);
+  if (this->may_try_again(one, outcome)) {
+    co_return true;
+  }
+  failure why{error_kind::backend_failed, one.detail};
+  if (one.runs == 0) {
+    why.kind = error_kind::no_backend_server;
+  } else if (outcome == try_outcome::timed_out) {
+    why.kind = error_kind::deadline_exceeded;
+  }
+  co_await this->give_up(one, why);
+  co_return false;
+}
+
 asio::awaitable<bool> call_service::admit(call& one) {
   const bool counted = one.taken->kind == call_kind::stream && one.terms.program;
   if (!counted || (!one.taken->keeps_turns && !one.terms.budget)) {
@@ -516,14 +525,18 @@
   co_await one.caller.respond(one.answer.status, headers, one.answer.body);
 }
 
+token_count call_service::tokens_handed_out(const call& one) {
+  const service* pool =
+      one.table->find_service(route_table::choose_service(*one.taken, service_draw(one.terms)));
+  const std::int64_t each =
+      pool != nullptr && pool->engine ? pool->engine->tokens_per_event.get() : 1;
+  return token_count(one.events * each);
+}
+
 asio::awaitable<void> call_service::finish_stream(call& one) {
   if (one.turn) {
-    const service* pool =
-        one.table->find_service(route_table::choose_service(*one.taken, service_draw(one.terms)));
-    const std::int64_t tokens_each =
-        pool != nullptr && pool->engine ? pool->engine->tokens_per_event.get() : 1;
     turn_result result;
-    result.used = token_count(one.events * tokens_each);
+    result.used = tokens_handed_out(one);
     result.whole = true;
     result.input = one.request.body;
     result.output = std::move(one.output);
@@ -552,14 +565,10 @@
     this->turns.withdraw(*one.turn);
     co_return;
   }
-  const service* pool =
-      one.table->find_service(route_table::choose_service(*one.taken, service_draw(one.terms)));
-  const std::int64_t tokens_each =
-      pool != nullptr && pool->engine ? pool->engine->tokens_per_event.get() : 1;
   turn_result result;
-  result.used = token_count(one.events * tokens_each);
-  co_await this->turns.settle(*one.turn, std::move(result),
-                              steady::now() + std::chrono::seconds(2));
+  result.used = tokens_handed_out(one);
+  const net::steady_time until = steady::now() + settle_patience;
+  co_await this->turns.settle(*one.turn, std::move(result), until);
 }
 
 asio::awaitable<void> call_service::give_up(call& one, failure why) {
--- a/libs/net/src/rpc_client.cc
+++ b/libs/net/src/rpc_client.cc
@@ -1,6 +1,7 @@
 // The calling side of the connection between two hosts.
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <map>
 
 #include "hawthornlane/net/frame.h"
@@ -88,6 +89,14 @@
     }
   }
 
+  void fail_later() {
+    for (auto& [id, item] : this->calls) {
+      this->sweeper.remove(*item);
+      asio::post(this->context, [done = std::move(item->done)] { done(rpc_failure::unknown, {}); });
+    }
+    this->calls.clear();
+  }
+
   static asio::awaitable<void> run(std::shared_ptr<state> self) {
     const auto socket = std::make_shared<timed_socket>(self->context, self->sweeper);
     self->socket = socket;
@@ -154,7 +163,9 @@
   if (this->shared->socket) {
     this->shared->socket->close();
   }
-  this->shared->fail_all(rpc_failure::unknown);
+  // Not from within the destructor: whoever waits may be in the middle of its own,
+  // or may use what holds this client.
+  this->shared->fail_later();
 }
 
 void rpc_client::call(std::uint16_t method, std::string payload, duration limit, rpc_done done) {
