Give each run of the deployment tests ports of its own

Cause: the one abort in twenty that was left: two runs side by side took each other's port between its choice and its use, the constructor of the test's deployment threw, and its stand-ins were destroyed after their event loop. Ruled out: the hosts themselves (AddressSanitizer names only the test's frames).

--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -41,10 +41,26 @@
  "limits":{"max-header-bytes":4096,"max-body-bytes":10000,"header-timeout-ms":400,
   "idle-timeout-ms":5000}})";
 
+/// A port that nobody listens at. Below the kernel's own choices for connections,
+/// and in a range of this process, so that tests that run side by side do not take
+/// each other's between the choice and the use.
 std::uint16_t free_port() {
-  asio::io_context context;
-  tcp::acceptor probe(context, tcp::endpoint(asio::ip::make_address(host_ip), 0));
-  return probe.local_endpoint().port();
+  constexpr int first = 10'000;
+  constexpr int ranges = 200;
+  constexpr int range_size = 100;
+  static int next = first + ::getpid() % ranges * range_size;
+  while (true) {
+    asio::io_context context;
+    tcp::acceptor probe(context);
+    boost::system::error_code error;
+    const tcp::endpoint at(asio::ip::make_address(host_ip), static_cast<std::uint16_t>(next));
+    ++next;
+    probe.open(at.protocol(), error);
+    probe.bind(at, error);
+    if (!error) {
+      return at.port();
+    }
+  }
 }
 
 std::string bytes_of(const call_request& what) {
@@ -183,10 +199,6 @@
 }
 
 deployment::~deployment() {
-  // What listens on the event loop goes before it.
-  this->engines.clear();
-  this->apps.clear();
-  this->platform.reset();
   for (auto& item : this->fronts) {
     item.host.reset();
     item.context.reset();
--- a/scenarios/deployment.h
+++ b/scenarios/deployment.h
@@ -51,6 +51,11 @@
 };
 
 class deployment {
+private:
+  /// The event loop of all that is around the hosts; what listens on it goes first.
+  boost::asio::io_context around;
+  net::deadline_sweeper sweeper;
+
 public:
   explicit deployment(deployment_size size = {});
   deployment(const deployment&) = delete;
@@ -107,8 +112,6 @@
   [[nodiscard]] disk::disk_settings disk_settings_of(int number) const;
   http::response get(const http::endpoint& where, const std::string& target);
 
-  boost::asio::io_context around;
-  net::deadline_sweeper sweeper;
   std::filesystem::path folder;
   std::map<std::string, std::uint16_t> ports;
   std::unique_ptr<stand_ins::object_platform> platform;
