--- a/libs/front/include/hawthornlane/front/front_settings.h
+++ b/libs/front/include/hawthornlane/front/front_settings.h
@@ -29,7 +29,7 @@
   duration address_time{};
   /// Between the request to stop and the kill.
   duration grace{};
-  /// For events and turns to be passed on, and for a draining server to get nothing.
+  /// Memory that the process may use.
   std::uint64_t memory_mb = 0;
 };
 
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -27,6 +27,9 @@
 
 namespace {
 
+/// Whole turns are kept in an eighth of the process's memory; the rest is for calls
+/// under way, of which the heaviest day needs 12 MB.
+constexpr std::size_t cache_bytes_per_mb = std::size_t{1024} * 1024 / 8;
 /// Callers keep an address answer up to three times as long as it says.
 constexpr int longest_keep_factor = 3;
 /// A caller's connection attempts in a burst; more are sent again by their kernels.
@@ -57,7 +60,7 @@
         store(settings.store),
         checks(settings.host, discovery::scheduler_now()),
         backends(io, sweeper, codec),
-        ledger(io, sweeper, fleet),
+        ledger(io, sweeper, fleet, settings.memory_mb * cache_bytes_per_mb),
         calls(io, settings.host, settings.zone, fleet, backends, codec, ledger, metrics),
         gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
         acceptor(io) {}
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -32,8 +32,6 @@
 constexpr auto admit_patience = std::chrono::milliseconds(300);
 constexpr auto admit_pause = std::chrono::milliseconds(40);
 constexpr auto settle_pause = std::chrono::milliseconds(50);
-/// Whole turns kept in memory, bytes: about a sixth of the smallest host's memory.
-constexpr std::size_t cache_bytes = std::size_t{16} * 1024 * 1024;
 /// Kept longer than promised, for hosts' clocks that differ or step.
 constexpr duration retention_margin = std::chrono::seconds(15);
 
@@ -105,7 +103,7 @@
 };
 
 ledger_client::ledger_client(asio::io_context& io, net::deadline_sweeper& sweep,
-                             const discovery::fleet_state& state)
+                             const discovery::fleet_state& state, std::size_t cache_bytes)
     : context(io), sweeper(sweep), fleet(state), cache(cache_bytes) {}
 
 ledger_client::~ledger_client() = default;
@@ -433,7 +431,7 @@
 
 std::shared_ptr<ledger_client::settle_state> ledger_client::send_settlement(
     const append_request& request) {
-  const auto state = std::make_shared<settle_state>(this->context, *this->set);
+  auto state = std::make_shared<settle_state>(this->context, *this->set);
   round_hooks<program_answer> hooks;
   hooks.answered = [state](const program_answer& answer) {
     state->round.answered(answer.disk);
--- a/libs/front/test/ledger_client_test.cc
+++ b/libs/front/test/ledger_client_test.cc
@@ -19,7 +19,9 @@
 class cut_off_host {
 public:
   explicit cut_off_host(std::set<disk_id> reached_by_peer)
-      : sweeper(context), ledger(context, sweeper, fleet), reached(std::move(reached_by_peer)) {
+      : sweeper(context),
+        ledger(context, sweeper, fleet, 1024 * 1024),
+        reached(std::move(reached_by_peer)) {
     std::vector<host_entry> hosts;
     for (const char* name : {"a", "b", "c"}) {
       host_entry entry;
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -80,7 +80,6 @@
   bool reused = false;
   /// Set by the writer; a try that ends before the body was sent spoils the connection.
   bool sent = false;
-  bool send_failed = false;
   bool reusable = false;
 };
 
@@ -217,7 +216,6 @@
   // answer is read while the request is still being written.
   link& current = *used;
   current.sent = false;
-  current.send_failed = false;
   current.reusable = false;
   const auto alive = std::make_shared<link_ptr>(std::move(used));
   const auto bytes = std::make_shared<std::string>(request_bytes(request));
@@ -227,7 +225,6 @@
          net::steady_time until) -> asio::awaitable<void> {
         const error_code error = co_await (*held)->socket.write_all(*message, until);
         (*held)->sent = !error;
-        (*held)->send_failed = error.failed();
       }(alive, bytes, request.until),
       asio::detached);
   try_outcome outcome = co_await this->exchange(current, request, sink, answer, detail);
--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -303,6 +303,7 @@
   settings.host = host_id(fmt::format("front-{}", number));
   settings.zone = availability_zone(fmt::format("z{}", number));
   settings.region = "r";
+  settings.memory_mb = 64;
   settings.callers_at = port("callers");
   settings.ready_at = port("ready");
   settings.directory_at = port("directory");
