Remove what the single reader of the store left without a caller

Cause: a read of the whole change found code that it had itself made dead: fleet_state::change_backends (front hosts list now, they do not watch), the sweeper's stop, and two questions of server_pool that nobody asks. Ruled out: a change of behaviour; nothing called them.

--- a/libs/discovery/include/hawthornlane/discovery/fleet_state.h
+++ b/libs/discovery/include/hawthornlane/discovery/fleet_state.h
@@ -24,8 +24,6 @@
   bool offer_configuration(const configuration& candidate, std::string text, source_name source);
   void list_backends(store_revision at, const std::vector<backend_entry>& entries,
                      source_name source);
-  void change_backends(store_revision at, const std::vector<entry_change<backend_entry>>& changes,
-                       source_name source);
   void list_hosts(store_revision at, const std::vector<host_entry>& entries);
   void change_hosts(store_revision at, const std::vector<entry_change<host_entry>>& changes);
 
--- a/libs/discovery/src/fleet_state.cc
+++ b/libs/discovery/src/fleet_state.cc
@@ -75,15 +75,6 @@
   }
 }
 
-void fleet_state::change_backends(store_revision at,
-                                  const std::vector<entry_change<backend_entry>>& changes,
-                                  source_name source) {
-  const auto before = this->servers.listed();
-  if (this->servers.apply_changes(at, changes, scheduler_now())) {
-    this->note_backend_changes(before, source);
-  }
-}
-
 void fleet_state::note_host_changes(const std::map<host_id, host_entry>& before) {
   if (before != this->host_list.listed()) {
     this->hosts_changed = this->host_list.at();
--- a/libs/net/include/hawthornlane/net/deadline_sweeper.h
+++ b/libs/net/include/hawthornlane/net/deadline_sweeper.h
@@ -50,7 +50,6 @@
   [[nodiscard]] const std::shared_ptr<registry>& registered() const { return this->items; }
   /// Called at each pass, for work that needs no timer of its own.
   void on_pass(std::function<void()> hook) { this->hooks.push_back(std::move(hook)); }
-  void stop();
 
 private:
   void schedule();
@@ -59,7 +58,6 @@
   boost::asio::steady_timer timer;
   std::shared_ptr<registry> items = std::make_shared<registry>();
   std::vector<std::function<void()>> hooks;
-  bool stopped = false;
 };
 
 }  // namespace hawthornlane::net
--- a/libs/net/src/deadline_sweeper.cc
+++ b/libs/net/src/deadline_sweeper.cc
@@ -7,15 +7,10 @@
   this->schedule();
 }
 
-void deadline_sweeper::stop() {
-  this->stopped = true;
-  this->timer.cancel();
-}
-
 void deadline_sweeper::schedule() {
   this->timer.expires_after(pace);
   this->timer.async_wait([this](const boost::system::error_code& error) {
-    if (error || this->stopped) {
+    if (error) {
       return;
     }
     this->sweep();
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -84,8 +84,6 @@
   std::vector<placement> tick(timestamp now);
 
   [[nodiscard]] std::size_t waiting() const { return this->queue.size(); }
-  [[nodiscard]] std::uint32_t at_server(const backend_server_id& id) const;
-  [[nodiscard]] std::size_t servers_usable(timestamp now) const;
   /// Servers that are excluded after failures, for the operator.
   [[nodiscard]] std::vector<backend_server_id> excluded(timestamp now) const;
   [[nodiscard]] std::vector<backend_server_id> listed() const;
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -196,17 +196,6 @@
 
 std::vector<placement> server_pool::tick(timestamp now) { return this->fill(now); }
 
-std::uint32_t server_pool::at_server(const backend_server_id& id) const {
-  const auto found = this->servers.find(id);
-  return found == this->servers.end() ? 0 : found->second.inside;
-}
-
-std::size_t server_pool::servers_usable(timestamp now) const {
-  return static_cast<std::size_t>(
-      std::count_if(this->servers.begin(), this->servers.end(),
-                    [&](const auto& item) { return this->may_take(item.second, now); }));
-}
-
 std::vector<backend_server_id> server_pool::excluded(timestamp now) const {
   std::vector<backend_server_id> ids;
   for (const auto& [id, server] : this->servers) {
