Let the log test wait for the removal of old segments

Cause: disk_test failed once in a run beside other work (log of 124,089 bytes, bound 100,000). Old segments are removed after the records of the same batch are acknowledged, so that callers do not wait for it; the test read the size right after such an acknowledgement, and whether a shortening falls on its last step depends on the log thread's pace. Ruled out: a lost removal. With the removal delayed by 3 ms in a scratch copy, the old test fails at 201 appends (126,265 bytes) and passes at 186 to 203 otherwise; the new one, which waits for one more record, passes at all of them. The bound is unchanged, and one more turn is asserted after the restart.

--- a/libs/disk/test/ledger_store_test.cc
+++ b/libs/disk/test/ledger_store_test.cc
@@ -110,10 +110,13 @@
     }
     disk.store.tick();
     CHECK(disk.ask<program_answer>(ledger_method::append, append(1, "last")));
+    // Old segments go after the records written with their removal are acknowledged,
+    // and before any later record is.
+    CHECK(disk.ask<program_answer>(ledger_method::append, append(1, "later")));
     CHECK(disk.store.log_bytes() < disk_bytes / 2);
   }
   open_store disk(folder.name(), disk_bytes);
-  CHECK(disk.store.held().turns() >= 21);
+  CHECK(disk.store.held().turns() >= 22);
   CHECK(disk.store.held().chain_of(request_id("t190")).turns.size() == 1);
 }
 
