Answer 502, not 503, when an earlier try of a call may have run

Ruled out: calls that may not be repeated; they are not offered again after a try that may have run. Before: the new row of deployment_test gives 503; after: 502. Conclusion: only what has not run anywhere is refused as such.

--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -308,9 +308,14 @@
     co_return false;
   }
   if (!got.server) {
-    const bool none_listed = pool.listed().empty();
-    const failure why{none_listed ? error_kind::no_listed_server : error_kind::no_backend_server,
-                      one.detail.empty() ? "no server can take it in its time" : one.detail};
+    failure why{error_kind::no_backend_server,
+                one.detail.empty() ? "no server can take it in its time" : one.detail};
+    if (one.runs > 0) {
+      // An earlier try may have run: only what has not run is refused as such.
+      why.kind = error_kind::backend_failed;
+    } else if (pool.listed().empty()) {
+      why.kind = error_kind::no_listed_server;
+    }
     co_await this->give_up(one, why);
     co_return false;
   }
--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -6,8 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http.hpp>
 #include <thread>
 
 #include "hawthornlane/http/client.h"
@@ -16,98 +14,12 @@
 
 namespace hawthornlane::scenarios {
 namespace asio = boost::asio;
-namespace bhttp = boost::beast::http;
-using tcp = asio::ip::tcp;
 using steady = std::chrono::steady_clock;
 
 namespace {
 
-constexpr const char* host_ip = "127.0.0.1";
-constexpr const char* host_name = "a.example";
 constexpr auto call_limit = std::chrono::seconds(8);
 
-constexpr const char* configuration_text = R"({"version":VERSION,"routes":[
- {"name":"kept","host":"a.example","path-prefix":"/kept/","kind":"stream","timeout-ms":3000,
-  "service":"models","max-attempts":1,"kept":true,"retain-s":60,"sticky":true,"resumable":false,
-  "priority":1},
- {"name":"resumed","host":"a.example","path-prefix":"/resumed/","kind":"stream","timeout-ms":3000,
-  "service":"models","max-attempts":2,"kept":false,"retain-s":60,"sticky":true,"resumable":true},
- {"name":"safe","host":"a.example","path-prefix":"/safe/","kind":"safe","timeout-ms":1500,
-  "service":"apps","max-attempts":2,"priority":2},
- {"name":"once","host":"a.example","path-prefix":"/once/","kind":"unsafe","timeout-ms":700,
-  "service":"apps","max-attempts":1,"priority":2}],
- "services":[{"name":"models","max-conns":100,"engine":{"slots":4,"kv-capacity":100000,
-  "tokens-per-event":10,"pin-ms":4000}},{"name":"apps","max-conns":100}],
- "limits":{"max-header-bytes":4096,"max-body-bytes":10000,"header-timeout-ms":400,
-  "idle-timeout-ms":5000}})";
-
-/// A port that nobody listens at. Below the kernel's own choices for connections,
-/// and in a range of this process, so that tests that run side by side do not take
-/// each other's between the choice and the use.
-std::uint16_t free_port() {
-  constexpr int first = 10'000;
-  constexpr int ranges = 200;
-  constexpr int range_size = 100;
-  static int next = first + ::getpid() % ranges * range_size;
-  while (true) {
-    asio::io_context context;
-    tcp::acceptor probe(context);
-    boost::system::error_code error;
-    const tcp::endpoint at(asio::ip::make_address(host_ip), static_cast<std::uint16_t>(next));
-    ++next;
-    probe.open(at.protocol(), error);
-    probe.bind(at, error);
-    if (!error) {
-      return at.port();
-    }
-  }
-}
-
-std::string bytes_of(const call_request& what) {
-  std::string bytes =
-      fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", what.method, what.path, host_name);
-  if (!what.id.empty()) {
-    bytes += fmt::format("X-Request-Id: {}\r\n", what.id);
-  }
-  for (const http::header& item : what.headers) {
-    bytes += fmt::format("{}: {}\r\n", item.name, item.value);
-  }
-  bytes += fmt::format("Content-Length: {}\r\n\r\n{}", what.body.size(), what.body);
-  return bytes;
-}
-
-/// Reads one answer, as far as it comes.
-asio::awaitable<void> read_answer(net::timed_socket& socket, call_result& into) {
-  bhttp::response_parser<bhttp::string_body> parser;
-  parser.eager(true);
-  parser.body_limit(boost::none);
-  std::string buffer;
-  constexpr std::size_t step = 4096;
-  while (!parser.is_done()) {
-    const net::error_code error =
-        co_await socket.read_more(buffer, step, steady::now() + call_limit);
-    if (error) {
-      break;
-    }
-    while (!buffer.empty() && !parser.is_done()) {
-      net::error_code parsed;
-      const std::size_t taken = parser.put(asio::buffer(buffer), parsed);
-      buffer.erase(0, taken);
-      if (parsed) {
-        break;
-      }
-    }
-  }
-  if (parser.is_header_done()) {
-    into.status = static_cast<int>(parser.get().result_int());
-    for (const auto& item : parser.get()) {
-      into.headers.push_back({std::string(item.name_string()), std::string(item.value())});
-    }
-  }
-  into.body = parser.get().body();
-  into.whole = parser.is_done();
-}
-
 asio::awaitable<void> make_call(asio::io_context& context, net::deadline_sweeper& sweeper,
                                 http::endpoint where, std::string bytes,
                                 std::shared_ptr<std::optional<call_result>> into) {
@@ -117,7 +29,8 @@
   const net::error_code failed = co_await socket.connect(where, began + call_limit);
   if (!failed) {
     co_await socket.write_all(bytes, began + call_limit);
-    co_await read_answer(socket, result);
+    std::string buffer;
+    co_await read_answer(socket, buffer, steady::now() + call_limit, result);
   }
   result.took = std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - began);
   *into = std::move(result);
@@ -164,18 +77,12 @@
 
 }  // namespace
 
-std::optional<std::string> call_result::header(const std::string& name) const {
-  http::response holder;
-  holder.headers = this->headers;
-  return holder.find_header(name);
-}
-
 deployment::deployment(deployment_size size)
     : sweeper(around),
       folder(std::filesystem::temp_directory_path() / fmt::format("hawthornlane-{}", ::getpid())) {
   std::filesystem::remove_all(this->folder);
   std::filesystem::create_directories(this->folder);
-  const http::endpoint any{host_ip, 0};
+  const http::endpoint any{loopback, 0};
   this->platform = std::make_unique<stand_ins::object_platform>(this->around, any);
   for (int number = 0; number < size.engines; ++number) {
     this->engines.push_back(std::make_unique<stand_ins::scripted_backend>(
@@ -297,7 +204,7 @@
   const auto port = [this, number](const char* kind) {
     auto& known = const_cast<deployment*>(this)->ports[fmt::format("front-{}-{}", number, kind)];
     known = known == 0 ? free_port() : known;
-    return http::endpoint{host_ip, known};
+    return http::endpoint{loopback, known};
   };
   front::front_settings settings;
   settings.host = host_id(fmt::format("front-{}", number));
@@ -308,6 +215,7 @@
   settings.ready_at = port("ready");
   settings.directory_at = port("directory");
   settings.peers_at = port("peers");
+  settings.peers_advertised = settings.peers_at;
   settings.metrics_at = port("metrics");
   settings.store = this->platform->where();
   settings.address_time = std::chrono::milliseconds(300);
@@ -319,13 +227,14 @@
   const auto port = [this, number](const char* kind) {
     auto& known = const_cast<deployment*>(this)->ports[fmt::format("disk-{}-{}", number, kind)];
     known = known == 0 ? free_port() : known;
-    return http::endpoint{host_ip, known};
+    return http::endpoint{loopback, known};
   };
   disk::disk_settings settings;
   settings.host = host_id(fmt::format("disk-{}", number));
   settings.zone = availability_zone(fmt::format("z{}", number));
   settings.region = "r";
   settings.peers_at = port("peers");
+  settings.peers_advertised = settings.peers_at;
   settings.metrics_at = port("metrics");
   settings.store = this->platform->where();
   settings.data_folder = (this->folder / fmt::format("disk-{}", number)).string();
@@ -376,9 +285,7 @@
 }
 
 void deployment::configure(int version, const std::string& replace, const std::string& by) {
-  std::string text = configuration_text;
-  constexpr std::string_view mark = "VERSION";
-  text.replace(text.find(mark), mark.size(), std::to_string(version));
+  std::string text = configuration_of(version);
   if (!replace.empty()) {
     text.replace(text.find(replace), replace.size(), by);
   }
--- a/scenarios/deployment.h
+++ b/scenarios/deployment.h
@@ -17,31 +17,10 @@
 #include "hawthornlane/front/front_host.h"
 #include "hawthornlane/stand_ins/object_platform.h"
 #include "hawthornlane/stand_ins/scripted_backend.h"
+#include "test_caller.h"
 
 namespace hawthornlane::scenarios {
 
-/// What a caller got.
-struct call_result {
-  /// 0: no answer.
-  int status = 0;
-  std::vector<http::header> headers;
-  std::string body;
-  /// The answer came to its proper end.
-  bool whole = false;
-  std::chrono::milliseconds took{};
-
-  [[nodiscard]] std::optional<std::string> header(const std::string& name) const;
-};
-
-/// What a caller sends.
-struct call_request {
-  std::string method = "POST";
-  std::string path;
-  std::string id;
-  std::vector<http::header> headers;
-  std::string body;
-};
-
 /// How large a deployment is.
 struct deployment_size {
   int fronts = 2;
--- a/scenarios/deployment_test.cc
+++ b/scenarios/deployment_test.cc
@@ -20,16 +20,7 @@
 
 call_request turn(const std::string& path, const std::string& id, const std::string& program,
                   const std::string& previous = "", int budget = 1000) {
-  call_request call = plain(path, id);
-  call.body = "in-" + id + ";";
-  call.headers = {{"X-Program-Id", program},
-                  {"X-Session-Id", "s"},
-                  {"X-Token-Budget", std::to_string(budget)},
-                  {"X-Token-Count", "100,30"}};
-  if (!previous.empty()) {
-    call.headers.push_back({"X-Previous-Turn", previous});
-  }
-  return call;
+  return turn_request_of(path, id, program, previous, budget);
 }
 
 bool is_up(deployment& all) {
@@ -78,6 +69,12 @@
       {"an idempotent call is tried again", "/safe/x", {truncate, answer}, 200, "answer to ", 2},
       {"bytes that are no answer", "/once/x", {garble, answer}, 502, "", 1},
       {"the same for an idempotent call", "/safe/x", {garble, answer}, 200, "answer to ", 2},
+      {"one that ran is not called not run when the rest are full",
+       "/safe/x",
+       {lose_answer, shed, shed},
+       502,
+       "",
+       1},
       {"an answer too many stays on its connection",
        "/once/x",
        {answer_twice},
