Let hosts keep to their part of scarce places, and set slow servers aside

Change: hosts tell their demand by gossip; from one and a half times all places on, a host keeps to its part of the demand, and what waits goes by priority and the time at which its program is wanted, late ones last. A server that takes three times as long as others for calls of the same kind, or fails two of three, is used only when no other is free.

--- /dev/null
+++ b/libs/front/include/hawthornlane/front/call_placer.h
@@ -0,0 +1,103 @@
+// Finds a backend server for each call of a front host, now or after a wait.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "hawthornlane/discovery/fleet_state.h"
+#include "hawthornlane/front/call_metrics.h"
+#include "hawthornlane/front/gossip_messages.h"
+#include "hawthornlane/net/async_signal.h"
+#include "hawthornlane/placement/server_pool.h"
+
+namespace hawthornlane::front {
+
+/// What a call got.
+struct acquired_server {
+  placement_id id;
+  std::optional<backend_entry> server;
+  bool caller_left = false;
+  duration waited{};
+};
+
+/// Lets somebody else end a call's wait for a server.
+class placement_wait {
+public:
+  /// The caller is gone; the call needs no server any more.
+  void leave();
+
+private:
+  friend class call_placer;
+  struct waiter;
+  waiter* waiting = nullptr;
+};
+
+/// What another front host has told of its calls.
+struct peer_load {
+  host_id host;
+  availability_zone zone;
+  std::vector<service_demand> services;
+};
+
+/// Joins the decisions of `server_pool`, one for each service, with the calls that wait.
+/// For one thread.
+class call_placer {
+public:
+  call_placer(boost::asio::io_context& context, host_id own, availability_zone here,
+              discovery::fleet_state& fleet, call_metrics& metrics);
+  call_placer(const call_placer&) = delete;
+  call_placer& operator=(const call_placer&) = delete;
+  ~call_placer();
+
+  /// Gives `request` an id and waits until there is a server for it, or there cannot be
+  /// one in its time.
+  boost::asio::awaitable<acquired_server> acquire(const service_name& service,
+                                                  placement_request request, placement_wait& wait);
+  /// A call that had got a server is over there.
+  void finished(const service_name& service, placement_id id, server_outcome outcome);
+  /// The first part of a call's answer came.
+  void started(const service_name& service, placement_id id);
+  [[nodiscard]] bool lists_servers(const service_name& service);
+
+  /// Tells the pools which servers there are now.
+  void refresh_servers();
+  /// Ends waits whose time is over, and tries again what waits for a server.
+  void tick();
+  /// What this host needs of each service, for the other hosts.
+  [[nodiscard]] std::vector<service_demand> demand() const;
+  /// Takes what the other hosts tell and divides scarce places between this host and
+  /// them.
+  void take_load(const std::vector<peer_load>& others);
+
+private:
+  struct service_pool {
+    explicit service_pool(server_pool from) : pool(std::move(from)) {}
+    server_pool pool;
+    /// Calls at servers and waiting, smoothed.
+    double demand = 0;
+    /// As last written to the log.
+    std::set<backend_server_id> set_aside;
+    bool scarce = false;
+  };
+
+  service_pool& pool_of(const service_name& name);
+  void deliver(const std::vector<placement>& placed);
+  void share_places(const service_name& name, service_pool& item,
+                    const std::vector<peer_load>& others, timestamp now);
+  void log_set_aside(const service_name& name, service_pool& item, timestamp now);
+
+  boost::asio::io_context& context;
+  host_id own;
+  availability_zone zone;
+  discovery::fleet_state& fleet;
+  call_metrics& metrics;
+  std::map<service_name, service_pool> pools;
+  std::map<placement_id, placement_wait::waiter*> waiters;
+  placement_id last_placement;
+};
+
+}  // namespace hawthornlane::front
--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -41,6 +41,20 @@
   relay = 6
 };
 
+/// What one front host needs of one service.
+struct service_demand {
+  service_name service;
+  /// Calls at servers and waiting for one.
+  std::uint32_t calls = 0;
+
+  friend bool operator==(const service_demand&, const service_demand&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->service, this->calls);
+  }
+};
+
 /// What one front host knows and is, as told to another.
 struct gossip_digest {
   host_entry self;
@@ -59,12 +73,15 @@
   /// name: none yet.
   host_id checked_by;
   duration checked_ago{};
+  /// Services of which this host needs something.
+  std::vector<service_demand> demand;
 
   template <class Archive>
   void serialize(Archive& archive) {
     std::int64_t age = this->checked_ago.count();
     archive(this->self, this->ready, this->leaving, this->disks_reached, this->configuration,
-            this->backends_changed_at, this->hosts_at, this->ledger_at, this->checked_by, age);
+            this->backends_changed_at, this->hosts_at, this->ledger_at, this->checked_by, age,
+            this->demand);
     this->checked_ago = duration(age);
   }
 };
--- /dev/null
+++ b/libs/front/src/call_placer.cc
@@ -0,0 +1,203 @@
+// Finds a backend server for each call of a front host, now or after a wait.
+#include "hawthornlane/front/call_placer.h"
+
+#include <fmt/format.h>
+
+#include <cmath>
+
+#include "hawthornlane/placement/call_window.h"
+#include "hawthornlane/telemetry/log.h"
+
+namespace hawthornlane::front {
+namespace asio = boost::asio;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+/// Part of a new count in the smoothed demand, each 100 ms: hosts hear each other's
+/// demand about once a second, and single calls must not move the shares.
+constexpr double newest_part = 0.3;
+
+}  // namespace
+
+/// A call that waits for a server.
+struct placement_wait::waiter {
+  explicit waiter(asio::io_context& context) : signal(context) {}
+  net::async_signal signal;
+  std::optional<backend_entry> server;
+  bool left = false;
+};
+
+void placement_wait::leave() {
+  if (this->waiting != nullptr) {
+    this->waiting->left = true;
+    this->waiting->signal.wake();
+  }
+}
+
+call_placer::call_placer(asio::io_context& io, host_id name, availability_zone here,
+                         discovery::fleet_state& state, call_metrics& counters)
+    : context(io), own(std::move(name)), zone(std::move(here)), fleet(state), metrics(counters) {}
+
+call_placer::~call_placer() = default;
+
+call_placer::service_pool& call_placer::pool_of(const service_name& name) {
+  const auto found = this->pools.find(name);
+  if (found != this->pools.end()) {
+    return found->second;
+  }
+  service_pool& item =
+      this->pools.try_emplace(name, server_pool(pool_rules{}, this->own, this->zone)).first->second;
+  item.pool.set_servers(this->fleet.usable_backends(name), discovery::scheduler_now());
+  return item;
+}
+
+void call_placer::deliver(const std::vector<placement>& placed) {
+  for (const placement& item : placed) {
+    const auto found = this->waiters.find(item.id);
+    if (found == this->waiters.end()) {
+      continue;
+    }
+    found->second->server = item.server;
+    found->second->signal.wake();
+  }
+}
+
+bool call_placer::lists_servers(const service_name& service) {
+  return !this->pool_of(service).pool.listed().empty();
+}
+
+void call_placer::refresh_servers() {
+  for (const service_name& name : this->fleet.services_with_backends()) {
+    this->pool_of(name);
+  }
+  for (auto& [name, item] : this->pools) {
+    const std::vector<backend_entry> servers = this->fleet.usable_backends(name);
+    this->deliver(item.pool.set_servers(servers, discovery::scheduler_now()));
+  }
+}
+
+void call_placer::tick() {
+  const timestamp now = discovery::scheduler_now();
+  for (auto& [name, item] : this->pools) {
+    if (item.pool.waiting() == 0) {
+      continue;
+    }
+    this->deliver(item.pool.tick(now));
+    for (const placement_id& id : item.pool.expire(now)) {
+      const auto found = this->waiters.find(id);
+      if (found != this->waiters.end()) {
+        found->second->signal.wake();
+      }
+    }
+  }
+}
+
+void call_placer::log_set_aside(const service_name& name, service_pool& item, timestamp now) {
+  std::set<backend_server_id> aside = item.pool.set_aside(now);
+  if (aside == item.set_aside) {
+    return;
+  }
+  for (const backend_server_id& id : aside) {
+    if (!item.set_aside.contains(id)) {
+      log(event::backend_set_aside, {{"server", id.get()}, {"service", name.get()}});
+    }
+  }
+  for (const backend_server_id& id : item.set_aside) {
+    if (!aside.contains(id)) {
+      log(event::backend_trusted, {{"server", id.get()}, {"service", name.get()}});
+    }
+  }
+  item.set_aside = std::move(aside);
+}
+
+std::vector<service_demand> call_placer::demand() const {
+  std::vector<service_demand> all;
+  for (const auto& [name, item] : this->pools) {
+    const auto calls = static_cast<std::uint32_t>(std::lround(item.demand));
+    if (calls > 0) {
+      all.push_back({name, calls});
+    }
+  }
+  return all;
+}
+
+void call_placer::take_load(const std::vector<peer_load>& others) {
+  const timestamp now = discovery::scheduler_now();
+  for (auto& [name, item] : this->pools) {
+    this->deliver(item.pool.tick(now));
+    this->log_set_aside(name, item, now);
+    this->share_places(name, item, others, now);
+  }
+}
+
+void call_placer::share_places(const service_name& name, service_pool& item,
+                               const std::vector<peer_load>& others, timestamp now) {
+  item.demand += newest_part * (static_cast<double>(item.pool.demand()) - item.demand);
+  service_load load;
+  load.places = item.pool.places_in_good_health(now);
+  load.own_calls = item.demand;
+  for (const peer_load& other : others) {
+    for (const service_demand& service : other.services) {
+      load.other_calls += service.service == name ? service.calls : 0;
+    }
+  }
+  const std::optional<std::uint32_t> window = window_for(load);
+  if (window.has_value() != item.scarce) {
+    item.scarce = window.has_value();
+    log(event::places_shared, {{"service", name.get()},
+                               {"shared", item.scarce ? "yes" : "no"},
+                               {"places", fmt::format("{:.0f}", load.places)},
+                               {"own_calls", fmt::format("{:.0f}", load.own_calls)},
+                               {"other_calls", fmt::format("{:.0f}", load.other_calls)},
+                               {"hosts_heard", std::to_string(others.size())}});
+  }
+  this->deliver(item.pool.set_window(window, now));
+}
+
+asio::awaitable<acquired_server> call_placer::acquire(const service_name& service,
+                                                      placement_request request,
+                                                      placement_wait& wait) {
+  acquired_server got;
+  this->last_placement = this->last_placement.next();
+  got.id = this->last_placement;
+  request.id = got.id;
+  server_pool& pool = this->pool_of(service).pool;
+  std::vector<placement> placed;
+  const submit_outcome outcome = pool.submit(request, discovery::scheduler_now(), placed);
+  if (outcome == submit_outcome::refused) {
+    co_return got;
+  }
+  if (outcome == submit_outcome::placed) {
+    got.server = placed.front().server;
+    co_return got;
+  }
+  const auto began = steady::now();
+  placement_wait::waiter waiting(this->context);
+  this->waiters.emplace(got.id, &waiting);
+  wait.waiting = &waiting;
+  co_await waiting.signal.wait();
+  wait.waiting = nullptr;
+  this->waiters.erase(got.id);
+  got.waited = std::chrono::duration_cast<duration>(steady::now() - began);
+  this->metrics.record("queue_wait", got.waited);
+  got.caller_left = waiting.left;
+  if (waiting.left) {
+    pool.cancel(got.id);
+    this->finished(service, got.id, server_outcome::caller_left);
+    co_return got;
+  }
+  got.server = waiting.server;
+  co_return got;
+}
+
+void call_placer::finished(const service_name& service, placement_id id, server_outcome outcome) {
+  server_pool& pool = this->pool_of(service).pool;
+  this->deliver(pool.finished(id, outcome, discovery::scheduler_now()));
+}
+
+void call_placer::started(const service_name& service, placement_id id) {
+  this->pool_of(service).pool.started(id, discovery::scheduler_now());
+}
+
+}  // namespace hawthornlane::front
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -111,6 +111,8 @@
   relay::call_terms terms;
   route_table_ptr table;
   const route* taken = nullptr;
+  /// One of the route's services.
+  service_name service;
   net::steady_time arrived = steady::now();
   net::steady_time until;
   std::set<backend_server_id> tried;
@@ -118,7 +120,7 @@
   std::uint32_t runs = 0;
   int tries = 0;
   relay::try_handle handle;
-  waiter* waiting = nullptr;
+  placement_wait wait;
   relay::backend_answer answer;
   std::string detail;
   /// The turn in the ledger, once admitted.
@@ -129,6 +131,9 @@
   relay::event_splitter splitter;
   std::optional<std::uint64_t> last_event;
   std::int64_t events = 0;
+  /// Of the try under way: its name, and the events before it.
+  placement_id placed;
+  std::int64_t events_before = 0;
   std::string output;
   net::steady_time first_event_at;
   // For the log line.
@@ -139,84 +144,10 @@
   std::int64_t ledger_ms = 0;
 };
 
-/// A call that waits for a server.
-struct call_service::waiter {
-  explicit waiter(asio::io_context& context) : signal(context) {}
-  net::async_signal signal;
-  std::optional<backend_entry> server;
-  bool expired = false;
-  bool left = false;
-};
-
-/// What a call got from its pool.
-struct call_service::acquired {
-  placement_id id;
-  std::optional<backend_entry> server;
-  bool caller_left = false;
-};
-
-call_service::call_service(asio::io_context& io, host_id name, availability_zone here,
-                           discovery::fleet_state& state, relay::backend_pool& pool,
-                           const relay::call_codec& with, turn_keeper& keeper,
-                           call_metrics& counters)
-    : context(io),
-      own(std::move(name)),
-      zone(std::move(here)),
-      fleet(state),
-      backends(pool),
-      codec(with),
-      turns(keeper),
-      metrics(counters) {}
-
-call_service::~call_service() = default;
-
-server_pool& call_service::pool_of(const service_name& name) {
-  const auto found = this->pools.find(name);
-  if (found != this->pools.end()) {
-    return found->second;
-  }
-  server_pool& pool =
-      this->pools.try_emplace(name, pool_rules{}, this->own, this->zone).first->second;
-  pool.set_servers(this->fleet.usable_backends(name), discovery::scheduler_now());
-  return pool;
-}
-
-void call_service::deliver(const std::vector<placement>& placed) {
-  for (const placement& item : placed) {
-    const auto found = this->waiters.find(item.id);
-    if (found == this->waiters.end()) {
-      continue;
-    }
-    found->second->server = item.server;
-    found->second->signal.wake();
-  }
-}
-
-void call_service::refresh_servers() {
-  for (const service_name& name : this->fleet.services_with_backends()) {
-    this->pool_of(name);
-  }
-  for (auto& [name, pool] : this->pools) {
-    this->deliver(pool.set_servers(this->fleet.usable_backends(name), discovery::scheduler_now()));
-  }
-}
-
-void call_service::tick() {
-  const timestamp now = discovery::scheduler_now();
-  for (auto& [name, pool] : this->pools) {
-    if (pool.waiting() == 0) {
-      continue;
-    }
-    this->deliver(pool.tick(now));
-    for (const placement_id& id : pool.expire(now)) {
-      const auto found = this->waiters.find(id);
-      if (found != this->waiters.end()) {
-        found->second->expired = true;
-        found->second->signal.wake();
-      }
-    }
-  }
-}
+call_service::call_service(discovery::fleet_state& state, call_placer& places,
+                           relay::backend_pool& pool, const relay::call_codec& with,
+                           turn_keeper& keeper, call_metrics& counters)
+    : fleet(state), placer(places), backends(pool), codec(with), turns(keeper), metrics(counters) {}
 
 asio::awaitable<void> call_service::refuse(relay::caller_link& caller, const failure& why,
                                            const std::string& id) {
@@ -246,10 +177,7 @@
   caller.connection().watch_for_close([this, &one] {
     one.caller.note_gone();
     one.handle.abandon();
-    if (one.waiting != nullptr) {
-      one.waiting->left = true;
-      one.waiting->signal.wake();
-    }
+    one.wait.leave();
     this->metrics.count("callers_left");
   });
   co_await this->run(one);
@@ -277,6 +205,7 @@
                    fmt::format("no route for {}{} in version {}", one.terms.host_name,
                                one.request.path, one.table->version().get())};
   }
+  one.service = route_table::choose_service(*one.taken, service_draw(one.terms));
   const duration longest = one.terms.deadline.value_or(one.taken->timeout);
   one.until = one.arrived + std::min(longest, one.taken->timeout);
   return std::nullopt;
@@ -291,17 +220,15 @@
   if (!co_await this->admit(one)) {
     co_return;
   }
-  server_pool& pool =
-      this->pool_of(route_table::choose_service(*one.taken, service_draw(one.terms)));
   bool again = true;
   while (again) {
-    again = co_await this->run_once(one, pool);
+    again = co_await this->run_once(one);
   }
   this->log_call(one);
 }
 
-asio::awaitable<bool> call_service::run_once(call& one, server_pool& pool) {
-  const acquired got = co_await this->acquire(one, pool);
+asio::awaitable<bool> call_service::run_once(call& one) {
+  const acquired_server got = co_await this->acquire(one);
   if (got.caller_left) {
     one.outcome = "caller_left";
     co_await this->settle_broken(one);
@@ -313,14 +240,14 @@
     if (one.runs > 0) {
       // An earlier try may have run: only what has not run is refused as such.
       why.kind = error_kind::backend_failed;
-    } else if (pool.listed().empty()) {
+    } else if (!this->placer.lists_servers(one.service)) {
       why.kind = error_kind::no_listed_server;
     }
     co_await this->give_up(one, why);
     co_return false;
   }
   const try_outcome outcome = co_await this->try_server(one, *got.server);
-  this->deliver(pool.finished(got.id, health_of(outcome), discovery::scheduler_now()));
+  this->note_try(one, got, outcome);
   one.outcome = name_of(outcome);
   if (outcome == try_outcome::whole) {
     co_await this->finish_whole(one);
@@ -382,10 +309,8 @@
   co_return false;
 }
 
-asio::awaitable<call_service::acquired> call_service::acquire(call& one, server_pool& pool) {
-  acquired got;
-  this->last_placement = this->last_placement.next();
-  got.id = this->last_placement;
+asio::awaitable<acquired_server> call_service::acquire(call& one) {
+  acquired_server got;
   if (one.caller.gone()) {
     got.caller_left = true;
     co_return got;
@@ -393,43 +318,31 @@
   const timestamp now = discovery::scheduler_now();
   const auto left = std::chrono::duration_cast<duration>(one.until - steady::now());
   placement_request request;
-  request.id = got.id;
   request.affinity = affinity_of(*one.taken, one.terms);
+  request.kind = hash_of(one.taken->name.get());
   request.priority = one.taken->priority;
   request.wanted_by = now + one.terms.program_time_left.value_or(left);
   request.give_up_at = now + left - least_service_time;
   request.tried = one.tried;
-  waiter waiting(this->context);
-  std::vector<placement> placed;
-  const submit_outcome outcome = pool.submit(request, now, placed);
-  if (outcome == submit_outcome::refused) {
-    co_return got;
-  }
-  if (outcome == submit_outcome::placed) {
-    got.server = placed.front().server;
-    co_return got;
-  }
-  const net::steady_time began = steady::now();
-  this->waiters.emplace(got.id, &waiting);
-  one.waiting = &waiting;
-  co_await waiting.signal.wait();
-  one.waiting = nullptr;
-  this->waiters.erase(got.id);
-  one.queued_ms += milliseconds_since(began);
-  this->metrics.record("queue_wait", std::chrono::duration_cast<duration>(steady::now() - began));
-  got.caller_left = waiting.left;
-  if (waiting.left) {
-    pool.cancel(got.id);
-    this->deliver(pool.finished(got.id, server_outcome::caller_left, discovery::scheduler_now()));
-    co_return got;
-  }
-  got.server = waiting.server;
+  got = co_await this->placer.acquire(one.service, request, one.wait);
+  one.placed = got.id;
+  one.queued_ms += got.waited.count() / 1000;
   co_return got;
 }
 
+void call_service::note_try(const call& one, const acquired_server& got, try_outcome outcome) {
+  constexpr int first_server_error = 500;
+  server_outcome health = health_of(outcome);
+  if (outcome == try_outcome::whole && one.answer.status >= first_server_error) {
+    health = server_outcome::error_answer;
+  }
+  this->placer.finished(one.service, got.id, health);
+}
+
 asio::awaitable<try_outcome> call_service::try_server(call& one, const backend_entry& server) {
   ++one.tries;
   one.server = server.id;
+  one.events_before = one.events;
   one.splitter = {};
   one.handle = {};
   relay::dispatch_terms terms;
@@ -504,6 +417,9 @@
   std::string out;
   for (relay::stream_event& item : one.splitter.add(bytes)) {
     out += item.bytes;
+    if (one.events == one.events_before) {
+      this->placer.started(one.service, one.placed);
+    }
     if (one.events == 0) {
       one.first_event_at = steady::now();
     }
@@ -531,8 +447,7 @@
 }
 
 token_count call_service::tokens_handed_out(const call& one) {
-  const service* pool =
-      one.table->find_service(route_table::choose_service(*one.taken, service_draw(one.terms)));
+  const service* pool = one.table->find_service(one.service);
   const std::int64_t each =
       pool != nullptr && pool->engine ? pool->engine->tokens_per_event.get() : 1;
   return token_count(one.events * each);
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -45,6 +45,8 @@
 constexpr auto host_check_pause = std::chrono::seconds(3);
 /// Between two reads of a host that lacks the others' addresses.
 constexpr auto host_read_pause = std::chrono::milliseconds(300);
+/// Between two divisions of scarce places; a call at a model server takes 0.2 s.
+constexpr auto sharing_pause = std::chrono::milliseconds(100);
 /// Between two sweeps over idle connections to servers.
 constexpr auto idle_pause = std::chrono::seconds(1);
 
@@ -61,7 +63,8 @@
         checks(settings.host, discovery::scheduler_now()),
         backends(io, sweeper, codec),
         ledger(io, sweeper, fleet, settings.memory_mb * cache_bytes_per_mb),
-        calls(io, settings.host, settings.zone, fleet, backends, codec, ledger, metrics),
+        placer(io, settings.host, settings.zone, fleet, metrics),
+        calls(fleet, placer, backends, codec, ledger, metrics),
         gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
         acceptor(io) {}
 
@@ -80,6 +83,7 @@
   call_metrics metrics;
   relay::backend_pool backends;
   ledger_client ledger;
+  call_placer placer;
   call_service calls;
   peer_gossip gossip;
   tcp::acceptor acceptor;
@@ -91,6 +95,7 @@
   bool store_reachable = true;
   net::steady_time store_lost_at{};
   net::steady_time next_idle_sweep{};
+  net::steady_time next_sharing{};
   std::size_t connections = 0;
 
   static std::optional<configuration> decode_configuration(const std::string& text) {
@@ -125,6 +130,7 @@
     own.hosts_at = this->fleet.hosts_changed_at();
     own.disks_reached = this->ledger.reached();
     own.ledger_at = this->ledger.current() ? this->ledger.current()->epoch : set_epoch(0);
+    own.demand = this->placer.demand();
     if (this->checks.heard()) {
       own.checked_by = this->checks.last_reader();
       own.checked_ago = this->checks.age(discovery::scheduler_now());
@@ -143,7 +149,7 @@
         discovery::make_host_entry(this->settings.host, host_role::front, this->settings.zone,
                                    this->settings.region, this->settings.peers_advertised);
     this->self.callers_at = http::to_string(this->settings.callers_at);
-    this->fleet.on_backends_changed([this] { this->calls.refresh_servers(); });
+    this->fleet.on_backends_changed([this] { this->placer.refresh_servers(); });
     this->fleet.on_hosts_changed([this] {
       this->gossip.refresh_hosts();
       this->ledger.refresh_hosts();
@@ -317,12 +323,16 @@
   }
 
   void on_pass() {
-    this->calls.tick();
+    this->placer.tick();
     this->fleet.settle();
     this->gossip.tick();
     this->ledger.tick();
     flush_log();
     const net::steady_time now = steady::now();
+    if (now >= this->next_sharing) {
+      this->next_sharing = now + sharing_pause;
+      this->placer.take_load(this->gossip.load_of_others());
+    }
     if (now >= this->next_idle_sweep) {
       this->next_idle_sweep = now + idle_pause;
       this->close_idle();
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -289,4 +289,15 @@
   return ready;
 }
 
+std::vector<peer_load> peer_gossip::load_of_others() const {
+  const net::steady_time now = steady::now();
+  std::vector<peer_load> all;
+  for (const auto& [name, other] : this->peers) {
+    if (now - other->heard_at < this->silence()) {
+      all.push_back({name, other->entry.zone, other->heard.demand});
+    }
+  }
+  return all;
+}
+
 }  // namespace hawthornlane::front
--- a/libs/front/test/gossip_messages_test.cc
+++ b/libs/front/test/gossip_messages_test.cc
@@ -28,6 +28,7 @@
   digest.ledger_at = set_epoch(13);
   digest.checked_by = host_id("front-2");
   digest.checked_ago = 345ms;
+  digest.demand = {{service_name("models"), 7}, {service_name("apps"), 2}};
   return digest;
 }
 
@@ -47,6 +48,7 @@
   CHECK(read->ledger_at == sent.ledger_at);
   CHECK(read->checked_by == sent.checked_by);
   CHECK(read->checked_ago == sent.checked_ago);
+  CHECK(read->demand == sent.demand);
 }
 
 TEST_CASE("a digest that is cut anywhere is refused") {
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "hawthornlane/fleet/fleet_view.h"
+#include "hawthornlane/placement/server_health.h"
 #include "hawthornlane/units/ids.h"
 #include "hawthornlane/units/quantities.h"
 
@@ -22,6 +23,8 @@
   placement_id id;
   /// Calls with the same value do better at the same server; 0: any server.
   std::uint64_t affinity = 0;
+  /// Calls of one kind take about the same time until they start to be answered.
+  std::uint64_t kind = 0;
   /// Lower goes first.
   std::uint32_t priority = 0;
   /// When the program, or the call itself, should be done.
@@ -38,9 +41,6 @@
   backend_entry server;
 };
 
-/// How a call at a server ended, as it bears on the server's health.
-enum class server_outcome : std::uint8_t { answered, refused, failed, unreachable, caller_left };
-
 /// What happens with a call that was submitted.
 enum class submit_outcome : std::uint8_t { placed, queued, refused };
 
@@ -57,11 +57,7 @@
   /// Calls that wait at most, as a multiple of all places of this host. A longer
   /// queue only holds calls that run out of time.
   double queue_factor = 2.0;
-  /// First exclusion after a failure; doubles up to the longest.
-  duration first_exclusion = std::chrono::milliseconds(250);
-  duration longest_exclusion = std::chrono::seconds(4);
-  /// Consecutive failures that exclude a server; one lost answer is no sign.
-  std::uint32_t failures_to_exclude = 2;
+  health_rules health;
 };
 
 /// Decides for one service at one host. No I/O, clock or randomness.
@@ -76,6 +72,10 @@
                         std::vector<placement>& placed);
   /// A call left its server; calls that can be placed now come back.
   std::vector<placement> finished(placement_id id, server_outcome outcome, timestamp now);
+  /// The first part of a call's answer came; the rest is as long as the call itself.
+  void started(placement_id id, timestamp now);
+  /// While places are scarce: so many calls may be at servers.
+  std::vector<placement> set_window(std::optional<std::uint32_t> most, timestamp now);
   /// The call leaves the queue.
   void cancel(placement_id id);
   /// Calls whose time is over; they have left the queue.
@@ -84,8 +84,15 @@
   std::vector<placement> tick(timestamp now);
 
   [[nodiscard]] std::size_t waiting() const { return this->queue.size(); }
-  /// Servers that are excluded after failures, for the operator.
-  [[nodiscard]] std::vector<backend_server_id> excluded(timestamp now) const;
+  /// Calls at servers and waiting for one.
+  [[nodiscard]] std::size_t demand() const { return this->queue.size() + this->running.size(); }
+  /// Servers that get nothing for now after failures.
+  [[nodiscard]] std::set<backend_server_id> excluded(timestamp now) const;
+  /// Servers that get nothing, or nothing while others are free, because of how calls
+  /// at them went.
+  [[nodiscard]] std::set<backend_server_id> set_aside(timestamp now) const;
+  /// Calls that the servers which are not set aside work on at once.
+  [[nodiscard]] double places_in_good_health(timestamp now) const;
   [[nodiscard]] std::vector<backend_server_id> listed() const;
 
 private:
@@ -93,28 +100,46 @@
     backend_entry entry;
     /// Invariant: equals the entries of `running` for this server.
     std::uint32_t inside = 0;
-    std::uint32_t failures = 0;
-    timestamp excluded_until{};
+    server_health health;
     bool listed = true;
   };
-  using queue_key = std::tuple<std::uint32_t, timestamp, placement_id>;
+  /// The servers that a choice is made among.
+  enum class choice_range : std::uint8_t { trusted, any };
+  /// Priority, whether its time is over already, when it is wanted, and its name.
+  /// A call at a server.
+  struct running_call {
+    backend_server_id server;
+    std::uint64_t kind = 0;
+    timestamp since{};
+    /// Its time until the answer began is known.
+    bool timed = false;
+  };
+  using queue_key = std::tuple<std::uint32_t, bool, timestamp, placement_id>;
 
   [[nodiscard]] std::uint32_t limit_of(const server_state& server) const;
-  [[nodiscard]] bool may_take(const server_state& server, timestamp now) const;
+  [[nodiscard]] bool is_set_aside(const server_state& server, timestamp now) const;
+  [[nodiscard]] bool may_take(const server_state& server, choice_range range, timestamp now) const;
   [[nodiscard]] server_state* choose(const placement_request& request, timestamp now);
-  [[nodiscard]] static queue_key key_of(const placement_request& request);
+  [[nodiscard]] server_state* choose_among(const placement_request& request, choice_range range,
+                                           timestamp now);
+  [[nodiscard]] static queue_key key_of(const placement_request& request, timestamp now);
   [[nodiscard]] std::size_t places() const;
-  void place(const placement_request& request, server_state& server,
+  void place(const placement_request& request, server_state& server, timestamp now,
              std::vector<placement>& placed);
+  /// Holds what a call took so far for or against its server.
+  void note_time(const running_call& call, bool lower_bound, timestamp now);
+  /// Holds calls that are much later than usual against their servers.
+  void note_late_calls(timestamp now);
   std::vector<placement> fill(timestamp now);
-  void note(server_state& server, server_outcome outcome, timestamp now);
 
   pool_rules rules;
   availability_zone zone;
   std::map<backend_server_id, server_state> servers;
-  std::map<placement_id, backend_server_id> running;
+  std::map<placement_id, running_call> running;
   std::map<queue_key, placement_request> queue;
   std::map<placement_id, queue_key> queued;
+  usual_times usual;
+  std::optional<std::uint32_t> window;
   /// Makes the order in which this host prefers equally busy servers its own.
   std::uint64_t own_key;
 };
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -27,8 +27,13 @@
   return std::max(this->rules.least_limit, static_cast<std::uint32_t>(share));
 }
 
-bool server_pool::may_take(const server_state& server, timestamp now) const {
-  return server.listed && server.excluded_until <= now;
+bool server_pool::may_take(const server_state& server, choice_range range, timestamp now) const {
+  if (!server.listed || server.health.excluded(now)) {
+    return false;
+  }
+  const bool trusted =
+      range == choice_range::any || !server.health.doubted(this->rules.health, now);
+  return trusted && server.inside < this->limit_of(server);
 }
 
 std::size_t server_pool::places() const {
@@ -39,18 +44,28 @@
   return sum;
 }
 
-server_pool::queue_key server_pool::key_of(const placement_request& request) {
-  return {request.priority, request.wanted_by, request.id};
+server_pool::queue_key server_pool::key_of(const placement_request& request, timestamp now) {
+  // What is late already goes behind what can still be in time.
+  return {request.priority, request.wanted_by <= now, request.wanted_by, request.id};
 }
 
 server_pool::server_state* server_pool::choose(const placement_request& request, timestamp now) {
+  // A call that a server has refused must find another one soon.
+  if (this->window && this->running.size() >= *this->window && request.tried.empty()) {
+    return nullptr;
+  }
+  server_state* trusted = this->choose_among(request, choice_range::trusted, now);
+  return trusted != nullptr ? trusted : this->choose_among(request, choice_range::any, now);
+}
+
+server_pool::server_state* server_pool::choose_among(const placement_request& request,
+                                                     choice_range range, timestamp now) {
   server_state* least = nullptr;
   server_state* preferred = nullptr;
   std::uint64_t preferred_weight = 0;
   std::uint64_t least_rank = 0;
   for (auto& [id, server] : this->servers) {
-    const bool free = server.inside < this->limit_of(server);
-    if (!this->may_take(server, now) || !free || request.tried.contains(id)) {
+    if (!this->may_take(server, range, now) || request.tried.contains(id)) {
       continue;
     }
     const bool near = server.entry.zone == this->zone;
@@ -79,10 +94,10 @@
   return least;
 }
 
-void server_pool::place(const placement_request& request, server_state& server,
+void server_pool::place(const placement_request& request, server_state& server, timestamp now,
                         std::vector<placement>& placed) {
   ++server.inside;
-  this->running[request.id] = server.entry.id;
+  this->running[request.id] = {server.entry.id, request.kind, now};
   placed.push_back({request.id, server.entry});
 }
 
@@ -97,7 +112,7 @@
       ++item;
       continue;
     }
-    this->place(item->second, *server, placed);
+    this->place(item->second, *server, now, placed);
     this->queued.erase(item->second.id);
     item = this->queue.erase(item);
   }
@@ -122,7 +137,7 @@
 submit_outcome server_pool::submit(const placement_request& request, timestamp now,
                                    std::vector<placement>& placed) {
   if (server_state* server = this->choose(request, now)) {
-    this->place(request, *server, placed);
+    this->place(request, *server, now, placed);
     return submit_outcome::placed;
   }
   const bool untried = std::any_of(this->servers.begin(), this->servers.end(), [&](auto& item) {
@@ -133,26 +148,46 @@
   if (!untried || no_room || request.give_up_at <= now) {
     return submit_outcome::refused;
   }
-  const queue_key key = key_of(request);
+  const queue_key key = key_of(request, now);
   this->queue.emplace(key, request);
   this->queued.emplace(request.id, key);
   return submit_outcome::queued;
 }
 
-void server_pool::note(server_state& server, server_outcome outcome, timestamp now) {
-  if (outcome == server_outcome::answered || outcome == server_outcome::caller_left) {
-    server.failures = outcome == server_outcome::answered ? 0 : server.failures;
+void server_pool::note_time(const running_call& call, bool lower_bound, timestamp now) {
+  const duration took = std::chrono::duration_cast<duration>(now - call.since);
+  const pace_sample sample = this->usual.compare(call.kind, took, lower_bound);
+  const auto server = this->servers.find(call.server);
+  if (server == this->servers.end()) {
     return;
   }
-  ++server.failures;
-  const bool at_once = outcome == server_outcome::unreachable;
-  if (!at_once && server.failures < this->rules.failures_to_exclude) {
+  if (lower_bound) {
+    server->second.health.hold_pace(sample, this->rules.health, now);
+  } else {
+    server->second.health.note_pace(sample, this->rules.health, now);
+  }
+}
+
+void server_pool::started(placement_id id, timestamp now) {
+  const auto found = this->running.find(id);
+  if (found == this->running.end() || found->second.timed) {
     return;
   }
-  constexpr std::uint32_t most_doublings = 6;
-  const std::uint32_t doublings = std::min(server.failures - 1, most_doublings);
-  const duration pause = this->rules.first_exclusion * (1U << doublings);
-  server.excluded_until = now + std::min(pause, this->rules.longest_exclusion);
+  found->second.timed = true;
+  this->note_time(found->second, false, now);
+}
+
+void server_pool::note_late_calls(timestamp now) {
+  for (auto& [id, call] : this->running) {
+    if (!call.timed) {
+      this->note_time(call, true, now);
+    }
+  }
+}
+
+std::vector<placement> server_pool::set_window(std::optional<std::uint32_t> most, timestamp now) {
+  this->window = most;
+  return this->fill(now);
 }
 
 std::vector<placement> server_pool::finished(placement_id id, server_outcome outcome,
@@ -161,10 +196,17 @@
   if (found == this->running.end()) {
     return {};
   }
-  const auto server = this->servers.find(found->second);
+  const auto server = this->servers.find(found->second.server);
+  const bool answered =
+      outcome == server_outcome::answered || outcome == server_outcome::error_answer;
+  const bool never_ran =
+      outcome == server_outcome::refused || outcome == server_outcome::unreachable;
+  if (!found->second.timed && !never_ran) {
+    this->note_time(found->second, !answered, now);
+  }
   this->running.erase(found);
   --server->second.inside;
-  this->note(server->second, outcome, now);
+  server->second.health.note(outcome, this->rules.health, now);
   if (!server->second.listed && server->second.inside == 0) {
     this->servers.erase(server);
   }
@@ -194,18 +236,43 @@
   return expired;
 }
 
-std::vector<placement> server_pool::tick(timestamp now) { return this->fill(now); }
+std::vector<placement> server_pool::tick(timestamp now) {
+  this->note_late_calls(now);
+  return this->fill(now);
+}
 
-std::vector<backend_server_id> server_pool::excluded(timestamp now) const {
-  std::vector<backend_server_id> ids;
+bool server_pool::is_set_aside(const server_state& server, timestamp now) const {
+  return server.health.excluded(now) || server.health.doubted(this->rules.health, now);
+}
+
+std::set<backend_server_id> server_pool::excluded(timestamp now) const {
+  std::set<backend_server_id> ids;
   for (const auto& [id, server] : this->servers) {
-    if (server.listed && server.excluded_until > now) {
-      ids.push_back(id);
+    if (server.listed && server.health.excluded(now)) {
+      ids.insert(id);
+    }
+  }
+  return ids;
+}
+
+std::set<backend_server_id> server_pool::set_aside(timestamp now) const {
+  std::set<backend_server_id> ids;
+  for (const auto& [id, server] : this->servers) {
+    if (server.listed && this->is_set_aside(server, now)) {
+      ids.insert(id);
     }
   }
   return ids;
 }
 
+double server_pool::places_in_good_health(timestamp now) const {
+  double places = 0;
+  for (const auto& [id, server] : this->servers) {
+    places += server.listed && !this->is_set_aside(server, now) ? server.entry.slots : 0;
+  }
+  return places;
+}
+
 std::vector<backend_server_id> server_pool::listed() const {
   std::vector<backend_server_id> ids;
   for (const auto& [id, server] : this->servers) {
--- /dev/null
+++ b/libs/placement/test/server_health_test.cc
@@ -0,0 +1,104 @@
+// Tables over what calls say about a server.
+#include "hawthornlane/placement/server_health.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace hawthornlane;
+using namespace std::chrono_literals;
+
+namespace {
+
+timestamp at(duration since) { return timestamp(since); }
+
+}  // namespace
+
+TEST_CASE("a server that fails often is doubted, and is tried again after a while") {
+  using enum server_outcome;
+  struct row {
+    const char* what;
+    std::vector<server_outcome> outcomes;
+    bool doubted;
+  };
+  const row rows[] = {
+      {"nothing is known", {}, false},
+      {"it answers", {answered, answered, answered}, false},
+      {"one failure", {answered, failed}, false},
+      {"two in a row", {failed, error_answer}, true},
+      {"two in three", {error_answer, answered, error_answer}, true},
+      {"two in six", {failed, answered, answered, answered, answered, failed}, false},
+      {"full, not faulty", {refused, refused, refused}, false},
+      {"callers that left", {caller_left, caller_left, caller_left}, false},
+  };
+  const health_rules rules;
+  for (const row& item : rows) {
+    INFO(item.what);
+    server_health health;
+    duration now = 0s;
+    for (const server_outcome outcome : item.outcomes) {
+      now += 50ms;
+      health.note(outcome, rules, at(now));
+    }
+    CHECK(health.doubted(rules, at(now)) == item.doubted);
+    CHECK_FALSE(health.doubted(rules, at(now + 8s)));
+  }
+}
+
+TEST_CASE("a server is doubted when its times stand out from the others'") {
+  struct row {
+    const char* what;
+    /// Of the server in question, and of all others, in parts of the usual time.
+    double own;
+    double others;
+    /// Calls of one kind differ by this factor, up and down by turns.
+    double spread;
+    int calls;
+    bool doubted;
+  };
+  const row rows[] = {
+      {"as quick as the others", 1, 1, 1.3, 20, false},
+      {"half as slow again", 1.5, 1, 1.3, 20, false},
+      {"four times slower, first call of an even kind", 4, 1, 1.3, 1, false},
+      {"four times slower, second call of an even kind", 4, 1, 1.3, 2, true},
+      {"eight times slower, first call of an even kind", 8, 1, 1.3, 1, true},
+      {"four times slower, first call of an uneven kind", 4, 1, 2.7, 1, false},
+      {"four times slower, tenth call of an uneven kind", 4, 1, 2.7, 10, true},
+      {"all are slow: overload", 4, 4, 1.3, 20, false},
+      {"slow among slow ones", 16, 4, 1.3, 6, true},
+  };
+  constexpr std::uint64_t kind = 7;
+  constexpr duration usual = 50ms;
+  const health_rules rules;
+  for (const row& item : rows) {
+    INFO(item.what);
+    usual_times times;
+    server_health health;
+    int made = 0;
+    const auto took = [&](double factor) {
+      const double spread = ++made % 2 == 0 ? item.spread : 1 / item.spread;
+      return from_seconds(to_seconds(usual) * factor * spread);
+    };
+    constexpr int calls_before = 500;
+    for (int number = 0; number < calls_before; ++number) {
+      times.compare(kind, took(1), false);
+    }
+    duration now = 1s;
+    for (int number = 0; number < item.calls; ++number) {
+      constexpr int other_servers = 20;
+      for (int other = 0; other < other_servers; ++other) {
+        times.compare(kind, took(item.others), false);
+      }
+      now += 50ms;
+      health.note_pace(times.compare(kind, took(item.own), false), rules, at(now));
+    }
+    CHECK(health.doubted(rules, at(now)) == item.doubted);
+  }
+}
+
+TEST_CASE("a call that is still waiting says that a server is slow, never that it is quick") {
+  usual_times times;
+  CHECK(times.compare(1, 5s, true).pace == 0);
+  times.compare(1, 100ms, false);
+  CHECK(times.compare(1, 1ms, true).pace == 0);
+  CHECK(times.compare(1, 1s, true).pace == Approx(2.3).margin(0.01));
+}
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -73,6 +73,14 @@
                 "a backend server's entry went missing after an outage of the store; it is used "
                 "until the doubt is over"},
     event_entry{backend_gone, "backend_gone", info, "a backend server's entry is gone"},
+    event_entry{backend_set_aside, "backend_set_aside", warning,
+                "a backend server fails or is slower than others and gets calls only when no "
+                "other is free"},
+    event_entry{backend_trusted, "backend_trusted", info,
+                "a backend server that was set aside gets calls like the others again"},
+    event_entry{places_shared, "places_shared", info,
+                "places at a service's servers became scarce, and hosts keep to their part of "
+                "them, or are so no more"},
     event_entry{host_reachable, "host_reachable", info, "another host answers"},
     event_entry{host_silent, "host_silent", warning, "another host does not answer"},
     event_entry{settings_reread, "settings_reread", info, "the settings file was read again"},
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -335,19 +335,20 @@
     this->promises.note("a leaving server got a new request after 2 s");
   }
   std::size_t verified = 0;
-  for (auto line = this->lines.rbegin(); line != this->lines.rend(); ++line) {
-    if (steady::now() - line->ended > remembered || ++verified > turns_verified) {
+  const std::deque<kept_line> newest(this->lines.rbegin(), this->lines.rend());
+  for (const kept_line& line : newest) {
+    if (steady::now() - line.ended > remembered || ++verified > turns_verified) {
       break;
     }
     const soak_host& host = this->fleet.fronts[who.below(this->fleet.fronts.size())];
     who.addresses = {http::to_string(host.callers->where())};
     call_result result;
     for (int attempt = 0; attempt < tries_when_calm && result.status != 200; ++attempt) {
-      const sent_call next = this->turn_of(who, *line);
+      const sent_call next = this->turn_of(who, line);
       result = co_await this->call(who, next, 1);
     }
     if (result.status != 200) {
-      this->promises.note(fmt::format("turn {} is lost: {}", line->turn, result.status));
+      this->promises.note(fmt::format("turn {} is lost: {}", line.turn, result.status));
     }
   }
   done = true;
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -21,6 +21,11 @@
 /// A planned stop takes up to the hosts' grace of 8 s.
 constexpr auto grace = 8s;
 
+/// For what ends by itself.
+std::function<void()> nothing() {
+  return [] {};
+}
+
 }  // namespace
 
 soak_faults::soak_faults(soak_fleet& deployment, std::uint64_t seed)
@@ -51,7 +56,6 @@
 }
 
 std::vector<soak_faults::fault_kind> soak_faults::process_faults() {
-  const undo nothing = [] {};
   const auto kill_all = [this](std::vector<soak_host>& hosts, bool power) {
     const auto down = this->between(100, 1500);
     for (soak_host& host : hosts) {
@@ -64,40 +68,40 @@
   };
   return {
       {"kill a front host", false,
-       [this, nothing] {
+       [this] {
          this->fleet.kill(this->any(this->fleet.fronts), this->between(50, 2000));
-         return nothing;
+         return nothing();
        }},
       {"kill a disk host", false,
-       [this, nothing] {
+       [this] {
          this->fleet.kill(this->any(this->fleet.disks), this->between(50, 2500));
-         return nothing;
+         return nothing();
        }},
       {"cut the power of a disk host", false,
-       [this, nothing] {
+       [this] {
          this->fleet.cut_power(this->any(this->fleet.disks), this->between(50, 2500));
-         return nothing;
+         return nothing();
        }},
       {"empty a disk", false,
-       [this, nothing] {
+       [this] {
          // One disk may be lost at a time: not before the set is whole again.
          if (this->fleet.set_is_settled()) {
            this->fleet.wipe(this->any(this->fleet.disks), this->between(50, 2000));
          }
-         return nothing;
+         return nothing();
        }},
       {"freeze a front host", false,
        [this] { return this->freeze(this->any(this->fleet.fronts)); }},
       {"freeze a disk host", false, [this] { return this->freeze(this->any(this->fleet.disks)); }},
       {"kill all front hosts", false,
-       [this, kill_all, nothing] {
+       [this, kill_all] {
          kill_all(this->fleet.fronts, false);
-         return nothing;
+         return nothing();
        }},
       {"cut the power of all disk hosts", false,
-       [this, kill_all, nothing] {
+       [this, kill_all] {
          kill_all(this->fleet.disks, true);
-         return nothing;
+         return nothing();
        }},
   };
 }
@@ -195,43 +199,42 @@
 }
 
 std::vector<soak_faults::fault_kind> soak_faults::planned_work() {
-  const undo nothing = [] {};
   return {
       {"stop a front host", true,
-       [this, nothing] {
+       [this] {
          this->fleet.stop(this->any(this->fleet.fronts), this->between(50, 1000));
-         return nothing;
+         return nothing();
        }},
       {"stop two front hosts", true,
-       [this, nothing] {
+       [this] {
          const std::size_t first = this->below(this->fleet.fronts.size());
          const std::size_t second = (first + 1) % this->fleet.fronts.size();
          this->fleet.stop(this->fleet.fronts[first], 100ms);
          this->fleet.stop(this->fleet.fronts[second], 100ms);
-         return nothing;
+         return nothing();
        }},
       {"read settings again", true,
-       [this, nothing] {
+       [this] {
          this->any(this->fleet.fronts).process->signal(SIGHUP);
-         return nothing;
+         return nothing();
        }},
       {"change the configuration", true,
-       [this, nothing] {
+       [this] {
          this->fleet.configure();
-         return nothing;
+         return nothing();
        }},
       {"change the configuration three times", true,
-       [this, nothing] {
+       [this] {
          this->fleet.configure();
          this->fleet.configure();
          this->fleet.configure();
-         return nothing;
+         return nothing();
        }},
       {"replace a backend server", true,
-       [this, nothing] {
+       [this] {
          this->fleet.replace_backend(
              this->fleet.backends[this->below(this->fleet.backends.size())]);
-         return nothing;
+         return nothing();
        }},
   };
 }
