Explain a request from the hosts' logs

Cause: on-call engineers have only logs; finding the cause of a failed request took a search at each host and a comparison of times by hand. hawthornlane explain ID LOG... puts the lines of a request or a program in order, in words, with what the host believed then and for how long.

--- a/programs/client/commands.h
+++ b/programs/client/commands.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "connection.h"
 
@@ -25,6 +26,10 @@
 int program_show(connection& hosts, const std::string& program, output form);
 int drain(connection& hosts, output form);
 
+/// Tells from the hosts' logs what became of a request; needs no host. "-" is standard
+/// input.
+int explain_request(const std::string& id, const std::vector<std::string>& files);
+
 // Callers.
 /// Runs a whole program from a file of calls, one JSON object a line.
 int call(connection& hosts, const std::string& file, output form);
--- /dev/null
+++ b/programs/client/explain_command.cc
@@ -0,0 +1,59 @@
+// `hawthornlane explain`: what became of a request, from the hosts' logs.
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iostream>
+
+#include "commands.h"
+#include "hawthornlane/explain/request_story.h"
+
+namespace hawthornlane::cli {
+namespace {
+
+void read_lines(std::istream& from, std::vector<explain::log_line>& into) {
+  for (std::string text; std::getline(from, text);) {
+    if (auto line = explain::parse_log_line(text)) {
+      into.push_back(std::move(*line));
+    }
+  }
+}
+
+void print_part(const char* title, const std::vector<std::string>& lines) {
+  if (lines.empty()) {
+    return;
+  }
+  fmt::print("{}\n", title);
+  for (const std::string& line : lines) {
+    fmt::print("  {}\n", line);
+  }
+}
+
+}  // namespace
+
+int explain_request(const std::string& id, const std::vector<std::string>& files) {
+  std::vector<explain::log_line> logs;
+  for (const std::string& name : files) {
+    std::ifstream file(name);
+    if (!file && name != "-") {
+      fmt::print(stderr, "{}: cannot be read\n", name);
+      return exit_usage;
+    }
+    read_lines(name == "-" ? std::cin : file, logs);
+  }
+  const explain::request_story story = explain::story_of(logs, id);
+  if (story.lines.empty()) {
+    fmt::print(stderr, "no log line names {}; collect the logs of all front hosts\n", id);
+    return exit_refused;
+  }
+  std::vector<std::string> told;
+  for (const explain::log_line& line : story.lines) {
+    told.push_back(fmt::format("{} {} {}: {}", line.field("time"), line.host, line.field("request"),
+                               explain::in_words(line)));
+  }
+  print_part("what happened", told);
+  print_part("what the host believed at that time", story.beliefs);
+  print_part("other requests of the same program", story.others);
+  return exit_good;
+}
+
+}  // namespace hawthornlane::cli
--- a/programs/client/main.cc
+++ b/programs/client/main.cc
@@ -27,6 +27,7 @@
   hawthornlane [options] program show ID
   hawthornlane [options] drain
   hawthornlane [options] call FILE
+  hawthornlane explain ID LOG...
   hawthornlane --help
 
 Options:
@@ -39,6 +40,8 @@
   --json               JSON in place of tables.
   --help               Show this.
 
+`explain` tells what became of a request or of a program's requests, and what the
+hosts believed then, from the logs of the platform's hosts; "-" is standard input.
 `drain` stops the first of the hosts. FILE of `call` holds one call a line, as
 {"say": "..."} or {"tool": "...", "path": "/...", "body": {...}}; "-" reads them
 from standard input. Exit codes are listed in docs/CLI.md.
@@ -107,6 +110,9 @@
 
 int main(int argc, char** argv) {
   auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, "hawthornlane 0.1");
+  if (arguments.at("explain").asBool()) {
+    return cli::explain_request(arguments.at("ID").asString(), arguments.at("LOG").asStringList());
+  }
   const auto hosts = read_hosts(option_or(arguments.at("--hosts"), "HAWTHORNLANE_HOSTS"));
   if (hosts.empty()) {
     fmt::print(stderr, "no hosts: give --hosts or set HAWTHORNLANE_HOSTS\n");
