Read a turn's chain from one disk host first

Cause: a front host that does not hold a turn's chain asked all five disk hosts for it, and each sent it whole, mostly between zones. Now the disk host in the zone is asked first, the others after 25 ms or as soon as that one does not give it. What is concluded stays the same: one whole chain is enough, and a turn is unknown only when a majority says so. Ruled out: settling at a majority only; a chain could then lie whole at no disk.

--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -23,7 +23,8 @@
 class ledger_client final : public turn_keeper {
 public:
   ledger_client(boost::asio::io_context& context, net::deadline_sweeper& sweeper,
-                const discovery::fleet_state& fleet, std::size_t cache_bytes);
+                const discovery::fleet_state& fleet, availability_zone here,
+                std::size_t cache_bytes);
   ledger_client(const ledger_client&) = delete;
   ledger_client& operator=(const ledger_client&) = delete;
   ~ledger_client() override;
@@ -81,10 +82,19 @@
   template <class Answer>
   void ask_all(const ledger_set& disks, ledger_method method, const std::string& payload,
                duration limit, const round_hooks<Answer>& hooks);
+  /// The same for some disks of a set.
+  template <class Answer>
+  void ask_each(const std::vector<disk_id>& disks, ledger_method method, const std::string& payload,
+                duration limit, const round_hooks<Answer>& hooks);
 
   void send_appends(const std::shared_ptr<admission_state>& state);
   void send_collects(const std::shared_ptr<admission_state>& state);
-  void send_chain_reads(const std::shared_ptr<admission_state>& state);
+  /// A chain is read from one disk host, in this zone where there is one, and from all
+  /// others when that one does not give it.
+  void ask_one_for_chain(const std::shared_ptr<admission_state>& state);
+  void ask_others_for_chain(const std::shared_ptr<admission_state>& state);
+  void send_chain_reads(const std::shared_ptr<admission_state>& state,
+                        const std::vector<disk_id>& disks);
   std::shared_ptr<settle_state> send_settlement(const append_request& request);
   void conclude(const admission_state& state, turn_admission& result);
   void note_stale(const std::optional<ledger_set>& newest);
@@ -92,6 +102,7 @@
   boost::asio::io_context& context;
   net::deadline_sweeper& sweeper;
   const discovery::fleet_state& fleet;
+  availability_zone zone;
   std::optional<ledger_set> set;
   std::map<disk_id, disk_link> links;
   relay_hook relay;
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -62,7 +62,7 @@
         store(settings.store),
         checks(settings.host, discovery::scheduler_now()),
         backends(io, sweeper, codec),
-        ledger(io, sweeper, fleet, settings.memory_mb * cache_bytes_per_mb),
+        ledger(io, sweeper, fleet, settings.zone, settings.memory_mb * cache_bytes_per_mb),
         placer(io, settings.host, settings.zone, fleet, metrics),
         calls(fleet, placer, backends, codec, ledger, metrics),
         gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -24,6 +24,9 @@
 /// Between two probes of a disk host that is not reached.
 constexpr auto disk_probe_pause = std::chrono::milliseconds(300);
 constexpr duration read_limit = std::chrono::milliseconds(400);
+/// A disk host that holds a chain answers within some 10 ms; then the others are asked
+/// for it as well. Any one of them has it whole, and most do not lie in this zone.
+constexpr auto chain_patience = std::chrono::milliseconds(25);
 /// After a majority has the reservation, the last disk gets this long to make the
 /// second round needless: about the spread of healthy disks' syncs.
 constexpr auto last_disk_wait = std::chrono::milliseconds(4);
@@ -82,6 +85,11 @@
   chain_check chain;
   net::async_signal signal;
   bool needs_chain = false;
+  /// The disk that was asked for the chain first; the others follow when it does not
+  /// give it in time.
+  disk_id chain_holder;
+  net::steady_time all_asked_for_chain_at = net::never;
+  bool all_asked_for_chain = false;
   bool stale = false;
   bool collecting = false;
   net::steady_time appended_at = net::never;
@@ -91,6 +99,11 @@
     this->stale = true;
     this->signal.wake();
   }
+  /// Unless the chain is known by now.
+  void ask_all_for_chain_now() {
+    this->all_asked_for_chain_at = {};
+    this->signal.wake();
+  }
   [[nodiscard]] bool chain_decided() const {
     return !this->needs_chain || this->chain.verdict() != chain_verdict::undecided;
   }
@@ -103,8 +116,9 @@
 };
 
 ledger_client::ledger_client(asio::io_context& io, net::deadline_sweeper& sweep,
-                             const discovery::fleet_state& state, std::size_t cache_bytes)
-    : context(io), sweeper(sweep), fleet(state), cache(cache_bytes) {}
+                             const discovery::fleet_state& state, availability_zone here,
+                             std::size_t cache_bytes)
+    : context(io), sweeper(sweep), fleet(state), zone(std::move(here)), cache(cache_bytes) {}
 
 ledger_client::~ledger_client() = default;
 
@@ -251,7 +265,14 @@
 void ledger_client::ask_all(const ledger_set& disks, ledger_method method,
                             const std::string& payload, duration limit,
                             const round_hooks<Answer>& hooks) {
-  for (const disk_id& disk : disks.all()) {
+  this->ask_each(disks.all(), method, payload, limit, hooks);
+}
+
+template <class Answer>
+void ledger_client::ask_each(const std::vector<disk_id>& disks, ledger_method method,
+                             const std::string& payload, duration limit,
+                             const round_hooks<Answer>& hooks) {
+  for (const disk_id& disk : disks) {
     this->ask(disk, method, payload, limit,
               [this, disk, hooks](net::rpc_failure why, const std::string& bytes) {
                 const bool good = why == net::rpc_failure::none;
@@ -301,19 +322,45 @@
   this->ask_all(state->set, ledger_method::collect, to_bytes(request), read_limit, hooks);
 }
 
-void ledger_client::send_chain_reads(const std::shared_ptr<admission_state>& state) {
+void ledger_client::send_chain_reads(const std::shared_ptr<admission_state>& state,
+                                     const std::vector<disk_id>& disks) {
   const chain_request request{state->set.epoch, *state->turn.previous};
   round_hooks<chain_answer> hooks;
   hooks.answered = [state](const chain_answer& answer) {
     state->chain.on_answer(answer);
-    state->signal.wake();
+    state->ask_all_for_chain_now();
   };
   hooks.failed = [state](const disk_id& disk) {
     state->chain.on_failed(disk);
-    state->signal.wake();
+    state->ask_all_for_chain_now();
   };
   hooks.stale = [state] { state->note_stale(); };
-  this->ask_all(state->set, ledger_method::chain, to_bytes(request), read_limit, hooks);
+  this->ask_each(disks, ledger_method::chain, to_bytes(request), read_limit, hooks);
+}
+
+void ledger_client::ask_one_for_chain(const std::shared_ptr<admission_state>& state) {
+  const std::vector<disk_id>& members = state->set.members;
+  // Those of one zone share the reads of its front hosts.
+  const std::size_t start = std::hash<std::string>{}(state->turn.id.get()) % members.size();
+  state->chain_holder = members[start];
+  for (std::size_t step = 0; step < members.size(); ++step) {
+    const disk_id& candidate = members[(start + step) % members.size()];
+    const auto found = this->links.find(candidate);
+    if (found != this->links.end() && !found->second.suspected &&
+        found->second.host.zone == this->zone) {
+      state->chain_holder = candidate;
+      break;
+    }
+  }
+  state->all_asked_for_chain_at = steady::now() + chain_patience;
+  this->send_chain_reads(state, {state->chain_holder});
+}
+
+void ledger_client::ask_others_for_chain(const std::shared_ptr<admission_state>& state) {
+  state->all_asked_for_chain = true;
+  std::vector<disk_id> others = state->set.all();
+  std::erase(others, state->chain_holder);
+  this->send_chain_reads(state, others);
 }
 
 void ledger_client::conclude(const admission_state& state, turn_admission& result) {
@@ -345,10 +392,14 @@
                                                 turn_admission& result) {
   this->send_appends(state);
   if (state->needs_chain) {
-    this->send_chain_reads(state);
+    this->ask_one_for_chain(state);
   }
   while (true) {
     const net::steady_time now = steady::now();
+    const bool chain_open = !state->chain_decided() && !state->all_asked_for_chain;
+    if (chain_open && now >= state->all_asked_for_chain_at) {
+      this->ask_others_for_chain(state);
+    }
     if (state->stale) {
       co_return false;
     }
@@ -365,6 +416,9 @@
       state->appended_at = now;
     }
     net::steady_time wake_at = state->until;
+    if (!state->chain_decided() && !state->all_asked_for_chain) {
+      wake_at = std::min(wake_at, state->all_asked_for_chain_at);
+    }
     const bool may_collect = state->appended_at != net::never && !state->collecting &&
                              state->check.verdict() == budget_verdict::undecided;
     if (may_collect && now >= state->appended_at + last_disk_wait) {
--- a/libs/front/test/ledger_client_test.cc
+++ b/libs/front/test/ledger_client_test.cc
@@ -20,7 +20,7 @@
 public:
   explicit cut_off_host(std::set<disk_id> reached_by_peer)
       : sweeper(context),
-        ledger(context, sweeper, fleet, 1024 * 1024),
+        ledger(context, sweeper, fleet, availability_zone("zone-b"), 1024 * 1024),
         reached(std::move(reached_by_peer)) {
     std::vector<host_entry> hosts;
     for (const char* name : {"a", "b", "c"}) {
@@ -30,6 +30,7 @@
       entry.disk = name;
       // Port 1 has no listener: the connection is reset at once.
       entry.peers_at = {"127.0.0.1", 1};
+      entry.zone = availability_zone(std::string("zone-") + name);
       hosts.push_back(entry);
     }
     this->fleet.list_hosts(store_revision(1), hosts);
@@ -58,6 +59,8 @@
   }
 
   int relayed = 0;
+  /// The disks that were asked for a chain, in order.
+  std::vector<disk_id> asked_for_chain;
   std::map<disk_id, ledger_copy> copies;
 
 private:
@@ -68,6 +71,14 @@
       return;
     }
     ledger_copy& copy = this->copies[question.disk];
+    if (static_cast<ledger_method>(question.method) == ledger_method::chain) {
+      this->asked_for_chain.push_back(question.disk);
+      const auto request = from_bytes<chain_request>(question.payload);
+      chain_answer chain = copy.chain_of(request->last);
+      chain.disk = question.disk;
+      done(net::rpc_failure::none, to_bytes(chain));
+      return;
+    }
     program_answer answer;
     answer.disk = question.disk;
     if (const auto request = from_bytes<append_request>(question.payload)) {
@@ -113,3 +124,37 @@
   CHECK(admission.kind == admission_kind::unavailable);
   CHECK_FALSE(admission.detail.empty());
 }
+
+TEST_CASE("a chain is read from the disk in this zone, and from the others where it lacks") {
+  struct row {
+    const char* what;
+    std::vector<const char*> holders;
+    std::vector<const char*> asked;
+    admission_kind kind;
+  };
+  const row rows[] = {
+      {"every disk holds it", {"a", "b", "c"}, {"b"}, admission_kind::admitted},
+      {"the disk in this zone lacks it", {"a", "c"}, {"b", "a", "c"}, admission_kind::admitted},
+      {"no disk holds it", {}, {"b", "a", "c"}, admission_kind::unknown_turn},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    cut_off_host host({disk_id("a"), disk_id("b"), disk_id("c")});
+    ledger_record kept;
+    kept.program = program_id("p");
+    kept.state = {request_id("t0"), token_count(30), token_count(30), reservation_phase::settled};
+    kept.turn = kept_turn{request_id("t0"), std::nullopt, "in;", "out;"};
+    kept.expires_at = wall_ms(std::int64_t{1} << 60);
+    for (const char* holder : item.holders) {
+      host.copies[disk_id(holder)].apply(kept);
+    }
+    turn_request next = turn("t1");
+    next.kept = true;
+    next.previous = request_id("t0");
+    const turn_admission admission = host.admit(next);
+    CHECK(admission.kind == item.kind);
+    CHECK(admission.history == (item.kind == admission_kind::admitted ? "in;out;" : ""));
+    std::vector<disk_id> asked(item.asked.begin(), item.asked.end());
+    CHECK(host.asked_for_chain == asked);
+  }
+}
