--- a/libs/front/include/hawthornlane/front/call_placer.h
+++ b/libs/front/include/hawthornlane/front/call_placer.h
@@ -36,13 +36,6 @@
   waiter* waiting = nullptr;
 };
 
-/// What another front host has told of its calls.
-struct peer_load {
-  host_id host;
-  availability_zone zone;
-  std::vector<service_demand> services;
-};
-
 /// Joins the decisions of `server_pool`, one for each service, with the calls that wait.
 /// For one thread.
 class call_placer {
@@ -69,9 +62,9 @@
   void tick();
   /// What this host needs of each service, for the other hosts.
   [[nodiscard]] std::vector<service_demand> demand() const;
-  /// Takes what the other hosts tell and divides scarce places between this host and
-  /// them.
-  void take_load(const std::vector<peer_load>& others);
+  /// Divides scarce places between this host and the others; one entry for each of them
+  /// and each service.
+  void take_demand(const std::vector<service_demand>& others);
 
 private:
   struct service_pool {
@@ -81,13 +74,14 @@
     double demand = 0;
     /// As last written to the log.
     std::set<backend_server_id> set_aside;
+    /// Hosts keep to their part of the places.
     bool scarce = false;
   };
 
   service_pool& pool_of(const service_name& name);
   void deliver(const std::vector<placement>& placed);
   void share_places(const service_name& name, service_pool& item,
-                    const std::vector<peer_load>& others, timestamp now);
+                    const std::vector<service_demand>& others, timestamp now);
   void log_set_aside(const service_name& name, service_pool& item, timestamp now);
 
   boost::asio::io_context& context;
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -12,7 +12,6 @@
 
 #include "hawthornlane/discovery/fleet_state.h"
 #include "hawthornlane/fleet/check_schedule.h"
-#include "hawthornlane/front/call_placer.h"
 #include "hawthornlane/front/gossip_messages.h"
 #include "hawthornlane/net/rpc.h"
 
@@ -53,8 +52,8 @@
   [[nodiscard]] std::size_t rank() const;
   /// Where callers reach the front hosts that are ready, this one left out.
   [[nodiscard]] std::vector<host_entry> ready_hosts() const;
-  /// What the other front hosts that live tell of their calls.
-  [[nodiscard]] std::vector<peer_load> load_of_others() const;
+  /// What the other front hosts that live need of the services.
+  [[nodiscard]] std::vector<service_demand> demand_of_others() const;
 
 private:
   struct peer;
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -122,7 +122,7 @@
   return all;
 }
 
-void call_placer::take_load(const std::vector<peer_load>& others) {
+void call_placer::take_demand(const std::vector<service_demand>& others) {
   const timestamp now = discovery::scheduler_now();
   for (auto& [name, item] : this->pools) {
     this->deliver(item.pool.tick(now));
@@ -132,15 +132,13 @@
 }
 
 void call_placer::share_places(const service_name& name, service_pool& item,
-                               const std::vector<peer_load>& others, timestamp now) {
+                               const std::vector<service_demand>& others, timestamp now) {
   item.demand += newest_part * (static_cast<double>(item.pool.demand()) - item.demand);
   service_load load;
   load.places = item.pool.places_in_good_health(now);
   load.own_calls = item.demand;
-  for (const peer_load& other : others) {
-    for (const service_demand& service : other.services) {
-      load.other_calls += service.service == name ? service.calls : 0;
-    }
+  for (const service_demand& other : others) {
+    load.other_calls += other.service == name ? other.calls : 0;
   }
   const std::optional<std::uint32_t> window = window_for(load);
   if (window.has_value() != item.scarce) {
@@ -150,7 +148,7 @@
                                {"places", fmt::format("{:.0f}", load.places)},
                                {"own_calls", fmt::format("{:.0f}", load.own_calls)},
                                {"other_calls", fmt::format("{:.0f}", load.other_calls)},
-                               {"hosts_heard", std::to_string(others.size())}});
+                               {"demands_heard", std::to_string(others.size())}});
   }
   this->deliver(item.pool.set_window(window, now));
 }
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -331,7 +331,7 @@
     const net::steady_time now = steady::now();
     if (now >= this->next_sharing) {
       this->next_sharing = now + sharing_pause;
-      this->placer.take_load(this->gossip.load_of_others());
+      this->placer.take_demand(this->gossip.demand_of_others());
     }
     if (now >= this->next_idle_sweep) {
       this->next_idle_sweep = now + idle_pause;
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -289,12 +289,12 @@
   return ready;
 }
 
-std::vector<peer_load> peer_gossip::load_of_others() const {
+std::vector<service_demand> peer_gossip::demand_of_others() const {
   const net::steady_time now = steady::now();
-  std::vector<peer_load> all;
+  std::vector<service_demand> all;
   for (const auto& [name, other] : this->peers) {
     if (now - other->heard_at < this->silence()) {
-      all.push_back({name, other->entry.zone, other->heard.demand});
+      all.insert(all.end(), other->heard.demand.begin(), other->heard.demand.end());
     }
   }
   return all;
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -80,7 +80,8 @@
   void cancel(placement_id id);
   /// Calls whose time is over; they have left the queue.
   std::vector<placement_id> expire(timestamp now);
-  /// Tries the queue again, since an exclusion may have ended.
+  /// Holds late calls against their servers, and tries the queue again, since an
+  /// exclusion may have ended.
   std::vector<placement> tick(timestamp now);
 
   [[nodiscard]] std::size_t waiting() const { return this->queue.size(); }
@@ -105,7 +106,6 @@
   };
   /// The servers that a choice is made among.
   enum class choice_range : std::uint8_t { trusted, any };
-  /// Priority, whether its time is over already, when it is wanted, and its name.
   /// A call at a server.
   struct running_call {
     backend_server_id server;
@@ -114,6 +114,7 @@
     /// Its time until the answer began is known.
     bool timed = false;
   };
+  /// Priority, whether its time is over already, when it is wanted, and its name.
   using queue_key = std::tuple<std::uint32_t, bool, timestamp, placement_id>;
 
   [[nodiscard]] std::uint32_t limit_of(const server_state& server) const;
@@ -139,6 +140,7 @@
   std::map<queue_key, placement_request> queue;
   std::map<placement_id, queue_key> queued;
   usual_times usual;
+  /// Calls that may be at servers while places are scarce; nothing: as many as fit.
   std::optional<std::uint32_t> window;
   /// Makes the order in which this host prefers equally busy servers its own.
   std::uint64_t own_key;
