Place turns by what all hosts know of loads and lines

Change: each server and each line of turns has one front host that keeps its entry (calls of every host; last server of the line). A host asks the keepers before it places a turn and tells them after. The choice weighs two servers by hash, two of the zone and the line's holders by one cost (wait, reading, crowding, way); programs are hashed, not sessions; begun programs go before new ones.

--- a/libs/front/include/hawthornlane/front/call_placer.h
+++ b/libs/front/include/hawthornlane/front/call_placer.h
@@ -10,6 +10,7 @@
 
 #include "hawthornlane/discovery/fleet_state.h"
 #include "hawthornlane/front/call_metrics.h"
+#include "hawthornlane/front/directory_exchange.h"
 #include "hawthornlane/front/gossip_messages.h"
 #include "hawthornlane/net/async_signal.h"
 #include "hawthornlane/placement/server_pool.h"
@@ -54,6 +55,16 @@
   void finished(const service_name& service, placement_id id, server_outcome outcome);
   /// The first part of a call's answer came.
   void started(const service_name& service, placement_id id);
+  /// From now on hosts share what they know of loads and prompts.
+  void share_by(directory_exchange& with) { this->exchange = &with; }
+  /// Takes what other hosts answered.
+  void take_answer(const directory_answer& answer);
+  /// Tells this host's loads again, so that they are not taken for those of a dead host.
+  void renew_loads();
+  /// Some server is known to have read this part of a prompt.
+  [[nodiscard]] bool knows(const service_name& service, prompt_part_key part) {
+    return this->pool_of(service).pool.knows(part);
+  }
   [[nodiscard]] bool lists_servers(const service_name& service);
 
   /// Tells the pools which servers there are now.
@@ -79,6 +90,10 @@
   };
 
   service_pool& pool_of(const service_name& name);
+  /// Asks the other hosts what bears on the request's placement.
+  boost::asio::awaitable<void> ask_others(const server_pool& pool,
+                                          const placement_request& request);
+  void tell_changes(server_pool& pool);
   void deliver(const std::vector<placement>& placed);
   void share_places(const service_name& name, service_pool& item,
                     const std::vector<service_demand>& others, timestamp now);
@@ -89,6 +104,8 @@
   availability_zone zone;
   discovery::fleet_state& fleet;
   call_metrics& metrics;
+  /// Not there: this host decides by what it sees itself.
+  directory_exchange* exchange = nullptr;
   std::map<service_name, service_pool> pools;
   std::map<placement_id, placement_wait::waiter*> waiters;
   placement_id last_placement;
--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -45,6 +45,8 @@
   static token_count tokens_handed_out(const call& one);
   boost::asio::awaitable<bool> admit(call& one);
   boost::asio::awaitable<acquired_server> acquire(call& one);
+  /// The program of this prompt has been served before, as far as this host knows.
+  bool goes_on(const service_name& service, const std::vector<prompt_piece>& prompt);
   /// What the try says about the server's health and pace.
   void note_try(const call& one, const acquired_server& got, relay::try_outcome outcome);
   boost::asio::awaitable<relay::try_outcome> try_server(call& one, const backend_entry& server);
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/directory_exchange.h
@@ -0,0 +1,79 @@
+// Carries the entries of the placement directory between front hosts.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "hawthornlane/net/message_bytes.h"
+#include "hawthornlane/net/rpc.h"
+#include "hawthornlane/placement/placement_directory.h"
+
+namespace hawthornlane::front {
+
+/// What one host tells and asks the host that keeps some entries.
+struct directory_message {
+  host_id from;
+  std::vector<server_load> loads;
+  std::vector<part_location> locations;
+  std::vector<server_key> asked_servers;
+  std::vector<prompt_part_key> asked_parts;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->from, this->loads, this->locations, this->asked_servers, this->asked_parts);
+  }
+};
+
+/// What the keeper answers.
+struct directory_answer {
+  /// Calls of all hosts but the asker at each server that was told of or asked for.
+  std::vector<server_load> loads;
+  /// Of the parts asked for, those that it knows.
+  std::vector<part_location> locations;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->loads, this->locations);
+  }
+};
+
+/// What the exchange takes from and gives to the rest of the host.
+struct exchange_hooks {
+  /// All front hosts that live, this one included.
+  std::function<std::vector<host_id>()> hosts;
+  /// Sends a message to another host.
+  std::function<void(const host_id& to, const std::string& payload, net::rpc_done done)> send;
+  /// Takes what a keeper has answered.
+  std::function<void(const directory_answer&)> take;
+};
+
+/// One host's side of the directory: its own entries, and its messages to the hosts that
+/// keep the others. For one thread.
+class directory_exchange {
+public:
+  directory_exchange(boost::asio::io_context& context, host_id own, exchange_hooks hooks);
+
+  /// Tells the keepers what changed here.
+  void tell(const directory_update& update);
+  /// Asks the keepers; their answers have been taken when this ends, or the wait is over.
+  boost::asio::awaitable<void> ask(directory_question question);
+  /// Serves another host; nothing when the message is malformed.
+  std::optional<std::string> serve(const std::string& payload);
+
+private:
+  using messages = std::map<host_id, directory_message>;
+  directory_message& message_to(messages& all, std::uint64_t key,
+                                const std::vector<host_id>& hosts) const;
+  directory_answer answer(const directory_message& message);
+
+  boost::asio::io_context& context;
+  host_id self;
+  exchange_hooks hooks;
+  placement_directory directory;
+};
+
+}  // namespace hawthornlane::front
--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -38,7 +38,9 @@
   hosts = 4,
   ledger = 5,
   /// Passes a question on to a disk host.
-  relay = 6
+  relay = 6,
+  /// Tells and asks the placement directory.
+  placements = 7
 };
 
 /// What one front host needs of one service.
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -52,6 +52,11 @@
   [[nodiscard]] std::size_t rank() const;
   /// Where callers reach the front hosts that are ready, this one left out.
   [[nodiscard]] std::vector<host_entry> ready_hosts() const;
+  /// The front hosts that live and stay, this one included.
+  [[nodiscard]] std::vector<host_id> live_hosts() const;
+  /// Sends a message to one of them.
+  void send(const host_id& to, gossip_method method, const std::string& payload,
+            net::rpc_done done);
   /// What the other front hosts that live need of the services.
   [[nodiscard]] std::vector<service_demand> demand_of_others() const;
 
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -122,6 +122,47 @@
   return all;
 }
 
+void call_placer::take_answer(const directory_answer& answer) {
+  const timestamp now = discovery::scheduler_now();
+  for (auto& [name, item] : this->pools) {
+    for (const server_load& load : answer.loads) {
+      item.pool.note_load(load, now);
+    }
+    for (const part_location& location : answer.locations) {
+      item.pool.note_location(location);
+    }
+  }
+}
+
+void call_placer::renew_loads() {
+  directory_update update;
+  for (const auto& [name, item] : this->pools) {
+    const std::vector<server_load> loads = item.pool.own_loads();
+    update.loads.insert(update.loads.end(), loads.begin(), loads.end());
+  }
+  if (this->exchange != nullptr && !update.empty()) {
+    this->exchange->tell(update);
+  }
+}
+
+void call_placer::tell_changes(server_pool& pool) {
+  const directory_update update = pool.take_update();
+  if (this->exchange != nullptr && !update.empty()) {
+    this->exchange->tell(update);
+  }
+}
+
+asio::awaitable<void> call_placer::ask_others(const server_pool& pool,
+                                              const placement_request& request) {
+  if (this->exchange == nullptr) {
+    co_return;
+  }
+  const directory_question question = pool.question_for(request, discovery::scheduler_now());
+  if (!question.empty()) {
+    co_await this->exchange->ask(question);
+  }
+}
+
 void call_placer::take_demand(const std::vector<service_demand>& others) {
   const timestamp now = discovery::scheduler_now();
   for (auto& [name, item] : this->pools) {
@@ -161,6 +202,7 @@
   got.id = this->last_placement;
   request.id = got.id;
   server_pool& pool = this->pool_of(service).pool;
+  co_await this->ask_others(pool, request);
   std::vector<placement> placed;
   const submit_outcome outcome = pool.submit(request, discovery::scheduler_now(), placed);
   if (outcome == submit_outcome::refused) {
@@ -168,6 +210,7 @@
   }
   if (outcome == submit_outcome::placed) {
     got.server = placed.front().server;
+    this->tell_changes(pool);
     co_return got;
   }
   const auto began = steady::now();
@@ -192,6 +235,7 @@
 void call_placer::finished(const service_name& service, placement_id id, server_outcome outcome) {
   server_pool& pool = this->pool_of(service).pool;
   this->deliver(pool.finished(id, outcome, discovery::scheduler_now()));
+  this->tell_changes(pool);
 }
 
 void call_placer::started(const service_name& service, placement_id id) {
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -41,12 +41,15 @@
 
 std::uint64_t hash_of(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
 
-/// What keeps calls of the same object at the same server. The last shared part of
-/// a prompt is the session's own, so a program's line of turns stays together.
+/// What keeps calls of the same object at the same server. A program's lines stay
+/// together: the prompt of a helper begins with its parent's.
 std::uint64_t affinity_of(const route& from, const relay::call_terms& terms) {
   if (!from.sticky) {
     return terms.affinity.empty() ? 0 : hash_of(terms.affinity);
   }
+  if (terms.program) {
+    return hash_of(terms.program->get());
+  }
   if (!terms.session.get().empty()) {
     return hash_of(terms.session.get());
   }
@@ -56,6 +59,14 @@
   return terms.prefix.empty() ? 0 : hash_of(terms.prefix.front().id);
 }
 
+std::vector<prompt_piece> pieces_of(const std::vector<relay::prompt_part>& prefix) {
+  std::vector<prompt_piece> pieces;
+  for (const relay::prompt_part& part : prefix) {
+    pieces.push_back({prompt_part_key(hash_of(part.id)), part.tokens});
+  }
+  return pieces;
+}
+
 /// Calls of one program go to one service of a split route.
 std::uint64_t service_draw(const relay::call_terms& terms) {
   return hash_of(terms.program ? terms.program->get() : terms.id.get());
@@ -320,6 +331,10 @@
   placement_request request;
   request.affinity = affinity_of(*one.taken, one.terms);
   request.kind = hash_of(one.taken->name.get());
+  if (one.taken->sticky) {
+    request.prompt = pieces_of(one.terms.prefix);
+  }
+  request.begun = one.terms.previous.has_value() || this->goes_on(one.service, request.prompt);
   request.priority = one.taken->priority;
   request.wanted_by = now + one.terms.program_time_left.value_or(left);
   request.give_up_at = now + left - least_service_time;
@@ -330,6 +345,11 @@
   co_return got;
 }
 
+bool call_service::goes_on(const service_name& service, const std::vector<prompt_piece>& prompt) {
+  // The first part is shared by all programs of a kind, the one behind it is the program's.
+  return prompt.size() > 1 && this->placer.knows(service, prompt[1].key);
+}
+
 void call_service::note_try(const call& one, const acquired_server& got, try_outcome outcome) {
   constexpr int first_server_error = 500;
   server_outcome health = health_of(outcome);
--- /dev/null
+++ b/libs/front/src/directory_exchange.cc
@@ -0,0 +1,122 @@
+// Carries the entries of the placement directory between front hosts.
+#include "hawthornlane/front/directory_exchange.h"
+
+#include <memory>
+
+#include "hawthornlane/discovery/fleet_state.h"
+#include "hawthornlane/net/async_signal.h"
+
+namespace hawthornlane::front {
+namespace asio = boost::asio;
+
+namespace {
+
+/// A keeper that has not answered by then is placed without: five times the way to
+/// another zone and back, and a tenth of a turn's way from its caller.
+constexpr std::chrono::milliseconds ask_limit{10};
+
+}  // namespace
+
+directory_exchange::directory_exchange(asio::io_context& io, host_id own, exchange_hooks with)
+    : context(io), self(std::move(own)), hooks(std::move(with)) {}
+
+directory_message& directory_exchange::message_to(messages& all, std::uint64_t key,
+                                                  const std::vector<host_id>& hosts) const {
+  directory_message& message = all[keeper_of(key, hosts).value_or(this->self)];
+  message.from = this->self;
+  return message;
+}
+
+void directory_exchange::tell(const directory_update& update) {
+  const std::vector<host_id> hosts = this->hooks.hosts();
+  messages all;
+  for (const server_load& load : update.loads) {
+    this->message_to(all, load.server.get(), hosts).loads.push_back(load);
+  }
+  for (const part_location& location : update.locations) {
+    this->message_to(all, location.part.get(), hosts).locations.push_back(location);
+  }
+  for (const auto& [keeper, message] : all) {
+    if (keeper == this->self) {
+      this->hooks.take(this->answer(message));
+      continue;
+    }
+    this->hooks.send(keeper, to_bytes(message), [this](net::rpc_failure why, std::string bytes) {
+      const auto answer = from_bytes<directory_answer>(bytes);
+      if (why == net::rpc_failure::none && answer) {
+        this->hooks.take(*answer);
+      }
+    });
+  }
+}
+
+asio::awaitable<void> directory_exchange::ask(directory_question question) {
+  const std::vector<host_id> hosts = this->hooks.hosts();
+  messages all;
+  for (const server_key& server : question.servers) {
+    this->message_to(all, server.get(), hosts).asked_servers.push_back(server);
+  }
+  for (const prompt_part_key& part : question.parts) {
+    this->message_to(all, part.get(), hosts).asked_parts.push_back(part);
+  }
+  struct open_question {
+    explicit open_question(asio::io_context& io) : answered(io) {}
+    net::async_signal answered;
+    std::size_t missing = 0;
+  };
+  const auto open = std::make_shared<open_question>(this->context);
+  for (const auto& [keeper, message] : all) {
+    if (keeper == this->self) {
+      this->hooks.take(this->answer(message));
+      continue;
+    }
+    ++open->missing;
+    this->hooks.send(keeper, to_bytes(message),
+                     [this, open](net::rpc_failure why, std::string bytes) {
+                       const auto answer = from_bytes<directory_answer>(bytes);
+                       if (why == net::rpc_failure::none && answer) {
+                         this->hooks.take(*answer);
+                       }
+                       if (--open->missing == 0) {
+                         open->answered.wake();
+                       }
+                     });
+  }
+  if (open->missing > 0) {
+    co_await open->answered.wait_until(std::chrono::steady_clock::now() + ask_limit);
+  }
+}
+
+directory_answer directory_exchange::answer(const directory_message& message) {
+  const timestamp now = discovery::scheduler_now();
+  directory_answer answer;
+  const auto add_load = [&](server_key server) {
+    answer.loads.push_back({server, this->directory.load_of_others(server, message.from, now)});
+  };
+  for (const server_load& load : message.loads) {
+    this->directory.set_load(message.from, load, now);
+    add_load(load.server);
+  }
+  for (const part_location& location : message.locations) {
+    this->directory.set_location(location);
+  }
+  for (const server_key& server : message.asked_servers) {
+    add_load(server);
+  }
+  for (const prompt_part_key& part : message.asked_parts) {
+    if (const auto location = this->directory.find(part)) {
+      answer.locations.push_back(*location);
+    }
+  }
+  return answer;
+}
+
+std::optional<std::string> directory_exchange::serve(const std::string& payload) {
+  const auto message = from_bytes<directory_message>(payload);
+  if (!message) {
+    return std::nullopt;
+  }
+  return to_bytes(this->answer(*message));
+}
+
+}  // namespace hawthornlane::front
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -47,6 +47,8 @@
 constexpr auto host_read_pause = std::chrono::milliseconds(300);
 /// Between two divisions of scarce places; a call at a model server takes 0.2 s.
 constexpr auto sharing_pause = std::chrono::milliseconds(100);
+/// Between two tellings of this host's loads; a third of their lifetime.
+constexpr auto renewal_pause = std::chrono::seconds(1);
 /// Between two sweeps over idle connections to servers.
 constexpr auto idle_pause = std::chrono::seconds(1);
 
@@ -66,7 +68,10 @@
         placer(io, settings.host, settings.zone, fleet, metrics),
         calls(fleet, placer, backends, codec, ledger, metrics),
         gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
-        acceptor(io) {}
+        exchange(io, settings.host, make_exchange_hooks()),
+        acceptor(io) {
+    this->placer.share_by(this->exchange);
+  }
 
   asio::io_context& context;
   front_settings settings;
@@ -86,6 +91,7 @@
   call_placer placer;
   call_service calls;
   peer_gossip gossip;
+  directory_exchange exchange;
   tcp::acceptor acceptor;
   std::unique_ptr<net::rpc_server> peers;
   std::vector<std::unique_ptr<http::server>> small_servers;
@@ -96,6 +102,7 @@
   net::steady_time store_lost_at{};
   net::steady_time next_idle_sweep{};
   net::steady_time next_sharing{};
+  net::steady_time next_renewal{};
   std::size_t connections = 0;
 
   static std::optional<configuration> decode_configuration(const std::string& text) {
@@ -120,6 +127,16 @@
     return hooks;
   }
 
+  exchange_hooks make_exchange_hooks() {
+    exchange_hooks hooks;
+    hooks.hosts = [this] { return this->gossip.live_hosts(); };
+    hooks.send = [this](const host_id& to, const std::string& payload, net::rpc_done done) {
+      this->gossip.send(to, gossip_method::placements, payload, std::move(done));
+    };
+    hooks.take = [this](const directory_answer& answer) { this->placer.take_answer(answer); };
+    return hooks;
+  }
+
   gossip_digest digest() const {
     gossip_digest own;
     own.self = this->self;
@@ -173,6 +190,10 @@
             this->ledger.serve_relayed(payload, reply);
             return;
           }
+          if (static_cast<gossip_method>(method) == gossip_method::placements) {
+            reply(this->exchange.serve(payload));
+            return;
+          }
           reply(this->gossip.serve(static_cast<gossip_method>(method), payload));
         });
     this->serve_small(this->settings.ready_at, [this](const http::request& ask) {
@@ -333,6 +354,10 @@
       this->next_sharing = now + sharing_pause;
       this->placer.take_demand(this->gossip.demand_of_others());
     }
+    if (now >= this->next_renewal) {
+      this->next_renewal = now + renewal_pause;
+      this->placer.renew_loads();
+    }
     if (now >= this->next_idle_sweep) {
       this->next_idle_sweep = now + idle_pause;
       this->close_idle();
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -272,7 +272,8 @@
       return set ? std::optional(to_bytes(*set)) : std::nullopt;
     }
     case gossip_method::relay:
-      // Served by the ledger, which answers later.
+    case gossip_method::placements:
+      // Served by the ledger, which answers later, and by the placement directory.
       return std::nullopt;
   }
   return std::nullopt;
@@ -289,6 +290,28 @@
   return ready;
 }
 
+std::vector<host_id> peer_gossip::live_hosts() const {
+  const net::steady_time now = steady::now();
+  std::vector<host_id> hosts{this->hooks.self().self.name};
+  for (const auto& [name, other] : this->peers) {
+    if (now - other->heard_at < this->silence() && !other->heard.leaving) {
+      hosts.push_back(name);
+    }
+  }
+  return hosts;
+}
+
+void peer_gossip::send(const host_id& to, gossip_method method, const std::string& payload,
+                       net::rpc_done done) {
+  const auto found = this->peers.find(to);
+  if (found == this->peers.end()) {
+    done(net::rpc_failure::unreachable, {});
+    return;
+  }
+  found->second->link->call(static_cast<std::uint16_t>(method), payload, probe_limit,
+                            std::move(done));
+}
+
 std::vector<service_demand> peer_gossip::demand_of_others() const {
   const net::steady_time now = steady::now();
   std::vector<service_demand> all;
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -9,6 +9,9 @@
 #include <vector>
 
 #include "hawthornlane/fleet/fleet_view.h"
+#include "hawthornlane/placement/placement_directory.h"
+#include "hawthornlane/placement/prefix_cache_view.h"
+#include "hawthornlane/placement/server_choice.h"
 #include "hawthornlane/placement/server_health.h"
 #include "hawthornlane/units/ids.h"
 #include "hawthornlane/units/quantities.h"
@@ -23,6 +26,11 @@
   placement_id id;
   /// Calls with the same value do better at the same server; 0: any server.
   std::uint64_t affinity = 0;
+  /// Of a call to a model engine: the parts of its prompt, the one that all programs of a
+  /// kind share first, the program's own line of turns behind it.
+  std::vector<prompt_piece> prompt;
+  /// An earlier turn of its line has been answered.
+  bool begun = false;
   /// Calls of one kind take about the same time until they start to be answered.
   std::uint64_t kind = 0;
   /// Lower goes first.
@@ -51,12 +59,13 @@
   double slots_share = 1.0;
   /// Least limit a server, so that one host alone can still use it.
   std::uint32_t least_limit = 2;
-  /// A call goes to the server of its affinity while that has at most this many
-  /// calls of this host more than the least busy one.
-  std::uint32_t affinity_slack = 2;
   /// Calls that wait at most, as a multiple of all places of this host. A longer
   /// queue only holds calls that run out of time.
   double queue_factor = 2.0;
+  /// A call without a prompt goes to the server of its object while that has at most this
+  /// many calls of this host more than the least busy one.
+  std::uint32_t affinity_slack = 2;
+  choice_rules choice;
   health_rules health;
 };
 
@@ -67,6 +76,18 @@
 
   /// The servers that may get calls now: listed and not draining.
   std::vector<placement> set_servers(const std::vector<backend_entry>& servers, timestamp now);
+  /// What is worth asking other hosts before `request` is submitted.
+  [[nodiscard]] directory_question question_for(const placement_request& request,
+                                                timestamp now) const;
+  /// What other hosts answered.
+  void note_load(const server_load& load, timestamp now);
+  void note_location(const part_location& location);
+  /// What other hosts should know and have not been told yet.
+  directory_update take_update();
+  /// Calls of this host at each server that has any.
+  [[nodiscard]] std::vector<server_load> own_loads() const;
+  /// Some server is known to have read this part of a prompt.
+  [[nodiscard]] bool knows(prompt_part_key part) const { return this->caches.knows(part); }
   /// Places the call, queues it, or refuses it at once because it cannot be served.
   submit_outcome submit(const placement_request& request, timestamp now,
                         std::vector<placement>& placed);
@@ -101,6 +122,9 @@
     backend_entry entry;
     /// Invariant: equals the entries of `running` for this server.
     std::uint32_t inside = 0;
+    /// Calls of other hosts when they were last heard of.
+    double others = 0;
+    timestamp others_heard{};
     server_health health;
     bool listed = true;
   };
@@ -110,12 +134,16 @@
   struct running_call {
     backend_server_id server;
     std::uint64_t kind = 0;
+    /// It has a prompt: other hosts want to know of it.
+    bool is_shared = false;
     timestamp since{};
     /// Its time until the answer began is known.
     bool timed = false;
   };
-  /// Priority, whether its time is over already, when it is wanted, and its name.
-  using queue_key = std::tuple<std::uint32_t, bool, timestamp, placement_id>;
+  /// Priority, whether it begins a program, whether its time is over already, when it is
+  /// wanted, and its name.
+  using queue_key = std::tuple<std::uint32_t, bool, bool, timestamp, placement_id>;
+  using server_list = std::vector<const server_state*>;
 
   [[nodiscard]] std::uint32_t limit_of(const server_state& server) const;
   [[nodiscard]] bool is_set_aside(const server_state& server, timestamp now) const;
@@ -123,6 +151,19 @@
   [[nodiscard]] server_state* choose(const placement_request& request, timestamp now);
   [[nodiscard]] server_state* choose_among(const placement_request& request, choice_range range,
                                            timestamp now);
+  [[nodiscard]] server_state* choose_for_prompt(const placement_request& request,
+                                                choice_range range, timestamp now);
+  [[nodiscard]] server_state* choose_least_busy(const placement_request& request,
+                                                choice_range range, timestamp now);
+  /// The servers that hold the call's line, and a few others.
+  [[nodiscard]] server_list candidates_for(const placement_request& request, timestamp now) const;
+  [[nodiscard]] bool holds_line(const server_state& server, const placement_request& request) const;
+  /// Tokens of the prompt that the server would have to read.
+  [[nodiscard]] double missing_tokens(const server_state& server,
+                                      const placement_request& request) const;
+  /// Calls of other hosts at the server now, as well as this host can tell.
+  [[nodiscard]] double others_at(const server_state& server, timestamp now) const;
+  void note_prompt(const placement_request& request, const server_state& server);
   [[nodiscard]] static queue_key key_of(const placement_request& request, timestamp now);
   [[nodiscard]] std::size_t places() const;
   void place(const placement_request& request, server_state& server, timestamp now,
@@ -140,6 +181,10 @@
   std::map<queue_key, placement_request> queue;
   std::map<placement_id, queue_key> queued;
   usual_times usual;
+  prefix_cache_view caches;
+  /// Not told yet: where lines went, and servers at which this host's count has changed.
+  std::vector<part_location> moved;
+  std::set<backend_server_id> changed;
   /// Calls that may be at servers while places are scarce; nothing: as many as fit.
   std::optional<std::uint32_t> window;
   /// Makes the order in which this host prefers equally busy servers its own.
--- /dev/null
+++ b/libs/placement/src/placement_directory.cc
@@ -0,0 +1,74 @@
+// One host's part of what all hosts share about placing calls.
+#include "hawthornlane/placement/placement_directory.h"
+
+#include <xxhash.h>
+
+namespace hawthornlane {
+
+server_key server_key_of(const backend_server_id& server) {
+  return server_key(XXH32(server.get().data(), server.get().size(), 0));
+}
+
+void placement_directory::set_load(const host_id& host, const server_load& load, timestamp now) {
+  auto& hosts = this->loads[load.server];
+  if (load.calls > 0) {
+    hosts[host] = {load.calls, now};
+    return;
+  }
+  hosts.erase(host);
+  if (hosts.empty()) {
+    this->loads.erase(load.server);
+  }
+}
+
+std::uint32_t placement_directory::load_of_others(server_key server, const host_id& asker,
+                                                  timestamp now) const {
+  const auto found = this->loads.find(server);
+  if (found == this->loads.end()) {
+    return 0;
+  }
+  std::uint32_t sum = 0;
+  for (const auto& [host, count] : found->second) {
+    if (host == asker || now - count.told > count_lifetime) {
+      continue;
+    }
+    sum += count.calls;
+  }
+  return sum;
+}
+
+void placement_directory::set_location(const part_location& location) {
+  const auto [found, is_new] = this->lines.try_emplace(location.part);
+  line_entry& entry = found->second;
+  entry.location = location;
+  if (!is_new) {
+    this->by_use.splice(this->by_use.begin(), this->by_use, entry.used);
+    return;
+  }
+  this->by_use.push_front(location.part);
+  entry.used = this->by_use.begin();
+  if (this->lines.size() > most_lines) {
+    this->lines.erase(this->by_use.back());
+    this->by_use.pop_back();
+  }
+}
+
+std::optional<part_location> placement_directory::find(prompt_part_key part) const {
+  const auto found = this->lines.find(part);
+  return found == this->lines.end() ? std::nullopt : std::optional(found->second.location);
+}
+
+std::optional<host_id> keeper_of(std::uint64_t key, const std::vector<host_id>& hosts) {
+  std::optional<host_id> best;
+  std::uint64_t best_weight = 0;
+  for (const host_id& host : hosts) {
+    const std::uint64_t weight = XXH64(host.get().data(), host.get().size(), key);
+    if (!best || weight > best_weight) {
+      best = host;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/placement/src/prefix_cache_view.cc
@@ -0,0 +1,90 @@
+// What the prefix caches of the servers of one service probably hold.
+#include "hawthornlane/placement/prefix_cache_view.h"
+
+#include <algorithm>
+
+namespace hawthornlane {
+namespace {
+
+/// Parts that one host follows; at some 200 bytes each this is 2 MB. A host of the
+/// largest deployment has some 1,700 programs under way.
+constexpr std::size_t most_parts = 8192;
+/// Servers that are remembered for one part. A part that more servers hold is shared
+/// by so many programs that nearly all of them have it.
+constexpr std::size_t most_holders = 64;
+/// No part is longer; what a caller says beyond that is not believed.
+constexpr std::int64_t most_tokens = 100'000'000;
+
+std::int64_t in_bounds(token_count tokens) {
+  return std::clamp<std::int64_t>(tokens.get(), 0, most_tokens);
+}
+
+}  // namespace
+
+std::optional<token_count> prefix_cache_view::held_of(const prompt_piece& piece,
+                                                      const backend_server_id& server) const {
+  const auto found = this->parts.find(piece.key);
+  if (found == this->parts.end()) {
+    return std::nullopt;
+  }
+  const auto& holders = found->second.holders;
+  const auto at = std::find_if(holders.begin(), holders.end(),
+                               [&](const holder& item) { return item.server == server; });
+  if (at == holders.end()) {
+    return std::nullopt;
+  }
+  return std::min(at->tokens, piece.tokens);
+}
+
+token_count prefix_cache_view::held(const std::vector<prompt_piece>& prompt,
+                                    const backend_server_id& server) const {
+  std::int64_t before = 0;
+  std::int64_t held = 0;
+  for (const prompt_piece& piece : prompt) {
+    if (const auto tokens = this->held_of(piece, server)) {
+      held = before + in_bounds(*tokens);
+    }
+    before += in_bounds(piece.tokens);
+  }
+  return token_count(held);
+}
+
+void prefix_cache_view::note(const std::vector<prompt_piece>& prompt,
+                             const backend_server_id& server) {
+  for (const prompt_piece& piece : prompt) {
+    this->note_part(piece, server);
+  }
+}
+
+void prefix_cache_view::note_part(const prompt_piece& piece, const backend_server_id& server) {
+  const auto [found, is_new] = this->parts.try_emplace(piece.key);
+  part_state& part = found->second;
+  if (is_new) {
+    this->by_use.push_front(piece.key);
+    part.used = this->by_use.begin();
+  } else {
+    this->by_use.splice(this->by_use.begin(), this->by_use, part.used);
+  }
+  const auto at = std::find_if(part.holders.begin(), part.holders.end(),
+                               [&](const holder& item) { return item.server == server; });
+  if (at != part.holders.end()) {
+    at->tokens = std::max(at->tokens, piece.tokens);
+    return;
+  }
+  if (part.holders.size() >= most_holders) {
+    part.holders.erase(part.holders.begin());
+  }
+  part.holders.push_back({server, piece.tokens});
+  if (this->parts.size() > most_parts) {
+    this->parts.erase(this->by_use.back());
+    this->by_use.pop_back();
+  }
+}
+
+void prefix_cache_view::forget(const backend_server_id& server) {
+  for (auto& [key, part] : this->parts) {
+    std::erase_if(part.holders, [&](const holder& item) { return item.server == server; });
+  }
+}
+
+}  // namespace hawthornlane
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -7,17 +7,6 @@
 #include <cmath>
 
 namespace hawthornlane {
-namespace {
-
-/// Rendezvous weight: hosts agree on a key's server without talking.
-std::uint64_t weight_of(const backend_server_id& server, std::uint64_t key) {
-  return XXH64(server.get().data(), server.get().size(), key);
-}
-
-/// Set in the weight of a server of this zone, above all others.
-constexpr std::uint64_t near_bit = std::uint64_t{1} << 63U;
-
-}  // namespace
 
 server_pool::server_pool(pool_rules with, const host_id& own, availability_zone here)
     : rules(with), zone(std::move(here)), own_key(XXH64(own.get().data(), own.get().size(), 0)) {}
@@ -45,8 +34,10 @@
 }
 
 server_pool::queue_key server_pool::key_of(const placement_request& request, timestamp now) {
-  // What is late already goes behind what can still be in time.
-  return {request.priority, request.wanted_by <= now, request.wanted_by, request.id};
+  // Programs that have begun go on before others begin, and what is late already goes
+  // behind what can still be in time.
+  return {request.priority, !request.begun, request.wanted_by <= now, request.wanted_by,
+          request.id};
 }
 
 server_pool::server_state* server_pool::choose(const placement_request& request, timestamp now) {
@@ -58,46 +49,14 @@
   return trusted != nullptr ? trusted : this->choose_among(request, choice_range::any, now);
 }
 
-server_pool::server_state* server_pool::choose_among(const placement_request& request,
-                                                     choice_range range, timestamp now) {
-  server_state* least = nullptr;
-  server_state* preferred = nullptr;
-  std::uint64_t preferred_weight = 0;
-  std::uint64_t least_rank = 0;
-  for (auto& [id, server] : this->servers) {
-    if (!this->may_take(server, range, now) || request.tried.contains(id)) {
-      continue;
-    }
-    const bool near = server.entry.zone == this->zone;
-    // An object's server is one of this zone where it has any: callers stay in their
-    // zone, so its front hosts agree, and prompts are the most of all bytes.
-    const std::uint64_t weight =
-        request.affinity == 0 ? 0 : weight_of(id, request.affinity) >> 1U | (near ? near_bit : 0);
-    if (request.affinity != 0 && (preferred == nullptr || weight > preferred_weight)) {
-      preferred = &server;
-      preferred_weight = weight;
-    }
-    // Among equally busy servers: those in this zone first, then in an order of this
-    // host's own, so that it uses its kept connections and others use others.
-    const std::uint64_t far = near ? 0 : 1;
-    const std::uint64_t rank = far << 32U | (weight_of(id, this->own_key) & 0xffffffffU);
-    const bool better = least == nullptr || server.inside < least->inside ||
-                        (server.inside == least->inside && rank < least_rank);
-    if (better) {
-      least = &server;
-      least_rank = rank;
-    }
-  }
-  if (preferred != nullptr && preferred->inside <= least->inside + this->rules.affinity_slack) {
-    return preferred;
-  }
-  return least;
-}
-
 void server_pool::place(const placement_request& request, server_state& server, timestamp now,
                         std::vector<placement>& placed) {
   ++server.inside;
-  this->running[request.id] = {server.entry.id, request.kind, now};
+  const bool is_shared = !request.prompt.empty();
+  if (is_shared) {
+    this->note_prompt(request, server);
+  }
+  this->running[request.id] = {server.entry.id, request.kind, is_shared, now};
   placed.push_back({request.id, server.entry});
 }
 
@@ -129,6 +88,11 @@
     server.entry = entry;
     server.listed = true;
   }
+  for (const auto& [id, server] : this->servers) {
+    if (!server.listed) {
+      this->caches.forget(id);
+    }
+  }
   std::erase_if(this->servers,
                 [](const auto& item) { return !item.second.listed && item.second.inside == 0; });
   return this->fill(now);
@@ -204,6 +168,9 @@
   if (!found->second.timed && !never_ran) {
     this->note_time(found->second, !answered, now);
   }
+  if (found->second.is_shared) {
+    this->changed.insert(server->first);
+  }
   this->running.erase(found);
   --server->second.inside;
   server->second.health.note(outcome, this->rules.health, now);
--- /dev/null
+++ b/libs/placement/src/server_pool_choice.cc
@@ -0,0 +1,214 @@
+// Which server of a pool takes a call, and what hosts tell each other for that.
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "hawthornlane/placement/server_pool.h"
+
+namespace hawthornlane {
+namespace {
+
+/// Rendezvous weight: hosts agree on a key's server without talking.
+std::uint64_t weight_of(const backend_server_id& server, std::uint64_t key) {
+  return XXH64(server.get().data(), server.get().size(), key);
+}
+
+/// Set in the weight of a server of this zone, above all others.
+constexpr std::uint64_t near_bit = std::uint64_t{1} << 63U;
+
+/// What was heard of a server's load fades by a factor of e in this time, in favour of
+/// the mean of all servers: a turn takes about as long, so the calls counted then are gone.
+constexpr double load_fading_seconds = 0.3;
+/// A load heard less long ago is not asked for again: hosts that ask more often ask each
+/// other about the same calls.
+constexpr duration fresh_load = std::chrono::milliseconds(20);
+
+}  // namespace
+
+server_pool::server_state* server_pool::choose_among(const placement_request& request,
+                                                     choice_range range, timestamp now) {
+  if (!request.prompt.empty()) {
+    if (server_state* server = this->choose_for_prompt(request, range, now)) {
+      return server;
+    }
+  }
+  return this->choose_least_busy(request, range, now);
+}
+
+server_pool::server_state* server_pool::choose_for_prompt(const placement_request& request,
+                                                          choice_range range, timestamp now) {
+  const server_list candidates = this->candidates_for(request, now);
+  const server_state* best = nullptr;
+  double best_cost = 0;
+  for (const server_state* server : candidates) {
+    if (!this->may_take(*server, range, now)) {
+      continue;
+    }
+    server_prospect prospect;
+    prospect.slots = server->entry.slots;
+    prospect.calls = server->inside + this->others_at(*server, now);
+    prospect.missing_tokens = this->missing_tokens(*server, request);
+    prospect.near = server->entry.zone == this->zone;
+    const double cost = cost_of(prospect, this->rules.choice);
+    if (best == nullptr || cost < best_cost) {
+      best = server;
+      best_cost = cost;
+    }
+  }
+  return best == nullptr ? nullptr : &this->servers.at(best->entry.id);
+}
+
+server_pool::server_state* server_pool::choose_least_busy(const placement_request& request,
+                                                          choice_range range, timestamp now) {
+  server_state* least = nullptr;
+  server_state* preferred = nullptr;
+  std::uint64_t preferred_weight = 0;
+  std::uint64_t least_rank = 0;
+  for (auto& [id, server] : this->servers) {
+    if (!this->may_take(server, range, now) || request.tried.contains(id)) {
+      continue;
+    }
+    const bool near = server.entry.zone == this->zone;
+    // An object's server is one of this zone where it has any: callers stay in their
+    // zone, so its front hosts agree, and prompts are the most of all bytes.
+    const std::uint64_t weight =
+        request.affinity == 0 ? 0 : weight_of(id, request.affinity) >> 1U | (near ? near_bit : 0);
+    if (request.affinity != 0 && (preferred == nullptr || weight > preferred_weight)) {
+      preferred = &server;
+      preferred_weight = weight;
+    }
+    // Among equally busy servers: those in this zone first, then in an order of this
+    // host's own, so that it uses its kept connections and others use others.
+    const std::uint64_t far = near ? 0 : 1;
+    const std::uint64_t rank = far << 32U | (weight_of(id, this->own_key) & 0xffffffffU);
+    const bool better = least == nullptr || server.inside < least->inside ||
+                        (server.inside == least->inside && rank < least_rank);
+    if (better) {
+      least = &server;
+      least_rank = rank;
+    }
+  }
+  if (preferred != nullptr && preferred->inside <= least->inside + this->rules.affinity_slack) {
+    return preferred;
+  }
+  return least;
+}
+
+bool server_pool::holds_line(const server_state& server, const placement_request& request) const {
+  // The first part is shared by so many programs that nearly all servers hold it.
+  return request.prompt.size() > 1 &&
+         this->caches.held(request.prompt, server.entry.id) > request.prompt.front().tokens;
+}
+
+server_pool::server_list server_pool::candidates_for(const placement_request& request,
+                                                     timestamp now) const {
+  std::vector<std::pair<std::uint64_t, const server_state*>> ranked;
+  for (const auto& [id, server] : this->servers) {
+    if (server.listed && !server.health.excluded(now) && !request.tried.contains(id)) {
+      ranked.emplace_back(weight_of(id, request.affinity), &server);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(), std::greater<>());
+  server_list chosen;
+  std::size_t near = 0;
+  for (const auto& [weight, server] : ranked) {
+    const bool as_near = server->entry.zone == this->zone && near < this->rules.choice.near_choices;
+    near += as_near ? 1 : 0;
+    const bool by_hash = chosen.size() < this->rules.choice.choices;
+    if (by_hash || as_near || this->holds_line(*server, request)) {
+      chosen.push_back(server);
+    }
+  }
+  return chosen;
+}
+
+double server_pool::missing_tokens(const server_state& server,
+                                   const placement_request& request) const {
+  double all = 0;
+  for (const prompt_piece& piece : request.prompt) {
+    all += static_cast<double>(piece.tokens.get());
+  }
+  return all - static_cast<double>(this->caches.held(request.prompt, server.entry.id).get());
+}
+
+double server_pool::others_at(const server_state& server, timestamp now) const {
+  double sum = 0;
+  for (const auto& [id, other] : this->servers) {
+    sum += other.others;
+  }
+  const double mean = this->servers.empty() ? 0 : sum / static_cast<double>(this->servers.size());
+  const double age = to_seconds(std::chrono::duration_cast<duration>(now - server.others_heard));
+  const double weight = std::exp(-age / load_fading_seconds);
+  return weight * server.others + (1 - weight) * mean;
+}
+
+void server_pool::note_prompt(const placement_request& request, const server_state& server) {
+  if (request.prompt.size() > 1) {
+    // The last part is the line's own; a helper does not speak for its parent's line.
+    const prompt_piece& line = request.prompt.back();
+    this->moved.push_back({line.key, server_key_of(server.entry.id), line.tokens});
+  }
+  this->caches.note(request.prompt, server.entry.id);
+  this->changed.insert(server.entry.id);
+}
+
+directory_question server_pool::question_for(const placement_request& request,
+                                             timestamp now) const {
+  directory_question question;
+  if (request.prompt.empty()) {
+    return question;
+  }
+  for (const server_state* server : this->candidates_for(request, now)) {
+    if (now - server->others_heard > fresh_load) {
+      question.servers.push_back(server_key_of(server->entry.id));
+    }
+  }
+  for (std::size_t number = 1; number < request.prompt.size(); ++number) {
+    question.parts.push_back(request.prompt[number].key);
+  }
+  return question;
+}
+
+void server_pool::note_load(const server_load& load, timestamp now) {
+  for (auto& [id, server] : this->servers) {
+    if (server_key_of(id) != load.server) {
+      continue;
+    }
+    server.others = load.calls;
+    server.others_heard = now;
+  }
+}
+
+void server_pool::note_location(const part_location& location) {
+  for (const auto& [id, server] : this->servers) {
+    if (server_key_of(id) == location.server) {
+      this->caches.note_part({location.part, location.tokens}, id);
+    }
+  }
+}
+
+directory_update server_pool::take_update() {
+  directory_update update;
+  for (const backend_server_id& id : this->changed) {
+    const auto found = this->servers.find(id);
+    const std::uint32_t calls = found == this->servers.end() ? 0 : found->second.inside;
+    update.loads.push_back({server_key_of(id), calls});
+  }
+  this->changed.clear();
+  update.locations = std::move(this->moved);
+  this->moved.clear();
+  return update;
+}
+
+std::vector<server_load> server_pool::own_loads() const {
+  std::vector<server_load> loads;
+  for (const auto& [id, server] : this->servers) {
+    if (server.inside > 0) {
+      loads.push_back({server_key_of(id), server.inside});
+    }
+  }
+  return loads;
+}
+
+}  // namespace hawthornlane
