--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -45,6 +45,9 @@
 constexpr auto host_check_pause = std::chrono::seconds(3);
 /// Between two reads of a host that lacks the others' addresses.
 constexpr auto host_read_pause = std::chrono::milliseconds(300);
+/// Nobody has read the store for so long: each host reads for itself. Others have taken
+/// over from a reader that is gone long before.
+constexpr duration reader_lost_after = std::chrono::seconds(2);
 /// Between two divisions of scarce places; a call at a model server takes 0.2 s.
 constexpr auto sharing_pause = std::chrono::milliseconds(100);
 /// Between two tellings of this host's loads; a third of their lifetime.
@@ -362,7 +365,8 @@
       this->next_idle_sweep = now + idle_pause;
       this->close_idle();
     }
-    const bool hosts_wanted = !this->fleet.hosts().heard() || this->ledger.lacks_address();
+    const bool hosts_wanted =
+        !this->fleet.hosts().heard() || (this->ledger.lacks_address() && this->reads_for_all());
     if (hosts_wanted && !this->reading_hosts && now >= this->next_host_read) {
       asio::co_spawn(this->context, read_hosts(this->shared_from_this()), asio::detached);
     }
@@ -374,6 +378,14 @@
     }
   }
 
+  /// A new disk's address is read by one host for all: 57 hosts that each read it on
+  /// their own made 2,500 to 4,800 calls to the store on a day with two new disks, which
+  /// cost 2 to 3% of the day's worth.
+  [[nodiscard]] bool reads_for_all() const {
+    return !this->checks.heard() || this->checks.last_reader() == this->self.name ||
+           this->checks.age(discovery::scheduler_now()) > reader_lost_after;
+  }
+
   /// Reads the store for all hosts and tells them.
   static asio::awaitable<void> check_store(std::shared_ptr<state> self) {
     self->checking = true;
@@ -415,7 +427,16 @@
     const auto outcome = co_await self->store.list(object_kind::hosts, page, reason);
     if (outcome == platform_adapter::store_outcome::done) {
       self->ledger.take_set(page);
+      const store_revision before = self->fleet.hosts().at();
       self->fleet.list_hosts(page.at, discovery::host_entries_of(page));
+      if (self->fleet.table() && self->fleet.hosts().at() > before) {
+        self->gossip.tell_all();
+      }
+      // The store is back and this host knows nothing: its callers wait for the next
+      // read, which would be due 0.35 s later on the whole.
+      if (!self->fleet.table() && !self->store_reachable && !self->checking) {
+        asio::co_spawn(self->context, check_store(self), asio::detached);
+      }
     }
     self->reading_hosts = false;
   }
