Fetch from another host only what it has newer, and log what a server was chosen by

The log shows that host deaf to all disk hosts for 0.2 to 0.4 s at each change of a server or of the configuration. It reads the store for all, has a link of 30 Mbit/s, and 56 hosts each fetched all four kinds from it (30 KB a host) when one kind had changed.

What was heard of a server's load, its age, the tokens to read and whether the line was there go into call_ended and into the words of `hawthornlane explain`.

--- a/libs/explain/src/request_story.cc
+++ b/libs/explain/src/request_story.cc
@@ -153,11 +153,19 @@
   if (line.name == "call_ended") {
     const std::string server = of("server").empty() ? "no server" : "server " + of("server");
     const std::string detail = of("detail").empty() ? "" : "; " + of("detail");
+    const bool has_prompt = !of("missing_tokens").empty() && of("missing_tokens") != "0";
+    const std::string choice =
+        has_prompt ? fmt::format(
+                         "; chosen with {} calls there (heard {} ms before), {} prompt "
+                         "tokens to read, the line {}",
+                         of("server_calls"), of("load_age_ms"), of("missing_tokens"),
+                         of("holds_line") == "yes" ? "was there" : "was not there")
+                   : "";
     return fmt::format(
         "route {} of version {}, {}: {} with {} after {} tries, {} events; {} ms in all, {} ms "
-        "of them waiting for a server, {} ms for the disk hosts{}",
+        "of them waiting for a server, {} ms for the disk hosts{}{}",
         of("route"), of("version"), server, of("outcome"), of("status"), of("tries"), of("events"),
-        of("took_ms"), of("queue_ms"), of("ledger_ms"), detail);
+        of("took_ms"), of("queue_ms"), of("ledger_ms"), choice, detail);
   }
   const std::set<std::string> shown{"time", "severity", "event", "name", "host"};
   std::string rest;
--- a/libs/front/include/hawthornlane/front/call_placer.h
+++ b/libs/front/include/hawthornlane/front/call_placer.h
@@ -21,6 +21,7 @@
 struct acquired_server {
   placement_id id;
   std::optional<backend_entry> server;
+  std::optional<placement_basis> basis;
   bool caller_left = false;
   duration waited{};
 };
--- a/libs/front/include/hawthornlane/front/directory_exchange.h
+++ b/libs/front/include/hawthornlane/front/directory_exchange.h
@@ -43,7 +43,7 @@
 
 /// What the exchange takes from and gives to the rest of the host.
 struct exchange_hooks {
-  /// All front hosts that live, this one included.
+  /// The other front hosts that live.
   std::function<std::vector<host_id>()> hosts;
   /// Sends a message to another host.
   std::function<void(const host_id& to, const std::string& payload, net::rpc_done done)> send;
@@ -65,6 +65,8 @@
   std::optional<std::string> serve(const std::string& payload);
 
 private:
+  /// This host and the others that live.
+  [[nodiscard]] std::vector<host_id> keepers() const;
   using messages = std::map<host_id, directory_message>;
   directory_message& message_to(messages& all, std::uint64_t key,
                                 const std::vector<host_id>& hosts) const;
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/gossip_news.h
@@ -0,0 +1,43 @@
+// What another host knows that this one does not. No I/O.
+#pragma once
+
+#include <optional>
+
+#include "hawthornlane/front/gossip_messages.h"
+
+namespace hawthornlane::front {
+
+/// How far a host's knowledge of each kind goes.
+struct known_state {
+  /// Nothing: none yet.
+  std::optional<config_version> configuration;
+  store_revision backends_changed_at;
+  store_revision hosts_at;
+  std::optional<set_epoch> ledger;
+};
+
+/// The kinds of which another host has something newer. Only these are fetched from it:
+/// when all four were, a change of one server's entry had 56 hosts fetch 30 KB each from a
+/// host with a link of 30 Mbit/s, which was deaf for 0.4 s and cut off a call.
+struct gossip_news {
+  bool configuration = false;
+  bool backends = false;
+  bool hosts = false;
+  bool ledger = false;
+
+  [[nodiscard]] bool any() const {
+    return this->configuration || this->backends || this->hosts || this->ledger;
+  }
+};
+
+inline gossip_news news_in(const gossip_digest& digest, const known_state& own) {
+  gossip_news news;
+  news.configuration = digest.configuration.get() != 0 &&
+                       (!own.configuration || digest.configuration > *own.configuration);
+  news.backends = digest.backends_changed_at > own.backends_changed_at;
+  news.hosts = digest.hosts_at > own.hosts_at;
+  news.ledger = digest.ledger_at.get() != 0 && (!own.ledger || digest.ledger_at > *own.ledger);
+  return news;
+}
+
+}  // namespace hawthornlane::front
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -13,6 +13,7 @@
 #include "hawthornlane/discovery/fleet_state.h"
 #include "hawthornlane/fleet/check_schedule.h"
 #include "hawthornlane/front/gossip_messages.h"
+#include "hawthornlane/front/gossip_news.h"
 #include "hawthornlane/net/rpc.h"
 
 namespace hawthornlane::front {
@@ -52,7 +53,7 @@
   [[nodiscard]] std::size_t rank() const;
   /// Where callers reach the front hosts that are ready, this one left out.
   [[nodiscard]] std::vector<host_entry> ready_hosts() const;
-  /// The front hosts that live and stay, this one included.
+  /// The other front hosts that live and stay.
   [[nodiscard]] std::vector<host_id> live_hosts() const;
   /// Sends a message to one of them.
   void send(const host_id& to, gossip_method method, const std::string& payload,
@@ -68,11 +69,12 @@
   [[nodiscard]] std::chrono::milliseconds silence() const;
   void probe(peer& other);
   void hear(peer& other, const gossip_digest& digest);
-  void pull(peer& other);
-  /// Asks a peer for its whole registry of one kind.
-  template <class Entry>
-  void pull_registry(peer& other, gossip_method method,
-                     std::function<void(const registry_snapshot<Entry>&, const host_id&)> take);
+  /// How far this host's own knowledge goes.
+  [[nodiscard]] known_state known() const;
+  void pull(peer& other, const gossip_news& news);
+  /// Asks a peer for all that it knows of one kind.
+  void ask(peer& other, gossip_method method,
+           std::function<void(const host_id& from, const std::string& bytes)> take);
   void add_peer(const host_entry& entry);
 
   boost::asio::io_context& context;
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -24,7 +24,7 @@
 struct placement_wait::waiter {
   explicit waiter(asio::io_context& context) : signal(context) {}
   net::async_signal signal;
-  std::optional<backend_entry> server;
+  std::optional<placement> chosen;
   bool left = false;
 };
 
@@ -58,7 +58,7 @@
     if (found == this->waiters.end()) {
       continue;
     }
-    found->second->server = item.server;
+    found->second->chosen = item;
     found->second->signal.wake();
   }
 }
@@ -210,6 +210,7 @@
   }
   if (outcome == submit_outcome::placed) {
     got.server = placed.front().server;
+    got.basis = placed.front().basis;
     this->tell_changes(pool);
     co_return got;
   }
@@ -228,7 +229,10 @@
     this->finished(service, got.id, server_outcome::caller_left);
     co_return got;
   }
-  got.server = waiting.server;
+  if (waiting.chosen) {
+    got.server = waiting.chosen->server;
+    got.basis = waiting.chosen->basis;
+  }
   co_return got;
 }
 
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -149,6 +149,7 @@
   net::steady_time first_event_at;
   // For the log line.
   backend_server_id server;
+  std::optional<placement_basis> basis;
   std::string outcome;
   int status = 0;
   std::int64_t queued_ms = 0;
@@ -341,6 +342,7 @@
   request.tried = one.tried;
   got = co_await this->placer.acquire(one.service, request, one.wait);
   one.placed = got.id;
+  one.basis = got.basis;
   one.queued_ms += got.waited.count() / 1000;
   co_return got;
 }
@@ -530,6 +532,7 @@
     this->metrics.record("first_event",
                          std::chrono::duration_cast<duration>(one.first_event_at - one.arrived));
   }
+  const placement_basis basis = one.basis.value_or(placement_basis{});
   log(event::call_ended, {{"request", one.terms.id.get()},
                           {"program", one.terms.program ? one.terms.program->get() : ""},
                           {"route", one.taken->name.get()},
@@ -539,6 +542,10 @@
                           {"status", std::to_string(one.status)},
                           {"tries", std::to_string(one.tries)},
                           {"events", std::to_string(one.events)},
+                          {"server_calls", fmt::format("{:.0f}", basis.calls)},
+                          {"load_age_ms", std::to_string(basis.load_age.count() / 1000)},
+                          {"missing_tokens", std::to_string(basis.missing_tokens.get())},
+                          {"holds_line", basis.holds_line ? "yes" : "no"},
                           {"queue_ms", std::to_string(one.queued_ms)},
                           {"ledger_ms", std::to_string(one.ledger_ms)},
                           {"took_ms", std::to_string(milliseconds_since(one.arrived))},
--- a/libs/front/src/directory_exchange.cc
+++ b/libs/front/src/directory_exchange.cc
@@ -20,6 +20,12 @@
 directory_exchange::directory_exchange(asio::io_context& io, host_id own, exchange_hooks with)
     : context(io), self(std::move(own)), hooks(std::move(with)) {}
 
+std::vector<host_id> directory_exchange::keepers() const {
+  std::vector<host_id> hosts = this->hooks.hosts();
+  hosts.push_back(this->self);
+  return hosts;
+}
+
 directory_message& directory_exchange::message_to(messages& all, std::uint64_t key,
                                                   const std::vector<host_id>& hosts) const {
   directory_message& message = all[keeper_of(key, hosts).value_or(this->self)];
@@ -28,7 +34,7 @@
 }
 
 void directory_exchange::tell(const directory_update& update) {
-  const std::vector<host_id> hosts = this->hooks.hosts();
+  const std::vector<host_id> hosts = this->keepers();
   messages all;
   for (const server_load& load : update.loads) {
     this->message_to(all, load.server.get(), hosts).loads.push_back(load);
@@ -51,7 +57,7 @@
 }
 
 asio::awaitable<void> directory_exchange::ask(directory_question question) {
-  const std::vector<host_id> hosts = this->hooks.hosts();
+  const std::vector<host_id> hosts = this->keepers();
   messages all;
   for (const server_key& server : question.servers) {
     this->message_to(all, server.get(), hosts).asked_servers.push_back(server);
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -25,6 +25,13 @@
 constexpr duration just_read = std::chrono::milliseconds(50);
 constexpr duration pull_limit = std::chrono::milliseconds(1000);
 
+/// Nothing when the bytes are none, or the other host knows nothing itself.
+template <class Entry>
+std::optional<registry_snapshot<Entry>> snapshot_from(const std::string& bytes) {
+  auto snapshot = from_bytes<registry_snapshot<Entry>>(bytes);
+  return snapshot && snapshot->at.get() != 0 ? std::move(snapshot) : std::nullopt;
+}
+
 }  // namespace
 
 /// Another front host.
@@ -34,7 +41,8 @@
   gossip_digest heard;
   net::steady_time heard_at{};
   bool reachable = true;
-  bool asked = false;
+  /// Of this host, not answered yet.
+  int open_pulls = 0;
   net::steady_time ahead_since = net::never;
 };
 
@@ -123,29 +131,36 @@
     other.reachable = true;
     log(event::host_reachable, {{"peer", other.entry.name.get()}});
   }
-  const auto& table = this->fleet.table();
-  const bool newer_config =
-      digest.configuration.get() != 0 && (!table || digest.configuration > table->version());
-  const bool newer_backends = digest.backends_changed_at > this->fleet.backends().at();
-  const bool newer_hosts = digest.hosts_at > this->fleet.hosts().at();
   if (!digest.checked_by.get().empty()) {
     this->checks.checked(digest.checked_by, discovery::scheduler_now() - digest.checked_ago);
   }
-  const auto own_set = this->hooks.ledger();
-  const bool newer_set =
-      digest.ledger_at.get() != 0 && (!own_set || digest.ledger_at > own_set->epoch);
-  if (!newer_config && !newer_backends && !newer_hosts && !newer_set) {
+  const known_state own = this->known();
+  const gossip_news news = news_in(digest, own);
+  if (!news.any()) {
     other.ahead_since = net::never;
     return;
   }
   if (other.ahead_since == net::never) {
     other.ahead_since = now;
   }
-  const bool lost = !table || !this->fleet.backends().heard() || !own_set;
+  const bool lost = !own.configuration || !this->fleet.backends().heard() || !own.ledger;
   const bool from_reader = digest.checked_ago < just_read;
-  if (!other.asked && (lost || from_reader || now - other.ahead_since >= pull_after)) {
-    this->pull(other);
+  if (other.open_pulls == 0 && (lost || from_reader || now - other.ahead_since >= pull_after)) {
+    this->pull(other, news);
+  }
+}
+
+known_state peer_gossip::known() const {
+  known_state own;
+  if (const auto& table = this->fleet.table()) {
+    own.configuration = table->version();
+  }
+  own.backends_changed_at = this->fleet.backends().at();
+  own.hosts_at = this->fleet.hosts().at();
+  if (const auto set = this->hooks.ledger()) {
+    own.ledger = set->epoch;
   }
+  return own;
 }
 
 void peer_gossip::relay(const relayed_question& question, duration limit, net::rpc_done done) {
@@ -177,44 +192,9 @@
   return before;
 }
 
-void peer_gossip::pull(peer& other) {
-  other.asked = true;
-  const auto known = this->peers.find(other.entry.name)->second;
-  const auto weak = std::weak_ptr(known);
-  other.link->call(static_cast<std::uint16_t>(gossip_method::configuration), "", pull_limit,
-                   [this, weak](net::rpc_failure why, const std::string& text) {
-                     const auto told = weak.lock();
-                     if (!told || why != net::rpc_failure::none || text.empty()) {
-                       return;
-                     }
-                     if (const auto config = this->hooks.decode_configuration(text)) {
-                       this->fleet.offer_configuration(*config, text, told->entry.name.get());
-                     }
-                   });
-  other.link->call(static_cast<std::uint16_t>(gossip_method::ledger), "", pull_limit,
-                   [this, weak](net::rpc_failure why, const std::string& bytes) {
-                     const auto told = weak.lock();
-                     const auto set = from_bytes<ledger_set>(bytes);
-                     if (told && why == net::rpc_failure::none && set) {
-                       this->hooks.take_ledger(*set, told->entry.name);
-                     }
-                   });
-  this->pull_registry<backend_entry>(
-      other, gossip_method::backends,
-      [this](const registry_snapshot<backend_entry>& told, const host_id& from) {
-        this->fleet.list_backends(told.at, told.entries, from.get());
-      });
-  this->pull_registry<host_entry>(
-      other, gossip_method::hosts,
-      [this](const registry_snapshot<host_entry>& told, const host_id&) {
-        this->fleet.list_hosts(told.at, told.entries);
-      });
-}
-
-template <class Entry>
-void peer_gossip::pull_registry(
-    peer& other, gossip_method method,
-    std::function<void(const registry_snapshot<Entry>&, const host_id&)> take) {
+void peer_gossip::ask(peer& other, gossip_method method,
+                      std::function<void(const host_id& from, const std::string& bytes)> take) {
+  ++other.open_pulls;
   const auto weak = std::weak_ptr(this->peers.find(other.entry.name)->second);
   other.link->call(static_cast<std::uint16_t>(method), "", pull_limit,
                    [weak, take = std::move(take)](net::rpc_failure why, const std::string& bytes) {
@@ -222,15 +202,46 @@
                      if (!told) {
                        return;
                      }
-                     told->asked = false;
-                     const auto snapshot = from_bytes<registry_snapshot<Entry>>(bytes);
-                     // Revision 0: the peer knows nothing itself.
-                     if (why == net::rpc_failure::none && snapshot && snapshot->at.get() != 0) {
-                       take(*snapshot, told->entry.name);
+                     --told->open_pulls;
+                     if (why == net::rpc_failure::none) {
+                       take(told->entry.name, bytes);
                      }
                    });
 }
 
+void peer_gossip::pull(peer& other, const gossip_news& news) {
+  if (news.configuration) {
+    this->ask(other, gossip_method::configuration,
+              [this](const host_id& from, const std::string& text) {
+                if (const auto config = this->hooks.decode_configuration(text)) {
+                  this->fleet.offer_configuration(*config, text, from.get());
+                }
+              });
+  }
+  if (news.ledger) {
+    this->ask(other, gossip_method::ledger, [this](const host_id& from, const std::string& bytes) {
+      if (const auto set = from_bytes<ledger_set>(bytes)) {
+        this->hooks.take_ledger(*set, from);
+      }
+    });
+  }
+  if (news.backends) {
+    this->ask(other, gossip_method::backends,
+              [this](const host_id& from, const std::string& bytes) {
+                if (const auto told = snapshot_from<backend_entry>(bytes)) {
+                  this->fleet.list_backends(told->at, told->entries, from.get());
+                }
+              });
+  }
+  if (news.hosts) {
+    this->ask(other, gossip_method::hosts, [this](const host_id&, const std::string& bytes) {
+      if (const auto told = snapshot_from<host_entry>(bytes)) {
+        this->fleet.list_hosts(told->at, told->entries);
+      }
+    });
+  }
+}
+
 namespace {
 
 template <class Registry>
@@ -292,7 +303,7 @@
 
 std::vector<host_id> peer_gossip::live_hosts() const {
   const net::steady_time now = steady::now();
-  std::vector<host_id> hosts{this->hooks.self().self.name};
+  std::vector<host_id> hosts;
   for (const auto& [name, other] : this->peers) {
     if (now - other->heard_at < this->silence() && !other->heard.leaving) {
       hosts.push_back(name);
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -43,10 +43,22 @@
   std::set<backend_server_id> tried;
 };
 
+/// What a call's server was chosen by, for the log.
+struct placement_basis {
+  /// Calls of all hosts at the server, and how old the count of the other hosts' is.
+  double calls = 0;
+  duration load_age{};
+  token_count missing_tokens{0};
+  /// The server had read the call's line before.
+  bool holds_line = false;
+};
+
 /// Send that call to that server now.
 struct placement {
   placement_id id;
   backend_entry server;
+  /// Of a call with a prompt.
+  std::optional<placement_basis> basis;
 };
 
 /// What happens with a call that was submitted.
@@ -161,6 +173,8 @@
   /// Tokens of the prompt that the server would have to read.
   [[nodiscard]] double missing_tokens(const server_state& server,
                                       const placement_request& request) const;
+  [[nodiscard]] placement_basis basis_of(const server_state& server,
+                                         const placement_request& request, timestamp now) const;
   /// Calls of other hosts at the server now, as well as this host can tell.
   [[nodiscard]] double others_at(const server_state& server, timestamp now) const;
   void note_prompt(const placement_request& request, const server_state& server);
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -51,13 +51,15 @@
 
 void server_pool::place(const placement_request& request, server_state& server, timestamp now,
                         std::vector<placement>& placed) {
-  ++server.inside;
+  placement chosen{request.id, server.entry, std::nullopt};
   const bool is_shared = !request.prompt.empty();
   if (is_shared) {
+    chosen.basis = this->basis_of(server, request, now);
     this->note_prompt(request, server);
   }
+  ++server.inside;
   this->running[request.id] = {server.entry.id, request.kind, is_shared, now};
-  placed.push_back({request.id, server.entry});
+  placed.push_back(std::move(chosen));
 }
 
 std::vector<placement> server_pool::fill(timestamp now) {
--- a/libs/placement/src/server_pool_choice.cc
+++ b/libs/placement/src/server_pool_choice.cc
@@ -143,6 +143,17 @@
   return weight * server.others + (1 - weight) * mean;
 }
 
+placement_basis server_pool::basis_of(const server_state& server, const placement_request& request,
+                                      timestamp now) const {
+  placement_basis basis;
+  basis.calls = server.inside + this->others_at(server, now);
+  basis.load_age = std::chrono::duration_cast<duration>(now - server.others_heard);
+  basis.missing_tokens =
+      token_count(static_cast<std::int64_t>(this->missing_tokens(server, request)));
+  basis.holds_line = this->holds_line(server, request);
+  return basis;
+}
+
 void server_pool::note_prompt(const placement_request& request, const server_state& server) {
   if (request.prompt.size() > 1) {
     // The last part is the line's own; a helper does not speak for its parent's line.
