--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -47,7 +47,7 @@
   /// Tells everybody at once, for a planned stop.
   void tell_all();
 
-  /// Has the front host that reaches most disk hosts pass a question on.
+  /// Has a front host that reaches disk hosts pass a question on.
   void relay(const relayed_question& question, duration limit, net::rpc_done done);
   /// This host's place among the front hosts that live, by name.
   [[nodiscard]] std::size_t rank() const;
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -379,8 +379,8 @@
   }
 
   /// A new disk's address is read by one host for all: 57 hosts that each read it on
-  /// their own made 2,500 to 4,800 calls to the store on a day with two new disks, which
-  /// cost 2 to 3% of the day's worth.
+  /// their own made 2,500 to 4,800 calls to the store in 50 s with two new disks, in place
+  /// of 1,250; calls are paid for.
   [[nodiscard]] bool reads_for_all() const {
     return !this->checks.heard() || this->checks.last_reader() == this->self.name ||
            this->checks.age(discovery::scheduler_now()) > reader_lost_after;
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "hawthornlane/front/relay_choice.h"
 #include "hawthornlane/telemetry/log.h"
 
 namespace hawthornlane::front {
@@ -165,21 +166,20 @@
 
 void peer_gossip::relay(const relayed_question& question, duration limit, net::rpc_done done) {
   const net::steady_time now = steady::now();
-  peer* best = nullptr;
+  std::vector<relay_candidate> candidates;
   for (const auto& [name, other] : this->peers) {
-    if (now - other->heard_at > this->silence() || other->heard.disks_reached == 0) {
-      continue;
-    }
-    if (best == nullptr || other->heard.disks_reached > best->heard.disks_reached) {
-      best = other.get();
+    if (now - other->heard_at < this->silence()) {
+      candidates.push_back({name, other->entry.zone, other->heard.disks_reached});
     }
   }
-  if (best == nullptr) {
+  const host_entry self = this->hooks.self().self;
+  const auto chosen = choose_relay(candidates, self.name, self.zone);
+  if (!chosen) {
     done(net::rpc_failure::unreachable, {});
     return;
   }
-  best->link->call(static_cast<std::uint16_t>(gossip_method::relay), to_bytes(question), limit,
-                   std::move(done));
+  this->peers.at(*chosen)->link->call(static_cast<std::uint16_t>(gossip_method::relay),
+                                      to_bytes(question), limit, std::move(done));
 }
 
 std::size_t peer_gossip::rank() const {
--- /dev/null
+++ b/libs/front/src/relay_choice.cc
@@ -0,0 +1,38 @@
+// Which front host passes a question on to a disk host.
+#include "hawthornlane/front/relay_choice.h"
+
+#include <xxhash.h>
+
+#include <tuple>
+
+namespace hawthornlane::front {
+namespace {
+
+/// More disk hosts first, then the asker's zone, then an order of the asker's own.
+using relay_rank = std::tuple<std::uint32_t, bool, std::uint64_t>;
+
+relay_rank rank_of(const relay_candidate& candidate, std::uint64_t asker_key,
+                   const availability_zone& zone) {
+  const std::string& name = candidate.name.get();
+  const std::uint64_t order = XXH64(name.data(), name.size(), asker_key);
+  return {candidate.disks_reached, candidate.zone == zone, order};
+}
+
+}  // namespace
+
+std::optional<host_id> choose_relay(const std::vector<relay_candidate>& candidates,
+                                    const host_id& asker, const availability_zone& zone) {
+  const std::uint64_t asker_key = XXH64(asker.get().data(), asker.get().size(), 0);
+  const relay_candidate* best = nullptr;
+  for (const relay_candidate& candidate : candidates) {
+    if (candidate.disks_reached == 0) {
+      continue;
+    }
+    if (best == nullptr || rank_of(candidate, asker_key, zone) > rank_of(*best, asker_key, zone)) {
+      best = &candidate;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional(best->name);
+}
+
+}  // namespace hawthornlane::front
