--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -61,6 +61,7 @@
 
 std::vector<prompt_piece> pieces_of(const std::vector<relay::prompt_part>& prefix) {
   std::vector<prompt_piece> pieces;
+  pieces.reserve(prefix.size());
   for (const relay::prompt_part& part : prefix) {
     pieces.push_back({prompt_part_key(hash_of(part.id)), part.tokens});
   }
