--- a/libs/explain/test/request_story_test.cc
+++ b/libs/explain/test/request_story_test.cc
@@ -88,3 +88,12 @@
   CHECK_FALSE(mentions(story.beliefs, "backend_listed"));
   CHECK(mentions(story.beliefs, "server=s2"));
 }
+
+TEST_CASE("a turn's story says what its server was chosen by") {
+  const auto logs = logs_of({
+      R"({"time":"2026-12-02T21:00:01.200Z","name":"call_ended","host":"a","request":"r","server":"s1","outcome":"whole","status":"200","server_calls":"14","load_age_ms":"3","missing_tokens":"2710","holds_line":"no"})",
+  });
+  const std::string words = in_words(logs.front());
+  CHECK(words.find("14 calls there (heard 3 ms before), 2710 prompt tokens to read, the line was "
+                   "not there") != std::string::npos);
+}
--- /dev/null
+++ b/libs/front/test/directory_exchange_test.cc
@@ -0,0 +1,123 @@
+// Hosts that tell and ask each other of loads and lines, over a network in memory.
+#include "hawthornlane/front/directory_exchange.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+
+using namespace hawthornlane;
+using namespace hawthornlane::front;
+
+namespace {
+
+/// Some hosts with one exchange each; messages arrive at once, or never.
+class exchange_network {
+public:
+  explicit exchange_network(int hosts) {
+    for (int number = 0; number < hosts; ++number) {
+      this->names.emplace_back("front-" + std::to_string(number));
+    }
+    for (const host_id& name : this->names) {
+      this->members.emplace(
+          name, std::make_unique<directory_exchange>(this->context, name, this->hooks_of(name)));
+    }
+  }
+
+  void tell(int host, const directory_update& update) {
+    this->members.at(this->names[host])->tell(update);
+  }
+
+  /// What `host` was answered.
+  directory_answer ask(int host, const directory_question& question) {
+    const host_id name = this->names[host];
+    this->taken[name] = {};
+    boost::asio::co_spawn(this->context, this->members.at(name)->ask(question),
+                          boost::asio::detached);
+    this->context.run();
+    this->context.restart();
+    return this->taken[name];
+  }
+
+  /// This host gets and answers nothing any more.
+  void silence(int host) { this->silent = this->names[host]; }
+  directory_exchange& member(int host) { return *this->members.at(this->names[host]); }
+
+private:
+  exchange_hooks hooks_of(const host_id& own) {
+    exchange_hooks hooks;
+    hooks.hosts = [this, own] {
+      std::vector<host_id> others;
+      for (const host_id& name : this->names) {
+        if (name != own) {
+          others.push_back(name);
+        }
+      }
+      return others;
+    };
+    hooks.send = [this](const host_id& to, const std::string& payload, const net::rpc_done& done) {
+      if (to == this->silent) {
+        this->unanswered.push_back(done);
+        return;
+      }
+      const auto answer = this->members.at(to)->serve(payload);
+      done(answer ? net::rpc_failure::none : net::rpc_failure::refused, answer.value_or(""));
+    };
+    hooks.take = [this, own](const directory_answer& answer) {
+      directory_answer& all = this->taken[own];
+      all.loads.insert(all.loads.end(), answer.loads.begin(), answer.loads.end());
+      all.locations.insert(all.locations.end(), answer.locations.begin(), answer.locations.end());
+    };
+    return hooks;
+  }
+
+  boost::asio::io_context context;
+  std::vector<host_id> names;
+  std::optional<host_id> silent;
+  std::vector<net::rpc_done> unanswered;
+  std::map<host_id, directory_answer> taken;
+  std::map<host_id, std::unique_ptr<directory_exchange>> members;
+};
+
+const server_key server(7);
+const prompt_part_key line(42);
+
+}  // namespace
+
+TEST_CASE("what one host tells another one learns by asking") {
+  const int hosts = GENERATE(1, 2, 7, 57);
+  INFO(hosts << " hosts");
+  exchange_network network(hosts);
+  const part_location location{line, server, token_count(900)};
+  network.tell(0, {{{server, 5}}, {location}});
+  const directory_answer answer = network.ask(hosts - 1, {{server}, {line}});
+  REQUIRE(answer.loads.size() == 1);
+  // A host is not told of its own calls.
+  CHECK(answer.loads.front() == server_load{server, hosts == 1 ? 0U : 5U});
+  REQUIRE(answer.locations.size() == 1);
+  CHECK(answer.locations.front() == location);
+}
+
+TEST_CASE("a line that nobody told of is not answered") {
+  exchange_network network(3);
+  CHECK(network.ask(1, {{}, {line}}).locations.empty());
+}
+
+TEST_CASE("a keeper that is silent holds up a placement for a short time only") {
+  exchange_network network(2);
+  network.silence(1);
+  directory_question all;
+  for (std::uint64_t key = 1; key <= 20; ++key) {
+    all.parts.emplace_back(key * 7919);
+  }
+  const auto began = std::chrono::steady_clock::now();
+  network.ask(0, all);
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(500));
+}
+
+TEST_CASE("a message that is none is refused") {
+  exchange_network network(1);
+  CHECK_FALSE(network.member(0).serve("short"));
+  CHECK_FALSE(network.member(0).serve(std::string(64, '\xff')));
+}
--- a/libs/placement/test/server_pool_test.cc
+++ b/libs/placement/test/server_pool_test.cc
@@ -193,3 +193,88 @@
   pool.pool.finished(placement_id(1), server_outcome::answered, at(3s));
   CHECK(pool.pool.listed().size() == 1);
 }
+
+namespace {
+
+prompt_piece piece(std::uint64_t key, std::int64_t tokens) {
+  return {prompt_part_key(key), token_count(tokens)};
+}
+
+placement_request turn(std::uint64_t id, std::vector<prompt_piece> prompt) {
+  placement_request request = call(id);
+  request.affinity = 77;
+  request.prompt = std::move(prompt);
+  return request;
+}
+
+/// Ten servers of one zone, so that only four are weighed for a new program.
+std::vector<backend_entry> ten_servers() {
+  std::vector<backend_entry> servers;
+  for (int number = 0; number < 10; ++number) {
+    servers.push_back(server("s" + std::to_string(number)));
+  }
+  return servers;
+}
+
+}  // namespace
+
+TEST_CASE("a turn goes where its line was read, as this host saw or was told") {
+  pool_fixture pool(ten_servers());
+  pool.submit(turn(1, {piece(1, 500), piece(2, 400)}));
+  const std::string first = pool.last_server();
+  pool.pool.finished(placement_id(1), server_outcome::answered, at(1s));
+  SECTION("its own next turn") {
+    pool.submit(turn(2, {piece(1, 500), piece(2, 900)}));
+    CHECK(pool.last_server() == first);
+  }
+  SECTION("a helper's, whose prompt begins with its parent's") {
+    pool.submit(turn(2, {piece(1, 500), piece(2, 400), piece(3, 300)}));
+    CHECK(pool.last_server() == first);
+  }
+  SECTION("a line that another host has read more of elsewhere") {
+    const std::string other = first == "s9" ? "s8" : "s9";
+    const server_key there = server_key_of(backend_server_id(other));
+    pool.pool.note_location({prompt_part_key(2), there, token_count(2000)});
+    pool.submit(turn(2, {piece(1, 500), piece(2, 2400)}));
+    CHECK(pool.last_server() == other);
+  }
+}
+
+TEST_CASE("what other hosts tell of servers that are unknown or gone changes nothing") {
+  pool_fixture pool(ten_servers());
+  const server_key unknown = server_key_of(backend_server_id("nobody"));
+  pool.pool.note_location({prompt_part_key(2), unknown, token_count(5000)});
+  pool.pool.note_load({unknown, 1000}, at(1s));
+  CHECK(pool.submit(turn(1, {piece(1, 500), piece(2, 400)})) == submit_outcome::placed);
+  const std::string holder = pool.last_server();
+  pool.pool.finished(placement_id(1), server_outcome::answered, at(1s));
+  std::vector<backend_entry> left = ten_servers();
+  std::erase_if(left, [&](const backend_entry& entry) { return entry.id.get() == holder; });
+  pool.pool.set_servers(left, at(2s));
+  CHECK(pool.submit(turn(2, {piece(1, 500), piece(2, 900)}), 2s) == submit_outcome::placed);
+  CHECK(pool.last_server() != holder);
+}
+
+TEST_CASE("a new program keeps away from a server that other hosts have filled") {
+  pool_fixture pool(ten_servers());
+  pool.submit(turn(1, {piece(1, 500), piece(2, 400)}));
+  const std::string usual = pool.last_server();
+  pool_fixture fresh(ten_servers());
+  fresh.pool.note_load({server_key_of(backend_server_id(usual)), 12}, at(1s));
+  fresh.submit(turn(1, {piece(1, 500), piece(2, 400)}));
+  CHECK(fresh.last_server() != usual);
+}
+
+TEST_CASE("programs that have begun go on before others begin") {
+  pool_fixture pool({server("a")});
+  pool.submit(call(1));
+  pool.submit(call(2));
+  placement_request fresh = call(3, 0, 3s);
+  placement_request begun = call(4, 0, 9s);
+  begun.begun = true;
+  CHECK(pool.submit(fresh) == submit_outcome::queued);
+  CHECK(pool.submit(begun) == submit_outcome::queued);
+  const auto placed = pool.pool.finished(placement_id(1), server_outcome::answered, at(2s));
+  REQUIRE(placed.size() == 1);
+  CHECK(placed.front().id == begun.id);
+}
