Give no server to a call whose caller left while other hosts were asked

Cause: since a host asks the keepers before it places a turn, a caller may leave in those 10 ms; nothing was waiting yet that could be told, so the call was placed, and run, for nobody. Found by reading; the test failed first (a silent keeper, a caller that leaves after 2 ms).

Ruled out: a second check in try_server, which would hold a place until then.

--- a/libs/front/include/hawthornlane/front/call_placer.h
+++ b/libs/front/include/hawthornlane/front/call_placer.h
@@ -36,6 +36,7 @@
   friend class call_placer;
   struct waiter;
   waiter* waiting = nullptr;
+  bool left = false;
 };
 
 /// Joins the decisions of `server_pool`, one for each service, with the calls that wait.
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -29,6 +29,7 @@
 };
 
 void placement_wait::leave() {
+  this->left = true;
   if (this->waiting != nullptr) {
     this->waiting->left = true;
     this->waiting->signal.wake();
@@ -203,6 +204,10 @@
   request.id = got.id;
   server_pool& pool = this->pool_of(service).pool;
   co_await this->ask_others(pool, request);
+  if (wait.left) {
+    got.caller_left = true;
+    co_return got;
+  }
   std::vector<placement> placed;
   const submit_outcome outcome = pool.submit(request, discovery::scheduler_now(), placed);
   if (outcome == submit_outcome::refused) {
