Share what stood twice in placing turns; decisions stay as they are

Read again after the landing: - a rendezvous weight stood in server_pool_choice, keeper_of and relay_choice: now rendezvous.h; - directory_exchange sent to a keeper, or answered itself, in two places: now send(); - note_load and note_location each hashed every server's id for every answer: the key is kept with the server, and find_server serves both; - the calls at a server were summed in the choice and in what is logged of it: calls_at; - the prompt's tokens were added up as a double, and its conversion back to an integer is undefined beyond 2^63, which a caller can send: prefix_cache_view::missing bounds them like `held` does. One more check in its test.

No decision changes for token counts that a prompt can have.

Left: the bounded least-recently-used maps of prefix_cache_view and placement_directory are twins; the list of live hosts is made anew for each turn.

--- a/libs/front/include/hawthornlane/front/directory_exchange.h
+++ b/libs/front/include/hawthornlane/front/directory_exchange.h
@@ -70,6 +70,9 @@
   using messages = std::map<host_id, directory_message>;
   directory_message& message_to(messages& all, std::uint64_t key,
                                 const std::vector<host_id>& hosts) const;
+  /// Has the keeper answer, takes what it says, and then calls `done`, also when the
+  /// keeper does not answer.
+  void send(const host_id& keeper, const directory_message& message, std::function<void()> done);
   directory_answer answer(const directory_message& message);
 
   boost::asio::io_context& context;
--- a/libs/front/src/directory_exchange.cc
+++ b/libs/front/src/directory_exchange.cc
@@ -43,19 +43,27 @@
     this->message_to(all, location.part.get(), hosts).locations.push_back(location);
   }
   for (const auto& [keeper, message] : all) {
-    if (keeper == this->self) {
-      this->hooks.take(this->answer(message));
-      continue;
-    }
-    this->hooks.send(keeper, to_bytes(message), [this](net::rpc_failure why, std::string bytes) {
-      const auto answer = from_bytes<directory_answer>(bytes);
-      if (why == net::rpc_failure::none && answer) {
-        this->hooks.take(*answer);
-      }
-    });
+    this->send(keeper, message, [] {});
   }
 }
 
+void directory_exchange::send(const host_id& keeper, const directory_message& message,
+                              std::function<void()> done) {
+  if (keeper == this->self) {
+    this->hooks.take(this->answer(message));
+    done();
+    return;
+  }
+  this->hooks.send(keeper, to_bytes(message),
+                   [this, done = std::move(done)](net::rpc_failure why, const std::string& bytes) {
+                     const auto answer = from_bytes<directory_answer>(bytes);
+                     if (why == net::rpc_failure::none && answer) {
+                       this->hooks.take(*answer);
+                     }
+                     done();
+                   });
+}
+
 asio::awaitable<void> directory_exchange::ask(directory_question question) {
   const std::vector<host_id> hosts = this->keepers();
   messages all;
@@ -71,22 +79,13 @@
     std::size_t missing = 0;
   };
   const auto open = std::make_shared<open_question>(this->context);
+  open->missing = all.size();
   for (const auto& [keeper, message] : all) {
-    if (keeper == this->self) {
-      this->hooks.take(this->answer(message));
-      continue;
-    }
-    ++open->missing;
-    this->hooks.send(keeper, to_bytes(message),
-                     [this, open](net::rpc_failure why, std::string bytes) {
-                       const auto answer = from_bytes<directory_answer>(bytes);
-                       if (why == net::rpc_failure::none && answer) {
-                         this->hooks.take(*answer);
-                       }
-                       if (--open->missing == 0) {
-                         open->answered.wake();
-                       }
-                     });
+    this->send(keeper, message, [open] {
+      if (--open->missing == 0) {
+        open->answered.wake();
+      }
+    });
   }
   if (open->missing > 0) {
     co_await open->answered.wait_until(std::chrono::steady_clock::now() + ask_limit);
--- a/libs/front/src/relay_choice.cc
+++ b/libs/front/src/relay_choice.cc
@@ -1,10 +1,10 @@
 // Which front host passes a question on to a disk host.
 #include "hawthornlane/front/relay_choice.h"
 
-#include <xxhash.h>
-
 #include <tuple>
 
+#include "hawthornlane/placement/rendezvous.h"
+
 namespace hawthornlane::front {
 namespace {
 
@@ -13,8 +13,7 @@
 
 relay_rank rank_of(const relay_candidate& candidate, std::uint64_t asker_key,
                    const availability_zone& zone) {
-  const std::string& name = candidate.name.get();
-  const std::uint64_t order = XXH64(name.data(), name.size(), asker_key);
+  const std::uint64_t order = rendezvous_weight(candidate.name.get(), asker_key);
   return {candidate.disks_reached, candidate.zone == zone, order};
 }
 
@@ -22,7 +21,7 @@
 
 std::optional<host_id> choose_relay(const std::vector<relay_candidate>& candidates,
                                     const host_id& asker, const availability_zone& zone) {
-  const std::uint64_t asker_key = XXH64(asker.get().data(), asker.get().size(), 0);
+  const std::uint64_t asker_key = rendezvous_weight(asker.get(), 0);
   const relay_candidate* best = nullptr;
   for (const relay_candidate& candidate : candidates) {
     if (candidate.disks_reached == 0) {
--- a/libs/placement/include/hawthornlane/placement/prefix_cache_view.h
+++ b/libs/placement/include/hawthornlane/placement/prefix_cache_view.h
@@ -31,6 +31,9 @@
   /// read, since a server reads no part without those before it.
   [[nodiscard]] token_count held(const std::vector<prompt_piece>& prompt,
                                  const backend_server_id& server) const;
+  /// The other tokens of `prompt`.
+  [[nodiscard]] token_count missing(const std::vector<prompt_piece>& prompt,
+                                    const backend_server_id& server) const;
   /// Some server has read this part.
   [[nodiscard]] bool knows(prompt_part_key part) const { return this->parts.contains(part); }
   /// `server` reads the prompt.
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -132,6 +132,8 @@
 private:
   struct server_state {
     backend_entry entry;
+    /// What hosts call it between themselves.
+    server_key key;
     /// Invariant: equals the entries of `running` for this server.
     std::uint32_t inside = 0;
     /// Calls of other hosts when they were last heard of.
@@ -170,13 +172,12 @@
   /// The servers that hold the call's line, and a few others.
   [[nodiscard]] server_list candidates_for(const placement_request& request, timestamp now) const;
   [[nodiscard]] bool holds_line(const server_state& server, const placement_request& request) const;
-  /// Tokens of the prompt that the server would have to read.
-  [[nodiscard]] double missing_tokens(const server_state& server,
-                                      const placement_request& request) const;
   [[nodiscard]] placement_basis basis_of(const server_state& server,
                                          const placement_request& request, timestamp now) const;
-  /// Calls of other hosts at the server now, as well as this host can tell.
-  [[nodiscard]] double others_at(const server_state& server, timestamp now) const;
+  /// Nothing: unknown here, or of another service.
+  [[nodiscard]] server_state* find_server(server_key key);
+  /// Calls of all hosts at the server now, as well as this host can tell.
+  [[nodiscard]] double calls_at(const server_state& server, timestamp now) const;
   void note_prompt(const placement_request& request, const server_state& server);
   [[nodiscard]] static queue_key key_of(const placement_request& request, timestamp now);
   [[nodiscard]] std::size_t places() const;
--- a/libs/placement/src/placement_directory.cc
+++ b/libs/placement/src/placement_directory.cc
@@ -3,6 +3,8 @@
 
 #include <xxhash.h>
 
+#include "hawthornlane/placement/rendezvous.h"
+
 namespace hawthornlane {
 
 server_key server_key_of(const backend_server_id& server) {
@@ -62,7 +64,7 @@
   std::optional<host_id> best;
   std::uint64_t best_weight = 0;
   for (const host_id& host : hosts) {
-    const std::uint64_t weight = XXH64(host.get().data(), host.get().size(), key);
+    const std::uint64_t weight = rendezvous_weight(host.get(), key);
     if (!best || weight > best_weight) {
       best = host;
       best_weight = weight;
--- a/libs/placement/src/prefix_cache_view.cc
+++ b/libs/placement/src/prefix_cache_view.cc
@@ -49,6 +49,15 @@
   return token_count(held);
 }
 
+token_count prefix_cache_view::missing(const std::vector<prompt_piece>& prompt,
+                                       const backend_server_id& server) const {
+  std::int64_t all = 0;
+  for (const prompt_piece& piece : prompt) {
+    all += in_bounds(piece.tokens);
+  }
+  return token_count(all - this->held(prompt, server).get());
+}
+
 void prefix_cache_view::note(const std::vector<prompt_piece>& prompt,
                              const backend_server_id& server) {
   for (const prompt_piece& piece : prompt) {
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -1,15 +1,15 @@
 // Which backend server of one service takes a call, and which call goes next.
 #include "hawthornlane/placement/server_pool.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 
+#include "hawthornlane/placement/rendezvous.h"
+
 namespace hawthornlane {
 
 server_pool::server_pool(pool_rules with, const host_id& own, availability_zone here)
-    : rules(with), zone(std::move(here)), own_key(XXH64(own.get().data(), own.get().size(), 0)) {}
+    : rules(with), zone(std::move(here)), own_key(rendezvous_weight(own.get(), 0)) {}
 
 std::uint32_t server_pool::limit_of(const server_state& server) const {
   const double share = std::ceil(server.entry.slots * this->rules.slots_share);
@@ -87,6 +87,7 @@
   }
   for (const backend_entry& entry : entries) {
     server_state& server = this->servers[entry.id];
+    server.key = server_key_of(entry.id);
     server.entry = entry;
     server.listed = true;
   }
--- a/libs/placement/src/server_pool_choice.cc
+++ b/libs/placement/src/server_pool_choice.cc
@@ -1,17 +1,16 @@
 // Which server of a pool takes a call, and what hosts tell each other for that.
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 
+#include "hawthornlane/placement/rendezvous.h"
 #include "hawthornlane/placement/server_pool.h"
 
 namespace hawthornlane {
 namespace {
 
-/// Rendezvous weight: hosts agree on a key's server without talking.
+/// Hosts agree on a key's server without talking.
 std::uint64_t weight_of(const backend_server_id& server, std::uint64_t key) {
-  return XXH64(server.get().data(), server.get().size(), key);
+  return rendezvous_weight(server.get(), key);
 }
 
 /// Set in the weight of a server of this zone, above all others.
@@ -47,8 +46,9 @@
     }
     server_prospect prospect;
     prospect.slots = server->entry.slots;
-    prospect.calls = server->inside + this->others_at(*server, now);
-    prospect.missing_tokens = this->missing_tokens(*server, request);
+    prospect.calls = this->calls_at(*server, now);
+    const token_count missing = this->caches.missing(request.prompt, server->entry.id);
+    prospect.missing_tokens = static_cast<double>(missing.get());
     prospect.near = server->entry.zone == this->zone;
     const double cost = cost_of(prospect, this->rules.choice);
     if (best == nullptr || cost < best_cost) {
@@ -123,16 +123,7 @@
   return chosen;
 }
 
-double server_pool::missing_tokens(const server_state& server,
-                                   const placement_request& request) const {
-  double all = 0;
-  for (const prompt_piece& piece : request.prompt) {
-    all += static_cast<double>(piece.tokens.get());
-  }
-  return all - static_cast<double>(this->caches.held(request.prompt, server.entry.id).get());
-}
-
-double server_pool::others_at(const server_state& server, timestamp now) const {
+double server_pool::calls_at(const server_state& server, timestamp now) const {
   double sum = 0;
   for (const auto& [id, other] : this->servers) {
     sum += other.others;
@@ -140,16 +131,15 @@
   const double mean = this->servers.empty() ? 0 : sum / static_cast<double>(this->servers.size());
   const double age = to_seconds(std::chrono::duration_cast<duration>(now - server.others_heard));
   const double weight = std::exp(-age / load_fading_seconds);
-  return weight * server.others + (1 - weight) * mean;
+  return server.inside + weight * server.others + (1 - weight) * mean;
 }
 
 placement_basis server_pool::basis_of(const server_state& server, const placement_request& request,
                                       timestamp now) const {
   placement_basis basis;
-  basis.calls = server.inside + this->others_at(server, now);
+  basis.calls = this->calls_at(server, now);
   basis.load_age = std::chrono::duration_cast<duration>(now - server.others_heard);
-  basis.missing_tokens =
-      token_count(static_cast<std::int64_t>(this->missing_tokens(server, request)));
+  basis.missing_tokens = this->caches.missing(request.prompt, server.entry.id);
   basis.holds_line = this->holds_line(server, request);
   return basis;
 }
@@ -158,7 +148,7 @@
   if (request.prompt.size() > 1) {
     // The last part is the line's own; a helper does not speak for its parent's line.
     const prompt_piece& line = request.prompt.back();
-    this->moved.push_back({line.key, server_key_of(server.entry.id), line.tokens});
+    this->moved.push_back({line.key, server.key, line.tokens});
   }
   this->caches.note(request.prompt, server.entry.id);
   this->changed.insert(server.entry.id);
@@ -172,7 +162,7 @@
   }
   for (const server_state* server : this->candidates_for(request, now)) {
     if (now - server->others_heard > fresh_load) {
-      question.servers.push_back(server_key_of(server->entry.id));
+      question.servers.push_back(server->key);
     }
   }
   for (std::size_t number = 1; number < request.prompt.size(); ++number) {
@@ -181,21 +171,25 @@
   return question;
 }
 
-void server_pool::note_load(const server_load& load, timestamp now) {
+server_pool::server_state* server_pool::find_server(server_key key) {
   for (auto& [id, server] : this->servers) {
-    if (server_key_of(id) != load.server) {
-      continue;
+    if (server.key == key) {
+      return &server;
     }
-    server.others = load.calls;
-    server.others_heard = now;
+  }
+  return nullptr;
+}
+
+void server_pool::note_load(const server_load& load, timestamp now) {
+  if (server_state* server = this->find_server(load.server)) {
+    server->others = load.calls;
+    server->others_heard = now;
   }
 }
 
 void server_pool::note_location(const part_location& location) {
-  for (const auto& [id, server] : this->servers) {
-    if (server_key_of(id) == location.server) {
-      this->caches.note_part({location.part, location.tokens}, id);
-    }
+  if (const server_state* server = this->find_server(location.server)) {
+    this->caches.note_part({location.part, location.tokens}, server->entry.id);
   }
 }
 
@@ -216,7 +210,7 @@
   std::vector<server_load> loads;
   for (const auto& [id, server] : this->servers) {
     if (server.inside > 0) {
-      loads.push_back({server_key_of(id), server.inside});
+      loads.push_back({server.key, server.inside});
     }
   }
   return loads;
--- a/libs/placement/test/prefix_cache_view_test.cc
+++ b/libs/placement/test/prefix_cache_view_test.cc
@@ -66,4 +66,5 @@
   constexpr std::int64_t huge = std::numeric_limits<std::int64_t>::max();
   view.note({piece(1, huge), piece(2, huge)}, one);
   CHECK(view.held({piece(1, huge), piece(2, huge)}, one) >= token_count(0));
+  CHECK(view.missing({piece(8, huge), piece(9, huge)}, one) > token_count(0));
 }
