Show what fills a front host's memory: gauges, copies between hosts, one log line

Cause: the record of the incident has no figure that tells the hypotheses apart (copies between hosts, calls, decoding). Added: resident memory, bytes of answers to other hosts that the kernel has not taken, whole copies asked, taken, failed and given with their bytes, the size of the configuration, and memory_high in the log at six tenths of the limit. No change of logic. Tests of telemetry, front and net pass.

--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -29,6 +29,16 @@
   std::function<void(const ledger_set&, const host_id& from)> take_ledger;
 };
 
+/// Whole copies of what hosts know (configuration, registries, set of disks), counted.
+struct copy_counters {
+  std::uint64_t asked = 0;
+  std::uint64_t taken = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t given = 0;
+  std::uint64_t bytes_taken = 0;
+  std::uint64_t bytes_given = 0;
+};
+
 /// One host's talk with the other front hosts. For one thread.
 class peer_gossip {
 public:
@@ -60,6 +70,7 @@
             net::rpc_done done);
   /// What the other front hosts that live need of the services.
   [[nodiscard]] std::vector<service_demand> demand_of_others() const;
+  [[nodiscard]] const copy_counters& counters() const { return this->counts; }
 
 private:
   struct peer;
@@ -76,6 +87,8 @@
   void ask(peer& other, gossip_method method,
            std::function<void(const host_id& from, const std::string& bytes)> take);
   void add_peer(const host_entry& entry);
+  /// What this host knows of one kind, whole.
+  [[nodiscard]] std::optional<std::string> copy_of(gossip_method kind) const;
 
   boost::asio::io_context& context;
   net::deadline_sweeper& sweeper;
@@ -84,6 +97,7 @@
   gossip_hooks hooks;
   std::map<host_id, std::shared_ptr<peer>> peers;
   net::steady_time next_probe{};
+  copy_counters counts;
 };
 
 }  // namespace hawthornlane::front
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -17,6 +17,7 @@
 #include "hawthornlane/platform_adapter/call_codec.h"
 #include "hawthornlane/platform_adapter/directory_answers.h"
 #include "hawthornlane/telemetry/log.h"
+#include "hawthornlane/telemetry/process_memory.h"
 
 namespace hawthornlane::front {
 namespace asio = boost::asio;
@@ -29,7 +30,12 @@
 
 /// Whole turns are kept in an eighth of the process's memory; the rest is for calls
 /// under way, of which the heaviest day needs 12 MB.
-constexpr std::size_t cache_bytes_per_mb = std::size_t{1024} * 1024 / 8;
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
+constexpr std::size_t cache_bytes_per_mb = bytes_per_mb / 8;
+/// Shares of the process's memory at which the log says that it is high, and from
+/// which on it may say so again.
+constexpr std::size_t memory_high_percent = 60;
+constexpr std::size_t memory_calm_percent = 45;
 /// Callers keep an address answer up to three times as long as it says.
 constexpr int longest_keep_factor = 3;
 /// A caller's connection attempts in a burst; more are sent again by their kernels.
@@ -107,6 +113,8 @@
   net::steady_time next_sharing{};
   net::steady_time next_renewal{};
   std::size_t connections = 0;
+  /// Said in the log; falls back when the memory is free again.
+  bool memory_high = false;
 
   static std::optional<configuration> decode_configuration(const std::string& text) {
     platform_adapter::stored_object object;
@@ -265,9 +273,51 @@
     this->metrics.set("backend_foreign_answers",
                       static_cast<double>(this->backends.counters().foreign_answers));
     this->metrics.set("calls_under_way", static_cast<double>(this->calls.under_way()));
+    this->set_memory_metrics();
     return this->metrics.text();
   }
 
+  void set_memory_metrics() {
+    const copy_counters& copies = this->gossip.counters();
+    const auto set = [this](const char* name, std::uint64_t value) {
+      this->metrics.set(name, static_cast<double>(value));
+    };
+    set("resident_bytes", resident_bytes().value_or(0));
+    set("caller_connections", this->connections);
+    set("peer_bytes_waiting", this->peers->waiting_bytes());
+    set("configuration_bytes", this->fleet.configuration_text().size());
+    set("copies_asked", copies.asked);
+    set("copies_taken", copies.taken);
+    set("copies_failed", copies.failed);
+    set("copies_given", copies.given);
+    set("copy_bytes_taken", copies.bytes_taken);
+    set("copy_bytes_given", copies.bytes_given);
+  }
+
+  /// Says once what fills the memory, before the kernel ends the process for it.
+  void watch_memory() {
+    const std::size_t limit = this->settings.memory_mb * bytes_per_mb;
+    const std::size_t used = resident_bytes().value_or(0);
+    if (used < limit * memory_calm_percent / 100) {
+      this->memory_high = false;
+    }
+    if (this->memory_high || used < limit * memory_high_percent / 100) {
+      return;
+    }
+    this->memory_high = true;
+    const copy_counters& copies = this->gossip.counters();
+    log(event::memory_high,
+        {{"resident_mb", std::to_string(used / bytes_per_mb)},
+         {"limit_mb", std::to_string(this->settings.memory_mb)},
+         {"calls", std::to_string(this->calls.under_way())},
+         {"connections", std::to_string(this->connections)},
+         {"peer_bytes_waiting", std::to_string(this->peers->waiting_bytes())},
+         {"configuration_bytes", std::to_string(this->fleet.configuration_text().size())},
+         {"copies_asked", std::to_string(copies.asked)},
+         {"copies_failed", std::to_string(copies.failed)},
+         {"copies_given", std::to_string(copies.given)}});
+  }
+
   /// The store stopped answering this host, or answers again.
   void note_store(bool reachable, const std::string& detail) {
     if (reachable == this->store_reachable) {
@@ -364,6 +414,7 @@
     if (now >= this->next_idle_sweep) {
       this->next_idle_sweep = now + idle_pause;
       this->close_idle();
+      this->watch_memory();
     }
     const bool hosts_wanted =
         !this->fleet.hosts().heard() || (this->ledger.lacks_address() && this->reads_for_all());
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -195,18 +195,24 @@
 void peer_gossip::ask(peer& other, gossip_method method,
                       std::function<void(const host_id& from, const std::string& bytes)> take) {
   ++other.open_pulls;
+  ++this->counts.asked;
   const auto weak = std::weak_ptr(this->peers.find(other.entry.name)->second);
-  other.link->call(static_cast<std::uint16_t>(method), "", pull_limit,
-                   [weak, take = std::move(take)](net::rpc_failure why, const std::string& bytes) {
-                     const auto told = weak.lock();
-                     if (!told) {
-                       return;
-                     }
-                     --told->open_pulls;
-                     if (why == net::rpc_failure::none) {
-                       take(told->entry.name, bytes);
-                     }
-                   });
+  other.link->call(
+      static_cast<std::uint16_t>(method), "", pull_limit,
+      [this, weak, take = std::move(take)](net::rpc_failure why, const std::string& bytes) {
+        const auto told = weak.lock();
+        if (!told) {
+          return;
+        }
+        --told->open_pulls;
+        if (why != net::rpc_failure::none) {
+          ++this->counts.failed;
+          return;
+        }
+        ++this->counts.taken;
+        this->counts.bytes_taken += bytes.size();
+        take(told->entry.name, bytes);
+      });
 }
 
 void peer_gossip::pull(peer& other, const gossip_news& news) {
@@ -272,6 +278,25 @@
       }
       return to_bytes(this->hooks.self());
     }
+    case gossip_method::configuration:
+    case gossip_method::backends:
+    case gossip_method::hosts:
+    case gossip_method::ledger: {
+      auto copy = this->copy_of(method);
+      ++this->counts.given;
+      this->counts.bytes_given += copy ? copy->size() : 0;
+      return copy;
+    }
+    case gossip_method::relay:
+    case gossip_method::placements:
+      // Served by the ledger, which answers later, and by the placement directory.
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> peer_gossip::copy_of(gossip_method kind) const {
+  switch (kind) {
     case gossip_method::configuration:
       return this->fleet.configuration_text();
     case gossip_method::backends:
@@ -282,12 +307,9 @@
       const auto set = this->hooks.ledger();
       return set ? std::optional(to_bytes(*set)) : std::nullopt;
     }
-    case gossip_method::relay:
-    case gossip_method::placements:
-      // Served by the ledger, which answers later, and by the placement directory.
+    default:
       return std::nullopt;
   }
-  return std::nullopt;
 }
 
 std::vector<host_entry> peer_gossip::ready_hosts() const {
--- a/libs/net/include/hawthornlane/net/rpc.h
+++ b/libs/net/include/hawthornlane/net/rpc.h
@@ -63,6 +63,8 @@
   ~rpc_server();
 
   [[nodiscard]] http::endpoint where() const;
+  /// Bytes of answers that the kernel has not taken yet, of all connections.
+  [[nodiscard]] std::size_t waiting_bytes() const;
 
   struct state;
 
--- a/libs/net/src/rpc_server.cc
+++ b/libs/net/src/rpc_server.cc
@@ -20,21 +20,32 @@
 /// connection ends.
 constexpr std::size_t largest_backlog = std::size_t{16} * 1024 * 1024;
 
+/// Bytes of answers that wait in all connections of a server.
+using byte_account = std::shared_ptr<std::size_t>;
+
 /// One other host's connection.
 struct connection : std::enable_shared_from_this<connection> {
-  connection(tcp::socket accepted, asio::io_context& io, deadline_sweeper& sweeper)
-      : context(io), socket(std::move(accepted), sweeper) {}
+  connection(tcp::socket accepted, asio::io_context& io, deadline_sweeper& sweeper,
+             byte_account account)
+      : context(io), socket(std::move(accepted), sweeper), waiting(std::move(account)) {}
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
+  ~connection() { *this->waiting -= this->outgoing.size(); }
 
   asio::io_context& context;
   timed_socket socket;
+  /// Invariant: counted in `waiting`, like the batch that is being written.
   std::string outgoing;
+  byte_account waiting;
   bool writing = false;
 
   void answer(const frame& message) {
     if (!this->socket.is_open()) {
       return;
     }
+    const std::size_t before = this->outgoing.size();
     append_frame(this->outgoing, message);
+    *this->waiting += this->outgoing.size() - before;
     if (this->outgoing.size() > largest_backlog) {
       this->socket.close(true);
       return;
@@ -51,6 +62,7 @@
       self->outgoing.clear();
       const error_code error =
           co_await self->socket.write_all(batch, std::chrono::steady_clock::now() + write_limit);
+      *self->waiting -= batch.size();
       if (error) {
         self->socket.close(true);
         break;
@@ -94,6 +106,7 @@
   deadline_sweeper& sweeper;
   tcp::acceptor acceptor;
   std::shared_ptr<const rpc_handler> handle;
+  byte_account waiting = std::make_shared<std::size_t>(0);
 
   static asio::awaitable<void> accept(std::shared_ptr<state> self) {
     while (self->acceptor.is_open()) {
@@ -103,8 +116,8 @@
       if (error) {
         continue;
       }
-      const auto opened =
-          std::make_shared<connection>(std::move(socket), self->context, self->sweeper);
+      const auto opened = std::make_shared<connection>(std::move(socket), self->context,
+                                                       self->sweeper, self->waiting);
       asio::co_spawn(self->context, connection::read(opened, self->handle), asio::detached);
     }
   }
@@ -131,4 +144,6 @@
   return {at.address().to_string(), at.port()};
 }
 
+std::size_t rpc_server::waiting_bytes() const { return *this->shared->waiting; }
+
 }  // namespace hawthornlane::net
--- a/libs/telemetry/include/hawthornlane/telemetry/log.h
+++ b/libs/telemetry/include/hawthornlane/telemetry/log.h
@@ -62,6 +62,7 @@
   disk_opened = 860,
   disk_failed = 861,
   turn_refused = 870,
+  memory_high = 880,
 };
 
 /// How grave an event is.
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -97,6 +97,8 @@
     event_entry{disk_opened, "disk_opened", info, "the data folder was read"},
     event_entry{disk_failed, "disk_failed", error, "a write to the data folder failed"},
     event_entry{turn_refused, "turn_refused", info, "a turn was not admitted; what the disks said"},
+    event_entry{memory_high, "memory_high", warning,
+                "the process uses most of the memory that it may; what it holds"},
 };
 
 constexpr std::array<std::string_view, 3> severity_names{"info", "warning", "error"};
