Bound what connections between hosts hold, by the process and not by the connection

Cause: 16 MB of answers might wait on each of 56 connections of a process of 88 MB, and a batch in flight was not counted; a request that had timed out was still sent, and answered; the read buffer of a connection kept the size of its largest frame (a trial: one answer of 1 MB on each of 59 connections left 61.5 MB resident); a frame that the other side must refuse cut all calls of its connection; a listener without descriptors tried 2 million times a second to accept. Change: one account of waiting answers for all connections, beyond which a request is refused; slices of 128 KB with a limit each in place of 3 s for whatever waited; requests are dropped when they time out unsent, and fail at once beyond 10 MB; too large frames are refused by their sender; large buffers are given back; a pause after a failed accept. Ruled out: counting a written slice as a sign of life, since a kernel takes small requests for a dead host too.

--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -13,6 +13,8 @@
 #include <boost/beast/http.hpp>
 #include <boost/url/parse.hpp>
 
+#include "hawthornlane/http/accept_pause.h"
+
 namespace hawthornlane::http {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -281,7 +283,11 @@
     if (error == asio::error::operation_aborted || shared->stopping) {
       break;
     }
-    if (error || shared->connections >= shared->limits.connections) {
+    if (error) {
+      co_await pause_after_failed_accept(shared->context);
+      continue;
+    }
+    if (shared->connections >= shared->limits.connections) {
       continue;
     }
     const auto strand = socket.get_executor();
--- a/libs/net/include/hawthornlane/net/frame.h
+++ b/libs/net/include/hawthornlane/net/frame.h
@@ -28,6 +28,10 @@
 /// Appends the frame's bytes.
 void append_frame(std::string& out, const frame& message);
 
+/// Gives the memory of an empty buffer back once it has held a large frame. A connection
+/// lives for hours: one answer of 1 MB on each of 59 connections left 61 MB in a process.
+void release_when_empty(std::string& buffer);
+
 /// Takes whole frames out of a stream of bytes.
 class frame_reader {
 public:
--- a/libs/net/include/hawthornlane/net/rpc.h
+++ b/libs/net/include/hawthornlane/net/rpc.h
@@ -21,13 +21,18 @@
   unreachable,
   /// Sent, then the connection ended or the time was over: it may have been acted on.
   unknown,
-  /// The other host cannot read the request or does not serve the method.
+  /// The other host cannot read the request, does not serve the method, or has no room
+  /// for the answer; or the request is too large to be sent.
   refused,
 };
 
 /// Receives the answer, or why there is none. Called once.
 using rpc_done = std::function<void(rpc_failure why, std::string answer)>;
 
+/// Requests that wait to be sent to one other host, bytes; beyond it a call fails at once
+/// as unreachable. One of the largest requests fits beside some hundred small ones.
+constexpr std::size_t most_unsent_bytes = std::size_t{10} * 1024 * 1024;
+
 /// One other host. Connects when there is something to send; a connection on which
 /// a call timed out without a byte from the other side is given up as silent.
 /// For one thread.
@@ -65,6 +70,9 @@
   [[nodiscard]] http::endpoint where() const;
   /// Bytes of answers that the kernel has not taken yet, of all connections.
   [[nodiscard]] std::size_t waiting_bytes() const;
+  /// Beyond so many of them a request is refused in place of its answer; 16 MB unless
+  /// set. One connection may hold a quarter: it ends when its other side reads no more.
+  void limit_waiting_bytes(std::size_t most);
 
   struct state;
 
--- a/libs/net/include/hawthornlane/net/timed_socket.h
+++ b/libs/net/include/hawthornlane/net/timed_socket.h
@@ -10,6 +10,7 @@
 
 #include "hawthornlane/http/message.h"
 #include "hawthornlane/net/deadline_sweeper.h"
+#include "hawthornlane/units/quantities.h"
 
 namespace hawthornlane::net {
 
@@ -34,6 +35,11 @@
   boost::asio::awaitable<error_code> read_more(std::string& buffer, std::size_t most,
                                                steady_time until);
   boost::asio::awaitable<error_code> write_all(std::string_view bytes, steady_time until);
+  /// Writes in slices, each within `slice_limit`: a large batch on a slow link is not
+  /// late as long as it goes on. `sent` hears of each slice
+  /// and has to live until the end.
+  boost::asio::awaitable<error_code> write_slices(std::string_view bytes, duration slice_limit,
+                                                  const std::function<void(std::size_t)>& sent);
 
   /// Calls `hook` once when the other side closes or resets the connection while
   /// nothing is being read. Bytes that arrive instead end the watch silently.
--- a/libs/net/src/frame.cc
+++ b/libs/net/src/frame.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t call_at = 8;
 constexpr std::size_t method_at = 16;
 constexpr std::size_t kind_at = 18;
+/// Of a buffer between two frames: four reads.
+constexpr std::size_t kept_capacity = std::size_t{64} * 1024;
 
 template <class Number>
 Number number_at(std::string_view bytes, std::size_t at) {
@@ -45,6 +47,12 @@
   out += message.payload;
 }
 
+void release_when_empty(std::string& buffer) {
+  if (buffer.empty() && buffer.capacity() > kept_capacity) {
+    std::string().swap(buffer);
+  }
+}
+
 std::optional<frame> frame_reader::take(std::string& buffer) {
   if (this->is_broken || buffer.size() < frame_head_size) {
     return std::nullopt;
--- /dev/null
+++ b/libs/net/src/packing.cc
@@ -0,0 +1,39 @@
+// Text made short with zstd.
+#include "hawthornlane/net/packing.h"
+
+#include <zstd.h>
+
+namespace hawthornlane::net {
+namespace {
+
+/// Fast: a configuration of 1 MB takes some milliseconds of a core and has a twentieth
+/// of its bytes; higher levels take several times as long for a few bytes in a hundred.
+constexpr int level = 1;
+
+}  // namespace
+
+std::string pack(std::string_view text) {
+  std::string packed(ZSTD_compressBound(text.size()), '\0');
+  const std::size_t size =
+      ZSTD_compress(packed.data(), packed.size(), text.data(), text.size(), level);
+  // The buffer has room for the worst case, the only error that there is here.
+  packed.resize(ZSTD_isError(size) != 0 ? 0 : size);
+  packed.shrink_to_fit();
+  return packed;
+}
+
+std::optional<std::string> unpack(std::string_view packed, std::size_t most) {
+  // Also beyond `most`: the two values that stand for an error and for an unknown size.
+  const unsigned long long size = ZSTD_getFrameContentSize(packed.data(), packed.size());
+  if (size > most) {
+    return std::nullopt;
+  }
+  std::string text(static_cast<std::size_t>(size), '\0');
+  const std::size_t got = ZSTD_decompress(text.data(), text.size(), packed.data(), packed.size());
+  if (ZSTD_isError(got) != 0 || got != text.size()) {
+    return std::nullopt;
+  }
+  return text;
+}
+
+}  // namespace hawthornlane::net
--- a/libs/net/src/rpc_client.cc
+++ b/libs/net/src/rpc_client.cc
@@ -1,7 +1,9 @@
 // The calling side of the connection between two hosts.
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <deque>
 #include <map>
 
 #include "hawthornlane/net/frame.h"
@@ -16,9 +18,11 @@
 /// For a connection to another host of the deployment: its links take milliseconds,
 /// a lost first packet is sent again after a second.
 constexpr auto connect_limit = std::chrono::milliseconds(1500);
-/// For one batch of frames to be taken by the other host's kernel.
-constexpr auto write_limit = std::chrono::seconds(3);
+/// For one slice of what is written to be taken by the other host's kernel.
+constexpr auto slice_limit = std::chrono::seconds(3);
 constexpr std::size_t read_size = std::size_t{16} * 1024;
+/// Requests that are written together; what comes later may still be dropped.
+constexpr std::size_t batch_size = std::size_t{64} * 1024;
 
 }  // namespace
 
@@ -39,7 +43,15 @@
   http::endpoint where;
   std::map<std::uint64_t, std::unique_ptr<pending>> calls;
   std::uint64_t next_id = 1;
-  std::string outgoing;
+  /// A request that nobody has begun to write.
+  struct unsent_request {
+    std::uint64_t id = 0;
+    std::string bytes;
+  };
+  /// Invariant: each belongs to a call that still waits; `unsent_bytes` is their sum. A
+  /// call that has timed out is not sent any more.
+  std::deque<unsent_request> unsent;
+  std::size_t unsent_bytes = 0;
   std::shared_ptr<timed_socket> socket;
   bool connected = false;
   bool writing = false;
@@ -47,13 +59,24 @@
   steady_time heard_at{};
 
   void send(std::uint16_t method, std::string payload, duration limit, rpc_done done) {
+    if (payload.size() > largest_payload) {
+      this->fail_soon(std::move(done), rpc_failure::refused);
+      return;
+    }
+    if (this->unsent_bytes + payload.size() > most_unsent_bytes) {
+      this->fail_soon(std::move(done), rpc_failure::unreachable);
+      return;
+    }
     auto item = std::make_unique<pending>();
     item->owner = this;
     item->id = this->next_id++;
     item->sent_at = std::chrono::steady_clock::now();
     item->expires_at = item->sent_at + limit;
     item->done = std::move(done);
-    append_frame(this->outgoing, {frame_kind::request, method, item->id, std::move(payload)});
+    std::string bytes;
+    append_frame(bytes, {frame_kind::request, method, item->id, std::move(payload)});
+    this->unsent_bytes += bytes.size();
+    this->unsent.push_back({item->id, std::move(bytes)});
     this->sweeper.add(*item);
     this->calls.emplace(item->id, std::move(item));
     if (!this->socket) {
@@ -63,6 +86,33 @@
     }
   }
 
+  void fail_soon(rpc_done done, rpc_failure why) {
+    asio::post(this->context, [done = std::move(done), why] { done(why, {}); });
+  }
+
+  /// False when that request has been begun already.
+  bool drop_unsent(std::uint64_t id) {
+    const auto found = std::find_if(this->unsent.begin(), this->unsent.end(),
+                                    [id](const unsent_request& item) { return item.id == id; });
+    if (found == this->unsent.end()) {
+      return false;
+    }
+    this->unsent_bytes -= found->bytes.size();
+    this->unsent.erase(found);
+    return true;
+  }
+
+  /// Some requests in the order in which they were made.
+  std::string next_batch() {
+    std::string batch;
+    while (!this->unsent.empty() && batch.size() < batch_size) {
+      this->unsent_bytes -= this->unsent.front().bytes.size();
+      batch += this->unsent.front().bytes;
+      this->unsent.pop_front();
+    }
+    return batch;
+  }
+
   void finish(std::uint64_t id, rpc_failure why, std::string answer) {
     const auto found = this->calls.find(id);
     if (found == this->calls.end()) {
@@ -77,7 +127,8 @@
   void on_timeout(std::uint64_t id) {
     const auto self = this->shared_from_this();
     const bool silent = this->heard_at < this->calls.at(id)->sent_at;
-    this->finish(id, this->connected ? rpc_failure::unknown : rpc_failure::unreachable, {});
+    const bool unseen = this->drop_unsent(id) || !this->connected;
+    this->finish(id, unseen ? rpc_failure::unreachable : rpc_failure::unknown, {});
     if (silent && this->socket) {
       this->socket->close(true);
     }
@@ -92,7 +143,7 @@
   void fail_later() {
     for (auto& [id, item] : this->calls) {
       this->sweeper.remove(*item);
-      asio::post(this->context, [done = std::move(item->done)] { done(rpc_failure::unknown, {}); });
+      this->fail_soon(std::move(item->done), rpc_failure::unknown);
     }
     this->calls.clear();
   }
@@ -111,7 +162,8 @@
     const bool was_connected = self->connected;
     self->connected = false;
     self->socket = nullptr;
-    self->outgoing.clear();
+    self->unsent.clear();
+    self->unsent_bytes = 0;
     self->fail_all(was_connected ? rpc_failure::unknown : rpc_failure::unreachable);
   }
 
@@ -121,11 +173,10 @@
       co_return;
     }
     self->writing = true;
-    while (!self->outgoing.empty() && self->socket == socket) {
-      const std::string batch = std::move(self->outgoing);
-      self->outgoing.clear();
-      const error_code error =
-          co_await socket->write_all(batch, std::chrono::steady_clock::now() + write_limit);
+    while (!self->unsent.empty() && self->socket == socket) {
+      const std::string batch = self->next_batch();
+      const std::function<void(std::size_t)> sent = [](std::size_t) {};
+      const error_code error = co_await socket->write_slices(batch, slice_limit, sent);
       if (error) {
         socket->close(true);
         break;
@@ -151,6 +202,7 @@
       if (reader.broken()) {
         co_return;
       }
+      release_when_empty(buffer);
     }
   }
 };
--- a/libs/net/src/rpc_server.cc
+++ b/libs/net/src/rpc_server.cc
@@ -1,9 +1,11 @@
 // The serving side of the connection between two hosts.
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "hawthornlane/http/accept_pause.h"
 #include "hawthornlane/net/frame.h"
 #include "hawthornlane/net/rpc.h"
 #include "hawthornlane/net/timed_socket.h"
@@ -14,39 +16,52 @@
 
 namespace {
 
-constexpr auto write_limit = std::chrono::seconds(3);
+/// For one slice of what is written to be taken by the other host's kernel.
+constexpr auto slice_limit = std::chrono::seconds(3);
 constexpr std::size_t read_size = std::size_t{16} * 1024;
-/// Answers that wait for a caller that does not read, bytes; beyond it the
-/// connection ends.
-constexpr std::size_t largest_backlog = std::size_t{16} * 1024 * 1024;
-
-/// Bytes of answers that wait in all connections of a server.
-using byte_account = std::shared_ptr<std::size_t>;
+constexpr std::size_t standard_waiting_bytes = std::size_t{16} * 1024 * 1024;
+/// One connection's part of what may wait.
+constexpr std::size_t connection_part = 4;
+
+/// Bytes of answers that wait in all connections of a server. The bound is the process's:
+/// one of 16 MB for each of 56 connections was none to a process of 88 MB.
+struct answer_account {
+  std::size_t waiting = 0;
+  std::size_t most = standard_waiting_bytes;
+};
+using byte_account = std::shared_ptr<answer_account>;
 
 /// One other host's connection.
 struct connection : std::enable_shared_from_this<connection> {
   connection(tcp::socket accepted, asio::io_context& io, deadline_sweeper& sweeper,
-             byte_account account)
-      : context(io), socket(std::move(accepted), sweeper), waiting(std::move(account)) {}
+             byte_account bytes)
+      : context(io), socket(std::move(accepted), sweeper), account(std::move(bytes)) {}
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
-  ~connection() { *this->waiting -= this->outgoing.size(); }
+  ~connection() { this->account->waiting -= this->outgoing.size(); }
 
   asio::io_context& context;
   timed_socket socket;
-  /// Invariant: counted in `waiting`, like the batch that is being written.
+  /// Invariant: counted in `account`, like the batch that is being written.
   std::string outgoing;
-  byte_account waiting;
+  /// Bytes of the batch that is being written.
+  std::size_t in_batch = 0;
+  byte_account account;
   bool writing = false;
 
-  void answer(const frame& message) {
+  void answer(frame message) {
     if (!this->socket.is_open()) {
       return;
     }
+    const std::size_t size = message.payload.size();
+    if (size > largest_payload || this->account->waiting + size > this->account->most) {
+      message.kind = frame_kind::refusal;
+      message.payload.clear();
+    }
     const std::size_t before = this->outgoing.size();
     append_frame(this->outgoing, message);
-    *this->waiting += this->outgoing.size() - before;
-    if (this->outgoing.size() > largest_backlog) {
+    this->account->waiting += this->outgoing.size() - before;
+    if (this->outgoing.size() + this->in_batch > this->largest_backlog()) {
       this->socket.close(true);
       return;
     }
@@ -55,14 +70,28 @@
     }
   }
 
+  /// So many bytes of the batch wait no more.
+  void sent(std::size_t bytes) {
+    this->in_batch -= bytes;
+    this->account->waiting -= bytes;
+  }
+
+  /// The largest answer always fits.
+  [[nodiscard]] std::size_t largest_backlog() const {
+    return std::max(this->account->most / connection_part, largest_payload + frame_head_size);
+  }
+
   static asio::awaitable<void> write(std::shared_ptr<connection> self) {
     self->writing = true;
     while (!self->outgoing.empty()) {
       const std::string batch = std::move(self->outgoing);
       self->outgoing.clear();
-      const error_code error =
-          co_await self->socket.write_all(batch, std::chrono::steady_clock::now() + write_limit);
-      *self->waiting -= batch.size();
+      self->in_batch = batch.size();
+      const std::function<void(std::size_t)> sent = [self](std::size_t bytes) {
+        self->sent(bytes);
+      };
+      const error_code error = co_await self->socket.write_slices(batch, slice_limit, sent);
+      self->sent(self->in_batch);
       if (error) {
         self->socket.close(true);
         break;
@@ -88,6 +117,7 @@
                     self->answer({kind, method, call, std::move(payload).value_or("")});
                   });
       }
+      release_when_empty(buffer);
     }
     self->socket.close();
   }
@@ -106,7 +136,7 @@
   deadline_sweeper& sweeper;
   tcp::acceptor acceptor;
   std::shared_ptr<const rpc_handler> handle;
-  byte_account waiting = std::make_shared<std::size_t>(0);
+  byte_account account = std::make_shared<answer_account>();
 
   static asio::awaitable<void> accept(std::shared_ptr<state> self) {
     while (self->acceptor.is_open()) {
@@ -114,10 +144,11 @@
       tcp::socket socket =
           co_await self->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
       if (error) {
+        co_await http::pause_after_failed_accept(self->context);
         continue;
       }
       const auto opened = std::make_shared<connection>(std::move(socket), self->context,
-                                                       self->sweeper, self->waiting);
+                                                       self->sweeper, self->account);
       asio::co_spawn(self->context, connection::read(opened, self->handle), asio::detached);
     }
   }
@@ -144,6 +175,8 @@
   return {at.address().to_string(), at.port()};
 }
 
-std::size_t rpc_server::waiting_bytes() const { return *this->shared->waiting; }
+std::size_t rpc_server::waiting_bytes() const { return this->shared->account->waiting; }
+
+void rpc_server::limit_waiting_bytes(std::size_t most) { this->shared->account->most = most; }
 
 }  // namespace hawthornlane::net
--- a/libs/net/src/timed_socket.cc
+++ b/libs/net/src/timed_socket.cc
@@ -17,6 +17,8 @@
 /// Milliseconds after which unacknowledged data ends a connection: a host without
 /// power or behind a partition sends no reset.
 constexpr int unacknowledged_ms = 4000;
+/// Of a large batch: 35 ms of a link of 30 Mbit/s.
+constexpr std::size_t slice_size = std::size_t{128} * 1024;
 
 }  // namespace
 
@@ -110,6 +112,21 @@
   co_return ended(this->write_alarm, error);
 }
 
+asio::awaitable<error_code> timed_socket::write_slices(
+    std::string_view bytes, duration slice_limit, const std::function<void(std::size_t)>& sent) {
+  while (!bytes.empty()) {
+    const std::string_view slice = bytes.substr(0, slice_size);
+    const error_code error =
+        co_await this->write_all(slice, std::chrono::steady_clock::now() + slice_limit);
+    if (error) {
+      co_return error;
+    }
+    sent(slice.size());
+    bytes.remove_prefix(slice.size());
+  }
+  co_return error_code();
+}
+
 void timed_socket::watch_for_close(std::function<void()> hook) {
   this->stop_watching();
   this->watch = std::make_shared<watch_state>();
--- a/libs/net/test/frame_test.cc
+++ b/libs/net/test/frame_test.cc
@@ -50,3 +50,25 @@
     CHECK_FALSE(reader.take(buffer));
   }
 }
+
+TEST_CASE("a buffer between two frames does not keep the memory of a large one") {
+  struct row {
+    const char* what;
+    std::size_t capacity;
+    std::string content;
+    bool released;
+  };
+  const row rows[] = {
+      {"after a configuration", 1'000'000, "", true},
+      {"after a small frame", 16'384, "", false},
+      {"in the middle of a large frame", 1'000'000, "part", false},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    std::string buffer = item.content;
+    buffer.reserve(item.capacity);
+    release_when_empty(buffer);
+    CHECK(buffer == item.content);
+    CHECK((buffer.capacity() < item.capacity) == item.released);
+  }
+}
--- /dev/null
+++ b/libs/net/test/packing_test.cc
@@ -0,0 +1,76 @@
+// Packed text comes back whole; other bytes and absurd sizes do not pass.
+#include "hawthornlane/net/packing.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace hawthornlane::net;
+
+namespace {
+
+constexpr std::size_t most = 100'000;
+
+std::string repeated(std::size_t bytes) {
+  std::string text;
+  while (text.size() < bytes) {
+    text += R"({"name":"r-)" + std::to_string(text.size()) + R"(","kind":"stream"},)";
+  }
+  return text.substr(0, bytes);
+}
+
+std::string random_bytes(std::size_t bytes) {
+  std::mt19937 random(1);
+  std::string text(bytes, '\0');
+  for (char& byte : text) {
+    byte = static_cast<char>(random());
+  }
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("packed text comes back whole") {
+  struct row {
+    const char* what;
+    std::string text;
+    std::size_t packed_at_most;
+  };
+  const row rows[] = {
+      {"nothing", "", 20},
+      {"one byte", "x", 20},
+      {"a configuration's text", repeated(90'000), 15'000},
+      {"bytes without repetition", random_bytes(50'000), 50'100},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    const std::string packed = pack(item.text);
+    CHECK(packed.size() <= item.packed_at_most);
+    CHECK(unpack(packed, most) == item.text);
+  }
+}
+
+TEST_CASE("what is no packed text, or too long, is nothing") {
+  const std::string whole = pack(repeated(90'000));
+  std::string changed = whole;
+  changed[changed.size() / 2] = static_cast<char>(changed[changed.size() / 2] ^ 0x55);
+  struct row {
+    const char* what;
+    std::string bytes;
+  };
+  const row rows[] = {
+      {"no bytes", ""},
+      {"plain text", "{\"version\":3}"},
+      {"random bytes", random_bytes(3000)},
+      {"a part", whole.substr(0, whole.size() / 2)},
+      {"a head only", whole.substr(0, 8)},
+      {"more bytes behind it", whole + "x"},
+      {"a text of 100 MB", pack(std::string(100'000'000, 'a'))},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    CHECK_FALSE(unpack(item.bytes, most));
+  }
+  // Changed bytes may still be a text, but not that one and never a longer one.
+  const auto other = unpack(changed, most);
+  CHECK((!other || other->size() <= most));
+}
--- a/libs/net/test/rpc_test.cc
+++ b/libs/net/test/rpc_test.cc
@@ -1,10 +1,15 @@
 // Calls between hosts: answered, refused, timed out, cut, and given up.
 #include "hawthornlane/net/rpc.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <optional>
+#include <vector>
+
+#include "hawthornlane/net/frame.h"
 
 using namespace hawthornlane;
 using namespace hawthornlane::net;
@@ -100,3 +105,76 @@
   CHECK_FALSE(told);
   all.run_until([&told] { return told; });
 }
+
+TEST_CASE("answers that nobody reads are bounded for the process, not for each connection") {
+  constexpr std::size_t most = std::size_t{4} * 1024 * 1024;
+  constexpr std::size_t answer_size = std::size_t{1} * 1024 * 1024;
+  call_fixture all;
+  rpc_server server(all.context, all.sweeper, {"127.0.0.1", 0},
+                    [](std::uint16_t, const std::string&, const rpc_reply& reply) {
+                      reply(std::string(answer_size, 'a'));
+                    });
+  server.limit_waiting_bytes(most);
+  // Eight hosts ask for 40 MB again and again and read nothing.
+  std::string asks;
+  for (std::uint64_t call = 1; call <= 5; ++call) {
+    append_frame(asks, {frame_kind::request, echo, call, ""});
+  }
+  std::vector<std::unique_ptr<asio::ip::tcp::socket>> deaf;
+  for (int number = 0; number < 8; ++number) {
+    deaf.push_back(std::make_unique<asio::ip::tcp::socket>(all.context));
+    deaf.back()->open(asio::ip::tcp::v4());
+    deaf.back()->set_option(asio::socket_base::receive_buffer_size(4096));
+    deaf.back()->connect({asio::ip::make_address("127.0.0.1"), server.where().port});
+  }
+  std::size_t largest = 0;
+  const auto until = std::chrono::steady_clock::now() + 500ms;
+  while (std::chrono::steady_clock::now() < until) {
+    for (const auto& socket : deaf) {
+      asio::write(*socket, asio::buffer(asks));
+    }
+    all.context.restart();
+    all.context.poll();
+    largest = std::max(largest, server.waiting_bytes());
+  }
+  CHECK(largest > answer_size);
+  CHECK(largest <= most + 100 * frame_head_size);
+  // Who asks now is refused at once, and answered when the others are gone.
+  rpc_client client(all.context, all.sweeper, server.where());
+  CHECK(all.call(client, echo) == rpc_failure::refused);
+  deaf.clear();
+  all.run_until([&] { return server.waiting_bytes() == 0; });
+  CHECK(all.call(client, echo) == rpc_failure::none);
+}
+
+TEST_CASE("requests to a host that takes nothing fail at once when too many bytes wait") {
+  call_fixture all;
+  // A listener that never accepts: its queue of connections is full after some.
+  asio::ip::tcp::acceptor full(all.context, {asio::ip::make_address("127.0.0.1"), 0});
+  rpc_client client(all.context, all.sweeper, {"127.0.0.1", full.local_endpoint().port()});
+  std::vector<rpc_failure> ends;
+  const std::string payload(most_unsent_bytes / 4, 'p');
+  for (int number = 0; number < 12; ++number) {
+    client.call(echo, payload, 5s,
+                [&](rpc_failure why, const std::string&) { ends.push_back(why); });
+  }
+  // Some fit before the limit; the rest is not kept.
+  all.run_until([&] { return ends.size() >= 8; });
+  CHECK(std::count(ends.begin(), ends.end(), rpc_failure::unreachable) >= 8);
+}
+
+TEST_CASE("a request that timed out before it was written is not written later") {
+  call_fixture all;
+  asio::ip::tcp::acceptor slow(all.context, {asio::ip::make_address("127.0.0.1"), 0});
+  rpc_client client(all.context, all.sweeper, {"127.0.0.1", slow.local_endpoint().port()});
+  constexpr std::size_t large = std::size_t{2} * 1024 * 1024;
+  std::vector<rpc_failure> ends;
+  for (int number = 0; number < 4; ++number) {
+    client.call(echo, std::string(large, 'p'), 300ms,
+                [&](rpc_failure why, const std::string&) { ends.push_back(why); });
+  }
+  all.run_until([&] { return ends.size() == 4; });
+  // The first one fills what the kernels hold for a host that reads nothing.
+  CHECK(ends.front() == rpc_failure::unknown);
+  CHECK(ends.back() == rpc_failure::unreachable);
+}
