Take each new state from one host at a time, and give few whole copies at once

Cause of the lost calls: each host fetched a new configuration from every host that was ahead of it, again after each timeout while the answer still waited, and each source queued all that it was asked for. The copies filled links and memory until a process passed its limit. The same held for the lists of servers and hosts and the set of disks. Change: copy_intake asks one host for each kind at a time, another only when that one refused or failed; copy_outlet gives two copies at once (or 64 KB of small ones) and names hosts that have theirs; whoever has taken a copy says so and passes it on. The configuration travels packed, and one that was read already is not decoded again.

--- a/libs/discovery/include/hawthornlane/discovery/fleet_state.h
+++ b/libs/discovery/include/hawthornlane/discovery/fleet_state.h
@@ -21,7 +21,12 @@
   /// Where a belief came from, for the log.
   using source_name = std::string_view;
 
-  bool offer_configuration(const configuration& candidate, std::string text, source_name source);
+  /// Whether `offer_configuration` would take it.
+  [[nodiscard]] bool is_newer(const configuration& candidate) const {
+    return this->config.is_newer(candidate);
+  }
+  /// `copy`: the same, in the form in which hosts pass it on.
+  bool offer_configuration(const configuration& candidate, std::string copy, source_name source);
   void list_backends(store_revision at, const std::vector<backend_entry>& entries,
                      source_name source);
   void list_hosts(store_revision at, const std::vector<host_entry>& entries);
@@ -34,8 +39,8 @@
   void settle();
 
   [[nodiscard]] const route_table_ptr& table() const { return this->config.current(); }
-  /// The configuration in force as the store holds it, for peers that lack it.
-  [[nodiscard]] const std::string& configuration_text() const { return this->config_text; }
+  /// The configuration in force, for peers that lack it.
+  [[nodiscard]] const std::string& configuration_copy() const { return this->config_copy; }
   [[nodiscard]] timestamp configuration_since() const { return this->config_since; }
   [[nodiscard]] const backend_registry& backends() const { return this->servers; }
   /// Revision at which this host last saw the backend servers change. Another host
@@ -58,7 +63,7 @@
                             source_name source);
 
   configuration_in_force config;
-  std::string config_text;
+  std::string config_copy;
   timestamp config_since{};
   backend_registry servers;
   store_revision servers_changed_at;
--- a/libs/discovery/src/fleet_state.cc
+++ b/libs/discovery/src/fleet_state.cc
@@ -28,12 +28,12 @@
       std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-bool fleet_state::offer_configuration(const configuration& candidate, std::string text,
+bool fleet_state::offer_configuration(const configuration& candidate, std::string copy,
                                       source_name source) {
   if (!this->config.offer(candidate)) {
     return false;
   }
-  this->config_text = std::move(text);
+  this->config_copy = std::move(copy);
   this->config_since = scheduler_now();
   log(event::configuration_in_force, {{"version", std::to_string(candidate.version.get())},
                                       {"routes", std::to_string(candidate.routes.size())},
--- a/libs/fleet/include/hawthornlane/fleet/check_schedule.h
+++ b/libs/fleet/include/hawthornlane/fleet/check_schedule.h
@@ -58,6 +58,8 @@
   [[nodiscard]] duration age(timestamp now) const { return now - this->newest; }
   [[nodiscard]] const host_id& last_reader() const { return this->reader; }
   [[nodiscard]] bool heard() const { return this->known; }
+  /// The host whose schedule this is.
+  [[nodiscard]] const host_id& owner() const { return this->self; }
 
 private:
   host_id self;
--- a/libs/fleet/include/hawthornlane/fleet/fleet_view.h
+++ b/libs/fleet/include/hawthornlane/fleet/fleet_view.h
@@ -149,9 +149,12 @@
 /// The configuration in force at this host. It never goes back to an older one.
 class configuration_in_force {
 public:
+  [[nodiscard]] bool is_newer(const configuration& candidate) const {
+    return !this->table || candidate.version > this->table->version();
+  }
   /// True when it is newer and now in force.
   bool offer(const configuration& candidate) {
-    if (this->table && candidate.version <= this->table->version()) {
+    if (!this->is_newer(candidate)) {
       return false;
     }
     this->table = std::make_shared<const route_table>(candidate);
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/copy_intake.h
@@ -0,0 +1,81 @@
+// Which host this host asks for a whole copy of what it lacks. No I/O or clock.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "hawthornlane/front/copy_messages.h"
+#include "hawthornlane/units/quantities.h"
+
+namespace hawthornlane::front {
+
+/// Takes each new state once: of each kind one copy is under way at a time, and another
+/// host is asked only when the one before has refused or failed. Without that bound each
+/// host asked every host ahead of it: 585 copies for 23 hosts and one change of 700 KB,
+/// 34 MB waiting before one link of 30 Mbit/s (configuration_spread_test).
+class copy_intake {
+public:
+  /// A host that knows more is asked only when it still knows more after this long:
+  /// mostly the store's own news are just on their way.
+  static constexpr duration ask_after = std::chrono::milliseconds(120);
+  /// Before a host that gives enough copies already is asked again; twice as long after
+  /// each further refusal, up to `longest_busy_pause`. 60 hosts that all ask one host each
+  /// 40 ms would bring it 1,400 questions a second, of which an eighth of a core can
+  /// answer about as many and nothing else.
+  static constexpr duration busy_pause = std::chrono::milliseconds(60);
+  static constexpr duration longest_busy_pause = std::chrono::milliseconds(240);
+  /// Between a refusal and the next question, whoever is asked.
+  static constexpr duration question_pause = std::chrono::milliseconds(20);
+  /// Before a host that did not answer is asked again, others being asked meanwhile.
+  static constexpr duration failed_pause = std::chrono::milliseconds(500);
+
+  explicit copy_intake(host_id own) : self(std::move(own)) {}
+
+  /// A host told whether it is ahead in one kind. `prompt`: what it has is news that
+  /// nobody else may tell.
+  void heard(copy_kind kind, const host_id& from, bool ahead, bool prompt, timestamp now);
+  /// The host to ask now, which then counts as asked. `urgent`: this host knows too
+  /// little to serve, so that nothing is waited for.
+  std::optional<host_id> next(copy_kind kind, bool urgent, timestamp now);
+
+  /// The host asked has given its copy.
+  void taken(copy_kind kind) { this->of(kind).asked.reset(); }
+  /// This host's own knowledge has changed: who is ahead has to be heard again.
+  void renew(copy_kind kind) { this->of(kind).ahead.clear(); }
+  /// It gives enough copies already, and named hosts that have taken theirs.
+  void busy(copy_kind kind, const std::vector<host_id>& holders, timestamp now);
+  /// It did not answer, or not with a copy.
+  void failed(copy_kind kind, timestamp now);
+  [[nodiscard]] const host_id& owner() const { return this->self; }
+  /// That host is gone.
+  void forget(const host_id& gone);
+
+private:
+  struct source {
+    timestamp ahead_since{};
+    timestamp not_before{};
+    duration busy_for = busy_pause;
+    bool prompt = false;
+  };
+  struct intake {
+    std::map<host_id, source> ahead;
+    /// Invariant: at most one host is asked, and it counts as asked until one of
+    /// `taken`, `busy` and `failed`.
+    std::optional<host_id> asked;
+    /// So that each question goes to another of the hosts that are ahead.
+    std::uint64_t questions = 0;
+    timestamp quiet_until{};
+  };
+
+  intake& of(copy_kind kind) { return this->intakes.at(static_cast<std::size_t>(kind)); }
+  /// Ends the question under way; the host that was asked, if it is still ahead.
+  static source* end_question(intake& one);
+
+  host_id self;
+  std::array<intake, all_copy_kinds.size()> intakes;
+};
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/copy_messages.h
@@ -0,0 +1,45 @@
+// Messages by which a host takes a whole copy of what another one knows.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hawthornlane/units/ids.h"
+
+namespace hawthornlane::front {
+
+/// What is copied between front hosts as a whole.
+enum class copy_kind : std::uint8_t { configuration, backends, hosts, ledger };
+
+constexpr std::array all_copy_kinds{copy_kind::configuration, copy_kind::backends, copy_kind::hosts,
+                                    copy_kind::ledger};
+
+/// Asks for a copy, or tells that it has been taken.
+struct copy_request {
+  copy_kind kind = copy_kind::configuration;
+  host_id asker;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->kind, this->asker);
+  }
+};
+
+/// A copy, or where else to ask for it.
+struct copy_answer {
+  /// Nothing: the host asked gives as many copies as it may already.
+  std::optional<std::string> copy;
+  /// Hosts that have taken theirs.
+  std::vector<host_id> holders;
+};
+
+/// Bytes of the answer. A copy goes as it is, with one byte after it: an archive would
+/// hold a configuration of 1 MB four times while it is written.
+std::string to_answer_bytes(copy_answer answer);
+/// Nothing when the bytes are no answer.
+std::optional<copy_answer> copy_answer_from(std::string bytes);
+
+}  // namespace hawthornlane::front
--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -33,10 +33,10 @@
 /// Methods between front hosts.
 enum class gossip_method : std::uint16_t {
   digest = 1,
-  configuration = 2,
-  backends = 3,
-  hosts = 4,
-  ledger = 5,
+  /// Asks for a whole copy of one kind (`copy_request`).
+  copy = 2,
+  /// The copy asked for has arrived (`copy_request`).
+  copy_taken = 3,
   /// Passes a question on to a disk host.
   relay = 6,
   /// Tells and asks the placement directory.
--- a/libs/front/include/hawthornlane/front/gossip_news.h
+++ b/libs/front/include/hawthornlane/front/gossip_news.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 
+#include "hawthornlane/front/copy_messages.h"
 #include "hawthornlane/front/gossip_messages.h"
 
 namespace hawthornlane::front {
@@ -14,6 +15,8 @@
   store_revision backends_changed_at;
   store_revision hosts_at;
   std::optional<set_epoch> ledger;
+
+  friend bool operator==(const known_state&, const known_state&) = default;
 };
 
 /// The kinds of which another host has something newer. Only these are fetched from it:
@@ -25,8 +28,18 @@
   bool hosts = false;
   bool ledger = false;
 
-  [[nodiscard]] bool any() const {
-    return this->configuration || this->backends || this->hosts || this->ledger;
+  [[nodiscard]] bool of(copy_kind kind) const {
+    switch (kind) {
+      case copy_kind::configuration:
+        return this->configuration;
+      case copy_kind::backends:
+        return this->backends;
+      case copy_kind::hosts:
+        return this->hosts;
+      case copy_kind::ledger:
+        return this->ledger;
+    }
+    return false;
   }
 };
 
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -12,6 +12,8 @@
 
 #include "hawthornlane/discovery/fleet_state.h"
 #include "hawthornlane/fleet/check_schedule.h"
+#include "hawthornlane/front/copy_intake.h"
+#include "hawthornlane/front/copy_outlet.h"
 #include "hawthornlane/front/gossip_messages.h"
 #include "hawthornlane/front/gossip_news.h"
 #include "hawthornlane/net/rpc.h"
@@ -22,15 +24,19 @@
 struct gossip_hooks {
   /// What this host is and knows.
   std::function<gossip_digest()> self;
-  /// Decodes a configuration as the store holds it.
-  std::function<std::optional<configuration>(const std::string& text)> decode_configuration;
+  /// Decodes a configuration as hosts pass it on.
+  std::function<std::optional<configuration>(const std::string& copy)> decode_configuration;
   /// The newest set of disks that this host knows, if any.
   std::function<std::optional<ledger_set>()> ledger;
   std::function<void(const ledger_set&, const host_id& from)> take_ledger;
+  /// Whether what waits to be sent to other hosts leaves room for one more copy.
+  std::function<bool()> may_give_copy = [] { return true; };
 };
 
 /// Whole copies of what hosts know (configuration, registries, set of disks), counted.
 struct copy_counters {
+  /// Questions that were put off, since the host asked gave enough copies already.
+  std::uint64_t put_off = 0;
   std::uint64_t asked = 0;
   std::uint64_t taken = 0;
   std::uint64_t failed = 0;
@@ -82,13 +88,23 @@
   void hear(peer& other, const gossip_digest& digest);
   /// How far this host's own knowledge goes.
   [[nodiscard]] known_state known() const;
-  void pull(peer& other, const gossip_news& news);
-  /// Asks a peer for all that it knows of one kind.
-  void ask(peer& other, gossip_method method,
-           std::function<void(const host_id& from, const std::string& bytes)> take);
+  /// Whether another host still counts as one that lives.
+  [[nodiscard]] bool lives(const peer& other) const;
+  /// Hears again who is ahead once this host's own knowledge has changed.
+  void note_progress();
+  void hear_again(copy_kind kind);
+  /// Asks for the copies of which one is due.
+  void ask_due();
+  void ask(peer& other, copy_kind kind);
+  void take_answer(const host_id& from, copy_kind kind, std::string bytes);
+  /// Takes a copy into this host's beliefs; false when the bytes are none.
+  bool take_copy(const host_id& from, copy_kind kind, const std::string& copy);
+  std::optional<std::string> give_copy(const copy_request& request);
   void add_peer(const host_entry& entry);
   /// What this host knows of one kind, whole.
-  [[nodiscard]] std::optional<std::string> copy_of(gossip_method kind) const;
+  [[nodiscard]] std::optional<std::string> copy_of(copy_kind kind) const;
+  /// The same, made once for all that ask until this host's knowledge changes.
+  const std::optional<std::string>& ready_copy(copy_kind kind);
 
   boost::asio::io_context& context;
   net::deadline_sweeper& sweeper;
@@ -97,7 +113,14 @@
   gossip_hooks hooks;
   std::map<host_id, std::shared_ptr<peer>> peers;
   net::steady_time next_probe{};
+  known_state last_known;
+  copy_intake intake;
+  copy_outlet outlet;
+  /// Invariant: of `last_known`.
+  std::map<copy_kind, std::optional<std::string>> ready_copies;
   copy_counters counts;
+  /// Gone with this object, which answers of other hosts may outlive.
+  std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
 };
 
 }  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/src/copy_messages.cc
@@ -0,0 +1,42 @@
+// Bytes of the messages about whole copies.
+#include "hawthornlane/front/copy_messages.h"
+
+#include "hawthornlane/net/message_bytes.h"
+
+namespace hawthornlane::front {
+namespace {
+
+constexpr char copy_mark = '+';
+constexpr char busy_mark = '-';
+
+}  // namespace
+
+std::string to_answer_bytes(copy_answer answer) {
+  if (answer.copy) {
+    std::string bytes = *std::move(answer.copy);
+    bytes += copy_mark;
+    return bytes;
+  }
+  return to_bytes(answer.holders) + busy_mark;
+}
+
+std::optional<copy_answer> copy_answer_from(std::string bytes) {
+  if (bytes.empty()) {
+    return std::nullopt;
+  }
+  const char mark = bytes.back();
+  bytes.pop_back();
+  copy_answer answer;
+  if (mark == copy_mark) {
+    answer.copy = std::move(bytes);
+    return answer;
+  }
+  auto holders = from_bytes<std::vector<host_id>>(bytes);
+  if (mark != busy_mark || !holders) {
+    return std::nullopt;
+  }
+  answer.holders = *std::move(holders);
+  return answer;
+}
+
+}  // namespace hawthornlane::front
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -13,7 +13,9 @@
 #include "hawthornlane/front/call_service.h"
 #include "hawthornlane/front/ledger_client.h"
 #include "hawthornlane/front/peer_gossip.h"
+#include "hawthornlane/http/accept_pause.h"
 #include "hawthornlane/http/server.h"
+#include "hawthornlane/net/packing.h"
 #include "hawthornlane/platform_adapter/call_codec.h"
 #include "hawthornlane/platform_adapter/directory_answers.h"
 #include "hawthornlane/telemetry/log.h"
@@ -36,6 +38,13 @@
 /// which on it may say so again.
 constexpr std::size_t memory_high_percent = 60;
 constexpr std::size_t memory_calm_percent = 45;
+/// Answers to other hosts that wait for the link may take a thirty-second of the memory
+/// before whole copies are refused: 2.75 MB of 88, which 30 Mbit/s send in 0.7 s.
+constexpr std::size_t peer_answers_share = 32;
+/// All that waits for other hosts, relayed answers of disk hosts included.
+constexpr std::size_t peer_queue_share = 8;
+/// The store takes values of 1 MB; a text of more than this is not unpacked.
+constexpr std::size_t largest_configuration = 4 * bytes_per_mb;
 /// Callers keep an address answer up to three times as long as it says.
 constexpr int longest_keep_factor = 3;
 /// A caller's connection attempts in a burst; more are sent again by their kernels.
@@ -107,6 +116,8 @@
   host_entry self;
   bool leaving = false;
   net::steady_time leaving_since{};
+  /// Revision of the newest configuration that was read from the store itself.
+  store_revision configuration_at;
   bool store_reachable = true;
   net::steady_time store_lost_at{};
   net::steady_time next_idle_sweep{};
@@ -116,9 +127,19 @@
   /// Said in the log; falls back when the memory is free again.
   bool memory_high = false;
 
-  static std::optional<configuration> decode_configuration(const std::string& text) {
+  /// Of the form in which hosts pass a configuration on.
+  static std::optional<configuration> unpack_configuration(const std::string& copy) {
+    auto text = net::unpack(copy, largest_configuration);
+    if (!text) {
+      log(event::peer_unreachable, {{"detail", "bytes that are no configuration"}});
+      return std::nullopt;
+    }
+    return decode_configuration(*std::move(text));
+  }
+
+  static std::optional<configuration> decode_configuration(std::string text) {
     platform_adapter::stored_object object;
-    object.spec = text;
+    object.spec = std::move(text);
     failure reason;
     auto config = platform_adapter::configuration_from(object, reason);
     if (!config) {
@@ -130,8 +151,12 @@
   gossip_hooks make_gossip_hooks() {
     gossip_hooks hooks;
     hooks.self = [this] { return this->digest(); };
-    hooks.decode_configuration = decode_configuration;
+    hooks.decode_configuration = unpack_configuration;
     hooks.ledger = [this] { return this->ledger.current(); };
+    hooks.may_give_copy = [this] {
+      const std::size_t most = this->settings.memory_mb * bytes_per_mb / peer_answers_share;
+      return this->peers->waiting_bytes() < most;
+    };
     hooks.take_ledger = [this](const ledger_set& set, const host_id& from) {
       this->ledger.take_set(set, from.get());
     };
@@ -207,6 +232,7 @@
           }
           reply(this->gossip.serve(static_cast<gossip_method>(method), payload));
         });
+    this->peers->limit_waiting_bytes(this->settings.memory_mb * bytes_per_mb / peer_queue_share);
     this->serve_small(this->settings.ready_at, [this](const http::request& ask) {
       return platform_adapter::state_answer(platform_adapter::is_readiness_check(ask) &&
                                             this->ready());
@@ -285,8 +311,9 @@
     set("resident_bytes", resident_bytes().value_or(0));
     set("caller_connections", this->connections);
     set("peer_bytes_waiting", this->peers->waiting_bytes());
-    set("configuration_bytes", this->fleet.configuration_text().size());
+    set("configuration_bytes", this->fleet.configuration_copy().size());
     set("copies_asked", copies.asked);
+    set("copies_put_off", copies.put_off);
     set("copies_taken", copies.taken);
     set("copies_failed", copies.failed);
     set("copies_given", copies.given);
@@ -312,7 +339,7 @@
          {"calls", std::to_string(this->calls.under_way())},
          {"connections", std::to_string(this->connections)},
          {"peer_bytes_waiting", std::to_string(this->peers->waiting_bytes())},
-         {"configuration_bytes", std::to_string(this->fleet.configuration_text().size())},
+         {"configuration_bytes", std::to_string(this->fleet.configuration_copy().size())},
          {"copies_asked", std::to_string(copies.asked)},
          {"copies_failed", std::to_string(copies.failed)},
          {"copies_given", std::to_string(copies.given)}});
@@ -338,11 +365,14 @@
 
   void take_configuration(const object_page& page) {
     for (const auto& item : page.items) {
-      if (item.removed) {
+      // To decode 1 MB takes an eighth of a core some 0.1 s, and it is read each 0.85 s.
+      if (item.removed || item.object.revision <= this->configuration_at) {
         continue;
       }
-      if (const auto config = decode_configuration(item.object.spec)) {
-        this->fleet.offer_configuration(*config, item.object.spec, "store");
+      this->configuration_at = item.object.revision;
+      const auto config = decode_configuration(item.object.spec);
+      if (config && this->fleet.is_newer(*config)) {
+        this->fleet.offer_configuration(*config, net::pack(item.object.spec), "store");
       }
     }
   }
@@ -353,6 +383,7 @@
       tcp::socket socket =
           co_await self->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
       if (error) {
+        co_await http::pause_after_failed_accept(self->context);
         continue;
       }
       asio::co_spawn(self->context, serve_caller(self, std::move(socket)), asio::detached);
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -2,6 +2,7 @@
 #include "hawthornlane/front/peer_gossip.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "hawthornlane/front/relay_choice.h"
 #include "hawthornlane/telemetry/log.h"
@@ -19,12 +20,9 @@
 constexpr int probes_missed = 3;
 constexpr std::chrono::milliseconds probe_slack{100};
 constexpr duration probe_limit = std::chrono::milliseconds(600);
-/// Another host that knows more is asked for it only when it still knows more after
-/// this long: mostly the store's own news are just on their way.
-constexpr auto pull_after = std::chrono::milliseconds(120);
 /// A host that has read the store this lately tells news that nobody else may have.
 constexpr duration just_read = std::chrono::milliseconds(50);
-constexpr duration pull_limit = std::chrono::milliseconds(1000);
+constexpr duration copy_limit = copy_outlet::longest_copy;
 
 /// Nothing when the bytes are none, or the other host knows nothing itself.
 template <class Entry>
@@ -42,14 +40,16 @@
   gossip_digest heard;
   net::steady_time heard_at{};
   bool reachable = true;
-  /// Of this host, not answered yet.
-  int open_pulls = 0;
-  net::steady_time ahead_since = net::never;
 };
 
 peer_gossip::peer_gossip(boost::asio::io_context& io, net::deadline_sweeper& sweep,
                          discovery::fleet_state& state, check_schedule& schedule, gossip_hooks with)
-    : context(io), sweeper(sweep), fleet(state), checks(schedule), hooks(std::move(with)) {}
+    : context(io),
+      sweeper(sweep),
+      fleet(state),
+      checks(schedule),
+      hooks(std::move(with)),
+      intake(schedule.owner()) {}
 
 peer_gossip::~peer_gossip() = default;
 
@@ -92,6 +92,7 @@
 }
 
 void peer_gossip::tick() {
+  this->ask_due();
   const net::steady_time now = steady::now();
   if (now < this->next_probe) {
     return;
@@ -100,11 +101,16 @@
   this->tell_all();
 }
 
+bool peer_gossip::lives(const peer& other) const {
+  return steady::now() - other.heard_at < this->silence();
+}
+
 void peer_gossip::tell_all() {
   const net::steady_time now = steady::now();
   for (const auto& [name, other] : this->peers) {
     if (other->reachable && now - other->heard_at > this->silence()) {
       other->reachable = false;
+      this->intake.forget(name);
       log(event::host_silent, {{"peer", name.get()}});
     }
     this->probe(*other);
@@ -135,19 +141,59 @@
   if (!digest.checked_by.get().empty()) {
     this->checks.checked(digest.checked_by, discovery::scheduler_now() - digest.checked_ago);
   }
+  const gossip_news news = news_in(digest, this->known());
+  const bool from_reader = digest.checked_ago < just_read;
+  for (const copy_kind kind : all_copy_kinds) {
+    this->intake.heard(kind, other.entry.name, news.of(kind), from_reader,
+                       discovery::scheduler_now());
+  }
+  this->ask_due();
+}
+
+void peer_gossip::note_progress() {
   const known_state own = this->known();
-  const gossip_news news = news_in(digest, own);
-  if (!news.any()) {
-    other.ahead_since = net::never;
+  if (own == this->last_known) {
     return;
   }
-  if (other.ahead_since == net::never) {
-    other.ahead_since = now;
+  const known_state before = std::exchange(this->last_known, own);
+  const auto renew = [this](copy_kind kind, bool changed) {
+    if (changed) {
+      this->outlet.renew(kind);
+      this->ready_copies.erase(kind);
+      this->hear_again(kind);
+    }
+  };
+  renew(copy_kind::configuration, own.configuration != before.configuration);
+  renew(copy_kind::backends, own.backends_changed_at != before.backends_changed_at);
+  renew(copy_kind::hosts, own.hosts_at != before.hosts_at);
+  renew(copy_kind::ledger, own.ledger != before.ledger);
+}
+
+void peer_gossip::hear_again(copy_kind kind) {
+  const known_state own = this->known();
+  this->intake.renew(kind);
+  for (const auto& [name, other] : this->peers) {
+    const bool ahead = this->lives(*other) && news_in(other->heard, own).of(kind);
+    this->intake.heard(kind, name, ahead, false, discovery::scheduler_now());
   }
-  const bool lost = !own.configuration || !this->fleet.backends().heard() || !own.ledger;
-  const bool from_reader = digest.checked_ago < just_read;
-  if (other.open_pulls == 0 && (lost || from_reader || now - other.ahead_since >= pull_after)) {
-    this->pull(other, news);
+}
+
+void peer_gossip::ask_due() {
+  this->note_progress();
+  const known_state& own = this->last_known;
+  const bool urgent = !own.configuration || !this->fleet.backends().heard() || !own.ledger;
+  for (const copy_kind kind : all_copy_kinds) {
+    const auto from = this->intake.next(kind, urgent, discovery::scheduler_now());
+    if (!from) {
+      continue;
+    }
+    const auto known = this->peers.find(*from);
+    if (known == this->peers.end()) {
+      this->intake.failed(kind, discovery::scheduler_now());
+      this->intake.forget(*from);
+      continue;
+    }
+    this->ask(*known->second, kind);
   }
 }
 
@@ -168,7 +214,7 @@
   const net::steady_time now = steady::now();
   std::vector<relay_candidate> candidates;
   for (const auto& [name, other] : this->peers) {
-    if (now - other->heard_at < this->silence()) {
+    if (this->lives(*other)) {
       candidates.push_back({name, other->entry.zone, other->heard.disks_reached});
     }
   }
@@ -187,65 +233,87 @@
   const host_id own = this->hooks.self().self.name;
   std::size_t before = 0;
   for (const auto& [name, other] : this->peers) {
-    before += name < own && now - other->heard_at < this->silence() ? 1 : 0;
+    before += name < own && this->lives(*other) ? 1 : 0;
   }
   return before;
 }
 
-void peer_gossip::ask(peer& other, gossip_method method,
-                      std::function<void(const host_id& from, const std::string& bytes)> take) {
-  ++other.open_pulls;
+void peer_gossip::ask(peer& other, copy_kind kind) {
   ++this->counts.asked;
-  const auto weak = std::weak_ptr(this->peers.find(other.entry.name)->second);
-  other.link->call(
-      static_cast<std::uint16_t>(method), "", pull_limit,
-      [this, weak, take = std::move(take)](net::rpc_failure why, const std::string& bytes) {
-        const auto told = weak.lock();
-        if (!told) {
-          return;
-        }
-        --told->open_pulls;
-        if (why != net::rpc_failure::none) {
-          ++this->counts.failed;
-          return;
-        }
-        ++this->counts.taken;
-        this->counts.bytes_taken += bytes.size();
-        take(told->entry.name, bytes);
-      });
+  const copy_request request{kind, this->intake.owner()};
+  other.link->call(static_cast<std::uint16_t>(gossip_method::copy), to_bytes(request), copy_limit,
+                   [this, alive = std::weak_ptr(this->lifetime), from = other.entry.name, kind](
+                       net::rpc_failure why, std::string bytes) {
+                     if (alive.expired()) {
+                       return;
+                     }
+                     if (why != net::rpc_failure::none) {
+                       ++this->counts.failed;
+                       this->intake.failed(kind, discovery::scheduler_now());
+                       return;
+                     }
+                     this->take_answer(from, kind, std::move(bytes));
+                   });
 }
 
-void peer_gossip::pull(peer& other, const gossip_news& news) {
-  if (news.configuration) {
-    this->ask(other, gossip_method::configuration,
-              [this](const host_id& from, const std::string& text) {
-                if (const auto config = this->hooks.decode_configuration(text)) {
-                  this->fleet.offer_configuration(*config, text, from.get());
-                }
-              });
+void peer_gossip::take_answer(const host_id& from, copy_kind kind, std::string bytes) {
+  const auto answer = copy_answer_from(std::move(bytes));
+  if (answer && !answer->copy) {
+    ++this->counts.put_off;
+    this->intake.busy(kind, answer->holders, discovery::scheduler_now());
+    return;
   }
-  if (news.ledger) {
-    this->ask(other, gossip_method::ledger, [this](const host_id& from, const std::string& bytes) {
-      if (const auto set = from_bytes<ledger_set>(bytes)) {
-        this->hooks.take_ledger(*set, from);
-      }
-    });
+  if (!answer || !this->take_copy(from, kind, *answer->copy)) {
+    ++this->counts.failed;
+    this->intake.failed(kind, discovery::scheduler_now());
+    return;
   }
-  if (news.backends) {
-    this->ask(other, gossip_method::backends,
-              [this](const host_id& from, const std::string& bytes) {
-                if (const auto told = snapshot_from<backend_entry>(bytes)) {
-                  this->fleet.list_backends(told->at, told->entries, from.get());
-                }
-              });
+  ++this->counts.taken;
+  this->counts.bytes_taken += answer->copy->size();
+  this->intake.taken(kind);
+  this->hear_again(kind);
+  const auto source = this->peers.find(from);
+  if (source != this->peers.end()) {
+    const copy_request request{kind, this->intake.owner()};
+    source->second->link->call(static_cast<std::uint16_t>(gossip_method::copy_taken),
+                               to_bytes(request), probe_limit,
+                               [](net::rpc_failure, const std::string&) {});
   }
-  if (news.hosts) {
-    this->ask(other, gossip_method::hosts, [this](const host_id&, const std::string& bytes) {
-      if (const auto told = snapshot_from<host_entry>(bytes)) {
+  this->ask_due();
+}
+
+bool peer_gossip::take_copy(const host_id& from, copy_kind kind, const std::string& copy) {
+  switch (kind) {
+    case copy_kind::configuration: {
+      const auto config = this->hooks.decode_configuration(copy);
+      if (config) {
+        this->fleet.offer_configuration(*config, copy, from.get());
+      }
+      return config.has_value();
+    }
+    case copy_kind::backends: {
+      const auto told = snapshot_from<backend_entry>(copy);
+      if (told) {
+        this->fleet.list_backends(told->at, told->entries, from.get());
+      }
+      return told.has_value();
+    }
+    case copy_kind::hosts: {
+      const auto told = snapshot_from<host_entry>(copy);
+      if (told) {
         this->fleet.list_hosts(told->at, told->entries);
       }
-    });
+      return told.has_value();
+    }
+    case copy_kind::ledger: {
+      const auto set = from_bytes<ledger_set>(copy);
+      if (set) {
+        this->hooks.take_ledger(*set, from);
+      }
+      return set.has_value();
+    }
   }
+  return false;
 }
 
 namespace {
@@ -261,6 +329,10 @@
   return to_bytes(snapshot);
 }
 
+bool is_known(copy_kind kind) {
+  return std::find(all_copy_kinds.begin(), all_copy_kinds.end(), kind) != all_copy_kinds.end();
+}
+
 }  // namespace
 
 std::optional<std::string> peer_gossip::serve(gossip_method method, const std::string& payload) {
@@ -278,14 +350,17 @@
       }
       return to_bytes(this->hooks.self());
     }
-    case gossip_method::configuration:
-    case gossip_method::backends:
-    case gossip_method::hosts:
-    case gossip_method::ledger: {
-      auto copy = this->copy_of(method);
-      ++this->counts.given;
-      this->counts.bytes_given += copy ? copy->size() : 0;
-      return copy;
+    case gossip_method::copy: {
+      const auto request = from_bytes<copy_request>(payload);
+      return request && is_known(request->kind) ? this->give_copy(*request) : std::nullopt;
+    }
+    case gossip_method::copy_taken: {
+      const auto request = from_bytes<copy_request>(payload);
+      if (!request || !is_known(request->kind)) {
+        return std::nullopt;
+      }
+      this->outlet.taken(request->kind, request->asker);
+      return "";
     }
     case gossip_method::relay:
     case gossip_method::placements:
@@ -295,28 +370,51 @@
   return std::nullopt;
 }
 
-std::optional<std::string> peer_gossip::copy_of(gossip_method kind) const {
+std::optional<std::string> peer_gossip::give_copy(const copy_request& request) {
+  this->note_progress();
+  const auto& copy = this->ready_copy(request.kind);
+  if (!copy) {
+    return std::nullopt;
+  }
+  const timestamp now = discovery::scheduler_now();
+  if (!this->hooks.may_give_copy() ||
+      !this->outlet.begin(request.kind, request.asker, copy->size(), now)) {
+    return to_answer_bytes({std::nullopt, this->outlet.holders(request.kind)});
+  }
+  ++this->counts.given;
+  this->counts.bytes_given += copy->size();
+  return to_answer_bytes({copy, {}});
+}
+
+const std::optional<std::string>& peer_gossip::ready_copy(copy_kind kind) {
+  const auto known = this->ready_copies.find(kind);
+  if (known != this->ready_copies.end()) {
+    return known->second;
+  }
+  return this->ready_copies[kind] = this->copy_of(kind);
+}
+
+std::optional<std::string> peer_gossip::copy_of(copy_kind kind) const {
   switch (kind) {
-    case gossip_method::configuration:
-      return this->fleet.configuration_text();
-    case gossip_method::backends:
+    case copy_kind::configuration:
+      return this->fleet.table() ? std::optional(this->fleet.configuration_copy()) : std::nullopt;
+    case copy_kind::backends:
       return snapshot_bytes(this->fleet.backends());
-    case gossip_method::hosts:
+    case copy_kind::hosts:
       return snapshot_bytes(this->fleet.hosts());
-    case gossip_method::ledger: {
+    case copy_kind::ledger: {
       const auto set = this->hooks.ledger();
       return set ? std::optional(to_bytes(*set)) : std::nullopt;
     }
-    default:
-      return std::nullopt;
   }
+  return std::nullopt;
 }
 
 std::vector<host_entry> peer_gossip::ready_hosts() const {
   const net::steady_time now = steady::now();
   std::vector<host_entry> ready;
   for (const auto& [name, other] : this->peers) {
-    if (other->heard.ready && !other->heard.leaving && now - other->heard_at < this->silence()) {
+    if (other->heard.ready && !other->heard.leaving && this->lives(*other)) {
       ready.push_back(other->entry);
     }
   }
@@ -327,7 +425,7 @@
   const net::steady_time now = steady::now();
   std::vector<host_id> hosts;
   for (const auto& [name, other] : this->peers) {
-    if (now - other->heard_at < this->silence() && !other->heard.leaving) {
+    if (this->lives(*other) && !other->heard.leaving) {
       hosts.push_back(name);
     }
   }
@@ -349,7 +447,7 @@
   const net::steady_time now = steady::now();
   std::vector<service_demand> all;
   for (const auto& [name, other] : this->peers) {
-    if (now - other->heard_at < this->silence()) {
+    if (this->lives(*other)) {
       all.insert(all.end(), other->heard.demand.begin(), other->heard.demand.end());
     }
   }
