--- a/libs/net/src/packing.cc
+++ b/libs/net/src/packing.cc
@@ -6,8 +6,8 @@
 namespace hawthornlane::net {
 namespace {
 
-/// Fast: a configuration of 1 MB takes some milliseconds of a core and has a twentieth
-/// of its bytes; higher levels take several times as long for a few bytes in a hundred.
+/// Fast: 800 KB of routes take 1.5 ms of a core and become 33 KB (one run of a small
+/// program around `pack`).
 constexpr int level = 1;
 
 }  // namespace
