Room for the ports of a soak with 40 front hosts

Cause: two soaks with 24 front hosts that start side by side take 126 ports each out of neighbouring ranges of 100, so hosts ended with status 1 on a port in use. Change: 80 ranges of 250 ports in the same span in place of 200 of 100.

--- a/scenarios/test_caller.cc
+++ b/scenarios/test_caller.cc
@@ -45,8 +45,9 @@
 // the use.
 std::uint16_t free_port() {
   constexpr int first = 10'000;
-  constexpr int ranges = 200;
-  constexpr int range_size = 100;
+  constexpr int ranges = 80;
+  // A soak of 40 front hosts takes 206 ports.
+  constexpr int range_size = 250;
   static int next = first + ::getpid() % ranges * range_size;
   while (true) {
     asio::io_context context;
