Fault soak: the configuration grows, and memory and links have limits

Cause: the soak could not see front hosts that copy a large configuration to each other without bound: it had five routes, looked at no process's memory, and links had no rate. Change: beside all other faults, and without a change to any seed's other faults, the configuration grows in steps (--routes) while a backend server leaves each 0.5 s. No process may pass its memory limit (front hosts 88 MB, disk hosts 130 MB; VmHWM each 100 ms, before a kill and at the end; printed for each kind).

--- a/scenarios/child_process.cc
+++ b/scenarios/child_process.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <system_error>
 
 namespace hawthornlane::scenarios {
@@ -63,4 +64,16 @@
   return this->ended;
 }
 
+std::optional<std::uint64_t> child_process::peak_memory_kb() const {
+  constexpr std::string_view label = "VmHWM:";
+  std::ifstream file("/proc/" + std::to_string(this->id) + "/status");
+  std::string line;
+  while (!this->ended && std::getline(file, line)) {
+    if (line.starts_with(label)) {
+      return std::stoull(line.substr(label.size()));
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace hawthornlane::scenarios
--- a/scenarios/child_process.h
+++ b/scenarios/child_process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,9 @@
   [[nodiscard]] bool running();
   /// How it ended, as `waitpid` tells it; nothing while it runs.
   [[nodiscard]] std::optional<int> status();
+  /// The most memory that it has had resident so far, KB of 1024 bytes; nothing once
+  /// it has ended.
+  [[nodiscard]] std::optional<std::uint64_t> peak_memory_kb() const;
 
 private:
   void reap(bool wait);
--- a/scenarios/fault_proxy.cc
+++ b/scenarios/fault_proxy.cc
@@ -1,6 +1,7 @@
 // A TCP forwarder on loopback that harms the connections it carries.
 #include "fault_proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -23,6 +24,9 @@
 constexpr std::size_t batch_size = std::size_t{16} * 1024;
 /// How often a held batch looks whether it may go on.
 constexpr std::chrono::milliseconds look_pause{5};
+/// What the kernel takes from a target behind a slow link before the target has to
+/// keep the rest, bytes.
+constexpr int slow_link_window = 64 * 1024;
 
 asio::awaitable<void> pause(std::chrono::milliseconds time) {
   asio::steady_timer timer(co_await asio::this_coro::executor, time);
@@ -58,6 +62,10 @@
   tcp::endpoint target;
   tcp::acceptor acceptor;
   link_fault fault;
+  /// Bytes a second back from the target; 0: no limit.
+  std::uint64_t rate = 0;
+  /// When the slow link has carried all that was given to it.
+  std::chrono::steady_clock::time_point carried_at;
   std::vector<std::weak_ptr<carried>> links;
 
   static asio::awaitable<void> accept(std::shared_ptr<state> self) {
@@ -76,6 +84,10 @@
   static asio::awaitable<void> carry(std::shared_ptr<state> self, std::shared_ptr<carried> link) {
     error_code error = asio::error::connection_refused;
     if (!self->fault.refuse) {
+      link->far_side.open(self->target.protocol(), error);
+      if (self->rate > 0) {
+        link->far_side.set_option(asio::socket_base::receive_buffer_size(slow_link_window), error);
+      }
       co_await link->far_side.async_connect(self->target,
                                             asio::redirect_error(asio::use_awaitable, error));
     }
@@ -95,6 +107,18 @@
     return forward ? this->fault.hold_forward : this->fault.hold_back;
   }
 
+  /// Waits until the slow link has carried these bytes after all before them.
+  static asio::awaitable<void> carry_slowly(std::shared_ptr<state> self, std::size_t bytes) {
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> takes(static_cast<double>(bytes) /
+                                              static_cast<double>(self->rate));
+    self->carried_at = std::max(self->carried_at, now) +
+                       std::chrono::duration_cast<std::chrono::steady_clock::duration>(takes);
+    asio::steady_timer timer(self->context, self->carried_at);
+    error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+
   /// Carries one direction until it ends.
   static asio::awaitable<void> pump(std::shared_ptr<state> self, std::shared_ptr<carried> link,
                                     bool forward) {
@@ -105,6 +129,9 @@
     while (!error) {
       const std::size_t got = co_await from.async_read_some(
           asio::buffer(batch), asio::redirect_error(asio::use_awaitable, error));
+      if (self->rate > 0 && !forward) {
+        co_await carry_slowly(self, got);
+      }
       if (self->fault.delay.count() > 0) {
         co_await pause(self->fault.delay);
       }
@@ -153,6 +180,8 @@
 
 void fault_proxy::set_fault(const link_fault& fault) { this->shared->fault = fault; }
 
+void fault_proxy::limit_rate(std::uint64_t bytes_a_second) { this->shared->rate = bytes_a_second; }
+
 void fault_proxy::reset_connections() {
   for (const auto& item : this->shared->links) {
     if (const auto link = item.lock()) {
--- a/scenarios/fault_proxy.h
+++ b/scenarios/fault_proxy.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 
 #include "hawthornlane/http/message.h"
@@ -32,6 +33,9 @@
   /// Where to connect in place of the target.
   [[nodiscard]] http::endpoint where() const;
   void set_fault(const link_fault& fault);
+  /// What all connections together carry back from the target, bytes a second, as if
+  /// the target's link were that slow. For connections from now on; 0: no limit.
+  void limit_rate(std::uint64_t bytes_a_second);
   /// Resets every connection that is open now, on both sides.
   void reset_connections();
   /// Connections that are open now carry nothing any more and stay open; new ones work.
--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -24,17 +24,19 @@
     R"(hawthornlane-fault-soak: the platform's programs as processes under random faults.
 
 Usage:
-  hawthornlane-fault-soak --programs DIR [--seed N] [--seeds N] [--seconds N] [--fronts N]
-                          [--callers N] [--keep DIR]
-  hawthornlane-fault-soak --programs DIR --seed-file FILE [--seconds N] [--keep DIR]
+  hawthornlane-fault-soak --programs DIR [options]
 
 Options:
   --programs DIR    Where hawthornlane-front and hawthornlane-disk are.
   --seed N          First seed [default: 1].
   --seeds N         How many seeds, one after the other [default: 1].
-  --seed-file FILE  Seeds to run, one a line; words after the number are a comment.
+  --seed-file FILE  Seeds to run instead, one a line; words after the number are a comment.
   --seconds N       How long faults come in each run [default: 20].
   --fronts N        Front hosts [default: 4].
+  --routes N        Routes that the configuration grows by in steps, up to 4000, which make
+                    it 0.9 MB large; 0: it does not grow [default: 1500].
+  --link-mbps N     What each front host can send to other hosts, Mbit/s; 0: no limit
+                    [default: 0].
   --callers N       Callers at once [default: 16].
   --keep DIR        Where logs of a run that failed are kept [default: run/fault-soak].
 )";
@@ -117,6 +119,12 @@
     for (const auto& [status, count] : this->checker.statuses()) {
       fmt::print(" {}x{}", status, count);
     }
+    this->fleet.look_at_memory();
+    constexpr std::uint64_t percent = 100;
+    for (const auto& [kind, use] : this->checker.memory()) {
+      fmt::print("; {} hosts up to {} MB, {}% of the limit", kind, use.peak_kb / kb_each_mb,
+                 use.peak_kb * percent / use.limit_kb);
+    }
     fmt::print("; {} faults; {}\n", this->faults.history().size(),
                this->checker.broken().empty() ? "promises kept" : "BROKEN");
     if (this->checker.broken().empty()) {
@@ -181,6 +189,9 @@
   options.keep = arguments.at("--keep").asString();
   options.lasts = std::chrono::seconds(std::stoi(arguments.at("--seconds").asString()));
   options.size.fronts = std::stoi(arguments.at("--fronts").asString());
+  options.size.routes = std::stoi(arguments.at("--routes").asString());
+  constexpr std::uint64_t bytes_each_mbit = 125'000;
+  options.size.link_rate = std::stoull(arguments.at("--link-mbps").asString()) * bytes_each_mbit;
   options.callers = std::stoi(arguments.at("--callers").asString());
   int failed = 0;
   int passed = 0;
--- a/scenarios/promise_checker.cc
+++ b/scenarios/promise_checker.cc
@@ -121,6 +121,18 @@
   }
 }
 
+void promise_checker::on_memory(const std::string& kind, const std::string& process,
+                                memory_use use) {
+  memory_use& most = this->largest.try_emplace(kind, use).first->second;
+  if (use.peak_kb * most.limit_kb > most.peak_kb * use.limit_kb) {
+    most = use;
+  }
+  if (use.peak_kb > use.limit_kb && this->too_large.insert(process).second) {
+    this->note(
+        fmt::format("{} has had {} KB of memory, at most {}", process, use.peak_kb, use.limit_kb));
+  }
+}
+
 void promise_checker::check_success(const known_call& call, const call_result& result) {
   const std::string& id = call.sent.request.id;
   const std::string seal = result.header("X-Response-Seal").value_or("");
--- a/scenarios/promise_checker.h
+++ b/scenarios/promise_checker.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,16 @@
   bool route_is_certain = true;
 };
 
+inline constexpr std::uint64_t kb_each_mb = 1024;
+
+/// Resident memory, KB of 1024 bytes.
+struct memory_use {
+  std::uint64_t peak_kb = 0;
+  std::uint64_t limit_kb = 0;
+
+  friend bool operator==(const memory_use&, const memory_use&) = default;
+};
+
 /// Collects broken promises. Knows no network and no clock.
 class promise_checker {
 public:
@@ -47,12 +58,16 @@
   /// The caller has its answer, or what there is of it. `calm`: nothing was harmed
   /// from some seconds before the call to its end.
   void on_answer(const std::string& id, const call_result& result, bool calm);
+  /// What a process of that kind has had at most so far, and what it may have.
+  void on_memory(const std::string& kind, const std::string& process, memory_use use);
   /// Something else that was promised does not hold.
   void note(const std::string& what);
 
   [[nodiscard]] const std::vector<std::string>& broken() const { return this->found; }
   /// How often calls ended with each status; 0: without an answer.
   [[nodiscard]] const std::map<int, std::uint64_t>& statuses() const { return this->counts; }
+  /// The process of each kind that came nearest to its limit.
+  [[nodiscard]] const std::map<std::string, memory_use>& memory() const { return this->largest; }
   [[nodiscard]] int runs(const std::string& id) const;
 
 private:
@@ -69,6 +84,9 @@
   std::map<std::string, known_call> calls;
   std::map<std::string, int> tokens;
   std::map<int, std::uint64_t> counts;
+  std::map<std::string, memory_use> largest;
+  /// Processes that were noted as over their limit.
+  std::set<std::string> too_large;
   std::vector<std::string> found;
 };
 
--- a/scenarios/promise_checker_test.cc
+++ b/scenarios/promise_checker_test.cc
@@ -76,6 +76,9 @@
       checker.on_answer("r1", result, calm);
     };
   };
+  const auto grows_to = [](memory_use use) {
+    return [use](promise_checker& checker) { checker.on_memory("front", "front-1/1", use); };
+  };
   const sent_call once = plain_call();
   const sent_call safe = plain_call(repetition::idempotent);
   const sent_call turn = turn_call();
@@ -126,6 +129,20 @@
          }
        },
        1},
+      {"a process at its limit", grows_to({100, 100}), 0},
+      {"a process over its limit", grows_to({101, 100}), 1},
+      {"a process that stays over its limit, noted once",
+       [grows_to](promise_checker& checker) {
+         grows_to({101, 100})(checker);
+         grows_to({102, 100})(checker);
+       },
+       1},
+      {"two processes over their limits",
+       [grows_to](promise_checker& checker) {
+         grows_to({101, 100})(checker);
+         checker.on_memory("front", "front-1/2", {101, 100});
+       },
+       2},
   };
   for (const row& item : rows) {
     INFO(item.what);
@@ -134,3 +151,14 @@
     CHECK(checker.broken().size() == item.broken);
   }
 }
+
+TEST_CASE("the checker tells the process of each kind that came nearest to its limit") {
+  promise_checker checker;
+  checker.on_memory("front", "front-0/1", {50, 100});
+  checker.on_memory("front", "front-1/1", {70, 100});
+  checker.on_memory("front", "front-1/2", {60, 100});
+  checker.on_memory("front", "front-2/1", {80, 200});
+  checker.on_memory("disk", "disk-0/1", {90, 300});
+  const std::map<std::string, memory_use> nearest{{"front", {70, 100}}, {"disk", {90, 300}}};
+  CHECK(checker.memory() == nearest);
+}
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -311,14 +311,7 @@
   --this->under_way;
 }
 
-asio::awaitable<void> soak_callers::verify(bool& done) {
-  caller who(this->context, this->sweeper, this->random());
-  const int version = this->fleet.configure();
-  soak_backend& leaving = this->fleet.backends.back();
-  this->fleet.list(leaving, true);
-  constexpr auto in_force_within = 2s;
-  co_await pause(in_force_within);
-  const std::size_t arrivals = leaving.server->arrivals().size();
+asio::awaitable<void> soak_callers::verify_in_force(caller& who, int version, const char* when) {
   for (const soak_host& host : this->fleet.fronts) {
     who.addresses = {http::to_string(host.callers->where())};
     who.addresses_until = steady::now() + 10s;
@@ -327,10 +320,22 @@
     call.repeats = repetition::idempotent;
     const call_result result = co_await this->call(who, call, 2);
     if (result.status != 200) {
-      this->promises.note(
-          fmt::format("{} answers {} on the newest route", host.name, result.status));
+      this->promises.note(fmt::format("{} answers {} on the route of version {}, {}", host.name,
+                                      result.status, version, when));
     }
   }
+}
+
+asio::awaitable<void> soak_callers::verify(bool& done) {
+  caller who(this->context, this->sweeper, this->random());
+  co_await this->verify_in_force(who, this->fleet.version(), "the last one before the faults' end");
+  const int version = this->fleet.configure();
+  soak_backend& leaving = this->fleet.backends.back();
+  this->fleet.list(leaving, true);
+  constexpr auto in_force_within = 2s;
+  co_await pause(in_force_within);
+  const std::size_t arrivals = leaving.server->arrivals().size();
+  co_await this->verify_in_force(who, version, "2 s after it was written");
   if (leaving.server->arrivals().size() != arrivals) {
     this->promises.note("a leaving server got a new request after 2 s");
   }
--- a/scenarios/soak_callers.h
+++ b/scenarios/soak_callers.h
@@ -51,6 +51,8 @@
   boost::asio::awaitable<void> run_budgeted(caller& who);
   boost::asio::awaitable<void> run_tools(caller& who, int calls);
   boost::asio::awaitable<void> probe_configuration();
+  /// Notes each front host that does not serve that version's route.
+  boost::asio::awaitable<void> verify_in_force(caller& who, int version, const char* when);
   /// Sends a call until it is answered with success, or `tries` are used up.
   boost::asio::awaitable<call_result> call(caller& who, sent_call what, int tries);
   boost::asio::awaitable<call_result> attempt(caller& who, const sent_call& what);
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -29,7 +29,7 @@
 }  // namespace
 
 soak_faults::soak_faults(soak_fleet& deployment, std::uint64_t seed)
-    : fleet(deployment), random(seed), began(steady::now()) {
+    : fleet(deployment), random(seed), began(steady::now()), growth_random(seed) {
   const std::vector<fault_kind> groups[] = {this->process_faults(), this->link_faults(),
                                             this->outside_faults(), this->planned_work()};
   for (const std::vector<fault_kind>& group : groups) {
@@ -239,6 +239,36 @@
   };
 }
 
+void soak_faults::note(net::steady_time now, const std::string& what) {
+  const std::chrono::duration<double> since = now - this->began;
+  this->lines.push_back(fmt::format("{:6.2f} s {}", since.count(), what));
+}
+
+void soak_faults::grow(net::steady_time now) {
+  if (now < this->next_growth) {
+    return;
+  }
+  constexpr int last_step = 8;
+  const auto below = [this](std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->growth_random);
+  };
+  // A server leaves at each step; the configuration changes at each second one.
+  ++this->growth_step;
+  if (this->growth_step % 2 == 0) {
+    this->fleet.grow(static_cast<double>(this->growth_step) / last_step);
+  }
+  this->fleet.replace_backend(this->fleet.backends[below(this->fleet.backends.size())]);
+  if (this->growth_step == 1) {
+    ++this->begun["the configuration grows"];
+    this->note(now, "the configuration grows");
+  }
+  this->next_growth = now + 500ms;
+  if (this->growth_step == last_step) {
+    this->growth_step = 0;
+    this->next_growth += std::chrono::milliseconds(below(4000));
+  }
+}
+
 void soak_faults::begin_one(net::steady_time now) {
   std::vector<const fault_kind*> choice;
   for (const fault_kind& kind : this->kinds) {
@@ -252,9 +282,7 @@
   }
   const fault_kind& kind = *choice[this->below(choice.size())];
   const auto lasts = kind.planned ? std::chrono::milliseconds(grace) : this->between(200, 5000);
-  this->lines.push_back(fmt::format("{:6.2f} s {} ({} ms)",
-                                    std::chrono::duration<double>(now - this->began).count(),
-                                    kind.name, lasts.count()));
+  this->note(now, fmt::format("{} ({} ms)", kind.name, lasts.count()));
   ++this->begun[kind.name];
   this->active.push_back({kind.name, kind.planned, now + lasts, kind.begin()});
 }
@@ -280,6 +308,9 @@
   if (this->ended) {
     return;
   }
+  if (this->fleet.grows()) {
+    this->grow(now);
+  }
   if (now >= this->spell_ends) {
     this->planned_spell = this->below(3) == 0;
     this->spell_ends = now + this->between(4000, 9000);
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -51,6 +51,9 @@
   void end_due(net::steady_time now);
   /// A random fault for a link, set at the proxy until undone.
   undo harm(fault_proxy& proxy);
+  /// Goes on with the configuration's growth, or begins one anew.
+  void grow(net::steady_time now);
+  void note(net::steady_time now, const std::string& what);
   undo script(const std::shared_ptr<stand_ins::act_script>& acts);
   undo freeze(soak_host& host);
   soak_host& any(std::vector<soak_host>& hosts);
@@ -67,6 +70,11 @@
   net::steady_time began;
   net::steady_time harmed_until{};
   bool ended = false;
+  /// Growth comes beside all else; with a source of its own, so that a seed's other
+  /// faults are the same whatever it does.
+  std::mt19937_64 growth_random;
+  net::steady_time next_growth{};
+  int growth_step = 0;
   std::map<std::string, std::uint64_t> begun;
   std::vector<std::string> lines;
 };
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -30,6 +30,14 @@
 address = {}
 )";
 
+/// As the smallest front hosts and as disk hosts have, MB.
+constexpr std::uint64_t front_memory_mb = 88;
+constexpr std::uint64_t disk_memory_mb = 130;
+/// Between two looks at the memory of all processes.
+constexpr auto memory_pause = std::chrono::milliseconds(100);
+/// Availability zones that hosts of a kind are spread over.
+constexpr int zones = 4;
+
 http::endpoint fresh_endpoint() { return {loopback, free_port()}; }
 
 /// A write that had not been synced when the power went.
@@ -54,7 +62,11 @@
 
 soak_fleet::soak_fleet(boost::asio::io_context& io, const fs::path& programs, fs::path into,
                        fleet_size size, promise_checker& checker)
-    : context(io), sweeper(io), folder(std::move(into)), promises(checker) {
+    : context(io),
+      sweeper(io),
+      folder(std::move(into)),
+      promises(checker),
+      most_routes(size.routes) {
   fs::create_directories(this->folder);
   this->platform = std::make_unique<stand_ins::object_platform>(io, http::endpoint{loopback, 0});
   for (int number = 0; number < size.engines; ++number) {
@@ -69,6 +81,7 @@
   }
   for (int number = 0; number < size.fronts; ++number) {
     this->add_front(number, programs / "hawthornlane-front");
+    this->fronts.back().peers->limit_rate(size.link_rate);
   }
 }
 
@@ -77,13 +90,16 @@
 soak_host soak_fleet::make_host(const std::string& name, int number, const fs::path& program) {
   soak_host host;
   host.name = name;
+  host.kind = name.substr(0, name.find('-'));
   host.command = {program.string(), "--config", (this->folder / (name + ".ini")).string()};
   const http::endpoint peers_at = fresh_endpoint();
   host.peers = std::make_unique<fault_proxy>(this->context, peers_at);
   host.store = std::make_unique<fault_proxy>(this->context, this->platform->where());
-  const bool is_disk = name.starts_with("disk");
+  const bool is_disk = host.kind == "disk";
+  host.memory_mb = is_disk ? disk_memory_mb : front_memory_mb;
+  const std::string limit = is_disk ? "" : fmt::format("memory_mb = {}\n", host.memory_mb);
   std::ofstream file(host.command.back());
-  file << fmt::format(settings_of_every_host, name, number, is_disk ? "" : "memory_mb = 110\n",
+  file << fmt::format(settings_of_every_host, name, number % zones, limit,
                       http::to_string(peers_at), http::to_string(host.peers->where()),
                       http::to_string(fresh_endpoint()), http::to_string(host.store->where()));
   return host;
@@ -124,8 +140,27 @@
       std::make_unique<child_process>(host.command, (this->folder / (host.name + ".log")).string());
 }
 
+void soak_fleet::look_at_memory(const soak_host& host) {
+  if (const auto peak = host.process->peak_memory_kb()) {
+    this->promises.on_memory(host.kind, fmt::format("{}/{}", host.name, host.incarnation),
+                             {*peak, host.memory_mb * kb_each_mb});
+  }
+}
+
+void soak_fleet::look_at_memory() {
+  for (const std::vector<soak_host>* group : {&this->fronts, &this->disks}) {
+    for (const soak_host& host : *group) {
+      this->look_at_memory(host);
+    }
+  }
+}
+
 void soak_fleet::look_after_processes() {
   const net::steady_time now = steady::now();
+  if (now >= this->next_look) {
+    this->next_look = now + memory_pause;
+    this->look_at_memory();
+  }
   for (std::vector<soak_host>* group : {&this->fronts, &this->disks}) {
     for (soak_host& host : *group) {
       const auto status = host.process->status();
@@ -146,6 +181,7 @@
 void soak_fleet::kill(soak_host& host, std::chrono::milliseconds down) {
   host.end_expected = true;
   host.start_again = steady::now() + down;
+  this->look_at_memory(host);
   host.process->kill();
 }
 
@@ -188,11 +224,24 @@
                   R"("timeout-ms":1500,"service":"apps","max-attempts":2,"priority":2}},)",
                   this->newest);
   constexpr std::string_view routes = "\"routes\":[";
-  text.insert(text.find(routes) + routes.size(), route);
+  text.insert(text.find(routes) + routes.size(), route + this->grown);
   this->platform->put("config", "main", text);
   return this->newest;
 }
 
+void soak_fleet::grow(double share) {
+  constexpr int host_names = 20;
+  this->grown.clear();
+  for (int number = 0; number < static_cast<int>(share * this->most_routes); ++number) {
+    this->grown += fmt::format(
+        R"({{"name":"grown-{0:04}","host":"tenant-{1:02}.example","path-prefix":"/grown/{0:04}/",)"
+        R"("kind":"safe","timeout-ms":1500,"target-latency-ms":400,"gap-aim-ms":100,)"
+        R"("service":"apps","max-attempts":2,"priority":2,"kept":false,"retain-s":60}},)",
+        number, number % host_names);
+  }
+  this->configure();
+}
+
 soak_backend soak_fleet::make_backend(const std::string& service) {
   soak_backend made;
   made.service = service;
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -26,11 +26,20 @@
   int disks = 3;
   int engines = 3;
   int apps = 3;
+  /// Routes that the configuration grows by; 4000 make it 0.9 MB large.
+  int routes = 1500;
+  /// What each front host's link carries from it to other hosts, bytes a second; 0: no
+  /// limit.
+  std::uint64_t link_rate = 0;
 };
 
 /// One host: its process, and the proxies before it.
 struct soak_host {
   std::string name;
+  /// "front" or "disk".
+  std::string kind;
+  /// What its settings allow, or for a disk host what the platform does, MB.
+  std::uint64_t memory_mb = 0;
   std::vector<std::string> command;
   std::filesystem::path data_folder;
   std::unique_ptr<fault_proxy> peers;
@@ -68,6 +77,8 @@
 
   /// Starts hosts whose process has ended, and notes ends that nobody caused.
   void look_after_processes();
+  /// Tells the checker how large the processes are.
+  void look_at_memory();
   void kill(soak_host& host, std::chrono::milliseconds down);
   /// A planned stop; the host starts again once it has ended.
   void stop(soak_host& host, std::chrono::milliseconds down);
@@ -81,6 +92,9 @@
   /// Writes the next configuration; returns its version.
   int configure();
   [[nodiscard]] int version() const { return this->newest; }
+  /// Writes the next configuration, with that share of the routes that it grows by.
+  void grow(double share);
+  [[nodiscard]] bool grows() const { return this->most_routes > 0; }
   void list(const soak_backend& backend, bool draining);
   /// A backend server leaves as planned, and another one takes its place.
   void replace_backend(soak_backend& backend);
@@ -99,6 +113,7 @@
   void add_front(int number, const std::filesystem::path& program);
   void add_disk(int number, const std::filesystem::path& program);
   void start(soak_host& host);
+  void look_at_memory(const soak_host& host);
 
   boost::asio::io_context& context;
   net::deadline_sweeper sweeper;
@@ -108,6 +123,11 @@
   /// Servers that have left; callers may still hold connections to them.
   std::vector<soak_backend> left;
   int newest = 0;
+  /// What the configuration grows by at most.
+  int most_routes = 0;
+  /// The routes that the configuration has grown by, as JSON, a comma after each.
+  std::string grown;
+  net::steady_time next_look{};
   int backends_made = 0;
 };
 
