A backend server that starts again under its id is taken as a new one

Cause: a server may start again under the id that it had and then holds and knows nothing of before. Everything learnt of a server was kept by its id alone: held lines, calls in flight, the counts of other hosts, doubt, exclusion, and idle connections of the former process.

The registry takes no entry of a former incarnation, in whatever order it comes. A pool forgets a server whose start changed; calls that began at the former incarnation neither count nor teach. The short name of a server between hosts is made of its id and its start, so that loads and lines told of a former incarnation are never found. An idle connection serves only the incarnation to which it was opened. New event 817, backend_restarted.

Hosts of the former format do not read the entries of the new one.

--- a/libs/discovery/src/fleet_state.cc
+++ b/libs/discovery/src/fleet_state.cc
@@ -50,6 +50,9 @@
   const store_revision at = this->servers.at();
   for (const auto& [id, entry] : this->servers.listed()) {
     const auto known = before.find(id);
+    if (known != before.end() && known->second.start != entry.start) {
+      log_backend(event::backend_restarted, entry, at, source);
+    }
     if (known != before.end() && known->second.draining == entry.draining) {
       continue;
     }
--- a/libs/explain/src/request_story.cc
+++ b/libs/explain/src/request_story.cc
@@ -34,7 +34,7 @@
 
 /// Of the servers that a request was offered to, whatever was last said of them.
 constexpr const char* server_events[] = {"backend_listed", "backend_draining", "backend_doubted",
-                                         "backend_gone"};
+                                         "backend_gone", "backend_restarted"};
 
 std::optional<log_time> time_from(const std::string& text) {
   std::tm parts{};
--- a/libs/fleet/include/hawthornlane/fleet/fleet_view.h
+++ b/libs/fleet/include/hawthornlane/fleet/fleet_view.h
@@ -21,6 +21,9 @@
 /// A backend server as it registered itself.
 struct backend_entry {
   backend_server_id id;
+  /// A server that starts again keeps its id, and knows nothing of before. 0: it does not
+  /// say when it started.
+  incarnation start;
   service_name service;
   http::endpoint address;
   availability_zone zone;
@@ -61,7 +64,9 @@
 
 /// A set of entries that follows one kind of object in the store.
 ///
-/// Promises: a state older than the one held is never taken, whoever tells it.
+/// Promises: a state older than the one held is never taken, whoever tells it. An entry of
+/// a backend server's former incarnation changes nothing either: a write of the ended
+/// process may reach the store after those of the new one.
 /// Entries that a listing or an event drops shortly after the store was away are
 /// kept until `doubt_until`, since a live owner writes them again; later a missing
 /// entry counts as gone.
@@ -75,7 +80,7 @@
     }
     std::map<Key, Entry> listed;
     for (const Entry& entry : entries) {
-      listed.emplace(key_of(entry), entry);
+      listed.emplace(key_of(entry), this->newest_of(entry));
     }
     for (const auto& [key, entry] : this->held) {
       if (!listed.contains(key)) {
@@ -98,7 +103,7 @@
     for (const auto& change : changes) {
       const Key key = key_of(change.entry);
       if (!change.removed) {
-        this->held[key] = change.entry;
+        this->held[key] = this->newest_of(change.entry);
         this->doubtful.erase(key);
         continue;
       }
@@ -135,6 +140,21 @@
 private:
   static Key key_of(const backend_entry& entry) { return entry.id; }
   static Key key_of(const host_entry& entry) { return entry.name; }
+  static bool is_outdated(const backend_entry& told, const backend_entry& known) {
+    return told.start < known.start;
+  }
+  /// A host's start is by its own clock, which may be set back between two starts.
+  static bool is_outdated(const host_entry& /*told*/, const host_entry& /*known*/) { return false; }
+  /// The entry told, or the one known of a later incarnation.
+  [[nodiscard]] Entry newest_of(const Entry& told) const {
+    for (const auto* known : {&this->held, &this->doubtful}) {
+      const auto found = known->find(key_of(told));
+      if (found != known->end() && is_outdated(told, found->second)) {
+        return found->second;
+      }
+    }
+    return told;
+  }
 
   std::map<Key, Entry> held;
   std::map<Key, Entry> doubtful;
--- a/libs/fleet/test/fleet_test.cc
+++ b/libs/fleet/test/fleet_test.cc
@@ -18,9 +18,10 @@
   return item;
 }
 
-backend_entry server(const std::string& id, bool draining = false) {
+backend_entry server(const std::string& id, bool draining = false, std::uint64_t start = 0) {
   backend_entry entry;
   entry.id = backend_server_id(id);
+  entry.start = incarnation(start);
   entry.draining = draining;
   return entry;
 }
@@ -83,6 +84,61 @@
   CHECK(servers.listed().begin()->second.draining);
 }
 
+TEST_CASE("an entry of a former incarnation changes nothing, in whatever order it comes") {
+  struct row {
+    const char* what;
+    std::uint64_t known;
+    std::uint64_t told;
+    std::uint64_t believed;
+  };
+  const row rows[] = {
+      {"it started again", 100, 200, 200},
+      {"the former process's write comes late", 200, 100, 200},
+      {"the same process tells more", 200, 200, 200},
+      {"servers that do not say when they started", 0, 0, 0},
+      {"a server that says so from now on", 0, 200, 200},
+  };
+  const auto told_as = GENERATE("listing", "change", "listing after it lapsed");
+  for (const row& item : rows) {
+    INFO(told_as << ": " << item.what);
+    backend_registry servers;
+    servers.apply_listing(store_revision(10), {server("s1", false, item.known)}, at(0s));
+    const backend_entry entry = server("s1", true, item.told);
+    if (std::string(told_as) == "change") {
+      CHECK(servers.apply_changes(store_revision(11), {{entry, false}}, at(1s)));
+    } else if (std::string(told_as) == "listing") {
+      CHECK(servers.apply_listing(store_revision(11), {entry}, at(1s)));
+    } else {
+      servers.doubt_removals_until(at(9s));
+      servers.apply_listing(store_revision(11), {}, at(1s));
+      CHECK(servers.apply_listing(store_revision(12), {entry}, at(2s)));
+    }
+    REQUIRE(servers.listed().size() == 1);
+    const backend_entry& believed = servers.listed().begin()->second;
+    CHECK(believed.start == incarnation(item.believed));
+    CHECK(believed.draining == (item.told >= item.known));
+  }
+}
+
+TEST_CASE("a snapshot from a host that knows less does not bring a former incarnation back") {
+  backend_registry servers;
+  servers.apply_listing(store_revision(20), {server("s1", false, 200)}, at(0s));
+  CHECK_FALSE(servers.apply_listing(store_revision(19), {server("s1", false, 100)}, at(1s)));
+  CHECK(servers.apply_listing(store_revision(20), {server("s1", false, 100)}, at(1s)));
+  CHECK(servers.listed().begin()->second.start == incarnation(200));
+}
+
+TEST_CASE("a host whose clock was set back is believed when it starts again") {
+  host_registry hosts;
+  host_entry entry;
+  entry.name = host_id("h");
+  entry.start = incarnation(200);
+  hosts.apply_listing(store_revision(1), {entry}, at(0s));
+  entry.start = incarnation(100);
+  hosts.apply_listing(store_revision(2), {entry}, at(1s));
+  CHECK(hosts.listed().begin()->second.start == incarnation(100));
+}
+
 TEST_CASE("an entry that lapsed while the store was away is kept until the doubt ends") {
   backend_registry servers;
   servers.apply_listing(store_revision(10), {server("s1"), server("s2")}, at(0s));
--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -24,7 +24,8 @@
 }
 template <class Archive>
 void serialize(Archive& archive, backend_entry& entry) {
-  archive(entry.id, entry.service, entry.address, entry.zone, entry.slots, entry.draining);
+  archive(entry.id, entry.start, entry.service, entry.address, entry.zone, entry.slots,
+          entry.draining);
 }
 }  // namespace hawthornlane
 
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -375,6 +375,7 @@
   terms.last_event = one.last_event ? one.last_event : one.terms.last_event;
   relay::backend_request request;
   request.where = server.address;
+  request.server_start = server.start;
   request.method = one.request.method;
   request.target = one.request.target;
   request.headers = this->codec.dispatch_headers(one.request, terms);
--- a/libs/front/test/directory_exchange_test.cc
+++ b/libs/front/test/directory_exchange_test.cc
@@ -99,6 +99,17 @@
   CHECK(answer.locations.front() == location);
 }
 
+TEST_CASE("what was told of a former incarnation is not answered for the new one") {
+  exchange_network network(3);
+  const backend_server_id id("s1");
+  const server_key former = server_key_of(id, incarnation(100));
+  network.tell(0, {{{former, 5}}, {}});
+  const server_key restarted = server_key_of(id, incarnation(200));
+  const directory_answer answer = network.ask(2, {{restarted}, {}});
+  REQUIRE(answer.loads.size() == 1);
+  CHECK(answer.loads.front() == server_load{restarted, 0});
+}
+
 TEST_CASE("a line that nobody told of is not answered") {
   exchange_network network(3);
   CHECK(network.ask(1, {{}, {line}}).locations.empty());
--- a/libs/front/test/gossip_messages_test.cc
+++ b/libs/front/test/gossip_messages_test.cc
@@ -58,3 +58,19 @@
     CHECK_FALSE(from_bytes<gossip_digest>(whole.substr(0, length)));
   }
 }
+
+TEST_CASE("each field of a backend server's entry arrives") {
+  backend_entry sent;
+  sent.id = backend_server_id("s1");
+  sent.start = incarnation(1'790'000'000'123);
+  sent.service = service_name("models");
+  sent.address = {"10.0.0.9", 8080};
+  sent.zone = availability_zone("a");
+  sent.slots = 12;
+  sent.draining = true;
+  const registry_snapshot<backend_entry> snapshot{store_revision(5), {sent}};
+  const auto read = from_bytes<registry_snapshot<backend_entry>>(to_bytes(snapshot));
+  REQUIRE(read);
+  CHECK(read->at == store_revision(5));
+  CHECK(read->entries == std::vector<backend_entry>{sent});
+}
--- a/libs/placement/include/hawthornlane/placement/placement_directory.h
+++ b/libs/placement/include/hawthornlane/placement/placement_directory.h
@@ -15,9 +15,10 @@
 
 namespace hawthornlane {
 
-/// Short name of a server between hosts; unlike its id it takes four bytes.
+/// Short name of one incarnation of a server between hosts; unlike its id it takes four
+/// bytes. What hosts told of another incarnation is under another key and never found.
 using server_key = strong_value<struct server_key_tag, std::uint32_t>;
-server_key server_key_of(const backend_server_id& server);
+server_key server_key_of(const backend_server_id& server, incarnation start = {});
 
 /// Calls at one server.
 struct server_load {
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -119,7 +119,7 @@
 
   [[nodiscard]] std::size_t waiting() const { return this->queue.size(); }
   /// Calls at servers and waiting for one.
-  [[nodiscard]] std::size_t demand() const { return this->queue.size() + this->running.size(); }
+  [[nodiscard]] std::size_t demand() const { return this->queue.size() + this->calls_inside(); }
   /// Servers that get nothing for now after failures.
   [[nodiscard]] std::set<backend_server_id> excluded(timestamp now) const;
   /// Servers that get nothing, or nothing while others are free, because of how calls
@@ -134,7 +134,7 @@
     backend_entry entry;
     /// What hosts call it between themselves.
     server_key key;
-    /// Invariant: equals the entries of `running` for this server.
+    /// Invariant: equals the entries of `running` for this incarnation of the server.
     std::uint32_t inside = 0;
     /// Calls of other hosts when they were last heard of.
     double others = 0;
@@ -147,6 +147,7 @@
   /// A call at a server.
   struct running_call {
     backend_server_id server;
+    incarnation server_start;
     std::uint64_t kind = 0;
     /// It has a prompt: other hosts want to know of it.
     bool is_shared = false;
@@ -174,8 +175,14 @@
   [[nodiscard]] bool holds_line(const server_state& server, const placement_request& request) const;
   [[nodiscard]] placement_basis basis_of(const server_state& server,
                                          const placement_request& request, timestamp now) const;
-  /// Nothing: unknown here, or of another service.
+  /// Nothing: unknown here, of another service, or of a former incarnation.
   [[nodiscard]] server_state* find_server(server_key key);
+  /// The call's server; nothing when that has started again since.
+  [[nodiscard]] server_state* server_of(const running_call& call);
+  /// The server has started again: nothing known of it before counts.
+  void forget_incarnation(server_state& server);
+  /// Calls at servers; those at former incarnations have no place there any more.
+  [[nodiscard]] std::size_t calls_inside() const;
   /// Calls of all hosts at the server now, as well as this host can tell.
   [[nodiscard]] double calls_at(const server_state& server, timestamp now) const;
   void note_prompt(const placement_request& request, const server_state& server);
@@ -199,7 +206,7 @@
   prefix_cache_view caches;
   /// Not told yet: where lines went, and servers at which this host's count has changed.
   std::vector<part_location> moved;
-  std::set<backend_server_id> changed;
+  std::set<server_key> changed;
   /// Calls that may be at servers while places are scarce; nothing: as many as fit.
   std::optional<std::uint32_t> window;
   /// Makes the order in which this host prefers equally busy servers its own.
--- a/libs/placement/src/placement_directory.cc
+++ b/libs/placement/src/placement_directory.cc
@@ -7,8 +7,10 @@
 
 namespace hawthornlane {
 
-server_key server_key_of(const backend_server_id& server) {
-  return server_key(XXH32(server.get().data(), server.get().size(), 0));
+server_key server_key_of(const backend_server_id& server, incarnation start) {
+  const std::uint64_t number = start.get();
+  const std::uint32_t seed = number == 0 ? 0 : XXH32(&number, sizeof(number), 0);
+  return server_key(XXH32(server.get().data(), server.get().size(), seed));
 }
 
 void placement_directory::set_load(const host_id& host, const server_load& load, timestamp now) {
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -42,7 +42,7 @@
 
 server_pool::server_state* server_pool::choose(const placement_request& request, timestamp now) {
   // A call that a server has refused must find another one soon.
-  if (this->window && this->running.size() >= *this->window && request.tried.empty()) {
+  if (this->window && this->calls_inside() >= *this->window && request.tried.empty()) {
     return nullptr;
   }
   server_state* trusted = this->choose_among(request, choice_range::trusted, now);
@@ -58,7 +58,7 @@
     this->note_prompt(request, server);
   }
   ++server.inside;
-  this->running[request.id] = {server.entry.id, request.kind, is_shared, now};
+  this->running[request.id] = {server.entry.id, server.entry.start, request.kind, is_shared, now};
   placed.push_back(std::move(chosen));
 }
 
@@ -86,8 +86,12 @@
     server.listed = false;
   }
   for (const backend_entry& entry : entries) {
-    server_state& server = this->servers[entry.id];
-    server.key = server_key_of(entry.id);
+    const auto [found, is_new] = this->servers.try_emplace(entry.id);
+    server_state& server = found->second;
+    if (!is_new && server.entry.start != entry.start) {
+      this->forget_incarnation(server);
+    }
+    server.key = server_key_of(entry.id, entry.start);
     server.entry = entry;
     server.listed = true;
   }
@@ -101,6 +105,30 @@
   return this->fill(now);
 }
 
+void server_pool::forget_incarnation(server_state& server) {
+  if (server.inside > 0) {
+    // Other hosts still count these calls.
+    this->changed.insert(server.key);
+  }
+  this->caches.forget(server.entry.id);
+  server = {};
+}
+
+server_pool::server_state* server_pool::server_of(const running_call& call) {
+  const auto found = this->servers.find(call.server);
+  const bool same_process =
+      found != this->servers.end() && found->second.entry.start == call.server_start;
+  return same_process ? &found->second : nullptr;
+}
+
+std::size_t server_pool::calls_inside() const {
+  std::size_t sum = 0;
+  for (const auto& [id, server] : this->servers) {
+    sum += server.inside;
+  }
+  return sum;
+}
+
 submit_outcome server_pool::submit(const placement_request& request, timestamp now,
                                    std::vector<placement>& placed) {
   if (server_state* server = this->choose(request, now)) {
@@ -124,14 +152,14 @@
 void server_pool::note_time(const running_call& call, bool lower_bound, timestamp now) {
   const duration took = std::chrono::duration_cast<duration>(now - call.since);
   const pace_sample sample = this->usual.compare(call.kind, took, lower_bound);
-  const auto server = this->servers.find(call.server);
-  if (server == this->servers.end()) {
+  server_state* server = this->server_of(call);
+  if (server == nullptr) {
     return;
   }
   if (lower_bound) {
-    server->second.health.hold_pace(sample, this->rules.health, now);
+    server->health.hold_pace(sample, this->rules.health, now);
   } else {
-    server->second.health.note_pace(sample, this->rules.health, now);
+    server->health.note_pace(sample, this->rules.health, now);
   }
 }
 
@@ -163,22 +191,26 @@
   if (found == this->running.end()) {
     return {};
   }
-  const auto server = this->servers.find(found->second.server);
+  const running_call call = found->second;
+  this->running.erase(found);
   const bool answered =
       outcome == server_outcome::answered || outcome == server_outcome::error_answer;
   const bool never_ran =
       outcome == server_outcome::refused || outcome == server_outcome::unreachable;
-  if (!found->second.timed && !never_ran) {
-    this->note_time(found->second, !answered, now);
+  if (!call.timed && !never_ran) {
+    this->note_time(call, !answered, now);
   }
-  if (found->second.is_shared) {
-    this->changed.insert(server->first);
+  server_state* server = this->server_of(call);
+  if (server == nullptr) {
+    return this->fill(now);
   }
-  this->running.erase(found);
-  --server->second.inside;
-  server->second.health.note(outcome, this->rules.health, now);
-  if (!server->second.listed && server->second.inside == 0) {
-    this->servers.erase(server);
+  if (call.is_shared) {
+    this->changed.insert(server->key);
+  }
+  --server->inside;
+  server->health.note(outcome, this->rules.health, now);
+  if (!server->listed && server->inside == 0) {
+    this->servers.erase(call.server);
   }
   return this->fill(now);
 }
--- a/libs/placement/src/server_pool_choice.cc
+++ b/libs/placement/src/server_pool_choice.cc
@@ -151,7 +151,7 @@
     this->moved.push_back({line.key, server.key, line.tokens});
   }
   this->caches.note(request.prompt, server.entry.id);
-  this->changed.insert(server.entry.id);
+  this->changed.insert(server.key);
 }
 
 directory_question server_pool::question_for(const placement_request& request,
@@ -195,10 +195,9 @@
 
 directory_update server_pool::take_update() {
   directory_update update;
-  for (const backend_server_id& id : this->changed) {
-    const auto found = this->servers.find(id);
-    const std::uint32_t calls = found == this->servers.end() ? 0 : found->second.inside;
-    update.loads.push_back({server_key_of(id), calls});
+  for (const server_key key : this->changed) {
+    const server_state* server = this->find_server(key);
+    update.loads.push_back({key, server == nullptr ? 0 : server->inside});
   }
   this->changed.clear();
   update.locations = std::move(this->moved);
--- a/libs/placement/test/server_pool_test.cc
+++ b/libs/placement/test/server_pool_test.cc
@@ -278,3 +278,120 @@
   REQUIRE(placed.size() == 1);
   CHECK(placed.front().id == begun.id);
 }
+
+namespace {
+
+/// One server as it registers itself after a start.
+std::vector<backend_entry> started(std::uint64_t start) {
+  backend_entry entry = server("a");
+  entry.start = incarnation(start);
+  return {entry};
+}
+
+}  // namespace
+
+TEST_CASE("what a server holds is believed of the incarnation that read it") {
+  struct row {
+    const char* what;
+    std::uint64_t told_of;
+    std::uint64_t listed;
+    bool believed;
+  };
+  const row rows[] = {
+      {"the same process", 100, 100, true},
+      {"it has started again", 100, 200, false},
+      {"another host has heard of the start earlier", 200, 200, true},
+      {"servers that do not say when they started", 0, 0, true},
+  };
+  const auto source = GENERATE("this host's own calls", "another host's");
+  for (const row& item : rows) {
+    INFO(source << ": " << item.what);
+    pool_fixture pool(started(item.told_of));
+    if (std::string(source) == "this host's own calls") {
+      pool.submit(turn(1, {piece(1, 500), piece(2, 400)}));
+      pool.pool.finished(placement_id(1), server_outcome::answered, at(1s));
+      pool.pool.set_servers(started(item.listed), at(1s));
+    } else {
+      pool.pool.set_servers(started(item.listed), at(1s));
+      const server_key key = server_key_of(backend_server_id("a"), incarnation(item.told_of));
+      pool.pool.note_location({prompt_part_key(2), key, token_count(400)});
+      pool.pool.note_load({key, 7}, at(1s));
+    }
+    pool.submit(turn(2, {piece(1, 500), piece(2, 400)}));
+    REQUIRE(pool.placed.size() == 1);
+    CHECK(pool.placed.front().basis->holds_line == item.believed);
+    CHECK(pool.placed.front().basis->missing_tokens == token_count(item.believed ? 0 : 900));
+    if (std::string(source) == "another host's") {
+      CHECK(pool.placed.front().basis->calls == (item.believed ? 7 : 0));
+    }
+  }
+}
+
+TEST_CASE("a server that has started again is not doubted for what it was before") {
+  const auto outcome = GENERATE(server_outcome::failed, server_outcome::unreachable);
+  pool_fixture pool(started(100));
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    pool.submit(call(id));
+  }
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    pool.pool.finished(placement_id(id), outcome, at(1s));
+  }
+  REQUIRE(pool.pool.set_aside(at(1s)).size() == 1);
+  pool.pool.set_servers(started(200), at(1s));
+  CHECK(pool.pool.set_aside(at(1s)).empty());
+  CHECK(pool.submit(call(3)) == submit_outcome::placed);
+}
+
+TEST_CASE("a call at a former incarnation takes no place at the new one and teaches it nothing") {
+  pool_fixture pool(started(100));
+  pool.submit(call(1));
+  pool.submit(call(2));
+  REQUIRE(pool.submit(call(3)) == submit_outcome::queued);
+  const auto placed = pool.pool.set_servers(started(200), at(1s));
+  REQUIRE(placed.size() == 1);
+  CHECK(placed.front().server.start == incarnation(200));
+  CHECK(pool.pool.demand() == 1);
+
+  SECTION("its failure does not exclude the new one, nor free a place there twice") {
+    pool.pool.finished(placement_id(1), server_outcome::unreachable, at(1s));
+    pool.pool.finished(placement_id(2), server_outcome::failed, at(1s));
+    CHECK(pool.pool.set_aside(at(1s)).empty());
+    CHECK(pool.submit(call(4)) == submit_outcome::placed);
+    CHECK(pool.submit(call(5)) == submit_outcome::queued);
+  }
+  SECTION("a late answer of it does not make the new one slow") {
+    pool.pool.finished(placement_id(3), server_outcome::answered, at(1100ms));
+    pool.pool.started(placement_id(1), at(9s));
+    pool.pool.finished(placement_id(1), server_outcome::answered, at(9s));
+    CHECK(pool.pool.set_aside(at(9s)).empty());
+  }
+  SECTION("it may end after the server is gone") {
+    pool.pool.finished(placement_id(3), server_outcome::answered, at(1s));
+    pool.pool.set_servers({}, at(1s));
+    CHECK(pool.pool.finished(placement_id(1), server_outcome::failed, at(1s)).empty());
+    CHECK(pool.pool.demand() == 0);
+  }
+  SECTION("places that are shared out are not used up by it") {
+    pool.pool.set_window(2, at(1s));
+    CHECK(pool.submit(call(4)) == submit_outcome::placed);
+  }
+}
+
+TEST_CASE("other hosts hear that calls at a former incarnation count no more") {
+  pool_fixture pool(started(100));
+  pool.submit(turn(1, {piece(1, 500), piece(2, 400)}));
+  const server_key former = server_key_of(backend_server_id("a"), incarnation(100));
+  CHECK(pool.pool.take_update().loads == std::vector<server_load>{{former, 1}});
+  pool.pool.set_servers(started(200), at(1s));
+  CHECK(pool.pool.own_loads().empty());
+  CHECK(pool.pool.take_update().loads == std::vector<server_load>{{former, 0}});
+}
+
+TEST_CASE("an entry that changes while its server goes on keeps what is known of it") {
+  pool_fixture pool(started(100));
+  pool.submit(call(1));
+  std::vector<backend_entry> changed = started(100);
+  changed.front().slots = 1;
+  pool.pool.set_servers(changed, at(1s));
+  CHECK(pool.pool.demand() == 1);
+}
--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -49,6 +49,8 @@
 /// One call as it is sent to one server.
 struct backend_request {
   http::endpoint where;
+  /// Of the server that is meant. A connection to its former incarnation leads nowhere.
+  incarnation server_start;
   std::string method;
   std::string target;
   std::vector<http::header> headers;
@@ -104,10 +106,10 @@
   struct link;
   using link_ptr = std::unique_ptr<link>;
 
-  link_ptr take_idle(const http::endpoint& where, bool repeatable);
+  link_ptr take_idle(const backend_request& request);
   boost::asio::awaitable<link_ptr> obtain(const backend_request& request, try_handle& handle,
                                           std::string& detail);
-  void keep(const http::endpoint& where, link_ptr used);
+  void keep(const backend_request& request, link_ptr used);
   boost::asio::awaitable<try_outcome> exchange(link& used, const backend_request& request,
                                                const stream_sink& sink, backend_answer& answer,
                                                std::string& detail);
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -77,6 +77,7 @@
   std::string buffer;
   net::steady_time idle_since;
   net::steady_time usable_until;
+  incarnation server_start;
   bool reused = false;
   /// Set by the writer; a try that ends before the body was sent spoils the connection.
   bool sent = false;
@@ -141,8 +142,8 @@
 
 backend_pool::~backend_pool() = default;
 
-backend_pool::link_ptr backend_pool::take_idle(const http::endpoint& where, bool repeatable) {
-  const auto found = this->idle.find(where);
+backend_pool::link_ptr backend_pool::take_idle(const backend_request& request) {
+  const auto found = this->idle.find(request.where);
   if (found == this->idle.end()) {
     return nullptr;
   }
@@ -151,8 +152,10 @@
   while (!links.empty()) {
     link_ptr candidate = std::move(links.back());
     links.pop_back();
-    const bool fresh = repeatable || now - candidate->idle_since < longest_idle_once;
-    if (fresh && now < candidate->usable_until && !candidate->socket.spoiled_while_idle()) {
+    const bool same_process = candidate->server_start == request.server_start;
+    const bool fresh = request.repeatable || now - candidate->idle_since < longest_idle_once;
+    if (same_process && fresh && now < candidate->usable_until &&
+        !candidate->socket.spoiled_while_idle()) {
       candidate->reused = true;
       return candidate;
     }
@@ -160,12 +163,13 @@
   return nullptr;
 }
 
-void backend_pool::keep(const http::endpoint& where, link_ptr used) {
-  auto& links = this->idle[where];
+void backend_pool::keep(const backend_request& request, link_ptr used) {
+  auto& links = this->idle[request.where];
   if (links.size() >= most_idle) {
     return;
   }
   used->idle_since = std::chrono::steady_clock::now();
+  used->server_start = request.server_start;
   links.push_back(std::move(used));
 }
 
@@ -182,7 +186,7 @@
 asio::awaitable<backend_pool::link_ptr> backend_pool::obtain(const backend_request& request,
                                                              try_handle& handle,
                                                              std::string& detail) {
-  link_ptr used = this->take_idle(request.where, request.repeatable);
+  link_ptr used = this->take_idle(request);
   if (used) {
     ++this->counts.reused;
     handle.socket = &used->socket;
@@ -234,7 +238,7 @@
   }
   const bool complete = outcome == try_outcome::whole || outcome == try_outcome::not_run;
   if (complete && current.reusable && current.sent && current.buffer.empty()) {
-    this->keep(request.where, std::move(*alive));
+    this->keep(request, std::move(*alive));
   } else {
     current.socket.close(!complete);
   }
--- a/libs/telemetry/include/hawthornlane/telemetry/log.h
+++ b/libs/telemetry/include/hawthornlane/telemetry/log.h
@@ -51,6 +51,7 @@
   backend_set_aside = 814,
   backend_trusted = 815,
   places_shared = 816,
+  backend_restarted = 817,
   host_reachable = 820,
   host_silent = 821,
   settings_reread = 830,
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -81,6 +81,8 @@
     event_entry{places_shared, "places_shared", info,
                 "places at a service's servers became scarce, and hosts keep to their part of "
                 "them, or are so no more"},
+    event_entry{backend_restarted, "backend_restarted", info,
+                "a backend server started again under its id; nothing known of it before counts"},
     event_entry{host_reachable, "host_reachable", info, "another host answers"},
     event_entry{host_silent, "host_silent", warning, "another host does not answer"},
     event_entry{settings_reread, "settings_reread", info, "the settings file was read again"},
--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <sstream>
 #include <thread>
 
 #include "hawthornlane/http/client.h"
@@ -298,4 +299,23 @@
   this->platform->put("servers", server.instance(), entry);
 }
 
+void deployment::restart_backend(stand_ins::scripted_backend& server, const std::string& service,
+                                 std::uint64_t born) {
+  std::string entry = server.entry(service, "z0");
+  entry.insert(1, fmt::format(R"("born":{},)", born));
+  this->platform->put("servers", server.instance(), entry);
+}
+
+std::optional<double> deployment::metric(int front, const std::string& name) {
+  std::istringstream page(this->get(this->front_settings_of(front).metrics_at, "/metrics").body);
+  std::string known;
+  double value = 0;
+  while (page >> known >> value) {
+    if (known == name) {
+      return value;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace hawthornlane::scenarios
--- a/scenarios/deployment.h
+++ b/scenarios/deployment.h
@@ -72,6 +72,11 @@
   void configure(int version, const std::string& replace = "", const std::string& by = "");
   void list_backend(stand_ins::scripted_backend& server, const std::string& service,
                     bool draining = false);
+  /// The server starts again under its id; `born` in Unix milliseconds.
+  void restart_backend(stand_ins::scripted_backend& server, const std::string& service,
+                       std::uint64_t born);
+  /// A value of that front host's metrics page; nothing when it has none of that name.
+  [[nodiscard]] std::optional<double> metric(int front, const std::string& name);
 
   stand_ins::object_platform& store() { return *this->platform; }
   std::shared_ptr<stand_ins::act_script> engine_acts = std::make_shared<stand_ins::act_script>();
--- a/scenarios/deployment_test.cc
+++ b/scenarios/deployment_test.cc
@@ -337,6 +337,35 @@
   CHECK(all.apps[0]->arrivals().size() == before);
 }
 
+TEST_CASE("a server that starts again under its id is used as a new one") {
+  deployment all({1, 3, 1, 1});
+  REQUIRE(is_up(all));
+  // The fifth failure in a row leaves the server out for 4 s, longer than a call waits.
+  all.app_acts->set({backend_act::garble});
+  int attempt = 0;
+  for (int number = 0; number < 5; ++number) {
+    REQUIRE(all.run_until([&all, &attempt] {
+      return all.call(0, plain("/once/x", "f-" + std::to_string(++attempt))).status == 502;
+    }));
+  }
+  all.app_acts->set({backend_act::answer});
+  all.restart_backend(*all.apps[0], "apps", 1'790'000'000'000);
+  all.run_for(1500ms);
+  const call_result restarted = all.call(0, plain("/safe/x", "restarted"));
+  CHECK(restarted.status == 200);
+  CHECK(restarted.took < 500ms);
+
+  const auto opened = all.metric(0, "backend_connections_opened");
+  REQUIRE(opened);
+  CHECK(all.call(0, plain("/safe/x", "kept")).status == 200);
+  CHECK(all.metric(0, "backend_connections_opened") == *opened);
+  // The connection that this call left leads to the former process from now on.
+  all.restart_backend(*all.apps[0], "apps", 1'790'000'001'000);
+  all.run_for(1500ms);
+  CHECK(all.call(0, plain("/safe/x", "again")).status == 200);
+  CHECK(all.metric(0, "backend_connections_opened") == *opened + 1);
+}
+
 TEST_CASE("an address that another server has now runs nothing there") {
   deployment all({1, 3, 1, 2});
   REQUIRE(is_up(all));
