An entry of the store that cannot be read counts as absent; the others hold

Cause: entries may come from another writer. One item without metadata made a whole listing unreadable, and so did bytes or a depth that no reader takes: no host heard of a change any more.

A configuration is read from `main` only, and one that cannot be read leaves the one in force. Services that no configuration names take no memory in the placer.

--- a/libs/discovery/include/hawthornlane/discovery/registration.h
+++ b/libs/discovery/include/hawthornlane/discovery/registration.h
@@ -3,8 +3,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <string>
 #include <vector>
 
+#include "hawthornlane/discovery/object_faults.h"
 #include "hawthornlane/fleet/fleet_view.h"
 #include "hawthornlane/platform_adapter/store_client.h"
 
@@ -19,11 +21,21 @@
                                              platform_adapter::store_client& store,
                                              host_entry self);
 
-/// The entries of a page; what cannot be read is logged and left out.
-std::vector<entry_change<host_entry>> host_changes_of(const platform_adapter::object_page& page);
-std::vector<host_entry> host_entries_of(const platform_adapter::object_page& page);
-std::vector<entry_change<backend_entry>> backend_changes_of(
-    const platform_adapter::object_page& page);
-std::vector<backend_entry> backend_entries_of(const platform_adapter::object_page& page);
+/// The entries of a page. What cannot be read counts as absent, and `faults` tells of it.
+std::vector<entry_change<host_entry>> host_changes_of(const platform_adapter::object_page& page,
+                                                      object_faults& faults);
+std::vector<host_entry> host_entries_of(const platform_adapter::object_page& page,
+                                        object_faults& faults);
+std::vector<backend_entry> backend_entries_of(const platform_adapter::object_page& page,
+                                              object_faults& faults);
+
+/// A configuration, and its text as the store holds it.
+struct stored_configuration {
+  configuration config;
+  std::string text;
+};
+/// At most one; nothing when it cannot be read, and then the one in force stays.
+std::vector<stored_configuration> configurations_of(const platform_adapter::object_page& page,
+                                                    object_faults& faults);
 
 }  // namespace hawthornlane::discovery
--- a/libs/discovery/src/registration.cc
+++ b/libs/discovery/src/registration.cc
@@ -5,8 +5,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "hawthornlane/telemetry/log.h"
-
 namespace hawthornlane::discovery {
 namespace asio = boost::asio;
 using platform_adapter::object_kind;
@@ -29,25 +27,32 @@
 }
 
 template <class Entry, class Decoder>
-std::vector<entry_change<Entry>> changes_of(const object_page& page, Decoder decode) {
+std::vector<entry_change<Entry>> changes_of(const object_page& page, object_kind kind,
+                                            Decoder decode, object_faults& faults) {
   std::vector<entry_change<Entry>> changes;
+  std::vector<platform_adapter::object_fault> found = page.faults;
   for (const auto& item : page.items) {
-    if (platform_adapter::is_ledger_object(item.object)) {
+    const platform_adapter::stored_object& object = item.object;
+    failure reason;
+    if (platform_adapter::is_ledger_object(object)) {
+      if (!item.removed && !platform_adapter::ledger_set_from(object, reason)) {
+        found.push_back({object.name, object.revision, reason.detail});
+      }
       continue;
     }
     if (item.removed) {
       // What is left of a removed object may lack its fields; its name is enough.
-      changes.push_back({named<Entry>(item.object.name), true});
+      changes.push_back({named<Entry>(object.name), true});
       continue;
     }
-    failure reason;
-    if (auto entry = decode(item.object, reason)) {
+    if (auto entry = decode(object, reason)) {
       changes.push_back({std::move(*entry), false});
       continue;
     }
-    log(event::platform_unreachable,
-        {{"detail", "object " + item.object.name + ": " + reason.detail}});
+    found.push_back({object.name, object.revision, reason.detail});
+    changes.push_back({named<Entry>(object.name), true});
   }
+  faults.note(kind, found);
   return changes;
 }
 
@@ -98,20 +103,39 @@
   }
 }
 
-std::vector<entry_change<host_entry>> host_changes_of(const object_page& page) {
-  return changes_of<host_entry>(page, platform_adapter::host_entry_from);
+std::vector<entry_change<host_entry>> host_changes_of(const object_page& page,
+                                                      object_faults& faults) {
+  return changes_of<host_entry>(page, object_kind::hosts, platform_adapter::host_entry_from,
+                                faults);
 }
 
-std::vector<host_entry> host_entries_of(const object_page& page) {
-  return entries_of(host_changes_of(page));
+std::vector<host_entry> host_entries_of(const object_page& page, object_faults& faults) {
+  return entries_of(host_changes_of(page, faults));
 }
 
-std::vector<entry_change<backend_entry>> backend_changes_of(const object_page& page) {
-  return changes_of<backend_entry>(page, platform_adapter::backend_entry_from);
+std::vector<backend_entry> backend_entries_of(const object_page& page, object_faults& faults) {
+  return entries_of(changes_of<backend_entry>(page, object_kind::backend_servers,
+                                              platform_adapter::backend_entry_from, faults));
 }
 
-std::vector<backend_entry> backend_entries_of(const object_page& page) {
-  return entries_of(backend_changes_of(page));
+std::vector<stored_configuration> configurations_of(const object_page& page,
+                                                    object_faults& faults) {
+  std::vector<stored_configuration> configurations;
+  std::vector<platform_adapter::object_fault> found = page.faults;
+  for (const auto& item : page.items) {
+    const platform_adapter::stored_object& object = item.object;
+    if (item.removed || object.name != platform_adapter::configuration_object_name) {
+      continue;
+    }
+    failure reason;
+    if (auto config = platform_adapter::configuration_from(object, reason)) {
+      configurations.push_back({std::move(*config), object.spec});
+    } else {
+      found.push_back({object.name, object.revision, reason.detail});
+    }
+  }
+  faults.note(object_kind::configuration, found);
+  return configurations;
 }
 
 }  // namespace hawthornlane::discovery
--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -81,6 +81,7 @@
   std::vector<std::unique_ptr<discovery::store_follower>> followers;
   std::map<host_id, peer> peers;
   host_entry self;
+  discovery::object_faults faults;
   std::optional<ledger_set> set;
   store_revision set_revision;
   /// Hosts to be emptied, and since when this host knows.
@@ -150,6 +151,7 @@
     add("log_bytes", this->ledger.log_bytes());
     add("set_epoch", this->set ? this->set->epoch.get() : 0);
     add("fence", this->ledger.held().fenced_at().get());
+    add("store_objects_malformed", this->faults.count());
     add("store_reads", this->store.counters().reads);
     add("store_watches", this->store.counters().watches);
     add("store_writes", this->store.counters().writes);
@@ -164,12 +166,12 @@
     };
     hosts.on_listing = [this](const object_page& page) {
       this->take_set(page);
-      this->fleet.list_hosts(page.at, discovery::host_entries_of(page));
+      this->fleet.list_hosts(page.at, discovery::host_entries_of(page, this->faults));
       this->refresh_peers();
     };
     hosts.on_changes = [this](const object_page& page) {
       this->take_set(page);
-      this->fleet.change_hosts(page.at, discovery::host_changes_of(page));
+      this->fleet.change_hosts(page.at, discovery::host_changes_of(page, this->faults));
       this->refresh_peers();
     };
     this->followers.push_back(std::make_unique<discovery::store_follower>(
@@ -187,6 +189,7 @@
   }
 
   void take_retirements(const object_page& page) {
+    std::vector<platform_adapter::object_fault> found = page.faults;
     for (const auto& item : page.items) {
       const host_id name(item.object.name);
       if (item.removed) {
@@ -196,13 +199,14 @@
       failure reason;
       const auto request = platform_adapter::retirement_from(item.object, reason);
       if (!request) {
-        log(event::platform_unreachable, {{"detail", "retirement: " + reason.detail}});
+        found.push_back({item.object.name, item.object.revision, reason.detail});
         continue;
       }
       const auto known = this->retirements.find(name);
       const bool is_new = known == this->retirements.end();
       this->retirements[name] = {*request, is_new ? steady::now() : known->second.since};
     }
+    this->faults.note(object_kind::retirements, found);
   }
 
   void take_set(const object_page& page) {
@@ -214,10 +218,10 @@
   }
 
   void take_set(const platform_adapter::stored_object& object) {
-    failure reason;
-    const auto told = platform_adapter::ledger_set_from(object, reason);
+    // One that cannot be read is told of where the hosts' entries of the page are read.
+    failure ignored;
+    const auto told = platform_adapter::ledger_set_from(object, ignored);
     if (!told) {
-      log(event::platform_unreachable, {{"detail", "ledger set: " + reason.detail}});
       return;
     }
     if (this->set && told->epoch <= this->set->epoch) {
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -69,8 +69,12 @@
 }
 
 void call_placer::refresh_servers() {
+  const route_table_ptr& table = this->fleet.table();
   for (const service_name& name : this->fleet.services_with_backends()) {
-    this->pool_of(name);
+    // Entries may name services that there are not; they get no calls, and no memory here.
+    if (table && table->find_service(name) != nullptr) {
+      this->pool_of(name);
+    }
   }
   for (auto& [name, item] : this->pools) {
     const std::vector<backend_entry> servers = this->fleet.usable_backends(name);
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -99,6 +99,7 @@
   std::unique_ptr<net::rpc_server> peers;
   std::vector<std::unique_ptr<http::server>> small_servers;
   host_entry self;
+  discovery::object_faults faults;
   bool leaving = false;
   net::steady_time leaving_since{};
   bool store_reachable = true;
@@ -258,6 +259,7 @@
     this->metrics.set("store_watches", static_cast<double>(store_counts.watches));
     this->metrics.set("store_writes", static_cast<double>(store_counts.writes));
     this->metrics.set("store_failed", static_cast<double>(store_counts.failed));
+    this->metrics.set("store_objects_malformed", static_cast<double>(this->faults.count()));
     this->metrics.set("backend_connections_opened",
                       static_cast<double>(this->backends.counters().opened));
     this->metrics.set("backend_connections_reused",
@@ -287,13 +289,8 @@
   }
 
   void take_configuration(const object_page& page) {
-    for (const auto& item : page.items) {
-      if (item.removed) {
-        continue;
-      }
-      if (const auto config = decode_configuration(item.object.spec)) {
-        this->fleet.offer_configuration(*config, item.object.spec, "store");
-      }
+    for (const auto& told : discovery::configurations_of(page, this->faults)) {
+      this->fleet.offer_configuration(told.config, told.text, "store");
     }
   }
 
@@ -404,14 +401,15 @@
       good = took(co_await self->store.list(object_kind::backend_servers, page, reason));
     }
     if (good) {
-      self->fleet.list_backends(page.at, discovery::backend_entries_of(page), "store");
+      self->fleet.list_backends(page.at, discovery::backend_entries_of(page, self->faults),
+                                "store");
       const bool hosts_due = !self->fleet.hosts().heard() || steady::now() >= self->next_host_check;
       self->checks.checked(self->self.name, began);
       self->gossip.tell_all();
       if (hosts_due && took(co_await self->store.list(object_kind::hosts, page, reason))) {
         self->next_host_check = steady::now() + host_check_pause;
         self->ledger.take_set(page);
-        self->fleet.list_hosts(page.at, discovery::host_entries_of(page));
+        self->fleet.list_hosts(page.at, discovery::host_entries_of(page, self->faults));
       }
     }
     self->checking = false;
@@ -428,7 +426,7 @@
     if (outcome == platform_adapter::store_outcome::done) {
       self->ledger.take_set(page);
       const store_revision before = self->fleet.hosts().at();
-      self->fleet.list_hosts(page.at, discovery::host_entries_of(page));
+      self->fleet.list_hosts(page.at, discovery::host_entries_of(page, self->faults));
       if (self->fleet.table() && self->fleet.hosts().at() > before) {
         self->gossip.tell_all();
       }
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -127,11 +127,10 @@
     if (item.removed || !platform_adapter::is_ledger_object(item.object)) {
       continue;
     }
-    failure reason;
-    if (const auto told = platform_adapter::ledger_set_from(item.object, reason)) {
+    // One that cannot be read is told of where the hosts' entries of the page are read.
+    failure ignored;
+    if (const auto told = platform_adapter::ledger_set_from(item.object, ignored)) {
       this->take_set(*told, "store");
-    } else {
-      log(event::platform_unreachable, {{"detail", "ledger set: " + reason.detail}});
     }
   }
 }
--- a/libs/telemetry/include/hawthornlane/telemetry/log.h
+++ b/libs/telemetry/include/hawthornlane/telemetry/log.h
@@ -37,6 +37,7 @@
   document_older_ignored = 403,
   platform_unreachable = 500,
   platform_reachable = 501,
+  object_malformed = 502,
   backend_failed = 600,
   backend_excluded = 601,
   backend_restored = 602,
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -54,6 +54,9 @@
                 "the platform's object API does not answer"},
     event_entry{platform_reachable, "platform_reachable", info,
                 "the platform's object API answers again"},
+    event_entry{object_malformed, "object_malformed", warning,
+                "an object of the platform's store cannot be read; it counts as absent, and the "
+                "others hold"},
     event_entry{backend_failed, "backend_failed", warning, "a call to a backend server failed"},
     event_entry{backend_excluded, "backend_excluded", warning,
                 "a backend server gets no new calls for a while"},
--- a/scenarios/deployment_test.cc
+++ b/scenarios/deployment_test.cc
@@ -366,6 +366,43 @@
   CHECK(all.metric(0, "backend_connections_opened") == *opened + 1);
 }
 
+TEST_CASE("entries that cannot be read name no server, and the others serve") {
+  deployment all({1, 3, 1, 1});
+  REQUIRE(is_up(all));
+  const std::string good = all.apps[0]->entry("apps", "z0");
+  all.store().list_raw("servers", R"({"spec":{"service":"apps"}})");
+  all.store().list_raw("servers", "{\"metadata\":{\"name\":\"\xff\",\"revision\":1}}");
+  all.store().list_raw("hawthornlane-hosts", "[[[]]]");
+  all.store().list_raw("config", "17");
+  all.store().put("servers", "no-object", R"(["apps"])");
+  all.store().put("servers", "no-fields", "{}");
+  all.store().put("servers", "no-state",
+                  std::string(good).replace(good.find("ready"), 5, "asleep"));
+  all.store().put("servers", "no-service", std::string(good).replace(good.find("apps"), 4, "none"));
+  all.store().put("hawthornlane-hosts", "front-9", R"({"role":"front"})");
+  all.run_for(1500ms);
+  for (int number = 0; number < 4; ++number) {
+    const std::string id = "e-" + std::to_string(number);
+    CHECK(all.call(0, plain("/once/x", id)).status == 200);
+    CHECK(runs_of(all, id) == 1);
+  }
+  // News go on: each of the listings is still read.
+  all.configure(5, "/safe/", "/new/");
+  all.list_backend(*all.apps[0], "apps", true);
+  all.run_for(1500ms);
+  CHECK(all.call(0, plain("/new/x", "after")).status == 503);
+  all.list_backend(*all.apps[0], "apps");
+  all.run_for(1500ms);
+  CHECK(all.call(0, plain("/new/x", "served")).status == 200);
+  // Two without metadata, three that name no server; and one of the configuration's kind.
+  CHECK(all.metric(0, "store_objects_malformed") >= 6);
+  CHECK(all.metric(0, "store_objects_malformed") <= 8);
+  // A configuration that cannot be read leaves the one in force.
+  all.store().put("config", "main", R"({"version":9,"routes":7})");
+  all.run_for(1500ms);
+  CHECK(all.call(0, plain("/new/x", "in-force")).status == 200);
+}
+
 TEST_CASE("an address that another server has now runs nothing there") {
   deployment all({1, 3, 1, 2});
   REQUIRE(is_up(all));
--- a/stand_ins/include/hawthornlane/stand_ins/object_platform.h
+++ b/stand_ins/include/hawthornlane/stand_ins/object_platform.h
@@ -36,6 +36,8 @@
   void set_deaf_watches(bool deaf);
   /// Writes an object as the operator or a server would; `spec` is JSON.
   void put(const std::string& kind, const std::string& name, const std::string& spec);
+  /// Puts `item` as it is into each listing of the kind, first of all its items.
+  void list_raw(const std::string& kind, const std::string& item);
   void remove(const std::string& kind, const std::string& name);
   /// The spec of an object, or an empty text.
   [[nodiscard]] std::string spec_of(const std::string& kind, const std::string& name) const;
--- a/stand_ins/src/object_platform.cc
+++ b/stand_ins/src/object_platform.cc
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 #include <map>
+#include <string_view>
 #include <vector>
 
 namespace hawthornlane::stand_ins {
@@ -62,6 +63,8 @@
   };
 
   std::map<std::pair<std::string, std::string>, object> objects;
+  /// By kind: what listings hold besides, as it is.
+  std::multimap<std::string, std::string> raw_items;
   std::vector<change> history;
   std::uint64_t revision = 1;
   /// Changes before this are not told any more.
@@ -114,9 +117,15 @@
         items.push_back(as_json(key.second, item));
       }
     }
-    return plain(ok,
-                 json::serialize(json::object{
-                     {"items", std::move(items)}, {"has-more", false}, {"as-of", this->revision}}));
+    std::string body = json::serialize(
+        json::object{{"items", std::move(items)}, {"has-more", false}, {"as-of", this->revision}});
+    const auto raw = this->raw_items.equal_range(kind);
+    for (auto item = raw.first; item != raw.second; ++item) {
+      constexpr std::string_view list = "\"items\":[";
+      const std::size_t begin = body.find(list) + list.size();
+      body.insert(begin, item->second + (body[begin] == ']' ? "" : ","));
+    }
+    return plain(ok, std::move(body));
   }
 
   json::array events_after(const std::string& kind, std::uint64_t from) const {
@@ -268,6 +277,10 @@
   this->shared->write(kind, name, json::parse(spec));
 }
 
+void object_platform::list_raw(const std::string& kind, const std::string& item) {
+  this->shared->raw_items.emplace(kind, item);
+}
+
 void object_platform::remove(const std::string& kind, const std::string& name) {
   this->shared->remove(kind, name);
 }
