--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -114,6 +114,7 @@
   std::unique_ptr<net::rpc_server> peers;
   std::vector<std::unique_ptr<http::server>> small_servers;
   host_entry self;
+  discovery::object_faults faults;
   bool leaving = false;
   net::steady_time leaving_since{};
   /// Revision of the newest configuration that was read from the store itself.
@@ -292,6 +293,7 @@
     this->metrics.set("store_watches", static_cast<double>(store_counts.watches));
     this->metrics.set("store_writes", static_cast<double>(store_counts.writes));
     this->metrics.set("store_failed", static_cast<double>(store_counts.failed));
+    this->metrics.set("store_objects_malformed", static_cast<double>(this->faults.count()));
     this->metrics.set("backend_connections_opened",
                       static_cast<double>(this->backends.counters().opened));
     this->metrics.set("backend_connections_reused",
@@ -364,15 +366,18 @@
   }
 
   void take_configuration(const object_page& page) {
+    store_revision newest;
     for (const auto& item : page.items) {
-      // To decode 1 MB takes an eighth of a core some 0.1 s, and it is read each 0.85 s.
-      if (item.removed || item.object.revision <= this->configuration_at) {
-        continue;
-      }
-      this->configuration_at = item.object.revision;
-      const auto config = decode_configuration(item.object.spec);
-      if (config && this->fleet.is_newer(*config)) {
-        this->fleet.offer_configuration(*config, net::pack(item.object.spec), "store");
+      newest = std::max(newest, item.object.revision);
+    }
+    // To decode 1 MB takes an eighth of a core some 0.1 s, and it is read each 0.85 s.
+    if (newest <= this->configuration_at && page.faults.empty()) {
+      return;
+    }
+    this->configuration_at = newest;
+    for (const auto& told : discovery::configurations_of(page, this->faults)) {
+      if (this->fleet.is_newer(told.config)) {
+        this->fleet.offer_configuration(told.config, net::pack(told.text), "store");
       }
     }
   }
@@ -486,14 +491,15 @@
       good = took(co_await self->store.list(object_kind::backend_servers, page, reason));
     }
     if (good) {
-      self->fleet.list_backends(page.at, discovery::backend_entries_of(page), "store");
+      self->fleet.list_backends(page.at, discovery::backend_entries_of(page, self->faults),
+                                "store");
       const bool hosts_due = !self->fleet.hosts().heard() || steady::now() >= self->next_host_check;
       self->checks.checked(self->self.name, began);
       self->gossip.tell_all();
       if (hosts_due && took(co_await self->store.list(object_kind::hosts, page, reason))) {
         self->next_host_check = steady::now() + host_check_pause;
         self->ledger.take_set(page);
-        self->fleet.list_hosts(page.at, discovery::host_entries_of(page));
+        self->fleet.list_hosts(page.at, discovery::host_entries_of(page, self->faults));
       }
     }
     self->checking = false;
@@ -510,7 +516,7 @@
     if (outcome == platform_adapter::store_outcome::done) {
       self->ledger.take_set(page);
       const store_revision before = self->fleet.hosts().at();
-      self->fleet.list_hosts(page.at, discovery::host_entries_of(page));
+      self->fleet.list_hosts(page.at, discovery::host_entries_of(page, self->faults));
       if (self->fleet.table() && self->fleet.hosts().at() > before) {
         self->gossip.tell_all();
       }
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -54,6 +54,9 @@
                 "the platform's object API does not answer"},
     event_entry{platform_reachable, "platform_reachable", info,
                 "the platform's object API answers again"},
+    event_entry{object_malformed, "object_malformed", warning,
+                "an object of the platform's store cannot be read; it counts as absent, and the "
+                "others hold"},
     event_entry{backend_failed, "backend_failed", warning, "a call to a backend server failed"},
     event_entry{backend_excluded, "backend_excluded", warning,
                 "a backend server gets no new calls for a while"},
@@ -81,6 +84,8 @@
     event_entry{places_shared, "places_shared", info,
                 "places at a service's servers became scarce, and hosts keep to their part of "
                 "them, or are so no more"},
+    event_entry{backend_restarted, "backend_restarted", info,
+                "a backend server started again under its id; nothing known of it before counts"},
     event_entry{host_reachable, "host_reachable", info, "another host answers"},
     event_entry{host_silent, "host_silent", warning, "another host does not answer"},
     event_entry{settings_reread, "settings_reread", info, "the settings file was read again"},
