Tests of replaying a long log segment: one fails, a segment is held whole

A segment of 80 MiB, made in pieces, raises the resident memory of its replay by 87,044,096 bytes (bound in the test 8 MiB): turn_log.cc reads a segment into one string. The others pass on the code as it is and hold what has to stay: records and heads across a mebibyte of the file, the longest record, tails torn about such a border, a changed byte in any record.

--- a/libs/turn_log/test/turn_log_test.cc
+++ b/libs/turn_log/test/turn_log_test.cc
@@ -1,11 +1,14 @@
 // The log after crashes: torn tails, bytes that changed, segments that went.
 #include "hawthornlane/turn_log/turn_log.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <mutex>
 
 #include "scratch_folder.h"
@@ -71,6 +74,33 @@
   CHECK(done.wait_for(last));
 }
 
+constexpr std::size_t mebibyte = std::size_t{1} << 20U;
+/// Length and checksum before each record.
+constexpr std::size_t head_size = 8;
+
+std::string text_of(const std::filesystem::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+/// Bytes of this process that are in memory.
+std::size_t resident_bytes() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t all_pages = 0;
+  std::size_t resident_pages = 0;
+  file >> all_pages >> resident_pages;
+  return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+/// A record that can be told from others of its size.
+std::string record_of(std::size_t size, char mark) {
+  std::string record(size, mark);
+  for (std::size_t at = 0; at < size; at += 61) {
+    record[at] = static_cast<char>(at / 61);
+  }
+  return record;
+}
+
 }  // namespace
 
 TEST_CASE("records come back in order over several openings") {
@@ -138,3 +168,113 @@
       "/nowhere/at/all", [](std::string_view) {}, [](std::uint64_t, bool) {}, found, reason));
   CHECK_FALSE(reason.detail.empty());
 }
+
+TEST_CASE("a long segment is replayed in little memory") {
+  constexpr std::size_t copies = 80;
+  constexpr std::size_t records_a_copy = 16;
+  constexpr std::size_t most_growth = 8 * mebibyte;
+  const scratch_folder folder("turn-log");
+  write(folder,
+        std::vector<std::string>(records_a_copy, record_of(mebibyte / records_a_copy, 'r')));
+  const auto segment = segments_in(folder).front();
+  const std::string text = text_of(segment);
+  {
+    std::ofstream file(segment, std::ios::binary | std::ios::app);
+    for (std::size_t copy = 1; copy < copies; ++copy) {
+      file << text;
+    }
+  }
+  REQUIRE(std::filesystem::file_size(segment) == copies * text.size());
+
+  log_recovery found;
+  failure reason;
+  const std::size_t before = resident_bytes();
+  std::size_t most = before;
+  const auto log = turn_log::open(
+      folder.name(), [&](std::string_view) { most = std::max(most, resident_bytes()); },
+      [](std::uint64_t, bool) {}, found, reason);
+  REQUIRE(log);
+  CHECK(found.records == copies * records_a_copy);
+  CHECK(found.torn_bytes == 0);
+  CHECK(most - before < most_growth);
+}
+
+TEST_CASE("records that lie across a mebibyte of the file come back") {
+  for (std::size_t before = 0; before <= head_size + 2; ++before) {
+    INFO("second record begins " << before << " bytes before the border");
+    const scratch_folder folder("turn-log");
+    const std::vector<std::string> records{record_of(mebibyte - head_size - before, 'a'),
+                                           record_of(700, 'b'), record_of(3 * mebibyte + 5, 'c'),
+                                           record_of(1, 'd'), record_of(mebibyte - 1, 'e')};
+    write(folder, records);
+    log_recovery found;
+    CHECK(read_all(folder, found) == records);
+    CHECK(found.torn_bytes == 0);
+  }
+}
+
+TEST_CASE("the longest record comes back") {
+  const scratch_folder folder("turn-log");
+  const std::vector<std::string> records{"before", record_of(16 * mebibyte, 'l'), "after"};
+  write(folder, records);
+  log_recovery found;
+  CHECK(read_all(folder, found) == records);
+}
+
+TEST_CASE("a tail that is torn about a mebibyte of the file loses only what was torn") {
+  const std::string first = record_of(mebibyte - head_size - 4, 'a');
+  const std::string second = record_of(2 * mebibyte + 20, 'b');
+  for (const std::size_t border : {mebibyte, 2 * mebibyte, 3 * mebibyte}) {
+    for (std::size_t size = border - 10; size <= border + 10; ++size) {
+      INFO("torn after " << size << " bytes");
+      const scratch_folder folder("turn-log");
+      write(folder, {first, second});
+      std::filesystem::resize_file(segments_in(folder).front(), size);
+      log_recovery found;
+      const std::vector<std::string> records = read_all(folder, found);
+      const std::size_t first_end = head_size + first.size();
+      const std::size_t second_end = first_end + head_size + second.size();
+      std::size_t whole = 0;
+      std::vector<std::string> expected;
+      if (size >= first_end) {
+        expected.push_back(first);
+        whole = first_end;
+      }
+      if (size >= second_end) {
+        expected.push_back(second);
+        whole = second_end;
+      }
+      CHECK(records == expected);
+      CHECK(found.torn_bytes == size - whole);
+    }
+  }
+}
+
+TEST_CASE("a changed byte in any mebibyte of a segment drops that record and what follows it") {
+  // Two records of three lie across a border.
+  constexpr std::size_t record_size = 2 * mebibyte / 3;
+  const std::vector<std::string> records(6, record_of(record_size, 'r'));
+  for (std::size_t bad = 0; bad < records.size(); ++bad) {
+    for (const std::size_t place : {std::size_t{0}, std::size_t{3}, std::size_t{5}, head_size,
+                                    head_size + record_size / 2, head_size + record_size - 1}) {
+      INFO("byte " << place << " of record " << bad);
+      const scratch_folder folder("turn-log");
+      write(folder, records);
+      const auto segment = segments_in(folder).front();
+      const auto start = bad * (head_size + record_size);
+      std::fstream file(segment, std::ios::in | std::ios::out | std::ios::binary);
+      file.seekg(static_cast<std::streamoff>(start + place));
+      const int byte = file.get();
+      file.seekp(static_cast<std::streamoff>(start + place));
+      file.put(static_cast<char>(byte ^ 0x55));
+      file.close();
+      write(folder, {"later"});
+      std::vector<std::string> expected(records.begin(),
+                                        records.begin() + static_cast<std::ptrdiff_t>(bad));
+      expected.emplace_back("later");
+      log_recovery found;
+      CHECK(read_all(folder, found) == expected);
+      CHECK(found.torn_bytes == (records.size() - bad) * (head_size + record_size));
+    }
+  }
+}
