Replay a log segment in pieces of a mebibyte

Cause: read_file took a whole segment into one string that doubled as it grew.

Change: segment_reader holds one piece, or one record where that is longer (16 MiB at most, as before), and hands on whole records as it goes. A length beyond the end of the file is seen from the file's size and takes no memory. Tears, checksums and refusals end as they did. A read that a signal interrupts is now repeated in place of failing the start.

--- a/libs/turn_log/include/hawthornlane/turn_log/turn_log.h
+++ b/libs/turn_log/include/hawthornlane/turn_log/turn_log.h
@@ -35,8 +35,8 @@
   /// failed, after which nothing more is acknowledged.
   using group_done = std::function<void(std::uint64_t up_to, bool good)>;
 
-  /// Reads the folder; `on_record` gets each whole record. Nothing when the folder
-  /// cannot be used.
+  /// Reads the folder in pieces; `on_record` gets each whole record, which is valid
+  /// for the call. Nothing when the folder cannot be used.
   static std::unique_ptr<turn_log> open(const std::string& folder,
                                         const std::function<void(std::string_view)>& on_record,
                                         group_done on_durable, log_recovery& found,
--- a/libs/turn_log/src/turn_log.cc
+++ b/libs/turn_log/src/turn_log.cc
@@ -25,6 +25,9 @@
 constexpr std::string_view suffix = ".log";
 constexpr std::size_t record_head_size = 8;
 constexpr std::size_t largest_record = std::size_t{16} * 1024 * 1024;
+/// Read at once when a log is opened, bytes: small beside a host's memory, long beside
+/// what a call to the system costs.
+constexpr std::size_t piece_size = std::size_t{1024} * 1024;
 constexpr mode_t file_mode = 0644;
 
 std::string errno_text() { return std::strerror(errno); }
@@ -55,31 +58,6 @@
   return bytes;
 }
 
-/// Hands on the whole records of a segment; how many bytes they take.
-std::size_t replay(std::string_view bytes, const std::function<void(std::string_view)>& on_record,
-                   std::size_t& records) {
-  std::size_t at = 0;
-  while (bytes.size() - at >= record_head_size) {
-    std::uint32_t length = 0;
-    std::uint32_t sum = 0;
-    std::memcpy(&length, bytes.data() + at, sizeof length);
-    std::memcpy(&sum, bytes.data() + at + sizeof length, sizeof sum);
-    const bool fits =
-        length > 0 && length <= largest_record && bytes.size() - at - record_head_size >= length;
-    if (!fits) {
-      break;
-    }
-    const std::string_view record = bytes.substr(at + record_head_size, length);
-    if (XXH32(record.data(), record.size(), length) != sum) {
-      break;
-    }
-    on_record(record);
-    ++records;
-    at += record_head_size + length;
-  }
-  return at;
-}
-
 bool write_whole(int file, std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t wrote = ::write(file, bytes.data(), bytes.size());
@@ -291,6 +269,118 @@
   }
 }
 
+/// Hands on the whole records of one segment and holds no more of it than a piece, or
+/// a record where that is longer.
+class segment_reader {
+public:
+  explicit segment_reader(const std::string& path) : file(::open(path.c_str(), O_RDONLY)) {}
+  segment_reader(const segment_reader&) = delete;
+  segment_reader& operator=(const segment_reader&) = delete;
+  ~segment_reader() {
+    if (this->file >= 0) {
+      ::close(this->file);
+    }
+  }
+
+  /// False, with `errno`, when the file cannot be read; what was handed on by then
+  /// are whole records of it.
+  bool replay(const std::function<void(std::string_view)>& on_record) {
+    if (!this->measure()) {
+      return false;
+    }
+    while (const auto record = this->next_record()) {
+      on_record(*record);
+      ++this->handed_on;
+      this->whole_bytes += record_head_size + record->size();
+    }
+    return !this->failed;
+  }
+
+  [[nodiscard]] std::size_t records() const { return this->handed_on; }
+  [[nodiscard]] std::uint64_t size() const { return this->file_size; }
+  /// Bytes behind the last whole record.
+  [[nodiscard]] std::uint64_t torn_bytes() const { return this->file_size - this->whole_bytes; }
+
+private:
+  bool measure() {
+    const off_t end = this->file < 0 ? -1 : ::lseek(this->file, 0, SEEK_END);
+    if (end < 0 || ::lseek(this->file, 0, SEEK_SET) != 0) {
+      return false;
+    }
+    this->file_size = static_cast<std::uint64_t>(end);
+    this->unread = this->file_size;
+    return true;
+  }
+
+  /// Nothing at the end of the file or of what is whole in it. Valid until the next.
+  std::optional<std::string_view> next_record() {
+    if (!this->hold(record_head_size)) {
+      return std::nullopt;
+    }
+    std::uint32_t length = 0;
+    std::uint32_t sum = 0;
+    std::memcpy(&length, this->held.data() + this->at, sizeof length);
+    std::memcpy(&sum, this->held.data() + this->at + sizeof length, sizeof sum);
+    const bool fits =
+        length > 0 && length <= largest_record && this->hold(record_head_size + length);
+    if (!fits) {
+      return std::nullopt;
+    }
+    const auto record = std::string_view(this->held).substr(this->at + record_head_size, length);
+    if (XXH32(record.data(), record.size(), length) != sum) {
+      return std::nullopt;
+    }
+    this->at += record_head_size + length;
+    return record;
+  }
+
+  /// Makes so many bytes from `at` on lie in `held`; false when the file has fewer.
+  bool hold(std::size_t count) {
+    const std::size_t rest = this->held.size() - this->at;
+    if (rest >= count) {
+      return true;
+    }
+    // Asked first: a length that is no length takes no memory.
+    if (this->unread < count - rest) {
+      return false;
+    }
+    this->held.erase(0, this->at);
+    this->at = 0;
+    while (this->held.size() < count) {
+      if (!this->read_up_to(std::max(count, piece_size))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// Reads once, until at most so many bytes are held; false when nothing came.
+  bool read_up_to(std::size_t most) {
+    const std::size_t before = this->held.size();
+    this->held.resize(most);
+    ssize_t got = 0;
+    do {
+      got = ::read(this->file, this->held.data() + before, most - before);
+    } while (got < 0 && errno == EINTR);
+    this->failed = got < 0;
+    const auto added = static_cast<std::size_t>(std::max<ssize_t>(got, 0));
+    this->held.resize(before + added);
+    this->unread -= std::min<std::uint64_t>(added, this->unread);
+    return added > 0;
+  }
+
+  int file;
+  /// Invariant: `held` from `at` on is what follows the records handed on, `unread` is
+  /// what the file has behind it.
+  std::string held;
+  std::size_t at = 0;
+  std::uint64_t unread = 0;
+  std::uint64_t file_size = 0;
+  std::uint64_t whole_bytes = 0;
+  std::size_t handed_on = 0;
+  bool failed = false;
+};
+
 std::vector<std::uint64_t> list_segments(const std::string& folder) {
   std::vector<std::uint64_t> numbers;
   for (const auto& item : std::filesystem::directory_iterator(folder)) {
@@ -313,15 +403,16 @@
   std::uint64_t next = 1;
   try {
     for (const std::uint64_t number : list_segments(folder)) {
-      const auto text = read_file(segment_path(folder, number));
-      if (!text) {
+      segment_reader reader(segment_path(folder, number));
+      if (!reader.replay(on_record)) {
         reason = {error_kind::internal, fmt::format("segment {}: {}", number, errno_text())};
         return nullptr;
       }
-      found.torn_bytes += text->size() - replay(*text, on_record, found.records);
+      found.records += reader.records();
+      found.torn_bytes += reader.torn_bytes();
       ++found.segments;
-      sizes[number] = text->size();
-      total += text->size();
+      sizes[number] = reader.size();
+      total += reader.size();
       next = number + 1;
     }
   } catch (const std::filesystem::filesystem_error& fault) {
--- a/libs/turn_log/test/turn_log_test.cc
+++ b/libs/turn_log/test/turn_log_test.cc
@@ -278,3 +278,14 @@
     }
   }
 }
+
+TEST_CASE("a segment that cannot be read is refused with a reason") {
+  const scratch_folder folder("turn-log");
+  write(folder, {"one"});
+  std::filesystem::create_directory(folder.path() / "turns-00000002.log");
+  log_recovery found;
+  failure reason;
+  CHECK_FALSE(turn_log::open(
+      folder.name(), [](std::string_view) {}, [](std::uint64_t, bool) {}, found, reason));
+  CHECK_FALSE(reason.detail.empty());
+}
