--- a/libs/turn_log/src/turn_log.cc
+++ b/libs/turn_log/src/turn_log.cc
@@ -85,10 +85,12 @@
 class segmented_log final : public turn_log {
 public:
   segmented_log(std::string in, std::uint64_t next, std::map<std::uint64_t, std::uint64_t> found,
-                std::uint64_t bytes, group_done told)
+                std::uint64_t bytes, std::uint64_t most, group_done told)
       : folder(std::move(in)),
-        segment(next),
+        segment_bytes(most),
+        newest(next),
         total(bytes),
+        segment(next),
         sizes(std::move(found)),
         on_durable(std::move(told)),
         writer([this] { this->run(); }) {}
@@ -111,7 +113,11 @@
     std::uint64_t number = 0;
     {
       const std::lock_guard lock(this->mutex);
+      if (this->newest_size + bytes.size() > this->segment_bytes) {
+        this->begin_segment();
+      }
       this->waiting += bytes;
+      this->newest_size += bytes.size();
       number = ++this->appended;
     }
     this->wakeup.notify_one();
@@ -120,8 +126,8 @@
 
   std::uint64_t start_segment() override {
     const std::lock_guard lock(this->mutex);
-    this->rotate_at = this->waiting.size();
-    return this->segment + 1;
+    this->begin_segment();
+    return this->newest;
   }
 
   void remove_before(std::uint64_t number) override {
@@ -141,12 +147,23 @@
   struct job {
     std::string bytes;
     std::uint64_t up_to = 0;
-    /// A new segment begins after so many of `bytes`.
-    std::optional<std::size_t> rotate_at;
+    /// A new segment begins after each of these numbers of `bytes`.
+    std::vector<std::size_t> cuts;
+    /// What stands below it goes once `bytes` are synced; 0: nothing.
     std::uint64_t remove_below = 0;
     bool stop = false;
   };
 
+  /// The next append goes to a new segment. Needs `mutex`.
+  void begin_segment() {
+    if (this->newest_size == 0) {
+      return;
+    }
+    this->cuts.push_back(this->waiting.size());
+    ++this->newest;
+    this->newest_size = 0;
+  }
+
   job next_job() {
     std::unique_lock lock(this->mutex);
     this->wakeup.wait(lock, [this] {
@@ -156,8 +173,8 @@
     taken.bytes = std::move(this->waiting);
     this->waiting.clear();
     taken.up_to = this->appended;
-    taken.rotate_at = std::exchange(this->rotate_at, std::nullopt);
-    taken.remove_below = std::exchange(this->remove_below, 0);
+    taken.cuts = std::exchange(this->cuts, {});
+    taken.remove_below = this->remove_below;
     taken.stop = this->stopping;
     return taken;
   }
@@ -165,18 +182,13 @@
   void run() {
     while (true) {
       const job one = this->next_job();
-      std::string_view rest = one.bytes;
-      if (one.rotate_at) {
-        this->write_group(rest.substr(0, *one.rotate_at));
-        rest.remove_prefix(*one.rotate_at);
-        this->close_segment();
-      }
-      this->write_group(rest);
+      this->write(one);
       if (!one.bytes.empty()) {
         this->on_durable(one.up_to, this->is_good);
       }
-      if (one.remove_below > 0 && this->is_good) {
-        this->remove_segments(one.remove_below);
+      bool more = one.remove_below > 0 && this->remove_oldest(one.remove_below);
+      while (more && one.stop) {
+        more = this->remove_oldest(one.remove_below);
       }
       if (one.stop) {
         return;
@@ -184,8 +196,19 @@
     }
   }
 
+  /// A segment is synced before the next one begins, so that only the last can be torn.
+  void write(const job& one) {
+    const std::string_view bytes = one.bytes;
+    std::size_t from = 0;
+    for (const std::size_t cut : one.cuts) {
+      this->write_group(bytes.substr(from, cut - from));
+      this->close_segment();
+      from = cut;
+    }
+    this->write_group(bytes.substr(from));
+  }
+
   void close_segment() {
-    const std::lock_guard lock(this->mutex);
     if (this->file >= 0) {
       ::close(this->file);
       this->file = -1;
@@ -207,39 +230,64 @@
     if (!this->is_good) {
       return;
     }
-    const std::lock_guard lock(this->mutex);
     this->sizes[this->segment] += bytes.size();
+    const std::lock_guard lock(this->mutex);
     this->total += bytes.size();
   }
 
-  void remove_segments(std::uint64_t below) {
-    const std::lock_guard lock(this->mutex);
-    while (!this->sizes.empty() && this->sizes.begin()->first < below &&
-           this->sizes.begin()->first != this->segment) {
-      const auto oldest = this->sizes.begin();
-      if (::unlink(segment_path(this->folder, oldest->first).c_str()) != 0) {
-        return;
-      }
-      this->total -= oldest->second;
+  /// Removes one segment, the oldest, for good: a later one never goes before it, so that
+  /// what a power loss leaves is always the newest part of the log. Between two of them
+  /// appends are served. False when none is left to remove.
+  bool remove_oldest(std::uint64_t below) {
+    const auto oldest = this->sizes.begin();
+    const bool is_due = this->is_good && oldest != this->sizes.end() && oldest->first < below &&
+                        oldest->first != this->segment;
+    if (is_due && ::unlink(segment_path(this->folder, oldest->first).c_str()) == 0) {
+      const std::uint64_t bytes = oldest->second;
       this->sizes.erase(oldest);
+      this->subtract(bytes);
+      if (sync_folder(this->folder)) {
+        return true;
+      }
+    }
+    this->end_removal(below);
+    return false;
+  }
+
+  void subtract(std::uint64_t bytes) {
+    const std::lock_guard lock(this->mutex);
+    this->total -= bytes;
+  }
+
+  void end_removal(std::uint64_t below) {
+    const std::lock_guard lock(this->mutex);
+    if (this->remove_below == below) {
+      this->remove_below = 0;
     }
-    sync_folder(this->folder);
   }
 
   std::string folder;
+  /// A segment takes no record that would make it longer, unless it is empty.
+  std::uint64_t segment_bytes;
   mutable std::mutex mutex;
   std::condition_variable wakeup;
   /// Guarded by `mutex`, as are the next seven.
   std::string waiting;
+  /// Positions in `waiting`, in order: a new segment begins at each.
+  std::vector<std::size_t> cuts;
   std::uint64_t appended = 0;
-  std::uint64_t segment;
+  /// The segment of the next append, and what it holds or will hold, bytes.
+  std::uint64_t newest;
+  std::uint64_t newest_size = 0;
+  /// Bytes of all segments.
   std::uint64_t total;
-  /// Bytes of each segment; `total` is their sum.
-  std::map<std::uint64_t, std::uint64_t> sizes;
-  std::optional<std::size_t> rotate_at;
   std::uint64_t remove_below = 0;
   bool stopping = false;
-  /// Used by the writer alone.
+  /// Used by the writer alone, as are the next four. The segment it writes: `newest`
+  /// less the cuts that it has not come to.
+  std::uint64_t segment;
+  /// Bytes of each segment; `total` is their sum.
+  std::map<std::uint64_t, std::uint64_t> sizes;
   int file = -1;
   bool is_good = true;
   group_done on_durable;
@@ -397,7 +445,7 @@
 std::unique_ptr<turn_log> turn_log::open(const std::string& folder,
                                          const std::function<void(std::string_view)>& on_record,
                                          group_done on_durable, log_recovery& found,
-                                         failure& reason) {
+                                         failure& reason, std::uint64_t segment_bytes) {
   std::map<std::uint64_t, std::uint64_t> sizes;
   std::uint64_t total = 0;
   std::uint64_t next = 1;
@@ -419,7 +467,7 @@
     reason = {error_kind::internal, fault.what()};
     return nullptr;
   }
-  return std::make_unique<segmented_log>(folder, next, std::move(sizes), total,
+  return std::make_unique<segmented_log>(folder, next, std::move(sizes), total, segment_bytes,
                                          std::move(on_durable));
 }
 
--- a/libs/turn_log/test/turn_log_test.cc
+++ b/libs/turn_log/test/turn_log_test.cc
@@ -9,7 +9,9 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <map>
 #include <mutex>
+#include <random>
 
 #include "scratch_folder.h"
 
@@ -74,6 +76,101 @@
   CHECK(done.wait_for(last));
 }
 
+/// Bytes of each segment, by its name.
+std::map<std::string, std::uintmax_t> sizes_in(const scratch_folder& folder) {
+  std::map<std::string, std::uintmax_t> sizes;
+  for (const auto& segment : segments_in(folder)) {
+    sizes[segment.filename().string()] = std::filesystem::file_size(segment);
+  }
+  return sizes;
+}
+
+/// An open log whose records can be waited for.
+class live_log {
+public:
+  explicit live_log(const scratch_folder& folder,
+                    std::uint64_t segment_bytes = turn_log::usual_segment_bytes) {
+    failure reason;
+    this->log = turn_log::open(
+        folder.name(), [](std::string_view) {},
+        [this](std::uint64_t up_to, bool good) { this->done.note(up_to, good); }, this->found,
+        reason, segment_bytes);
+    REQUIRE(this->log);
+  }
+  void append(const std::string& record) { this->last = this->log->append(record); }
+  /// Returns once all that was appended is durable.
+  void sync() {
+    if (this->last > 0) {
+      REQUIRE(this->done.wait_for(this->last));
+    }
+  }
+  turn_log& get() { return *this->log; }
+
+private:
+  durability done;
+  log_recovery found;
+  std::uint64_t last = 0;
+  /// Ends before the others do: its thread notes in them.
+  std::unique_ptr<turn_log> log;
+};
+
+/// What a power loss may do to what was written after the last sync.
+enum class tail_loss { cut, zeroes, garbage, gone };
+
+/// Spoils the log from a byte on, which lies behind all that was synced.
+class power_loss {
+public:
+  power_loss(std::mt19937& source, std::map<std::string, std::uintmax_t> safe)
+      : random(source), synced(std::move(safe)) {}
+
+  void strike(const scratch_folder& folder) {
+    const auto kind = static_cast<tail_loss>(this->random() % 4);
+    std::uintmax_t left = kind == tail_loss::gone ? 0 : this->random() % (this->tail(folder) + 1);
+    bool is_over = false;
+    for (const auto& segment : segments_in(folder)) {
+      const std::uintmax_t kept = this->synced[segment.filename().string()];
+      const std::uintmax_t loose = std::filesystem::file_size(segment) - kept;
+      if (is_over && loose > 0) {
+        std::filesystem::remove(segment);
+        continue;
+      }
+      is_over = loose > left;
+      if (is_over) {
+        this->spoil(segment, kept + left, kind);
+      }
+      left -= std::min(left, loose);
+    }
+  }
+
+private:
+  std::uintmax_t tail(const scratch_folder& folder) {
+    std::uintmax_t bytes = 0;
+    for (const auto& [name, size] : sizes_in(folder)) {
+      bytes += size - this->synced[name];
+    }
+    return bytes;
+  }
+
+  void spoil(const std::filesystem::path& segment, std::uintmax_t from, tail_loss kind) {
+    const std::uintmax_t size = std::filesystem::file_size(segment);
+    std::filesystem::resize_file(segment, from);
+    if (kind == tail_loss::zeroes) {
+      std::filesystem::resize_file(segment, size);
+    }
+    if (kind != tail_loss::garbage) {
+      return;
+    }
+    std::ofstream file(segment, std::ios::binary | std::ios::app);
+    for (std::uintmax_t at = from; at < size; ++at) {
+      file.put(static_cast<char>(this->random()));
+    }
+  }
+
+  std::mt19937& random;
+  /// Bytes of each segment that were synced; a segment not named has none.
+  std::map<std::string, std::uintmax_t> synced;
+};
+
 constexpr std::size_t mebibyte = std::size_t{1} << 20U;
 /// Length and checksum before each record.
 constexpr std::size_t head_size = 8;
@@ -289,3 +386,130 @@
       folder.name(), [](std::string_view) {}, [](std::uint64_t, bool) {}, found, reason));
   CHECK_FALSE(reason.detail.empty());
 }
+
+TEST_CASE("a full segment is followed by the next") {
+  constexpr std::uint64_t segment_bytes = 100;
+  const scratch_folder folder("turn-log");
+  const std::vector<std::string> records{record_of(30, 'a'), record_of(54, 'b'),
+                                         record_of(1, 'c'),  record_of(500, 'd'),
+                                         record_of(92, 'e'), record_of(92, 'f')};
+  {
+    live_log log(folder, segment_bytes);
+    for (const std::string& record : records) {
+      log.append(record);
+    }
+    log.sync();
+    CHECK(log.get().size() == 30 + 54 + 1 + 500 + 92 + 92 + 6 * head_size);
+  }
+  std::vector<std::uintmax_t> sizes;
+  for (const auto& [name, size] : sizes_in(folder)) {
+    sizes.push_back(size);
+  }
+  CHECK(sizes == std::vector<std::uintmax_t>{100, 9, 508, 100, 100});
+  log_recovery found;
+  CHECK(read_all(folder, found) == records);
+}
+
+TEST_CASE("what is appended after a new segment was asked for outlives those before it") {
+  constexpr std::uint64_t segment_bytes = 100;
+  // The writer is somewhere behind, or has written all.
+  for (const bool is_written : {false, true}) {
+    for (int dead = 0; dead < 12; ++dead) {
+      INFO(dead << " dead records, written: " << is_written);
+      const scratch_folder folder("turn-log");
+      const std::vector<std::string> alive(7, record_of(60, 'l'));
+      {
+        live_log log(folder, segment_bytes);
+        for (int number = 0; number < dead; ++number) {
+          log.append(record_of(60, 'd'));
+        }
+        if (is_written) {
+          log.sync();
+        }
+        const std::uint64_t keep = log.get().start_segment();
+        CHECK(log.get().start_segment() == keep);
+        for (const std::string& record : alive) {
+          log.append(record);
+        }
+        log.get().remove_before(keep);
+        log.sync();
+      }
+      log_recovery found;
+      CHECK(read_all(folder, found) == alive);
+    }
+  }
+}
+
+TEST_CASE("no segment goes before an older one is gone") {
+  constexpr std::uint64_t segment_bytes = 100;
+  const scratch_folder folder("turn-log");
+  live_log log(folder, segment_bytes);
+  for (int number = 0; number < 4; ++number) {
+    log.append(record_of(60, 'd'));
+  }
+  log.sync();
+  // The second of four cannot be removed.
+  const auto stuck = segments_in(folder)[1];
+  std::filesystem::remove(stuck);
+  std::filesystem::create_directory(stuck);
+  const std::uint64_t keep = log.get().start_segment();
+  log.append("alive");
+  log.get().remove_before(keep);
+  log.sync();
+  // Removal follows the notice of these, one segment for each of the writer's rounds.
+  for (int number = 0; number < 8; ++number) {
+    log.append("alive");
+    log.sync();
+  }
+  std::vector<std::string> names;
+  for (const auto& segment : segments_in(folder)) {
+    names.push_back(segment.filename().string());
+  }
+  REQUIRE(names.size() >= 4);
+  names.resize(4);
+  CHECK(names == std::vector<std::string>{"turns-00000002.log", "turns-00000003.log",
+                                          "turns-00000004.log", "turns-00000005.log"});
+}
+
+TEST_CASE("after any power loss every synced record comes back and nothing is made up") {
+  constexpr unsigned seeds = 40;
+  constexpr int losses = 5;
+  for (unsigned seed = 1; seed <= seeds; ++seed) {
+    std::mt19937 random(seed);
+    const auto size = [&random] {
+      const bool is_long = random() % 25 == 0;
+      return 1 + random() % (is_long ? 2 * mebibyte : std::size_t{3000});
+    };
+    const scratch_folder folder("turn-log");
+    std::vector<std::string> written;
+    for (int loss = 0; loss < losses; ++loss) {
+      INFO("seed " << seed << ", loss " << loss);
+      const std::uint64_t segment_bytes = random() % 4 == 0 ? mebibyte * 3 : 500 + random() % 9000;
+      std::size_t synced = written.size();
+      std::map<std::string, std::uintmax_t> safe = sizes_in(folder);
+      {
+        live_log log(folder, segment_bytes);
+        const auto append_some = [&](std::size_t count) {
+          for (std::size_t number = 0; number < count; ++number) {
+            written.push_back(record_of(size(), static_cast<char>(random())));
+            log.append(written.back());
+          }
+        };
+        for (std::size_t group = random() % 5; group > 0; --group) {
+          append_some(1 + random() % 8);
+          log.sync();
+          synced = written.size();
+          safe = sizes_in(folder);
+        }
+        append_some(random() % 12);
+      }
+      power_loss(random, safe).strike(folder);
+      log_recovery found;
+      const std::vector<std::string> back = read_all(folder, found);
+      REQUIRE(back.size() >= synced);
+      REQUIRE(back.size() <= written.size());
+      written.resize(back.size());
+      REQUIRE(back == written);
+    }
+  }
+}
