Test that a log of expired turns stays short; fails on the code as it is

100 turns of a megabyte that expire at once leave 100,008,470 bytes of log on a disk of 340 MB (bound in the test 40 MB): the log is shortened by the disk's size alone. Replay brings all of it back into memory before the first tick can forget it.

--- a/libs/disk/test/ledger_store_test.cc
+++ b/libs/disk/test/ledger_store_test.cc
@@ -2,6 +2,7 @@
 // askers of an older set are refused and told of the newest.
 #include "hawthornlane/disk/ledger_store.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "hawthornlane/net/message_bytes.h"
@@ -134,3 +135,21 @@
     CHECK(refused);
   }
 }
+
+TEST_CASE("a log of turns that have expired stays short on a large disk") {
+  constexpr std::uint64_t disk_bytes = 340'000'000;
+  constexpr std::uint64_t turn_bytes = 1'000'000;
+  constexpr std::uint64_t most_log_bytes = 40'000'000;
+  const scratch_folder folder("ledger-store");
+  open_store disk(folder.name(), disk_bytes);
+  std::uint64_t most = 0;
+  for (int number = 0; number < 100; ++number) {
+    append_request request = append(1, "t" + std::to_string(number), turn_bytes / 2);
+    request.record.program = program_id("p" + std::to_string(number));
+    request.record.expires_at = wall_ms(1);
+    REQUIRE(disk.ask<program_answer>(ledger_method::append, request));
+    disk.store.tick();
+    most = std::max(most, disk.store.log_bytes());
+  }
+  CHECK(most < most_log_bytes);
+}
