--- a/libs/turn_log/src/turn_log.cc
+++ b/libs/turn_log/src/turn_log.cc
@@ -25,6 +25,9 @@
 constexpr std::string_view suffix = ".log";
 constexpr std::size_t record_head_size = 8;
 constexpr std::size_t largest_record = std::size_t{16} * 1024 * 1024;
+/// Read at once when a log is opened, bytes: small beside a host's memory, long beside
+/// what a call to the system costs.
+constexpr std::size_t piece_size = std::size_t{1024} * 1024;
 constexpr mode_t file_mode = 0644;
 
 std::string errno_text() { return std::strerror(errno); }
@@ -55,31 +58,6 @@
   return bytes;
 }
 
-/// Hands on the whole records of a segment; how many bytes they take.
-std::size_t replay(std::string_view bytes, const std::function<void(std::string_view)>& on_record,
-                   std::size_t& records) {
-  std::size_t at = 0;
-  while (bytes.size() - at >= record_head_size) {
-    std::uint32_t length = 0;
-    std::uint32_t sum = 0;
-    std::memcpy(&length, bytes.data() + at, sizeof length);
-    std::memcpy(&sum, bytes.data() + at + sizeof length, sizeof sum);
-    const bool fits =
-        length > 0 && length <= largest_record && bytes.size() - at - record_head_size >= length;
-    if (!fits) {
-      break;
-    }
-    const std::string_view record = bytes.substr(at + record_head_size, length);
-    if (XXH32(record.data(), record.size(), length) != sum) {
-      break;
-    }
-    on_record(record);
-    ++records;
-    at += record_head_size + length;
-  }
-  return at;
-}
-
 bool write_whole(int file, std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t wrote = ::write(file, bytes.data(), bytes.size());
@@ -107,10 +85,12 @@
 class segmented_log final : public turn_log {
 public:
   segmented_log(std::string in, std::uint64_t next, std::map<std::uint64_t, std::uint64_t> found,
-                std::uint64_t bytes, group_done told)
+                std::uint64_t bytes, std::uint64_t most, group_done told)
       : folder(std::move(in)),
-        segment(next),
+        segment_bytes(most),
+        newest(next),
         total(bytes),
+        segment(next),
         sizes(std::move(found)),
         on_durable(std::move(told)),
         writer([this] { this->run(); }) {}
@@ -133,7 +113,11 @@
     std::uint64_t number = 0;
     {
       const std::lock_guard lock(this->mutex);
+      if (this->newest_size + bytes.size() > this->segment_bytes) {
+        this->begin_segment();
+      }
       this->waiting += bytes;
+      this->newest_size += bytes.size();
       number = ++this->appended;
     }
     this->wakeup.notify_one();
@@ -142,8 +126,8 @@
 
   std::uint64_t start_segment() override {
     const std::lock_guard lock(this->mutex);
-    this->rotate_at = this->waiting.size();
-    return this->segment + 1;
+    this->begin_segment();
+    return this->newest;
   }
 
   void remove_before(std::uint64_t number) override {
@@ -154,6 +138,11 @@
     this->wakeup.notify_one();
   }
 
+  bool removing() const override {
+    const std::lock_guard lock(this->mutex);
+    return this->remove_below > 0;
+  }
+
   std::uint64_t size() const override {
     const std::lock_guard lock(this->mutex);
     return this->total;
@@ -163,12 +152,23 @@
   struct job {
     std::string bytes;
     std::uint64_t up_to = 0;
-    /// A new segment begins after so many of `bytes`.
-    std::optional<std::size_t> rotate_at;
+    /// A new segment begins after each of these numbers of `bytes`.
+    std::vector<std::size_t> cuts;
+    /// What stands below it goes once `bytes` are synced; 0: nothing.
     std::uint64_t remove_below = 0;
     bool stop = false;
   };
 
+  /// The next append goes to a new segment. Needs `mutex`.
+  void begin_segment() {
+    if (this->newest_size == 0) {
+      return;
+    }
+    this->cuts.push_back(this->waiting.size());
+    ++this->newest;
+    this->newest_size = 0;
+  }
+
   job next_job() {
     std::unique_lock lock(this->mutex);
     this->wakeup.wait(lock, [this] {
@@ -178,8 +178,8 @@
     taken.bytes = std::move(this->waiting);
     this->waiting.clear();
     taken.up_to = this->appended;
-    taken.rotate_at = std::exchange(this->rotate_at, std::nullopt);
-    taken.remove_below = std::exchange(this->remove_below, 0);
+    taken.cuts = std::exchange(this->cuts, {});
+    taken.remove_below = this->remove_below;
     taken.stop = this->stopping;
     return taken;
   }
@@ -187,18 +187,13 @@
   void run() {
     while (true) {
       const job one = this->next_job();
-      std::string_view rest = one.bytes;
-      if (one.rotate_at) {
-        this->write_group(rest.substr(0, *one.rotate_at));
-        rest.remove_prefix(*one.rotate_at);
-        this->close_segment();
-      }
-      this->write_group(rest);
+      this->write(one);
       if (!one.bytes.empty()) {
         this->on_durable(one.up_to, this->is_good);
       }
-      if (one.remove_below > 0 && this->is_good) {
-        this->remove_segments(one.remove_below);
+      bool more = one.remove_below > 0 && this->remove_oldest(one.remove_below);
+      while (more && one.stop) {
+        more = this->remove_oldest(one.remove_below);
       }
       if (one.stop) {
         return;
@@ -206,8 +201,19 @@
     }
   }
 
+  /// A segment is synced before the next one begins, so that only the last can be torn.
+  void write(const job& one) {
+    const std::string_view bytes = one.bytes;
+    std::size_t from = 0;
+    for (const std::size_t cut : one.cuts) {
+      this->write_group(bytes.substr(from, cut - from));
+      this->close_segment();
+      from = cut;
+    }
+    this->write_group(bytes.substr(from));
+  }
+
   void close_segment() {
-    const std::lock_guard lock(this->mutex);
     if (this->file >= 0) {
       ::close(this->file);
       this->file = -1;
@@ -229,39 +235,64 @@
     if (!this->is_good) {
       return;
     }
-    const std::lock_guard lock(this->mutex);
     this->sizes[this->segment] += bytes.size();
+    const std::lock_guard lock(this->mutex);
     this->total += bytes.size();
   }
 
-  void remove_segments(std::uint64_t below) {
-    const std::lock_guard lock(this->mutex);
-    while (!this->sizes.empty() && this->sizes.begin()->first < below &&
-           this->sizes.begin()->first != this->segment) {
-      const auto oldest = this->sizes.begin();
-      if (::unlink(segment_path(this->folder, oldest->first).c_str()) != 0) {
-        return;
-      }
-      this->total -= oldest->second;
+  /// Removes one segment, the oldest, for good: a later one never goes before it, so that
+  /// what a power loss leaves is always the newest part of the log. Between two of them
+  /// appends are served. False when none is left to remove.
+  bool remove_oldest(std::uint64_t below) {
+    const auto oldest = this->sizes.begin();
+    const bool is_due = this->is_good && oldest != this->sizes.end() && oldest->first < below &&
+                        oldest->first != this->segment;
+    if (is_due && ::unlink(segment_path(this->folder, oldest->first).c_str()) == 0) {
+      const std::uint64_t bytes = oldest->second;
       this->sizes.erase(oldest);
+      this->subtract(bytes);
+      if (sync_folder(this->folder)) {
+        return true;
+      }
+    }
+    this->end_removal(below);
+    return false;
+  }
+
+  void subtract(std::uint64_t bytes) {
+    const std::lock_guard lock(this->mutex);
+    this->total -= bytes;
+  }
+
+  void end_removal(std::uint64_t below) {
+    const std::lock_guard lock(this->mutex);
+    if (this->remove_below == below) {
+      this->remove_below = 0;
     }
-    sync_folder(this->folder);
   }
 
   std::string folder;
+  /// A segment takes no record that would make it longer, unless it is empty.
+  std::uint64_t segment_bytes;
   mutable std::mutex mutex;
   std::condition_variable wakeup;
   /// Guarded by `mutex`, as are the next seven.
   std::string waiting;
+  /// Positions in `waiting`, in order: a new segment begins at each.
+  std::vector<std::size_t> cuts;
   std::uint64_t appended = 0;
-  std::uint64_t segment;
+  /// The segment of the next append, and what it holds or will hold, bytes.
+  std::uint64_t newest;
+  std::uint64_t newest_size = 0;
+  /// Bytes of all segments.
   std::uint64_t total;
-  /// Bytes of each segment; `total` is their sum.
-  std::map<std::uint64_t, std::uint64_t> sizes;
-  std::optional<std::size_t> rotate_at;
   std::uint64_t remove_below = 0;
   bool stopping = false;
-  /// Used by the writer alone.
+  /// Used by the writer alone, as are the next four. The segment it writes: `newest`
+  /// less the cuts that it has not come to.
+  std::uint64_t segment;
+  /// Bytes of each segment; `total` is their sum.
+  std::map<std::uint64_t, std::uint64_t> sizes;
   int file = -1;
   bool is_good = true;
   group_done on_durable;
@@ -291,6 +322,118 @@
   }
 }
 
+/// Hands on the whole records of one segment and holds no more of it than a piece, or
+/// a record where that is longer.
+class segment_reader {
+public:
+  explicit segment_reader(const std::string& path) : file(::open(path.c_str(), O_RDONLY)) {}
+  segment_reader(const segment_reader&) = delete;
+  segment_reader& operator=(const segment_reader&) = delete;
+  ~segment_reader() {
+    if (this->file >= 0) {
+      ::close(this->file);
+    }
+  }
+
+  /// False, with `errno`, when the file cannot be read; what was handed on by then
+  /// are whole records of it.
+  bool replay(const std::function<void(std::string_view)>& on_record) {
+    if (!this->measure()) {
+      return false;
+    }
+    while (const auto record = this->next_record()) {
+      on_record(*record);
+      ++this->handed_on;
+      this->whole_bytes += record_head_size + record->size();
+    }
+    return !this->failed;
+  }
+
+  [[nodiscard]] std::size_t records() const { return this->handed_on; }
+  [[nodiscard]] std::uint64_t size() const { return this->file_size; }
+  /// Bytes behind the last whole record.
+  [[nodiscard]] std::uint64_t torn_bytes() const { return this->file_size - this->whole_bytes; }
+
+private:
+  bool measure() {
+    const off_t end = this->file < 0 ? -1 : ::lseek(this->file, 0, SEEK_END);
+    if (end < 0 || ::lseek(this->file, 0, SEEK_SET) != 0) {
+      return false;
+    }
+    this->file_size = static_cast<std::uint64_t>(end);
+    this->unread = this->file_size;
+    return true;
+  }
+
+  /// Nothing at the end of the file or of what is whole in it. Valid until the next.
+  std::optional<std::string_view> next_record() {
+    if (!this->hold(record_head_size)) {
+      return std::nullopt;
+    }
+    std::uint32_t length = 0;
+    std::uint32_t sum = 0;
+    std::memcpy(&length, this->held.data() + this->at, sizeof length);
+    std::memcpy(&sum, this->held.data() + this->at + sizeof length, sizeof sum);
+    const bool fits =
+        length > 0 && length <= largest_record && this->hold(record_head_size + length);
+    if (!fits) {
+      return std::nullopt;
+    }
+    const auto record = std::string_view(this->held).substr(this->at + record_head_size, length);
+    if (XXH32(record.data(), record.size(), length) != sum) {
+      return std::nullopt;
+    }
+    this->at += record_head_size + length;
+    return record;
+  }
+
+  /// Makes so many bytes from `at` on lie in `held`; false when the file has fewer.
+  bool hold(std::size_t count) {
+    const std::size_t rest = this->held.size() - this->at;
+    if (rest >= count) {
+      return true;
+    }
+    // Asked first: a length that is no length takes no memory.
+    if (this->unread < count - rest) {
+      return false;
+    }
+    this->held.erase(0, this->at);
+    this->at = 0;
+    while (this->held.size() < count) {
+      if (!this->read_up_to(std::max(count, piece_size))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// Reads once, until at most so many bytes are held; false when nothing came.
+  bool read_up_to(std::size_t most) {
+    const std::size_t before = this->held.size();
+    this->held.resize(most);
+    ssize_t got = 0;
+    do {
+      got = ::read(this->file, this->held.data() + before, most - before);
+    } while (got < 0 && errno == EINTR);
+    this->failed = got < 0;
+    const auto added = static_cast<std::size_t>(std::max<ssize_t>(got, 0));
+    this->held.resize(before + added);
+    this->unread -= std::min<std::uint64_t>(added, this->unread);
+    return added > 0;
+  }
+
+  int file;
+  /// Invariant: `held` from `at` on is what follows the records handed on, `unread` is
+  /// what the file has behind it.
+  std::string held;
+  std::size_t at = 0;
+  std::uint64_t unread = 0;
+  std::uint64_t file_size = 0;
+  std::uint64_t whole_bytes = 0;
+  std::size_t handed_on = 0;
+  bool failed = false;
+};
+
 std::vector<std::uint64_t> list_segments(const std::string& folder) {
   std::vector<std::uint64_t> numbers;
   for (const auto& item : std::filesystem::directory_iterator(folder)) {
@@ -307,28 +450,29 @@
 std::unique_ptr<turn_log> turn_log::open(const std::string& folder,
                                          const std::function<void(std::string_view)>& on_record,
                                          group_done on_durable, log_recovery& found,
-                                         failure& reason) {
+                                         failure& reason, std::uint64_t segment_bytes) {
   std::map<std::uint64_t, std::uint64_t> sizes;
   std::uint64_t total = 0;
   std::uint64_t next = 1;
   try {
     for (const std::uint64_t number : list_segments(folder)) {
-      const auto text = read_file(segment_path(folder, number));
-      if (!text) {
+      segment_reader reader(segment_path(folder, number));
+      if (!reader.replay(on_record)) {
         reason = {error_kind::internal, fmt::format("segment {}: {}", number, errno_text())};
         return nullptr;
       }
-      found.torn_bytes += text->size() - replay(*text, on_record, found.records);
+      found.records += reader.records();
+      found.torn_bytes += reader.torn_bytes();
       ++found.segments;
-      sizes[number] = text->size();
-      total += text->size();
+      sizes[number] = reader.size();
+      total += reader.size();
       next = number + 1;
     }
   } catch (const std::filesystem::filesystem_error& fault) {
     reason = {error_kind::internal, fault.what()};
     return nullptr;
   }
-  return std::make_unique<segmented_log>(folder, next, std::move(sizes), total,
+  return std::make_unique<segmented_log>(folder, next, std::move(sizes), total, segment_bytes,
                                          std::move(on_durable));
 }
 
--- a/libs/turn_log/test/turn_log_test.cc
+++ b/libs/turn_log/test/turn_log_test.cc
@@ -1,12 +1,18 @@
 // The log after crashes: torn tails, bytes that changed, segments that went.
 #include "hawthornlane/turn_log/turn_log.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <map>
 #include <mutex>
+#include <random>
+#include <thread>
 
 #include "scratch_folder.h"
 
@@ -71,6 +77,128 @@
   CHECK(done.wait_for(last));
 }
 
+/// Bytes of each segment, by its name.
+std::map<std::string, std::uintmax_t> sizes_in(const scratch_folder& folder) {
+  std::map<std::string, std::uintmax_t> sizes;
+  for (const auto& segment : segments_in(folder)) {
+    sizes[segment.filename().string()] = std::filesystem::file_size(segment);
+  }
+  return sizes;
+}
+
+/// An open log whose records can be waited for.
+class live_log {
+public:
+  explicit live_log(const scratch_folder& folder,
+                    std::uint64_t segment_bytes = turn_log::usual_segment_bytes) {
+    failure reason;
+    this->log = turn_log::open(
+        folder.name(), [](std::string_view) {},
+        [this](std::uint64_t up_to, bool good) { this->done.note(up_to, good); }, this->found,
+        reason, segment_bytes);
+    REQUIRE(this->log);
+  }
+  void append(const std::string& record) { this->last = this->log->append(record); }
+  /// Returns once all that was appended is durable.
+  void sync() {
+    if (this->last > 0) {
+      REQUIRE(this->done.wait_for(this->last));
+    }
+  }
+  turn_log& get() { return *this->log; }
+
+private:
+  durability done;
+  log_recovery found;
+  std::uint64_t last = 0;
+  /// Ends before the others do: its thread notes in them.
+  std::unique_ptr<turn_log> log;
+};
+
+/// What a power loss may do to what was written after the last sync.
+enum class tail_loss { cut, zeroes, garbage, gone };
+
+/// Spoils the log from a byte on, which lies behind all that was synced.
+class power_loss {
+public:
+  power_loss(std::mt19937& source, std::map<std::string, std::uintmax_t> safe)
+      : random(source), synced(std::move(safe)) {}
+
+  void strike(const scratch_folder& folder) {
+    const auto kind = static_cast<tail_loss>(this->random() % 4);
+    std::uintmax_t left = kind == tail_loss::gone ? 0 : this->random() % (this->tail(folder) + 1);
+    bool is_over = false;
+    for (const auto& segment : segments_in(folder)) {
+      const std::uintmax_t kept = this->synced[segment.filename().string()];
+      const std::uintmax_t loose = std::filesystem::file_size(segment) - kept;
+      if (is_over && loose > 0) {
+        std::filesystem::remove(segment);
+        continue;
+      }
+      is_over = loose > left;
+      if (is_over) {
+        this->spoil(segment, kept + left, kind);
+      }
+      left -= std::min(left, loose);
+    }
+  }
+
+private:
+  std::uintmax_t tail(const scratch_folder& folder) {
+    std::uintmax_t bytes = 0;
+    for (const auto& [name, size] : sizes_in(folder)) {
+      bytes += size - this->synced[name];
+    }
+    return bytes;
+  }
+
+  void spoil(const std::filesystem::path& segment, std::uintmax_t from, tail_loss kind) {
+    const std::uintmax_t size = std::filesystem::file_size(segment);
+    std::filesystem::resize_file(segment, from);
+    if (kind == tail_loss::zeroes) {
+      std::filesystem::resize_file(segment, size);
+    }
+    if (kind != tail_loss::garbage) {
+      return;
+    }
+    std::ofstream file(segment, std::ios::binary | std::ios::app);
+    for (std::uintmax_t at = from; at < size; ++at) {
+      file.put(static_cast<char>(this->random()));
+    }
+  }
+
+  std::mt19937& random;
+  /// Bytes of each segment that were synced; a segment not named has none.
+  std::map<std::string, std::uintmax_t> synced;
+};
+
+constexpr std::size_t mebibyte = std::size_t{1} << 20U;
+/// Length and checksum before each record.
+constexpr std::size_t head_size = 8;
+
+std::string text_of(const std::filesystem::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+/// Bytes of this process that are in memory.
+std::size_t resident_bytes() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t all_pages = 0;
+  std::size_t resident_pages = 0;
+  file >> all_pages >> resident_pages;
+  return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+/// A record that can be told from others of its size.
+std::string record_of(std::size_t size, char mark) {
+  std::string record(size, mark);
+  for (std::size_t at = 0; at < size; at += 61) {
+    record[at] = static_cast<char>(at / 61);
+  }
+  return record;
+}
+
 }  // namespace
 
 TEST_CASE("records come back in order over several openings") {
@@ -138,3 +266,252 @@
       "/nowhere/at/all", [](std::string_view) {}, [](std::uint64_t, bool) {}, found, reason));
   CHECK_FALSE(reason.detail.empty());
 }
+
+TEST_CASE("a long segment is replayed in little memory") {
+  constexpr std::size_t copies = 80;
+  constexpr std::size_t records_a_copy = 16;
+  constexpr std::size_t most_growth = 8 * mebibyte;
+  const scratch_folder folder("turn-log");
+  write(folder,
+        std::vector<std::string>(records_a_copy, record_of(mebibyte / records_a_copy, 'r')));
+  const auto segment = segments_in(folder).front();
+  const std::string text = text_of(segment);
+  {
+    std::ofstream file(segment, std::ios::binary | std::ios::app);
+    for (std::size_t copy = 1; copy < copies; ++copy) {
+      file << text;
+    }
+  }
+  REQUIRE(std::filesystem::file_size(segment) == copies * text.size());
+
+  log_recovery found;
+  failure reason;
+  const std::size_t before = resident_bytes();
+  std::size_t most = before;
+  const auto log = turn_log::open(
+      folder.name(), [&](std::string_view) { most = std::max(most, resident_bytes()); },
+      [](std::uint64_t, bool) {}, found, reason);
+  REQUIRE(log);
+  CHECK(found.records == copies * records_a_copy);
+  CHECK(found.torn_bytes == 0);
+  CHECK(most - before < most_growth);
+}
+
+TEST_CASE("records that lie across a mebibyte of the file come back") {
+  for (std::size_t before = 0; before <= head_size + 2; ++before) {
+    INFO("second record begins " << before << " bytes before the border");
+    const scratch_folder folder("turn-log");
+    const std::vector<std::string> records{record_of(mebibyte - head_size - before, 'a'),
+                                           record_of(700, 'b'), record_of(3 * mebibyte + 5, 'c'),
+                                           record_of(1, 'd'), record_of(mebibyte - 1, 'e')};
+    write(folder, records);
+    log_recovery found;
+    CHECK(read_all(folder, found) == records);
+    CHECK(found.torn_bytes == 0);
+  }
+}
+
+TEST_CASE("the longest record comes back") {
+  const scratch_folder folder("turn-log");
+  const std::vector<std::string> records{"before", record_of(16 * mebibyte, 'l'), "after"};
+  write(folder, records);
+  log_recovery found;
+  CHECK(read_all(folder, found) == records);
+}
+
+TEST_CASE("a tail that is torn about a mebibyte of the file loses only what was torn") {
+  const std::string first = record_of(mebibyte - head_size - 4, 'a');
+  const std::string second = record_of(2 * mebibyte + 20, 'b');
+  for (const std::size_t border : {mebibyte, 2 * mebibyte, 3 * mebibyte}) {
+    for (std::size_t size = border - 10; size <= border + 10; ++size) {
+      INFO("torn after " << size << " bytes");
+      const scratch_folder folder("turn-log");
+      write(folder, {first, second});
+      std::filesystem::resize_file(segments_in(folder).front(), size);
+      log_recovery found;
+      const std::vector<std::string> records = read_all(folder, found);
+      const std::size_t first_end = head_size + first.size();
+      const std::size_t second_end = first_end + head_size + second.size();
+      std::size_t whole = 0;
+      std::vector<std::string> expected;
+      if (size >= first_end) {
+        expected.push_back(first);
+        whole = first_end;
+      }
+      if (size >= second_end) {
+        expected.push_back(second);
+        whole = second_end;
+      }
+      CHECK(records == expected);
+      CHECK(found.torn_bytes == size - whole);
+    }
+  }
+}
+
+TEST_CASE("a changed byte in any mebibyte of a segment drops that record and what follows it") {
+  // Two records of three lie across a border.
+  constexpr std::size_t record_size = 2 * mebibyte / 3;
+  const std::vector<std::string> records(6, record_of(record_size, 'r'));
+  for (std::size_t bad = 0; bad < records.size(); ++bad) {
+    for (const std::size_t place : {std::size_t{0}, std::size_t{3}, std::size_t{5}, head_size,
+                                    head_size + record_size / 2, head_size + record_size - 1}) {
+      INFO("byte " << place << " of record " << bad);
+      const scratch_folder folder("turn-log");
+      write(folder, records);
+      const auto segment = segments_in(folder).front();
+      const auto start = bad * (head_size + record_size);
+      std::fstream file(segment, std::ios::in | std::ios::out | std::ios::binary);
+      file.seekg(static_cast<std::streamoff>(start + place));
+      const int byte = file.get();
+      file.seekp(static_cast<std::streamoff>(start + place));
+      file.put(static_cast<char>(byte ^ 0x55));
+      file.close();
+      write(folder, {"later"});
+      std::vector<std::string> expected(records.begin(),
+                                        records.begin() + static_cast<std::ptrdiff_t>(bad));
+      expected.emplace_back("later");
+      log_recovery found;
+      CHECK(read_all(folder, found) == expected);
+      CHECK(found.torn_bytes == (records.size() - bad) * (head_size + record_size));
+    }
+  }
+}
+
+TEST_CASE("a segment that cannot be read is refused with a reason") {
+  const scratch_folder folder("turn-log");
+  write(folder, {"one"});
+  std::filesystem::create_directory(folder.path() / "turns-00000002.log");
+  log_recovery found;
+  failure reason;
+  CHECK_FALSE(turn_log::open(
+      folder.name(), [](std::string_view) {}, [](std::uint64_t, bool) {}, found, reason));
+  CHECK_FALSE(reason.detail.empty());
+}
+
+TEST_CASE("a full segment is followed by the next") {
+  constexpr std::uint64_t segment_bytes = 100;
+  const scratch_folder folder("turn-log");
+  const std::vector<std::string> records{record_of(30, 'a'), record_of(54, 'b'),
+                                         record_of(1, 'c'),  record_of(500, 'd'),
+                                         record_of(92, 'e'), record_of(92, 'f')};
+  {
+    live_log log(folder, segment_bytes);
+    for (const std::string& record : records) {
+      log.append(record);
+    }
+    log.sync();
+    CHECK(log.get().size() == 30 + 54 + 1 + 500 + 92 + 92 + 6 * head_size);
+  }
+  std::vector<std::uintmax_t> sizes;
+  for (const auto& [name, size] : sizes_in(folder)) {
+    sizes.push_back(size);
+  }
+  CHECK(sizes == std::vector<std::uintmax_t>{100, 9, 508, 100, 100});
+  log_recovery found;
+  CHECK(read_all(folder, found) == records);
+}
+
+TEST_CASE("what is appended after a new segment was asked for outlives those before it") {
+  constexpr std::uint64_t segment_bytes = 100;
+  // The writer is somewhere behind, or has written all.
+  for (const bool is_written : {false, true}) {
+    for (int dead = 0; dead < 12; ++dead) {
+      INFO(dead << " dead records, written: " << is_written);
+      const scratch_folder folder("turn-log");
+      const std::vector<std::string> alive(7, record_of(60, 'l'));
+      {
+        live_log log(folder, segment_bytes);
+        for (int number = 0; number < dead; ++number) {
+          log.append(record_of(60, 'd'));
+        }
+        if (is_written) {
+          log.sync();
+        }
+        const std::uint64_t keep = log.get().start_segment();
+        CHECK(log.get().start_segment() == keep);
+        for (const std::string& record : alive) {
+          log.append(record);
+        }
+        log.get().remove_before(keep);
+        log.sync();
+        while (log.get().removing()) {
+          std::this_thread::yield();
+        }
+        CHECK(log.get().size() == alive.size() * (60 + head_size));
+      }
+      log_recovery found;
+      CHECK(read_all(folder, found) == alive);
+    }
+  }
+}
+
+TEST_CASE("no segment goes before an older one is gone") {
+  constexpr std::uint64_t segment_bytes = 100;
+  const scratch_folder folder("turn-log");
+  live_log log(folder, segment_bytes);
+  for (int number = 0; number < 4; ++number) {
+    log.append(record_of(60, 'd'));
+  }
+  log.sync();
+  // The second of four cannot be removed.
+  const auto stuck = segments_in(folder)[1];
+  std::filesystem::remove(stuck);
+  std::filesystem::create_directory(stuck);
+  const std::uint64_t keep = log.get().start_segment();
+  log.append("alive");
+  log.get().remove_before(keep);
+  while (log.get().removing()) {
+    std::this_thread::yield();
+  }
+  std::vector<std::string> names;
+  for (const auto& segment : segments_in(folder)) {
+    names.push_back(segment.filename().string());
+  }
+  REQUIRE(names.size() >= 4);
+  names.resize(4);
+  CHECK(names == std::vector<std::string>{"turns-00000002.log", "turns-00000003.log",
+                                          "turns-00000004.log", "turns-00000005.log"});
+}
+
+TEST_CASE("after any power loss every synced record comes back and nothing is made up") {
+  constexpr unsigned seeds = 40;
+  constexpr int losses = 5;
+  for (unsigned seed = 1; seed <= seeds; ++seed) {
+    std::mt19937 random(seed);
+    const auto size = [&random] {
+      const bool is_long = random() % 25 == 0;
+      return 1 + random() % (is_long ? 2 * mebibyte : std::size_t{3000});
+    };
+    const scratch_folder folder("turn-log");
+    std::vector<std::string> written;
+    for (int loss = 0; loss < losses; ++loss) {
+      INFO("seed " << seed << ", loss " << loss);
+      const std::uint64_t segment_bytes = random() % 4 == 0 ? mebibyte * 3 : 500 + random() % 9000;
+      std::size_t synced = written.size();
+      std::map<std::string, std::uintmax_t> safe = sizes_in(folder);
+      {
+        live_log log(folder, segment_bytes);
+        const auto append_some = [&](std::size_t count) {
+          for (std::size_t number = 0; number < count; ++number) {
+            written.push_back(record_of(size(), static_cast<char>(random())));
+            log.append(written.back());
+          }
+        };
+        for (std::size_t group = random() % 5; group > 0; --group) {
+          append_some(1 + random() % 8);
+          log.sync();
+          synced = written.size();
+          safe = sizes_in(folder);
+        }
+        append_some(random() % 12);
+      }
+      power_loss(random, safe).strike(folder);
+      log_recovery found;
+      const std::vector<std::string> back = read_all(folder, found);
+      REQUIRE(back.size() >= synced);
+      REQUIRE(back.size() <= written.size());
+      written.resize(back.size());
+      REQUIRE(back == written);
+    }
+  }
+}
