--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -211,7 +211,6 @@
 }
 
 void peer_gossip::relay(const relayed_question& question, duration limit, net::rpc_done done) {
-  const net::steady_time now = steady::now();
   std::vector<relay_candidate> candidates;
   for (const auto& [name, other] : this->peers) {
     if (this->lives(*other)) {
@@ -229,7 +228,6 @@
 }
 
 std::size_t peer_gossip::rank() const {
-  const net::steady_time now = steady::now();
   const host_id own = this->hooks.self().self.name;
   std::size_t before = 0;
   for (const auto& [name, other] : this->peers) {
@@ -411,7 +409,6 @@
 }
 
 std::vector<host_entry> peer_gossip::ready_hosts() const {
-  const net::steady_time now = steady::now();
   std::vector<host_entry> ready;
   for (const auto& [name, other] : this->peers) {
     if (other->heard.ready && !other->heard.leaving && this->lives(*other)) {
@@ -422,7 +419,6 @@
 }
 
 std::vector<host_id> peer_gossip::live_hosts() const {
-  const net::steady_time now = steady::now();
   std::vector<host_id> hosts;
   for (const auto& [name, other] : this->peers) {
     if (this->lives(*other) && !other->heard.leaving) {
@@ -444,7 +440,6 @@
 }
 
 std::vector<service_demand> peer_gossip::demand_of_others() const {
-  const net::steady_time now = steady::now();
   std::vector<service_demand> all;
   for (const auto& [name, other] : this->peers) {
     if (this->lives(*other)) {
