Ask for copies where answers come from: hosts that have lately answered this one

Cause: a question for a copy was put to whoever counted as ahead, also on another host's word or by messages that came from there alone. A host that cannot be reached cost the whole limit of a second, and the next name led there again.

--- a/libs/front/include/hawthornlane/front/copy_intake.h
+++ b/libs/front/include/hawthornlane/front/copy_intake.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -32,13 +33,20 @@
   /// Before a host that did not answer is asked again, others being asked meanwhile.
   static constexpr duration failed_pause = std::chrono::milliseconds(500);
 
-  explicit copy_intake(host_id own) : self(std::move(own)) {}
+  /// Whether that host has answered this one lately.
+  using reaches_hook = std::function<bool(const host_id& other)>;
+
+  explicit copy_intake(
+      host_id own, reaches_hook answers = [](const host_id&) { return true; })
+      : self(std::move(own)), reaches(std::move(answers)) {}
 
   /// A host told whether it is ahead in one kind. `prompt`: what it has is news that
   /// nobody else may tell.
   void heard(copy_kind kind, const host_id& from, bool ahead, bool prompt, timestamp now);
   /// The host to ask now, which then counts as asked. `urgent`: this host knows too
-  /// little to serve, so that nothing is waited for.
+  /// little to serve, so that nothing is waited for. A host that does not answer this one is
+  /// asked only when no other is ahead: it may be named by one that reaches it, or be heard
+  /// and not hear, and each question to it takes as long as a lost copy.
   std::optional<host_id> next(copy_kind kind, bool urgent, timestamp now);
 
   /// The host asked has given its copy.
@@ -75,6 +83,7 @@
   static source* end_question(intake& one);
 
   host_id self;
+  reaches_hook reaches;
   std::array<intake, all_copy_kinds.size()> intakes;
 };
 
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -90,6 +90,9 @@
   [[nodiscard]] known_state known() const;
   /// Whether another host still counts as one that lives.
   [[nodiscard]] bool lives(const peer& other) const;
+  /// Whether another host has lately answered this one; one that lives may be cut off in this
+  /// direction.
+  [[nodiscard]] bool reaches(const host_id& other) const;
   /// Hears again who is ahead once this host's own knowledge has changed.
   void note_progress();
   void hear_again(copy_kind kind);
--- a/libs/front/src/copy_intake.cc
+++ b/libs/front/src/copy_intake.cc
@@ -25,11 +25,14 @@
   }
   // Another order for each host and question: the hosts that have a copy share the work.
   const std::uint64_t order = rendezvous_weight(this->self.get(), one.questions);
+  const bool any_reached =
+      std::any_of(one.ahead.begin(), one.ahead.end(),
+                  [this](const auto& item) { return this->reaches(item.first); });
   const host_id* best = nullptr;
   std::uint64_t best_weight = 0;
   for (const auto& [name, known] : one.ahead) {
     const bool due = urgent || known.prompt || now - known.ahead_since >= ask_after;
-    if (!due || now < known.not_before) {
+    if (!due || now < known.not_before || (any_reached && !this->reaches(name))) {
       continue;
     }
     const std::uint64_t weight = rendezvous_weight(name.get(), order);
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -39,6 +39,8 @@
   std::unique_ptr<net::rpc_client> link;
   gossip_digest heard;
   net::steady_time heard_at{};
+  /// When it last answered a call of this host, unless a question for a copy failed since.
+  net::steady_time answered_at{};
   bool reachable = true;
 };
 
@@ -49,7 +51,7 @@
       fleet(state),
       checks(schedule),
       hooks(std::move(with)),
-      intake(schedule.owner()) {}
+      intake(schedule.owner(), [this](const host_id& other) { return this->reaches(other); }) {}
 
 peer_gossip::~peer_gossip() = default;
 
@@ -105,6 +107,11 @@
   return steady::now() - other.heard_at < this->silence();
 }
 
+bool peer_gossip::reaches(const host_id& other) const {
+  const auto known = this->peers.find(other);
+  return known != this->peers.end() && steady::now() - known->second->answered_at < this->silence();
+}
+
 void peer_gossip::tell_all() {
   const net::steady_time now = steady::now();
   for (const auto& [name, other] : this->peers) {
@@ -125,6 +132,7 @@
                      const auto told = weak.lock();
                      const auto digest = from_bytes<gossip_digest>(answer);
                      if (told && why == net::rpc_failure::none && digest) {
+                       told->answered_at = steady::now();
                        this->hear(*told, *digest);
                      }
                    });
@@ -239,12 +247,17 @@
 void peer_gossip::ask(peer& other, copy_kind kind) {
   ++this->counts.asked;
   const copy_request request{kind, this->intake.owner()};
+  const auto asked = std::weak_ptr(this->peers.find(other.entry.name)->second);
   other.link->call(static_cast<std::uint16_t>(gossip_method::copy), to_bytes(request), copy_limit,
-                   [this, alive = std::weak_ptr(this->lifetime), from = other.entry.name, kind](
-                       net::rpc_failure why, std::string bytes) {
+                   [this, alive = std::weak_ptr(this->lifetime), asked, from = other.entry.name,
+                    kind](net::rpc_failure why, std::string bytes) {
                      if (alive.expired()) {
                        return;
                      }
+                     if (const auto known = asked.lock()) {
+                       const bool answered = why == net::rpc_failure::none;
+                       known->answered_at = answered ? steady::now() : net::steady_time{};
+                     }
                      if (why != net::rpc_failure::none) {
                        ++this->counts.failed;
                        this->intake.failed(kind, discovery::scheduler_now());
--- a/libs/front/test/copy_intake_test.cc
+++ b/libs/front/test/copy_intake_test.cc
@@ -123,3 +123,26 @@
   intake.heard(kind, two, false, false, at(1ms));
   CHECK_FALSE(intake.next(kind, true, at(1s)));
 }
+
+TEST_CASE("a host that does not answer this one is asked only where no other is ahead") {
+  struct row {
+    const char* what;
+    std::vector<host_id> ahead;
+    std::optional<host_id> asked;
+  };
+  const row rows[] = {
+      {"alone", {one}, one},
+      {"beside one that answers", {one, two}, two},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    copy_intake intake(self, [](const host_id& other) { return other != one; });
+    for (const host_id& host : item.ahead) {
+      intake.heard(kind, host, true, true, at(0ms));
+    }
+    CHECK(intake.next(kind, true, at(0ms)) == item.asked);
+    // It may still be named by a host that reaches it.
+    intake.busy(kind, {one}, at(0ms));
+    CHECK(intake.next(kind, true, at(1s)) == item.asked);
+  }
+}
