Let a turn live as long as what goes on from it, also in a rewritten log

Cause: a rewritten log, and the copy of a joining disk, hold records by program name with the time at which each was to expire at first. When program a goes on from a turn of program m, a is read first, m's life is not extended, and m is gone at the first tick: history lost on that disk. Change: a page hands out the program's own time. Test: 0 turns of 2 on the code before, now 2.

--- a/libs/disk/test/ledger_store_test.cc
+++ b/libs/disk/test/ledger_store_test.cc
@@ -364,3 +364,34 @@
   // The test would show little without shortenings.
   CHECK(removed > seeds);
 }
+
+TEST_CASE("turns that a program goes on from live as long as it does, also after a shortening") {
+  const auto far = wall_ms(std::int64_t{1} << 60);
+  // The program that goes on comes before or after the first one in the rewritten log.
+  for (const std::string going_on : {"a", "z"}) {
+    INFO("program " << going_on << " goes on from m");
+    const scratch_folder folder("ledger-store");
+    constexpr std::uint64_t disk_bytes = 100'000;
+    {
+      open_store disk(folder.name(), disk_bytes);
+      append_request first = append(1, "first");
+      first.record.program = program_id("m");
+      first.record.expires_at = wall_ms(1);
+      CHECK(disk.ask<program_answer>(ledger_method::append, first));
+      append_request second = append(1, "second");
+      second.record.program = program_id(going_on);
+      second.record.turn->previous = request_id("first");
+      second.record.expires_at = far;
+      CHECK(disk.ask<program_answer>(ledger_method::append, second));
+      append_request dead = append(1, "dead", 30'000);
+      dead.record.program = program_id("x");
+      dead.record.expires_at = wall_ms(1);
+      CHECK(disk.ask<program_answer>(ledger_method::append, dead));
+      disk.store.tick();
+      CHECK(disk.store.held().chain_of(request_id("second")).turns.size() == 2);
+    }
+    open_store disk(folder.name(), disk_bytes);
+    disk.store.tick();
+    CHECK(disk.store.held().chain_of(request_id("second")).turns.size() == 2);
+  }
+}
--- a/libs/turn_ledger/src/ledger_copy.cc
+++ b/libs/turn_ledger/src/ledger_copy.cc
@@ -104,6 +104,8 @@
         return page;
       }
       page.records.push_back(record->second);
+      // Whoever reads the page may meet the turns that go on from this one before it.
+      page.records.back().expires_at = program->second.expires_at;
     }
   }
   page.last = true;
