Pause before a set of disks that refused is asked again

Cause: a joining disk makes the members refuse the old set at once, but they learn the new one from the store some 0.3 s later. Until then they answer 'stale' with the set that was asked. admit paused only after a conclusion and settle only after failures, so a stale answer was followed by the same question at once, body and all.

Change: both pause whenever the set in hand is still the one that was asked, whatever the answers were. News (from a disk, a host or the store) are acted on without a pause, as before.

--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -98,6 +98,9 @@
   std::shared_ptr<settle_state> send_settlement(const append_request& request);
   void conclude(const admission_state& state, turn_admission& result);
   void note_stale(const std::optional<ledger_set>& newest);
+  /// The set that was asked is still the newest known: to ask it again brings the same
+  /// answer until there are news, so whoever does has to pause.
+  [[nodiscard]] bool holds_still(set_epoch asked) const;
 
   boost::asio::io_context& context;
   net::deadline_sweeper& sweeper;
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -255,6 +255,10 @@
                     [](const auto& item) { return !item.second.suspected; }));
 }
 
+bool ledger_client::holds_still(set_epoch asked) const {
+  return this->set && this->set->epoch == asked;
+}
+
 void ledger_client::note_stale(const std::optional<ledger_set>& newest) {
   if (newest) {
     this->take_set(*newest, "disk host");
@@ -455,7 +459,7 @@
     if (steady::now() + admit_pause >= patient_until) {
       break;
     }
-    if (concluded) {
+    if (this->holds_still(state->set.epoch)) {
       net::async_signal pause(this->context);
       co_await pause.wait_until(steady::now() + admit_pause);
     }
@@ -526,7 +530,7 @@
     if (steady::now() >= until) {
       co_return false;
     }
-    if (!state->stale) {
+    if (this->holds_still(request.epoch)) {
       net::async_signal pause(this->context);
       co_await pause.wait_until(steady::now() + settle_pause);
     }
