One copy of a turn for all disks, patience by its size, and no second one while the first runs

Cause: each append had a copy of the body in its retry beside the one in its link's queue, and every question had 200 ms to be answered, whatever it weighs. Five copies of more than 150 KB do not leave a host on 30 Mbit/s in that time: all five disks were held for silent, their links reset, the same bodies sent again by a relay over the same link, and that repeated each 50 ms until the call's end. A round that was hopeless was also repeated at disks that still had the first one to answer.

Change: - a question's payload is encoded once for each epoch and shared by all disks, the retry by a relay and all tries; - patience and limit grow by the time that the round and all that is underway already may take on a cautious link of 2 MB/s. Small questions behind a large one wait as well, as do probes and questions passed on for others; - a settlement keeps its answers through all tries at one set and asks again only disks that failed. An answer to an earlier try counts: same record, and the disk had it on disk before it refused the set.

--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -61,11 +61,26 @@
   struct admission_state;
   struct settle_state;
 
+  /// What is asked of some disk hosts.
+  struct question {
+    ledger_method method;
+    /// One for all disks and both ways: it may hold a turn's whole body.
+    std::shared_ptr<const std::string> payload;
+    /// For an answer by whatever way, once the question has left this host.
+    duration limit;
+    /// What it may take to leave, behind all that is underway. Set when it is asked.
+    duration sending;
+  };
+  [[nodiscard]] static question make_question(ledger_method method, std::string payload,
+                                              duration limit);
+  /// What that many bytes and all that are underway may take on this host's link, which
+  /// the links to all disks share.
+  [[nodiscard]] duration time_to_send(std::size_t bytes) const;
+  /// Counts the bytes as underway until it is called.
+  net::rpc_done while_underway(std::size_t bytes, net::rpc_done done);
   /// Asks a disk host, itself or by way of another front host.
-  void ask(const disk_id& disk, ledger_method method, const std::string& payload, duration limit,
-           net::rpc_done done);
-  void ask_by_relay(const disk_id& disk, ledger_method method, const std::string& payload,
-                    duration limit, net::rpc_done done);
+  void ask(const disk_id& disk, const question& what, net::rpc_done done);
+  void ask_by_relay(const disk_id& disk, const question& what, duration limit, net::rpc_done done);
   void suspect(const disk_id& disk);
   boost::asio::awaitable<bool> admit_once(std::shared_ptr<admission_state> state,
                                           turn_admission& result);
@@ -75,17 +90,12 @@
     std::function<void(const Answer&)> answered;
     /// No answer will come from that disk.
     std::function<void(const disk_id&)> failed;
-    /// The set is not the newest any more.
-    std::function<void()> stale;
+    /// That disk says that the set is not the newest any more.
+    std::function<void(const disk_id&)> stale;
   };
-  /// Asks every disk of a set the same question.
-  template <class Answer>
-  void ask_all(const ledger_set& disks, ledger_method method, const std::string& payload,
-               duration limit, const round_hooks<Answer>& hooks);
-  /// The same for some disks of a set.
+  /// Asks some disks of a set the same question.
   template <class Answer>
-  void ask_each(const std::vector<disk_id>& disks, ledger_method method, const std::string& payload,
-                duration limit, const round_hooks<Answer>& hooks);
+  void ask_each(const std::vector<disk_id>& disks, question what, const round_hooks<Answer>& hooks);
 
   void send_appends(const std::shared_ptr<admission_state>& state);
   void send_collects(const std::shared_ptr<admission_state>& state);
@@ -95,7 +105,10 @@
   void ask_others_for_chain(const std::shared_ptr<admission_state>& state);
   void send_chain_reads(const std::shared_ptr<admission_state>& state,
                         const std::vector<disk_id>& disks);
-  std::shared_ptr<settle_state> send_settlement(const append_request& request);
+  /// At the set in hand.
+  std::shared_ptr<settle_state> begin_settlement(append_request& request);
+  /// Asks the disks that lack the record and are not asked already.
+  void send_settlement(const std::shared_ptr<settle_state>& state);
   void conclude(const admission_state& state, turn_admission& result);
   void note_stale(const std::optional<ledger_set>& newest);
   /// The set that was asked is still the newest known: to ask it again brings the same
@@ -110,6 +123,8 @@
   std::map<disk_id, disk_link> links;
   relay_hook relay;
   net::steady_time next_probe{};
+  /// Invariant: bytes of the questions that are not answered yet, each copy counted.
+  std::size_t bytes_underway = 0;
   turn_cache cache;
 };
 
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -16,11 +16,15 @@
 namespace {
 
 /// An append waits for a sync of 2 to 5 ms and for those before it; one that takes
-/// this long comes from a disk host in trouble.
+/// this long, besides its way, comes from a disk host in trouble.
 constexpr duration append_limit = std::chrono::milliseconds(500);
-/// A healthy disk host answers within some ten milliseconds, also under load; then
-/// the question goes by way of another front host, which may still reach it.
+/// A healthy disk host answers within some ten milliseconds of having the question, also
+/// under load; then the question goes by way of another front host, which may still
+/// reach it.
 constexpr duration direct_patience = std::chrono::milliseconds(200);
+/// Bytes a second, for the time that a host's own questions take to leave it: half of
+/// what a link of 30 Mbit/s carries, since callers and backend servers share it.
+constexpr std::int64_t cautious_link_rate = 2'000'000;
 /// Between two probes of a disk host that is not reached.
 constexpr auto disk_probe_pause = std::chrono::milliseconds(300);
 constexpr duration read_limit = std::chrono::milliseconds(400);
@@ -169,22 +173,35 @@
   }
 }
 
-void ledger_client::ask_by_relay(const disk_id& disk, ledger_method method,
-                                 const std::string& payload, duration limit, net::rpc_done done) {
-  const relayed_question question{disk, static_cast<std::uint16_t>(method), payload};
-  this->relay(question, limit, std::move(done));
+duration ledger_client::time_to_send(std::size_t bytes) const {
+  const auto before_it = static_cast<std::int64_t>(this->bytes_underway + bytes);
+  return duration(std::chrono::seconds(1)) * before_it / cautious_link_rate;
 }
 
-void ledger_client::ask(const disk_id& disk, ledger_method method, const std::string& payload,
-                        duration limit, net::rpc_done done) {
+net::rpc_done ledger_client::while_underway(std::size_t bytes, net::rpc_done done) {
+  this->bytes_underway += bytes;
+  return [this, bytes, done = std::move(done)](net::rpc_failure why, std::string answer) {
+    this->bytes_underway -= bytes;
+    done(why, std::move(answer));
+  };
+}
+
+void ledger_client::ask_by_relay(const disk_id& disk, const question& what, duration limit,
+                                 net::rpc_done done) {
+  const relayed_question passed_on{disk, static_cast<std::uint16_t>(what.method), *what.payload};
+  this->relay(passed_on, limit, this->while_underway(what.payload->size(), std::move(done)));
+}
+
+void ledger_client::ask(const disk_id& disk, const question& what, net::rpc_done done) {
   const auto found = this->links.find(disk);
   if (found == this->links.end() || found->second.suspected) {
-    this->ask_by_relay(disk, method, payload, limit, std::move(done));
+    this->ask_by_relay(disk, what, what.limit + what.sending, std::move(done));
     return;
   }
-  const duration direct_limit = std::min(limit, direct_patience);
-  const auto retry = [this, disk, method, payload, rest = limit - direct_limit,
-                      done = std::move(done)](net::rpc_failure why, std::string answer) {
+  const duration direct_limit = std::min(what.limit, direct_patience);
+  const duration rest = what.limit - direct_limit;
+  auto retry = [this, disk, what, rest, done = std::move(done)](net::rpc_failure why,
+                                                                std::string answer) {
     const bool silent = why == net::rpc_failure::unknown || why == net::rpc_failure::unreachable;
     if (!silent) {
       done(why, std::move(answer));
@@ -195,24 +212,29 @@
       done(why, {});
       return;
     }
-    this->ask_by_relay(disk, method, payload, rest, done);
+    this->ask_by_relay(disk, what, rest + what.sending, done);
   };
-  found->second.link->call(static_cast<std::uint16_t>(method), payload, direct_limit, retry);
+  found->second.link->call(static_cast<std::uint16_t>(what.method), *what.payload,
+                           direct_limit + what.sending,
+                           this->while_underway(what.payload->size(), std::move(retry)));
 }
 
 void ledger_client::serve_relayed(const std::string& payload, const net::rpc_reply& reply) {
-  const auto question = from_bytes<relayed_question>(payload);
+  auto question = from_bytes<relayed_question>(payload);
   const auto found = question ? this->links.find(question->disk) : this->links.end();
   // Passed on once only: a host that does not reach the disk host says so.
   if (found == this->links.end() || found->second.suspected) {
     reply(std::nullopt);
     return;
   }
-  found->second.link->call(question->method, question->payload, direct_patience,
-                           [reply](net::rpc_failure why, std::string answer) {
-                             const bool good = why == net::rpc_failure::none;
-                             reply(good ? std::optional(std::move(answer)) : std::nullopt);
-                           });
+  const std::size_t bytes = question->payload.size();
+  const duration patience = direct_patience + this->time_to_send(bytes);
+  found->second.link->call(
+      question->method, std::move(question->payload), patience,
+      this->while_underway(bytes, [reply](net::rpc_failure why, std::string answer) {
+        const bool good = why == net::rpc_failure::none;
+        reply(good ? std::optional(std::move(answer)) : std::nullopt);
+      }));
 }
 
 void ledger_client::tick() {
@@ -221,11 +243,12 @@
     return;
   }
   this->next_probe = now + disk_probe_pause;
+  const duration patience = direct_patience + this->time_to_send(0);
   for (auto& [disk, known] : this->links) {
     if (!known.suspected) {
       continue;
     }
-    known.link->call(static_cast<std::uint16_t>(ledger_method::probe), "", direct_patience,
+    known.link->call(static_cast<std::uint16_t>(ledger_method::probe), "", patience,
                      [this, disk = disk](net::rpc_failure why, const std::string& bytes) {
                        const auto answer = from_bytes<probe_answer>(bytes);
                        const auto found = this->links.find(disk);
@@ -265,31 +288,30 @@
   }
 }
 
-template <class Answer>
-void ledger_client::ask_all(const ledger_set& disks, ledger_method method,
-                            const std::string& payload, duration limit,
-                            const round_hooks<Answer>& hooks) {
-  this->ask_each(disks.all(), method, payload, limit, hooks);
+ledger_client::question ledger_client::make_question(ledger_method method, std::string payload,
+                                                     duration limit) {
+  // The encoder leaves room for up to as much again.
+  payload.shrink_to_fit();
+  return {method, std::make_shared<const std::string>(std::move(payload)), limit, {}};
 }
 
 template <class Answer>
-void ledger_client::ask_each(const std::vector<disk_id>& disks, ledger_method method,
-                             const std::string& payload, duration limit,
+void ledger_client::ask_each(const std::vector<disk_id>& disks, question what,
                              const round_hooks<Answer>& hooks) {
+  what.sending = this->time_to_send(what.payload->size() * disks.size());
   for (const disk_id& disk : disks) {
-    this->ask(disk, method, payload, limit,
-              [this, disk, hooks](net::rpc_failure why, const std::string& bytes) {
-                const bool good = why == net::rpc_failure::none;
-                const auto answer = good ? from_bytes<Answer>(bytes) : std::nullopt;
-                if (!answer || answer->disk != disk) {
-                  hooks.failed(disk);
-                } else if (answer->stale) {
-                  this->note_stale(answer->newest);
-                  hooks.stale();
-                } else {
-                  hooks.answered(*answer);
-                }
-              });
+    this->ask(disk, what, [this, disk, hooks](net::rpc_failure why, const std::string& bytes) {
+      const bool good = why == net::rpc_failure::none;
+      const auto answer = good ? from_bytes<Answer>(bytes) : std::nullopt;
+      if (!answer || answer->disk != disk) {
+        hooks.failed(disk);
+      } else if (answer->stale) {
+        this->note_stale(answer->newest);
+        hooks.stale(disk);
+      } else {
+        hooks.answered(*answer);
+      }
+    });
   }
 }
 
@@ -306,8 +328,9 @@
     state->check.on_append_failed(disk);
     state->signal.wake();
   };
-  hooks.stale = [state] { state->note_stale(); };
-  this->ask_all(state->set, ledger_method::append, to_bytes(request), append_limit, hooks);
+  hooks.stale = [state](const disk_id&) { state->note_stale(); };
+  this->ask_each(state->set.all(),
+                 make_question(ledger_method::append, to_bytes(request), append_limit), hooks);
 }
 
 void ledger_client::send_collects(const std::shared_ptr<admission_state>& state) {
@@ -322,8 +345,9 @@
     state->check.on_collect_failed(disk);
     state->signal.wake();
   };
-  hooks.stale = [state] { state->note_stale(); };
-  this->ask_all(state->set, ledger_method::collect, to_bytes(request), read_limit, hooks);
+  hooks.stale = [state](const disk_id&) { state->note_stale(); };
+  this->ask_each(state->set.all(),
+                 make_question(ledger_method::collect, to_bytes(request), read_limit), hooks);
 }
 
 void ledger_client::send_chain_reads(const std::shared_ptr<admission_state>& state,
@@ -338,8 +362,8 @@
     state->chain.on_failed(disk);
     state->ask_all_for_chain_now();
   };
-  hooks.stale = [state] { state->note_stale(); };
-  this->ask_each(disks, ledger_method::chain, to_bytes(request), read_limit, hooks);
+  hooks.stale = [state](const disk_id&) { state->note_stale(); };
+  this->ask_each(disks, make_question(ledger_method::chain, to_bytes(request), read_limit), hooks);
 }
 
 void ledger_client::ask_one_for_chain(const std::shared_ptr<admission_state>& state) {
@@ -475,36 +499,72 @@
   co_return result;
 }
 
-/// One settlement at one set.
+/// One settlement at one set, through all tries. Shared with the answers that are still
+/// on their way when it is over.
 struct ledger_client::settle_state {
-  settle_state(asio::io_context& context, const ledger_set& at) : round(at), signal(context) {}
-  disk_round round;
+  settle_state(asio::io_context& context, ledger_set at, question request)
+      : set(std::move(at)), append(std::move(request)), signal(context) {}
+
+  ledger_set set;
+  question append;
   net::async_signal signal;
+  /// Disks that have the record. An answer to an earlier try counts as well: it is the
+  /// same record, and the disk had it before it refused this set.
+  std::set<disk_id> kept_at;
+  /// Disks whose answer is still to come; these are not asked again. Disjoint from
+  /// `kept_at`.
+  std::set<disk_id> underway;
+  /// A disk refused this set since the last try.
   bool stale = false;
 
-  [[nodiscard]] bool over() const {
-    return this->stale || this->round.majority() || this->round.hopeless();
+  void answered(const disk_id& disk) {
+    this->underway.erase(disk);
+    this->kept_at.insert(disk);
+    this->signal.wake();
+  }
+  void failed(const disk_id& disk) {
+    this->underway.erase(disk);
+    this->signal.wake();
+  }
+  void refused(const disk_id& disk) {
+    this->stale = true;
+    this->failed(disk);
+  }
+
+  [[nodiscard]] bool majority() const { return this->set.has_majority(this->kept_at); }
+  [[nodiscard]] bool hopeless() const {
+    std::set<disk_id> possible = this->kept_at;
+    possible.insert(this->underway.begin(), this->underway.end());
+    return !this->set.has_majority(possible);
+  }
+  [[nodiscard]] bool over() const { return this->majority() || this->stale || this->hopeless(); }
+  /// Disks to ask at the next try.
+  [[nodiscard]] std::vector<disk_id> lacking() const {
+    std::vector<disk_id> disks = this->set.all();
+    std::erase_if(disks, [this](const disk_id& disk) {
+      return this->kept_at.contains(disk) || this->underway.contains(disk);
+    });
+    return disks;
   }
 };
 
-std::shared_ptr<ledger_client::settle_state> ledger_client::send_settlement(
-    const append_request& request) {
-  auto state = std::make_shared<settle_state>(this->context, *this->set);
+std::shared_ptr<ledger_client::settle_state> ledger_client::begin_settlement(
+    append_request& request) {
+  request.epoch = this->set->epoch;
+  return std::make_shared<settle_state>(
+      this->context, *this->set,
+      make_question(ledger_method::append, to_bytes(request), append_limit));
+}
+
+void ledger_client::send_settlement(const std::shared_ptr<settle_state>& state) {
   round_hooks<program_answer> hooks;
-  hooks.answered = [state](const program_answer& answer) {
-    state->round.answered(answer.disk);
-    state->signal.wake();
-  };
-  hooks.failed = [state](const disk_id& disk) {
-    state->round.failed(disk);
-    state->signal.wake();
-  };
-  hooks.stale = [state] {
-    state->stale = true;
-    state->signal.wake();
-  };
-  this->ask_all(*this->set, ledger_method::append, to_bytes(request), append_limit, hooks);
-  return state;
+  hooks.answered = [state](const program_answer& answer) { state->answered(answer.disk); };
+  hooks.failed = [state](const disk_id& disk) { state->failed(disk); };
+  hooks.stale = [state](const disk_id& disk) { state->refused(disk); };
+  state->stale = false;
+  const std::vector<disk_id> disks = state->lacking();
+  state->underway.insert(disks.begin(), disks.end());
+  this->ask_each(disks, state->append, hooks);
 }
 
 asio::awaitable<bool> ledger_client::settle(turn_request turn, turn_result result,
@@ -515,13 +575,16 @@
     request.record.turn =
         kept_turn{turn.id, turn.previous, std::move(result.input), std::move(result.output)};
   }
+  std::shared_ptr<settle_state> state;
   while (this->set) {
-    request.epoch = this->set->epoch;
-    const auto state = this->send_settlement(request);
+    if (!state || !this->holds_still(state->set.epoch)) {
+      state = this->begin_settlement(request);
+    }
+    this->send_settlement(state);
     while (!state->over() && steady::now() < until) {
       co_await state->signal.wait_until(until);
     }
-    if (state->round.majority()) {
+    if (state->majority()) {
       if (request.record.turn) {
         this->cache.add(*request.record.turn);
       }
@@ -530,7 +593,7 @@
     if (steady::now() >= until) {
       co_return false;
     }
-    if (this->holds_still(request.epoch)) {
+    if (this->holds_still(state->set.epoch)) {
       net::async_signal pause(this->context);
       co_await pause.wait_until(steady::now() + settle_pause);
     }
@@ -550,8 +613,9 @@
   // refused too early, but the budget holds.
   hooks.answered = [](const program_answer&) {};
   hooks.failed = [](const disk_id&) {};
-  hooks.stale = [] {};
-  this->ask_all(*this->set, ledger_method::append, to_bytes(request), append_limit, hooks);
+  hooks.stale = [](const disk_id&) {};
+  this->ask_each(this->set->all(),
+                 make_question(ledger_method::append, to_bytes(request), append_limit), hooks);
 }
 
 }  // namespace hawthornlane::front
--- a/libs/front/test/ledger_traffic_test.cc
+++ b/libs/front/test/ledger_traffic_test.cc
@@ -1,7 +1,15 @@
-// What one turn costs on the links to the disk hosts when these are slow or tell old news.
+// What turns cost on the links to the disk hosts, and in memory, when these links are slow
+// or the disk hosts tell old news.
+#include <malloc.h>
+
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "hawthornlane/front/ledger_client.h"
@@ -11,68 +19,221 @@
 using namespace hawthornlane::front;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
+using asio::ip::tcp;
 using steady = std::chrono::steady_clock;
 
 namespace {
 
+constexpr std::size_t kilobyte = 1000;
+const http::endpoint any_port = {"127.0.0.1", 0};
 const std::vector<disk_id> disk_names = {disk_id("a"), disk_id("b"), disk_id("c"), disk_id("d"),
                                          disk_id("e")};
 
-/// Five disk hosts on real connections, and a front host's side of the ledger. No other
-/// front host passes questions on.
-class stub_disks {
+/// A front host's side of the ledger, on a context of its own.
+class front_side {
 public:
-  /// Answers one append or collect of a disk. Called for each question.
-  using answer_hook = std::function<program_answer(const disk_id&, const append_request&)>;
+  front_side()
+      : sweeper(context),
+        ledger(context, sweeper, fleet, availability_zone("zone-a"), 64 * kilobyte * kilobyte) {
+    this->ledger.set_relay([](const relayed_question&, duration, const net::rpc_done& done) {
+      done(net::rpc_failure::refused, {});
+    });
+  }
 
-  explicit stub_disks(answer_hook answer_with)
-      : answer(std::move(answer_with)),
-        sweeper(context),
-        ledger(context, sweeper, fleet, availability_zone("zone-a"), 64 * 1024 * 1024) {
+  /// Where each disk is, in the order of `disk_names`.
+  void list_disks(const std::vector<http::endpoint>& places) {
     std::vector<host_entry> hosts;
-    for (const disk_id& disk : disk_names) {
-      hosts.push_back(this->open(disk));
+    for (std::size_t at = 0; at < places.size(); ++at) {
+      host_entry entry;
+      entry.name = host_id("host-" + disk_names[at].get());
+      entry.role = host_role::disk;
+      entry.disk = disk_names[at].get();
+      entry.peers_at = places[at];
+      entry.zone = availability_zone("zone-" + disk_names[at].get());
+      hosts.push_back(entry);
     }
     this->fleet.list_hosts(store_revision(1), hosts);
     this->ledger.refresh_hosts();
     this->ledger.take_set({set_epoch(1), disk_names, {}}, "test");
-    this->ledger.set_relay([](const relayed_question&, duration, const net::rpc_done& done) {
-      done(net::rpc_failure::refused, {});
+  }
+
+  /// Both return at once; the results are there when `open` is 0 again.
+  void begin_admit(const turn_request& turn, duration limit, turn_admission& result) {
+    this->spawn([this, turn, limit, &result]() -> asio::awaitable<void> {
+      result = co_await this->ledger.admit(turn, steady::now() + limit);
     });
   }
+  void begin_settle(const turn_request& turn, turn_result ended, duration limit, bool& kept) {
+    this->spawn(
+        [this, turn, ended = std::move(ended), limit, &kept]() mutable -> asio::awaitable<void> {
+          kept = co_await this->ledger.settle(turn, std::move(ended), steady::now() + limit);
+        });
+  }
+  void run_all() {
+    while (this->open > 0) {
+      this->context.run_one();
+    }
+  }
 
   turn_admission admit(const turn_request& turn, duration limit) {
     turn_admission result;
-    this->run([&]() -> asio::awaitable<void> {
-      result = co_await this->ledger.admit(turn, steady::now() + limit);
-    });
+    this->begin_admit(turn, limit, result);
+    this->run_all();
     return result;
   }
-
-  bool settle(const turn_request& turn, turn_result result, duration limit) {
+  bool settle(const turn_request& turn, turn_result ended, duration limit) {
     bool kept = false;
-    this->run([&]() -> asio::awaitable<void> {
-      kept = co_await this->ledger.settle(turn, std::move(result), steady::now() + limit);
-    });
+    this->begin_settle(turn, std::move(ended), limit, kept);
+    this->run_all();
     return kept;
   }
 
-  /// Appends that reached each disk.
+  asio::io_context context;
+  net::deadline_sweeper sweeper;
+  discovery::fleet_state fleet;
+  ledger_client ledger;
+  int open = 0;
+
+private:
+  template <class Work>
+  void spawn(Work work) {
+    ++this->open;
+    asio::co_spawn(
+        this->context,
+        [this, work = std::move(work)]() mutable -> asio::awaitable<void> {
+          co_await work();
+          --this->open;
+        },
+        asio::detached);
+  }
+};
+
+/// What a host may send in all, to whomever: a pump for each connection, one rate.
+class slow_uplink {
+public:
+  slow_uplink(asio::io_context& io, double bytes_a_second) : context(io), rate(bytes_a_second) {}
+
+  /// An address that leads to `to` over this link.
+  http::endpoint towards(const http::endpoint& to) {
+    const tcp::endpoint here(asio::ip::make_address(any_port.address), 0);
+    const auto acceptor = std::make_shared<tcp::acceptor>(this->context);
+    acceptor->open(here.protocol());
+    // Else the kernel takes megabytes that the link has not carried.
+    acceptor->set_option(asio::socket_base::receive_buffer_size(kernel_buffer));
+    acceptor->bind(here);
+    acceptor->listen();
+    asio::co_spawn(this->context, this->accept(acceptor, to), asio::detached);
+    return {any_port.address, acceptor->local_endpoint().port()};
+  }
+
+  std::size_t carried = 0;
+
+private:
+  static constexpr int kernel_buffer = 65536;
+  static constexpr std::size_t piece = 4096;
+  using shared_socket = std::shared_ptr<tcp::socket>;
+
+  asio::awaitable<void> accept(std::shared_ptr<tcp::acceptor> acceptor, http::endpoint to) {
+    while (true) {
+      const auto near =
+          std::make_shared<tcp::socket>(co_await acceptor->async_accept(asio::use_awaitable));
+      const auto far = std::make_shared<tcp::socket>(this->context);
+      co_await far->async_connect({asio::ip::make_address(to.address), to.port},
+                                  asio::use_awaitable);
+      near->set_option(tcp::no_delay(true));
+      far->set_option(tcp::no_delay(true));
+      asio::co_spawn(this->context, this->pump(near, far, true), asio::detached);
+      asio::co_spawn(this->context, this->pump(far, near, false), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> pump(shared_socket from, shared_socket into, bool slow) {
+    std::array<char, piece> bytes{};
+    boost::system::error_code error;
+    auto unless_closed = asio::redirect_error(asio::use_awaitable, error);
+    while (!error) {
+      const std::size_t got = co_await from->async_read_some(asio::buffer(bytes), unless_closed);
+      if (slow && got > 0) {
+        co_await this->carry(got);
+      }
+      if (got > 0) {
+        co_await asio::async_write(*into, asio::buffer(bytes.data(), got), unless_closed);
+      }
+    }
+    boost::system::error_code ignored;
+    from->close(ignored);
+    into->close(ignored);
+  }
+
+  asio::awaitable<void> carry(std::size_t bytes) {
+    const std::chrono::duration<double> takes(static_cast<double>(bytes) / this->rate);
+    this->free_at = std::max(this->free_at, steady::now()) +
+                    std::chrono::duration_cast<steady::duration>(takes);
+    this->carried += bytes;
+    asio::steady_timer timer(this->context, this->free_at);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+
+  asio::io_context& context;
+  /// Bytes a second.
+  double rate;
+  steady::time_point free_at{};
+};
+
+/// Five disk hosts and another front host that passes questions on to them, all on real
+/// connections.
+class stub_disks {
+public:
+  /// Answers one append.
+  using answer_hook = std::function<program_answer(const disk_id&, const append_request&)>;
+
+  explicit stub_disks(answer_hook answer_with, double uplink_rate = 1e9)
+      : answer(std::move(answer_with)), uplink(front.context, uplink_rate) {
+    std::vector<http::endpoint> places;
+    places.reserve(disk_names.size());
+    for (const disk_id& disk : disk_names) {
+      places.push_back(this->listen([this, disk](std::uint16_t method, const std::string& payload,
+                                                 const net::rpc_reply& reply) {
+        this->serve(disk, method, payload, reply);
+      }));
+    }
+    this->front.list_disks(places);
+    const http::endpoint other = this->listen(
+        [this](std::uint16_t, const std::string& payload, const net::rpc_reply& reply) {
+          const auto question = from_bytes<relayed_question>(payload);
+          this->serve(question->disk, question->method, question->payload, reply);
+        });
+    this->relay =
+        std::make_unique<net::rpc_client>(this->front.context, this->front.sweeper, other);
+    this->front.ledger.set_relay(
+        [this](const relayed_question& question, duration limit, net::rpc_done done) {
+          constexpr auto method = static_cast<std::uint16_t>(gossip_method::relay);
+          this->relay->call(method, to_bytes(question), limit, std::move(done));
+        });
+  }
+
+  [[nodiscard]] int most_appends() const {
+    int most = 0;
+    for (const auto& [disk, count] : this->appends) {
+      most = std::max(most, count);
+    }
+    return most;
+  }
+
+private:
+  answer_hook answer;
+
+public:
+  front_side front;
+  slow_uplink uplink;
+  /// Appends that reached each disk, by whatever way.
   std::map<disk_id, int> appends;
 
 private:
-  host_entry open(const disk_id& disk) {
+  http::endpoint listen(net::rpc_handler handler) {
     this->servers.push_back(std::make_unique<net::rpc_server>(
-        this->context, this->sweeper, http::endpoint{"127.0.0.1", 0},
-        [this, disk](std::uint16_t method, const std::string& payload,
-                     const net::rpc_reply& reply) { this->serve(disk, method, payload, reply); }));
-    host_entry entry;
-    entry.name = host_id("host-" + disk.get());
-    entry.role = host_role::disk;
-    entry.disk = disk.get();
-    entry.peers_at = this->servers.back()->where();
-    entry.zone = availability_zone("zone-" + disk.get());
-    return entry;
+        this->front.context, this->front.sweeper, any_port, std::move(handler)));
+    return this->uplink.towards(this->servers.back()->where());
   }
 
   void serve(const disk_id& disk, std::uint16_t method, const std::string& payload,
@@ -85,38 +246,19 @@
       return;
     }
     ++this->appends[disk];
-    // As long as a sync takes.
-    const auto timer = std::make_shared<asio::steady_timer>(this->context, 2ms);
+    // About what a sync takes.
+    const auto timer = std::make_shared<asio::steady_timer>(this->front.context, 2ms);
     timer->async_wait([timer, reply, bytes = to_bytes(this->answer(disk, *request))](
                           const boost::system::error_code&) { reply(bytes); });
   }
 
-  template <class Work>
-  void run(const Work& work) {
-    bool done = false;
-    asio::co_spawn(
-        this->context,
-        [&]() -> asio::awaitable<void> {
-          co_await work();
-          done = true;
-        },
-        asio::detached);
-    while (!done) {
-      this->context.run_one();
-    }
-  }
-
-  answer_hook answer;
-  asio::io_context context;
-  net::deadline_sweeper sweeper;
-  discovery::fleet_state fleet;
   std::vector<std::unique_ptr<net::rpc_server>> servers;
-  ledger_client ledger;
+  std::unique_ptr<net::rpc_client> relay;
 };
 
-turn_request kept_turn_request() {
+turn_request kept_turn_request(const std::string& id) {
   turn_request request;
-  request.id = request_id("t1");
+  request.id = request_id(id);
   request.program = program_id("p");
   request.most = token_count(30);
   request.budget = token_count(70);
@@ -133,6 +275,12 @@
   return result;
 }
 
+program_answer taken(const disk_id& disk, const append_request&) {
+  program_answer answer;
+  answer.disk = disk;
+  return answer;
+}
+
 /// Refuses epoch 1; tells of epoch 2 only after a while.
 stub_disks::answer_hook late_with_the_news(duration late) {
   return [late, began = steady::now()](const disk_id& disk, const append_request& request) {
@@ -145,6 +293,12 @@
   };
 }
 
+/// Bytes that this process has asked for and not given back.
+std::size_t bytes_in_use() {
+  const struct mallinfo2 heap = mallinfo2();
+  return heap.uordblks + heap.hblkhd;
+}
+
 }  // namespace
 
 TEST_CASE("disks that refuse a set before they can tell the next one are asked with pauses") {
@@ -152,18 +306,108 @@
   constexpr int most_appends = 10;
   SECTION("a turn is admitted once the set is known") {
     stub_disks disks(late_with_the_news(200ms));
-    CHECK(disks.admit(kept_turn_request(), 3s).kind == admission_kind::admitted);
+    const turn_admission admission = disks.front.admit(kept_turn_request("t1"), 3s);
+    CHECK(admission.kind == admission_kind::admitted);
     CHECK(disks.appends.size() == disk_names.size());
-    for (const auto& [disk, count] : disks.appends) {
-      CHECK(count < most_appends);
-    }
+    CHECK(disks.most_appends() < most_appends);
   }
   SECTION("a turn is kept once the set is known") {
     stub_disks disks(late_with_the_news(300ms));
-    CHECK(disks.settle(kept_turn_request(), whole_result(2600), 3s));
+    CHECK(disks.front.settle(kept_turn_request("t1"), whole_result(2600), 3s));
     CHECK(disks.appends.size() == disk_names.size());
-    for (const auto& [disk, count] : disks.appends) {
-      CHECK(count < most_appends);
+    CHECK(disks.most_appends() < most_appends);
+  }
+}
+
+TEST_CASE("a turn of any size is sent once to each disk over a slow link") {
+  // 30 Mbit/s. Five copies of 400,000 bytes take 0.53 s, of 1,000,000 bytes 1.33 s.
+  constexpr double rate = 3.75e6;
+  const std::size_t sizes[] = {20 * kilobyte, 200 * kilobyte, 400 * kilobyte, 1000 * kilobyte};
+  for (const std::size_t size : sizes) {
+    INFO("body of " << size << " bytes");
+    stub_disks disks(taken, rate);
+    CHECK(disks.front.settle(kept_turn_request("t1"), whole_result(size), 3s));
+    CHECK(disks.most_appends() == 1);
+    CHECK(disks.front.ledger.reached() == disk_names.size());
+    CHECK(disks.uplink.carried < (size + 2 * kilobyte) * disk_names.size());
+  }
+}
+
+TEST_CASE("a small question waits for the large ones before it on a slow link") {
+  constexpr double rate = 3.75e6;
+  stub_disks disks(taken, rate);
+  bool kept = false;
+  turn_admission admission;
+  disks.front.begin_settle(kept_turn_request("t1"), whole_result(400 * kilobyte), 3s, kept);
+  disks.front.begin_admit(kept_turn_request("t2"), 3s, admission);
+  disks.front.run_all();
+  CHECK(kept);
+  CHECK(admission.kind == admission_kind::admitted);
+  // One of each turn.
+  CHECK(disks.most_appends() == 2);
+  CHECK(disks.front.ledger.reached() == disk_names.size());
+}
+
+TEST_CASE("a disk is not sent a turn again while it still has the first one to answer") {
+  // Three disks refuse, so that no majority can come; the others are slow.
+  class two_slow_disks {
+  public:
+    two_slow_disks() {
+      this->servers.reserve(disk_names.size());
+      this->places.reserve(disk_names.size());
+      for (std::size_t at = 0; at < disk_names.size(); ++at) {
+        this->servers.push_back(std::make_unique<net::rpc_server>(
+            this->front.context, this->front.sweeper, any_port,
+            [this, at](std::uint16_t, const std::string&, const net::rpc_reply& reply) {
+              ++this->asked[at];
+              if (at < 3) {
+                reply(std::nullopt);
+              }
+            }));
+        this->places.push_back(this->servers.back()->where());
+      }
+      this->front.list_disks(this->places);
     }
+
+    front_side front;
+    std::vector<std::unique_ptr<net::rpc_server>> servers;
+    std::vector<http::endpoint> places;
+    std::map<std::size_t, int> asked;
+  };
+  two_slow_disks disks;
+  CHECK_FALSE(disks.front.settle(kept_turn_request("t1"), whole_result(2600), 180ms));
+  CHECK(disks.asked[0] > 2);
+  CHECK(disks.asked[3] == 1);
+  CHECK(disks.asked[4] == 1);
+}
+
+TEST_CASE("a turn that waits for its disks holds its body few times") {
+  // Listening sockets that nobody reads from. One body in the record, one encoded for all
+  // disks, one in each link's queue, and a part of one for the rest.
+  constexpr std::size_t body = 4000 * kilobyte;
+  constexpr std::size_t most_bodies = 8;
+  constexpr int small_kernel_buffer = 65536;
+  front_side front;
+  std::vector<tcp::acceptor> mute;
+  std::vector<http::endpoint> places;
+  for (std::size_t at = 0; at < disk_names.size(); ++at) {
+    tcp::acceptor& one = mute.emplace_back(front.context, tcp::v4());
+    one.set_option(asio::socket_base::receive_buffer_size(small_kernel_buffer));
+    one.bind({asio::ip::make_address(any_port.address), 0});
+    one.listen();
+    places.push_back({any_port.address, one.local_endpoint().port()});
   }
+  front.list_disks(places);
+  const std::size_t before = bytes_in_use();
+  bool kept = false;
+  front.begin_settle(kept_turn_request("t1"), whole_result(body), 150ms, kept);
+  std::size_t held = 0;
+  asio::steady_timer timer(front.context, 100ms);
+  timer.async_wait([&](const boost::system::error_code&) { held = bytes_in_use() - before; });
+  front.run_all();
+  CHECK_FALSE(kept);
+  INFO("held " << held << " bytes");
+  // Else nothing was measured.
+  CHECK(held > body);
+  CHECK(held < most_bodies * body);
 }
