Tell others only of disks that were reached, and drop links to disks that are gone

Cause: `reached` counted every link that was not held for silent: disks never asked, disks long replaced, and disks that a question passed on for others had found silent. All hosts pick the host that says most as their relay, so a host that knew nothing was asked by all, and with a link to an old identity for ever. Links were never dropped.

Change: it counts disks of the current set that have answered over their link; disks not asked yet are probed like silent ones, so an idle host finds out within one probe. A question passed on tells of silence as an own one does. Links to disks that are neither listed nor in the set are dropped; a member that is listed no more is kept, since turns depend on it.

The check of `reached` after a slow turn now waits for all five answers and checks that each disk was asked.

Not changed: nothing bounds the questions that one host passes on at a time.

--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -47,11 +47,11 @@
   void set_relay(relay_hook hook) { this->relay = std::move(hook); }
   /// Serves another front host that does not reach a disk host itself.
   void serve_relayed(const std::string& payload, const net::rpc_reply& reply);
-  /// Looks whether disk hosts that were not reached can be reached again.
+  /// Looks whether disk hosts that were not reached, or never asked, can be reached.
   void tick();
   /// The set names a disk whose host is not known yet.
   [[nodiscard]] bool lacks_address() const;
-  /// Disk hosts that this host reaches itself.
+  /// Disks of the set that have answered this host itself and are not silent since.
   [[nodiscard]] std::uint32_t reached() const;
 
   [[nodiscard]] const std::optional<ledger_set>& current() const { return this->set; }
@@ -81,7 +81,10 @@
   /// Asks a disk host, itself or by way of another front host.
   void ask(const disk_id& disk, const question& what, net::rpc_done done);
   void ask_by_relay(const disk_id& disk, const question& what, duration limit, net::rpc_done done);
-  void suspect(const disk_id& disk);
+  /// A disk host was asked directly.
+  void note_outcome(const disk_id& disk, net::rpc_failure why);
+  /// To disk hosts that are neither listed nor in the set.
+  void drop_links();
   boost::asio::awaitable<bool> admit_once(std::shared_ptr<admission_state> state,
                                           turn_admission& result);
   /// What is done with the answers of one round of questions.
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -54,6 +54,11 @@
   return wall_ms(wall_now().get() + keep.count());
 }
 
+/// The other host did not answer at all; else it did, if only to refuse.
+bool is_silence(net::rpc_failure why) {
+  return why == net::rpc_failure::unknown || why == net::rpc_failure::unreachable;
+}
+
 ledger_record record_of(const turn_request& turn, reservation_phase phase, token_count used) {
   ledger_record record;
   record.program = turn.program;
@@ -71,6 +76,11 @@
   /// It did not answer in time; questions go by way of other front hosts until a
   /// probe is answered.
   bool suspected = false;
+  /// It has answered over this link. Until then other front hosts are not told that it
+  /// is reached, but it is asked directly.
+  bool answered = false;
+
+  [[nodiscard]] bool reached() const { return this->answered && !this->suspected; }
 };
 
 /// One try to admit a turn at one set. Shared with the answers that are still on
@@ -149,6 +159,7 @@
                                   {"members", std::to_string(told.members.size())},
                                   {"joint", told.joint() ? "yes" : "no"},
                                   {"source", source}});
+  this->drop_links();
 }
 
 void ledger_client::refresh_hosts() {
@@ -162,12 +173,33 @@
     }
     known.host = entry;
     known.link = std::make_unique<net::rpc_client>(this->context, this->sweeper, entry.peers_at);
+    known.answered = false;
+  }
+  this->drop_links();
+}
+
+void ledger_client::drop_links() {
+  std::set<disk_id> needed;
+  for (const auto& [name, entry] : this->fleet.hosts().listed()) {
+    needed.insert(disk_id(entry.disk));
+  }
+  if (this->set) {
+    // A member may be listed no more because of trouble at the store; turns still need it.
+    const std::vector<disk_id> members = this->set->all();
+    needed.insert(members.begin(), members.end());
   }
+  std::erase_if(this->links, [&](const auto& item) { return !needed.contains(item.first); });
 }
 
-void ledger_client::suspect(const disk_id& disk) {
-  disk_link& known = this->links.at(disk);
-  if (!known.suspected) {
+void ledger_client::note_outcome(const disk_id& disk, net::rpc_failure why) {
+  const auto found = this->links.find(disk);
+  if (found == this->links.end()) {
+    return;
+  }
+  disk_link& known = found->second;
+  if (!is_silence(why)) {
+    known.answered = true;
+  } else if (!known.suspected) {
     known.suspected = true;
     log(event::host_silent, {{"peer", known.host.name.get()}, {"detail", "disk host"}});
   }
@@ -202,12 +234,11 @@
   const duration rest = what.limit - direct_limit;
   auto retry = [this, disk, what, rest, done = std::move(done)](net::rpc_failure why,
                                                                 std::string answer) {
-    const bool silent = why == net::rpc_failure::unknown || why == net::rpc_failure::unreachable;
-    if (!silent) {
+    this->note_outcome(disk, why);
+    if (!is_silence(why)) {
       done(why, std::move(answer));
       return;
     }
-    this->suspect(disk);
     if (rest <= duration::zero()) {
       done(why, {});
       return;
@@ -231,10 +262,12 @@
   const duration patience = direct_patience + this->time_to_send(bytes);
   found->second.link->call(
       question->method, std::move(question->payload), patience,
-      this->while_underway(bytes, [reply](net::rpc_failure why, std::string answer) {
-        const bool good = why == net::rpc_failure::none;
-        reply(good ? std::optional(std::move(answer)) : std::nullopt);
-      }));
+      this->while_underway(
+          bytes, [this, disk = question->disk, reply](net::rpc_failure why, std::string answer) {
+            this->note_outcome(disk, why);
+            const bool good = why == net::rpc_failure::none;
+            reply(good ? std::optional(std::move(answer)) : std::nullopt);
+          }));
 }
 
 void ledger_client::tick() {
@@ -245,7 +278,7 @@
   this->next_probe = now + disk_probe_pause;
   const duration patience = direct_patience + this->time_to_send(0);
   for (auto& [disk, known] : this->links) {
-    if (!known.suspected) {
+    if (known.reached()) {
       continue;
     }
     known.link->call(static_cast<std::uint16_t>(ledger_method::probe), "", patience,
@@ -256,6 +289,10 @@
                            found == this->links.end()) {
                          return;
                        }
+                       found->second.answered = true;
+                       if (!found->second.suspected) {
+                         return;
+                       }
                        found->second.suspected = false;
                        log(event::host_reachable,
                            {{"peer", found->second.host.name.get()}, {"detail", "disk host"}});
@@ -273,9 +310,15 @@
 }
 
 std::uint32_t ledger_client::reached() const {
-  return static_cast<std::uint32_t>(
-      std::count_if(this->links.begin(), this->links.end(),
-                    [](const auto& item) { return !item.second.suspected; }));
+  if (!this->set) {
+    return 0;
+  }
+  const std::vector<disk_id> disks = this->set->all();
+  const auto count = std::count_if(disks.begin(), disks.end(), [this](const disk_id& disk) {
+    const auto found = this->links.find(disk);
+    return found != this->links.end() && found->second.reached();
+  });
+  return static_cast<std::uint32_t>(count);
 }
 
 bool ledger_client::holds_still(set_epoch asked) const {
--- a/libs/front/test/ledger_traffic_test.cc
+++ b/libs/front/test/ledger_traffic_test.cc
@@ -40,7 +40,7 @@
     });
   }
 
-  /// Where each disk is, in the order of `disk_names`.
+  /// Where each disk is, in the order of `disk_names`; those beyond are listed no more.
   void list_disks(const std::vector<http::endpoint>& places) {
     std::vector<host_entry> hosts;
     for (std::size_t at = 0; at < places.size(); ++at) {
@@ -52,7 +52,7 @@
       entry.zone = availability_zone("zone-" + disk_names[at].get());
       hosts.push_back(entry);
     }
-    this->fleet.list_hosts(store_revision(1), hosts);
+    this->fleet.list_hosts(store_revision(++this->revision), hosts);
     this->ledger.refresh_hosts();
     this->ledger.take_set({set_epoch(1), disk_names, {}}, "test");
   }
@@ -94,7 +94,23 @@
   ledger_client ledger;
   int open = 0;
 
+  /// Whether a question that another front host cannot ask itself is answered here.
+  bool passes_on(const disk_id& disk) {
+    const relayed_question probe{disk, static_cast<std::uint16_t>(ledger_method::probe), ""};
+    std::optional<bool> answered;
+    this->ledger.serve_relayed(to_bytes(probe), [&](const std::optional<std::string>& answer) {
+      answered = answer.has_value();
+    });
+    while (!answered) {
+      this->context.run_one();
+    }
+    return *answered;
+  }
+  void run_for(duration time) { this->context.run_for(time); }
+
 private:
+  std::uint64_t revision = 0;
+
   template <class Work>
   void spawn(Work work) {
     ++this->open;
@@ -189,15 +205,15 @@
 
   explicit stub_disks(answer_hook answer_with, double uplink_rate = 1e9)
       : answer(std::move(answer_with)), uplink(front.context, uplink_rate) {
-    std::vector<http::endpoint> places;
-    places.reserve(disk_names.size());
+    this->places.reserve(disk_names.size());
     for (const disk_id& disk : disk_names) {
-      places.push_back(this->listen([this, disk](std::uint16_t method, const std::string& payload,
-                                                 const net::rpc_reply& reply) {
-        this->serve(disk, method, payload, reply);
-      }));
+      this->places.push_back(
+          this->listen([this, disk](std::uint16_t method, const std::string& payload,
+                                    const net::rpc_reply& reply) {
+            this->serve(disk, method, payload, reply);
+          }));
     }
-    this->front.list_disks(places);
+    this->front.list_disks(this->places);
     const http::endpoint other = this->listen(
         [this](std::uint16_t, const std::string& payload, const net::rpc_reply& reply) {
           const auto question = from_bytes<relayed_question>(payload);
@@ -228,6 +244,10 @@
   slow_uplink uplink;
   /// Appends that reached each disk, by whatever way.
   std::map<disk_id, int> appends;
+  /// These take questions and say nothing.
+  std::set<disk_id> mute;
+  /// In the order of `disk_names`.
+  std::vector<http::endpoint> places;
 
 private:
   http::endpoint listen(net::rpc_handler handler) {
@@ -238,7 +258,14 @@
 
   void serve(const disk_id& disk, std::uint16_t method, const std::string& payload,
              const net::rpc_reply& reply) {
+    if (this->mute.contains(disk)) {
+      return;
+    }
     const auto asked = static_cast<ledger_method>(method);
+    if (asked == ledger_method::probe) {
+      reply(to_bytes(probe_answer{disk, set_epoch(0), set_epoch(0)}));
+      return;
+    }
     const auto request =
         asked == ledger_method::append ? from_bytes<append_request>(payload) : std::nullopt;
     if (!request) {
@@ -327,6 +354,9 @@
     INFO("body of " << size << " bytes");
     stub_disks disks(taken, rate);
     CHECK(disks.front.settle(kept_turn_request("t1"), whole_result(size), 3s));
+    // The turn is kept at a majority; the others follow.
+    disks.front.run_for(200ms);
+    CHECK(disks.appends.size() == disk_names.size());
     CHECK(disks.most_appends() == 1);
     CHECK(disks.front.ledger.reached() == disk_names.size());
     CHECK(disks.uplink.carried < (size + 2 * kilobyte) * disk_names.size());
@@ -343,6 +373,7 @@
   disks.front.run_all();
   CHECK(kept);
   CHECK(admission.kind == admission_kind::admitted);
+  disks.front.run_for(200ms);
   // One of each turn.
   CHECK(disks.most_appends() == 2);
   CHECK(disks.front.ledger.reached() == disk_names.size());
@@ -411,3 +442,63 @@
   CHECK(held > body);
   CHECK(held < most_bodies * body);
 }
+
+TEST_CASE("a host says that it reaches the disks of the set that have answered it") {
+  stub_disks disks(taken);
+  ledger_client& ledger = disks.front.ledger;
+  SECTION("a host that was just started has reached none") { CHECK(ledger.reached() == 0); }
+  SECTION("an idle host finds out") {
+    disks.mute = {disk_id("b")};
+    ledger.tick();
+    disks.front.run_for(100ms);
+    CHECK(ledger.reached() == disk_names.size() - 1);
+  }
+  SECTION("a busy host knows") {
+    disks.front.admit(kept_turn_request("t1"), 3s);
+    disks.front.run_for(100ms);
+    CHECK(ledger.reached() == disk_names.size());
+  }
+  SECTION("disks that left the set do not count") {
+    disks.front.admit(kept_turn_request("t1"), 3s);
+    disks.front.run_for(100ms);
+    ledger.take_set({set_epoch(2), {disk_id("a"), disk_id("b"), disk_id("c")}, {}}, "test");
+    CHECK(ledger.reached() == 3);
+  }
+  SECTION("a host that finds a disk silent for another host knows") {
+    disks.front.admit(kept_turn_request("t1"), 3s);
+    disks.front.run_for(100ms);
+    disks.mute = {disk_id("b")};
+    CHECK_FALSE(disks.front.passes_on(disk_id("b")));
+    CHECK(ledger.reached() == disk_names.size() - 1);
+  }
+}
+
+TEST_CASE("links to disks that are neither listed nor in the set are dropped") {
+  stub_disks disks(taken);
+  const std::vector<disk_id> first_four(disk_names.begin(), disk_names.end() - 1);
+  const std::vector<http::endpoint> four_places(disks.places.begin(), disks.places.end() - 1);
+  CHECK(disks.front.passes_on(disk_id("e")));
+  SECTION("listed no more, but still in the set: turns may depend on it") {
+    disks.front.list_disks(four_places);
+    CHECK(disks.front.passes_on(disk_id("e")));
+    disks.front.ledger.take_set({set_epoch(2), first_four, {}}, "test");
+    CHECK_FALSE(disks.front.passes_on(disk_id("e")));
+  }
+  SECTION("out of the set, but still listed: it may join") {
+    disks.front.ledger.take_set({set_epoch(2), first_four, {}}, "test");
+    CHECK(disks.front.passes_on(disk_id("e")));
+    disks.front.list_disks(four_places);
+    CHECK_FALSE(disks.front.passes_on(disk_id("e")));
+  }
+  SECTION("questions underway end") {
+    disks.mute = {disk_id("e")};
+    bool kept = false;
+    disks.front.begin_settle(kept_turn_request("t1"), whole_result(2600), 3s, kept);
+    disks.front.ledger.take_set({set_epoch(2), first_four, {}}, "test");
+    disks.front.list_disks(four_places);
+    disks.front.run_all();
+    disks.front.run_for(100ms);
+    CHECK(kept);
+    CHECK_FALSE(disks.front.passes_on(disk_id("e")));
+  }
+}
