--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "hawthornlane/net/async_signal.h"
+#include "hawthornlane/net/frame.h"
 #include "hawthornlane/net/message_bytes.h"
 #include "hawthornlane/telemetry/log.h"
 
@@ -16,16 +17,26 @@
 namespace {
 
 /// An append waits for a sync of 2 to 5 ms and for those before it; one that takes
-/// this long comes from a disk host in trouble.
+/// this long, besides its way, comes from a disk host in trouble.
 constexpr duration append_limit = std::chrono::milliseconds(500);
-/// A healthy disk host answers within some ten milliseconds, also under load; then
-/// the question goes by way of another front host, which may still reach it.
+/// A healthy disk host answers within some ten milliseconds of having the question, also
+/// under load; then the question goes by way of another front host, which may still
+/// reach it.
 constexpr duration direct_patience = std::chrono::milliseconds(200);
+/// Bytes a second, for the time that a host's own questions take to leave it: half of
+/// what a link of 30 Mbit/s carries, since callers and backend servers share it.
+constexpr std::int64_t cautious_link_rate = 2'000'000;
 /// Between two probes of a disk host that is not reached.
 constexpr auto disk_probe_pause = std::chrono::milliseconds(300);
 constexpr duration read_limit = std::chrono::milliseconds(400);
-/// A disk host that holds a chain answers within some 10 ms; then the others are asked
-/// for it as well. Any one of them has it whole, and most do not lie in this zone.
+/// For a chain to arrive, of which nobody here knows the size: the largest there can be.
+/// A disk host that is silent is found by the reservation that is sent with the question.
+constexpr duration chain_arrival = duration(std::chrono::seconds(1)) *
+                                   static_cast<std::int64_t>(net::largest_payload) /
+                                   cautious_link_rate;
+/// A disk host that holds a short chain answers within some 10 ms; then a second one is
+/// asked for it as well. The rest are not: each sends the chain whole, and they would
+/// share the link with the first, which may be in the middle of a long one.
 constexpr auto chain_patience = std::chrono::milliseconds(25);
 /// After a majority has the reservation, the last disk gets this long to make the
 /// second round needless: about the spread of healthy disks' syncs.
@@ -50,6 +61,11 @@
   return wall_ms(wall_now().get() + keep.count());
 }
 
+/// The other host did not answer at all; else it did, if only to refuse.
+bool is_silence(net::rpc_failure why) {
+  return why == net::rpc_failure::unknown || why == net::rpc_failure::unreachable;
+}
+
 ledger_record record_of(const turn_request& turn, reservation_phase phase, token_count used) {
   ledger_record record;
   record.program = turn.program;
@@ -67,6 +83,11 @@
   /// It did not answer in time; questions go by way of other front hosts until a
   /// probe is answered.
   bool suspected = false;
+  /// It has answered over this link. Until then other front hosts are not told that it
+  /// is reached, but it is asked directly.
+  bool answered = false;
+
+  [[nodiscard]] bool reached() const { return this->answered && !this->suspected; }
 };
 
 /// One try to admit a turn at one set. Shared with the answers that are still on
@@ -85,10 +106,11 @@
   chain_check chain;
   net::async_signal signal;
   bool needs_chain = false;
-  /// The disk that was asked for the chain first; the others follow when it does not
-  /// give it in time.
-  disk_id chain_holder;
-  net::steady_time all_asked_for_chain_at = net::never;
+  /// The disks that were asked for the chain. The second follows the first when that one
+  /// does not give it in time, all others when one of these lacks it or is silent.
+  std::vector<disk_id> asked_for_chain;
+  net::steady_time second_asked_for_chain_at = net::never;
+  bool needs_all_for_chain = false;
   bool all_asked_for_chain = false;
   bool stale = false;
   bool collecting = false;
@@ -101,9 +123,15 @@
   }
   /// Unless the chain is known by now.
   void ask_all_for_chain_now() {
-    this->all_asked_for_chain_at = {};
+    this->needs_all_for_chain = true;
     this->signal.wake();
   }
+  [[nodiscard]] bool chain_open() const {
+    return !this->chain_decided() && !this->all_asked_for_chain;
+  }
+  [[nodiscard]] bool may_ask_second_for_chain() const {
+    return this->chain_open() && this->asked_for_chain.size() == 1;
+  }
   [[nodiscard]] bool chain_decided() const {
     return !this->needs_chain || this->chain.verdict() != chain_verdict::undecided;
   }
@@ -144,6 +172,7 @@
                                   {"members", std::to_string(told.members.size())},
                                   {"joint", told.joint() ? "yes" : "no"},
                                   {"source", source}});
+  this->drop_links();
 }
 
 void ledger_client::refresh_hosts() {
@@ -157,61 +186,106 @@
     }
     known.host = entry;
     known.link = std::make_unique<net::rpc_client>(this->context, this->sweeper, entry.peers_at);
+    known.answered = false;
+  }
+  this->drop_links();
+}
+
+void ledger_client::drop_links() {
+  std::set<disk_id> needed;
+  for (const auto& [name, entry] : this->fleet.hosts().listed()) {
+    needed.insert(disk_id(entry.disk));
+  }
+  if (this->set) {
+    // A member may be listed no more because of trouble at the store; turns still need it.
+    const std::vector<disk_id> members = this->set->all();
+    needed.insert(members.begin(), members.end());
   }
+  std::erase_if(this->links, [&](const auto& item) { return !needed.contains(item.first); });
 }
 
-void ledger_client::suspect(const disk_id& disk) {
-  disk_link& known = this->links.at(disk);
-  if (!known.suspected) {
+void ledger_client::note_outcome(const disk_id& disk, net::rpc_failure why) {
+  const auto found = this->links.find(disk);
+  if (found == this->links.end()) {
+    return;
+  }
+  disk_link& known = found->second;
+  if (!is_silence(why)) {
+    known.answered = true;
+  } else if (!known.suspected) {
     known.suspected = true;
     log(event::host_silent, {{"peer", known.host.name.get()}, {"detail", "disk host"}});
   }
 }
 
-void ledger_client::ask_by_relay(const disk_id& disk, ledger_method method,
-                                 const std::string& payload, duration limit, net::rpc_done done) {
-  const relayed_question question{disk, static_cast<std::uint16_t>(method), payload};
-  this->relay(question, limit, std::move(done));
+duration ledger_client::time_to_send(std::size_t bytes) const {
+  const auto before_it = static_cast<std::int64_t>(this->bytes_underway + bytes);
+  return duration(std::chrono::seconds(1)) * before_it / cautious_link_rate;
+}
+
+net::rpc_done ledger_client::while_underway(std::size_t bytes, net::rpc_done done) {
+  this->bytes_underway += bytes;
+  return [this, bytes, done = std::move(done)](net::rpc_failure why, std::string answer) {
+    this->bytes_underway -= bytes;
+    done(why, std::move(answer));
+  };
 }
 
-void ledger_client::ask(const disk_id& disk, ledger_method method, const std::string& payload,
-                        duration limit, net::rpc_done done) {
+void ledger_client::ask_by_relay(const disk_id& disk, const question& what, duration limit,
+                                 net::rpc_done done) {
+  const relayed_question passed_on{disk, static_cast<std::uint16_t>(what.method), *what.payload};
+  this->relay(passed_on, limit, this->while_underway(what.payload->size(), std::move(done)));
+}
+
+void ledger_client::ask(const disk_id& disk, const question& what, net::rpc_done done) {
   const auto found = this->links.find(disk);
   if (found == this->links.end() || found->second.suspected) {
-    this->ask_by_relay(disk, method, payload, limit, std::move(done));
+    this->ask_by_relay(disk, what, what.limit + what.on_the_way(), std::move(done));
     return;
   }
-  const duration direct_limit = std::min(limit, direct_patience);
-  const auto retry = [this, disk, method, payload, rest = limit - direct_limit,
-                      done = std::move(done)](net::rpc_failure why, std::string answer) {
-    const bool silent = why == net::rpc_failure::unknown || why == net::rpc_failure::unreachable;
-    if (!silent) {
+  const duration direct_limit = std::min(what.limit, direct_patience);
+  const duration rest = what.limit - direct_limit;
+  auto retry = [this, disk, what, rest, done = std::move(done)](net::rpc_failure why,
+                                                                std::string answer) {
+    this->note_outcome(disk, why);
+    if (!is_silence(why)) {
       done(why, std::move(answer));
       return;
     }
-    this->suspect(disk);
     if (rest <= duration::zero()) {
       done(why, {});
       return;
     }
-    this->ask_by_relay(disk, method, payload, rest, done);
+    this->ask_by_relay(disk, what, rest + what.on_the_way(), done);
+    if (what.on_silence) {
+      what.on_silence();
+    }
   };
-  found->second.link->call(static_cast<std::uint16_t>(method), payload, direct_limit, retry);
+  found->second.link->call(static_cast<std::uint16_t>(what.method), *what.payload,
+                           direct_limit + what.on_the_way(),
+                           this->while_underway(what.payload->size(), std::move(retry)));
 }
 
 void ledger_client::serve_relayed(const std::string& payload, const net::rpc_reply& reply) {
-  const auto question = from_bytes<relayed_question>(payload);
+  auto question = from_bytes<relayed_question>(payload);
   const auto found = question ? this->links.find(question->disk) : this->links.end();
   // Passed on once only: a host that does not reach the disk host says so.
   if (found == this->links.end() || found->second.suspected) {
     reply(std::nullopt);
     return;
   }
-  found->second.link->call(question->method, question->payload, direct_patience,
-                           [reply](net::rpc_failure why, std::string answer) {
-                             const bool good = why == net::rpc_failure::none;
-                             reply(good ? std::optional(std::move(answer)) : std::nullopt);
-                           });
+  const std::size_t bytes = question->payload.size();
+  const bool is_chain = static_cast<ledger_method>(question->method) == ledger_method::chain;
+  const duration patience =
+      direct_patience + this->time_to_send(bytes) + (is_chain ? chain_arrival : duration::zero());
+  found->second.link->call(
+      question->method, std::move(question->payload), patience,
+      this->while_underway(
+          bytes, [this, disk = question->disk, reply](net::rpc_failure why, std::string answer) {
+            this->note_outcome(disk, why);
+            const bool good = why == net::rpc_failure::none;
+            reply(good ? std::optional(std::move(answer)) : std::nullopt);
+          }));
 }
 
 void ledger_client::tick() {
@@ -220,11 +294,12 @@
     return;
   }
   this->next_probe = now + disk_probe_pause;
+  const duration patience = direct_patience + this->time_to_send(0);
   for (auto& [disk, known] : this->links) {
-    if (!known.suspected) {
+    if (known.reached()) {
       continue;
     }
-    known.link->call(static_cast<std::uint16_t>(ledger_method::probe), "", direct_patience,
+    known.link->call(static_cast<std::uint16_t>(ledger_method::probe), "", patience,
                      [this, disk = disk](net::rpc_failure why, const std::string& bytes) {
                        const auto answer = from_bytes<probe_answer>(bytes);
                        const auto found = this->links.find(disk);
@@ -232,6 +307,10 @@
                            found == this->links.end()) {
                          return;
                        }
+                       found->second.answered = true;
+                       if (!found->second.suspected) {
+                         return;
+                       }
                        found->second.suspected = false;
                        log(event::host_reachable,
                            {{"peer", found->second.host.name.get()}, {"detail", "disk host"}});
@@ -249,9 +328,19 @@
 }
 
 std::uint32_t ledger_client::reached() const {
-  return static_cast<std::uint32_t>(
-      std::count_if(this->links.begin(), this->links.end(),
-                    [](const auto& item) { return !item.second.suspected; }));
+  if (!this->set) {
+    return 0;
+  }
+  const std::vector<disk_id> disks = this->set->all();
+  const auto count = std::count_if(disks.begin(), disks.end(), [this](const disk_id& disk) {
+    const auto found = this->links.find(disk);
+    return found != this->links.end() && found->second.reached();
+  });
+  return static_cast<std::uint32_t>(count);
+}
+
+bool ledger_client::holds_still(set_epoch asked) const {
+  return this->set && this->set->epoch == asked;
 }
 
 void ledger_client::note_stale(const std::optional<ledger_set>& newest) {
@@ -260,31 +349,34 @@
   }
 }
 
-template <class Answer>
-void ledger_client::ask_all(const ledger_set& disks, ledger_method method,
-                            const std::string& payload, duration limit,
-                            const round_hooks<Answer>& hooks) {
-  this->ask_each(disks.all(), method, payload, limit, hooks);
+ledger_client::question ledger_client::make_question(ledger_method method, std::string payload,
+                                                     duration limit) {
+  // The encoder leaves room for up to as much again.
+  payload.shrink_to_fit();
+  question made;
+  made.method = method;
+  made.payload = std::make_shared<const std::string>(std::move(payload));
+  made.limit = limit;
+  return made;
 }
 
 template <class Answer>
-void ledger_client::ask_each(const std::vector<disk_id>& disks, ledger_method method,
-                             const std::string& payload, duration limit,
+void ledger_client::ask_each(const std::vector<disk_id>& disks, question what,
                              const round_hooks<Answer>& hooks) {
+  what.sending = this->time_to_send(what.payload->size() * disks.size());
   for (const disk_id& disk : disks) {
-    this->ask(disk, method, payload, limit,
-              [this, disk, hooks](net::rpc_failure why, const std::string& bytes) {
-                const bool good = why == net::rpc_failure::none;
-                const auto answer = good ? from_bytes<Answer>(bytes) : std::nullopt;
-                if (!answer || answer->disk != disk) {
-                  hooks.failed(disk);
-                } else if (answer->stale) {
-                  this->note_stale(answer->newest);
-                  hooks.stale();
-                } else {
-                  hooks.answered(*answer);
-                }
-              });
+    this->ask(disk, what, [this, disk, hooks](net::rpc_failure why, const std::string& bytes) {
+      const bool good = why == net::rpc_failure::none;
+      const auto answer = good ? from_bytes<Answer>(bytes) : std::nullopt;
+      if (!answer || answer->disk != disk) {
+        hooks.failed(disk);
+      } else if (answer->stale) {
+        this->note_stale(answer->newest);
+        hooks.stale(disk);
+      } else {
+        hooks.answered(*answer);
+      }
+    });
   }
 }
 
@@ -301,8 +393,9 @@
     state->check.on_append_failed(disk);
     state->signal.wake();
   };
-  hooks.stale = [state] { state->note_stale(); };
-  this->ask_all(state->set, ledger_method::append, to_bytes(request), append_limit, hooks);
+  hooks.stale = [state](const disk_id&) { state->note_stale(); };
+  this->ask_each(state->set.all(),
+                 make_question(ledger_method::append, to_bytes(request), append_limit), hooks);
 }
 
 void ledger_client::send_collects(const std::shared_ptr<admission_state>& state) {
@@ -317,8 +410,9 @@
     state->check.on_collect_failed(disk);
     state->signal.wake();
   };
-  hooks.stale = [state] { state->note_stale(); };
-  this->ask_all(state->set, ledger_method::collect, to_bytes(request), read_limit, hooks);
+  hooks.stale = [state](const disk_id&) { state->note_stale(); };
+  this->ask_each(state->set.all(),
+                 make_question(ledger_method::collect, to_bytes(request), read_limit), hooks);
 }
 
 void ledger_client::send_chain_reads(const std::shared_ptr<admission_state>& state,
@@ -333,32 +427,64 @@
     state->chain.on_failed(disk);
     state->ask_all_for_chain_now();
   };
-  hooks.stale = [state] { state->note_stale(); };
-  this->ask_each(disks, ledger_method::chain, to_bytes(request), read_limit, hooks);
+  hooks.stale = [state](const disk_id&) { state->note_stale(); };
+  question read = make_question(ledger_method::chain, to_bytes(request), read_limit);
+  read.arriving = chain_arrival;
+  read.on_silence = [state] { state->ask_all_for_chain_now(); };
+  state->asked_for_chain.insert(state->asked_for_chain.end(), disks.begin(), disks.end());
+  this->ask_each(disks, read, hooks);
 }
 
-void ledger_client::ask_one_for_chain(const std::shared_ptr<admission_state>& state) {
-  const std::vector<disk_id>& members = state->set.members;
-  // Those of one zone share the reads of its front hosts.
-  const std::size_t start = std::hash<std::string>{}(state->turn.id.get()) % members.size();
-  state->chain_holder = members[start];
+std::optional<disk_id> ledger_client::choose_for_chain(const admission_state& state,
+                                                       bool in_this_zone) const {
+  const std::vector<disk_id>& members = state.set.members;
+  const std::size_t start = std::hash<std::string>{}(state.turn.id.get()) % members.size();
+  std::optional<disk_id> best;
+  // Not silent before silent, then the zone that is wanted.
+  std::pair<bool, bool> best_rank;
   for (std::size_t step = 0; step < members.size(); ++step) {
     const disk_id& candidate = members[(start + step) % members.size()];
+    const auto& asked = state.asked_for_chain;
+    if (std::find(asked.begin(), asked.end(), candidate) != asked.end()) {
+      continue;
+    }
     const auto found = this->links.find(candidate);
-    if (found != this->links.end() && !found->second.suspected &&
-        found->second.host.zone == this->zone) {
-      state->chain_holder = candidate;
-      break;
+    const bool known = found != this->links.end();
+    const std::pair<bool, bool> rank = {
+        known && !found->second.suspected,
+        known && (found->second.host.zone == this->zone) == in_this_zone};
+    if (!best || rank > best_rank) {
+      best = candidate;
+      best_rank = rank;
     }
   }
-  state->all_asked_for_chain_at = steady::now() + chain_patience;
-  this->send_chain_reads(state, {state->chain_holder});
+  return best;
+}
+
+void ledger_client::ask_first_for_chain(const std::shared_ptr<admission_state>& state) {
+  state->second_asked_for_chain_at = steady::now() + chain_patience;
+  // Those of one zone share the reads of its front hosts.
+  if (const auto disk = this->choose_for_chain(*state, true)) {
+    this->send_chain_reads(state, {*disk});
+  }
+}
+
+void ledger_client::ask_second_for_chain(const std::shared_ptr<admission_state>& state) {
+  // What keeps the first one from answering may be its zone's trouble.
+  if (const auto disk = this->choose_for_chain(*state, false)) {
+    this->send_chain_reads(state, {*disk});
+  } else {
+    this->ask_others_for_chain(state);
+  }
 }
 
 void ledger_client::ask_others_for_chain(const std::shared_ptr<admission_state>& state) {
   state->all_asked_for_chain = true;
   std::vector<disk_id> others = state->set.all();
-  std::erase(others, state->chain_holder);
+  std::erase_if(others, [&](const disk_id& disk) {
+    const auto& asked = state->asked_for_chain;
+    return std::find(asked.begin(), asked.end(), disk) != asked.end();
+  });
   this->send_chain_reads(state, others);
 }
 
@@ -391,13 +517,14 @@
                                                 turn_admission& result) {
   this->send_appends(state);
   if (state->needs_chain) {
-    this->ask_one_for_chain(state);
+    this->ask_first_for_chain(state);
   }
   while (true) {
     const net::steady_time now = steady::now();
-    const bool chain_open = !state->chain_decided() && !state->all_asked_for_chain;
-    if (chain_open && now >= state->all_asked_for_chain_at) {
+    if (state->chain_open() && state->needs_all_for_chain) {
       this->ask_others_for_chain(state);
+    } else if (state->may_ask_second_for_chain() && now >= state->second_asked_for_chain_at) {
+      this->ask_second_for_chain(state);
     }
     if (state->stale) {
       co_return false;
@@ -415,8 +542,8 @@
       state->appended_at = now;
     }
     net::steady_time wake_at = state->until;
-    if (!state->chain_decided() && !state->all_asked_for_chain) {
-      wake_at = std::min(wake_at, state->all_asked_for_chain_at);
+    if (state->may_ask_second_for_chain()) {
+      wake_at = std::min(wake_at, state->second_asked_for_chain_at);
     }
     const bool may_collect = state->appended_at != net::never && !state->collecting &&
                              state->check.verdict() == budget_verdict::undecided;
@@ -454,7 +581,7 @@
     if (steady::now() + admit_pause >= patient_until) {
       break;
     }
-    if (concluded) {
+    if (this->holds_still(state->set.epoch)) {
       net::async_signal pause(this->context);
       co_await pause.wait_until(steady::now() + admit_pause);
     }
@@ -470,36 +597,72 @@
   co_return result;
 }
 
-/// One settlement at one set.
+/// One settlement at one set, through all tries. Shared with the answers that are still
+/// on their way when it is over.
 struct ledger_client::settle_state {
-  settle_state(asio::io_context& context, const ledger_set& at) : round(at), signal(context) {}
-  disk_round round;
+  settle_state(asio::io_context& context, ledger_set at, question request)
+      : set(std::move(at)), append(std::move(request)), signal(context) {}
+
+  ledger_set set;
+  question append;
   net::async_signal signal;
+  /// Disks that have the record. An answer to an earlier try counts as well: it is the
+  /// same record, and the disk had it before it refused this set.
+  std::set<disk_id> kept_at;
+  /// Disks whose answer is still to come; these are not asked again. Disjoint from
+  /// `kept_at`.
+  std::set<disk_id> underway;
+  /// A disk refused this set since the last try.
   bool stale = false;
 
-  [[nodiscard]] bool over() const {
-    return this->stale || this->round.majority() || this->round.hopeless();
+  void answered(const disk_id& disk) {
+    this->underway.erase(disk);
+    this->kept_at.insert(disk);
+    this->signal.wake();
+  }
+  void failed(const disk_id& disk) {
+    this->underway.erase(disk);
+    this->signal.wake();
+  }
+  void refused(const disk_id& disk) {
+    this->stale = true;
+    this->failed(disk);
+  }
+
+  [[nodiscard]] bool majority() const { return this->set.has_majority(this->kept_at); }
+  [[nodiscard]] bool hopeless() const {
+    std::set<disk_id> possible = this->kept_at;
+    possible.insert(this->underway.begin(), this->underway.end());
+    return !this->set.has_majority(possible);
+  }
+  [[nodiscard]] bool over() const { return this->majority() || this->stale || this->hopeless(); }
+  /// Disks to ask at the next try.
+  [[nodiscard]] std::vector<disk_id> lacking() const {
+    std::vector<disk_id> disks = this->set.all();
+    std::erase_if(disks, [this](const disk_id& disk) {
+      return this->kept_at.contains(disk) || this->underway.contains(disk);
+    });
+    return disks;
   }
 };
 
-std::shared_ptr<ledger_client::settle_state> ledger_client::send_settlement(
-    const append_request& request) {
-  auto state = std::make_shared<settle_state>(this->context, *this->set);
+std::shared_ptr<ledger_client::settle_state> ledger_client::begin_settlement(
+    append_request& request) {
+  request.epoch = this->set->epoch;
+  return std::make_shared<settle_state>(
+      this->context, *this->set,
+      make_question(ledger_method::append, to_bytes(request), append_limit));
+}
+
+void ledger_client::send_settlement(const std::shared_ptr<settle_state>& state) {
   round_hooks<program_answer> hooks;
-  hooks.answered = [state](const program_answer& answer) {
-    state->round.answered(answer.disk);
-    state->signal.wake();
-  };
-  hooks.failed = [state](const disk_id& disk) {
-    state->round.failed(disk);
-    state->signal.wake();
-  };
-  hooks.stale = [state] {
-    state->stale = true;
-    state->signal.wake();
-  };
-  this->ask_all(*this->set, ledger_method::append, to_bytes(request), append_limit, hooks);
-  return state;
+  hooks.answered = [state](const program_answer& answer) { state->answered(answer.disk); };
+  hooks.failed = [state](const disk_id& disk) { state->failed(disk); };
+  hooks.stale = [state](const disk_id& disk) { state->refused(disk); };
+  state->stale = false;
+  const std::vector<disk_id> disks = state->lacking();
+  state->underway.insert(disks.begin(), disks.end());
+  this->ask_each(disks, state->append, hooks);
 }
 
 asio::awaitable<bool> ledger_client::settle(turn_request turn, turn_result result,
@@ -510,13 +673,16 @@
     request.record.turn =
         kept_turn{turn.id, turn.previous, std::move(result.input), std::move(result.output)};
   }
+  std::shared_ptr<settle_state> state;
   while (this->set) {
-    request.epoch = this->set->epoch;
-    const auto state = this->send_settlement(request);
+    if (!state || !this->holds_still(state->set.epoch)) {
+      state = this->begin_settlement(request);
+    }
+    this->send_settlement(state);
     while (!state->over() && steady::now() < until) {
       co_await state->signal.wait_until(until);
     }
-    if (state->round.majority()) {
+    if (state->majority()) {
       if (request.record.turn) {
         this->cache.add(*request.record.turn);
       }
@@ -525,7 +691,7 @@
     if (steady::now() >= until) {
       co_return false;
     }
-    if (!state->stale) {
+    if (this->holds_still(state->set.epoch)) {
       net::async_signal pause(this->context);
       co_await pause.wait_until(steady::now() + settle_pause);
     }
@@ -545,8 +711,9 @@
   // refused too early, but the budget holds.
   hooks.answered = [](const program_answer&) {};
   hooks.failed = [](const disk_id&) {};
-  hooks.stale = [] {};
-  this->ask_all(*this->set, ledger_method::append, to_bytes(request), append_limit, hooks);
+  hooks.stale = [](const disk_id&) {};
+  this->ask_each(this->set->all(),
+                 make_question(ledger_method::append, to_bytes(request), append_limit), hooks);
 }
 
 }  // namespace hawthornlane::front
