--- a/libs/front/include/hawthornlane/front/copy_intake.h
+++ b/libs/front/include/hawthornlane/front/copy_intake.h
@@ -24,8 +24,8 @@
   static constexpr duration ask_after = std::chrono::milliseconds(120);
   /// Before a host that gives enough copies already is asked again; twice as long after
   /// each further refusal, up to `longest_busy_pause`. 60 hosts that all ask one host each
-  /// 40 ms would bring it 1,400 questions a second, of which an eighth of a core can
-  /// answer about as many and nothing else.
+  /// 40 ms would bring it 1,500 questions a second, about as many as an eighth of a core
+  /// can answer.
   static constexpr duration busy_pause = std::chrono::milliseconds(60);
   static constexpr duration longest_busy_pause = std::chrono::milliseconds(240);
   /// Between a refusal and the next question, whoever is asked.
@@ -88,6 +88,7 @@
   };
 
   intake& of(copy_kind kind) { return this->intakes.at(static_cast<std::size_t>(kind)); }
+
   host_id self;
   reaches_hook reaches;
   std::array<intake, all_copy_kinds.size()> intakes;
