--- a/libs/net/include/hawthornlane/net/rpc.h
+++ b/libs/net/include/hawthornlane/net/rpc.h
@@ -29,8 +29,9 @@
 /// Receives the answer, or why there is none. Called once.
 using rpc_done = std::function<void(rpc_failure why, std::string answer)>;
 
-/// Requests that wait to be sent to one other host, bytes (each client for itself); beyond it a call fails at once
-/// as unreachable. One of the largest requests fits beside some hundred small ones.
+/// Requests that wait to be sent to one other host, bytes (each client for itself); beyond it a
+/// call fails at once as unreachable. One of the largest requests fits beside some hundred small
+/// ones.
 constexpr std::size_t most_unsent_bytes = std::size_t{10} * 1024 * 1024;
 
 /// One other host. Connects when there is something to send; a connection on which
