Write slices: one limit beside their size, one name for the account of answers

The timeout of a slice stood in both sides of the connection and was passed to the one place that uses it; the account had a second name. No behaviour changes.

--- a/libs/net/include/hawthornlane/net/timed_socket.h
+++ b/libs/net/include/hawthornlane/net/timed_socket.h
@@ -35,10 +35,10 @@
   boost::asio::awaitable<error_code> read_more(std::string& buffer, std::size_t most,
                                                steady_time until);
   boost::asio::awaitable<error_code> write_all(std::string_view bytes, steady_time until);
-  /// Writes in slices, each within `slice_limit`: a large batch on a slow link is not
+  /// Writes in slices, each with a timeout of its own: a large batch on a slow link is not
   /// late as long as it goes on. `sent` hears of each slice
   /// and has to live until the end.
-  boost::asio::awaitable<error_code> write_slices(std::string_view bytes, duration slice_limit,
+  boost::asio::awaitable<error_code> write_slices(std::string_view bytes,
                                                   const std::function<void(std::size_t)>& sent);
 
   /// Calls `hook` once when the other side closes or resets the connection while
--- a/libs/net/src/rpc_client.cc
+++ b/libs/net/src/rpc_client.cc
@@ -19,8 +19,6 @@
 /// For a connection to another host of the deployment: its links take milliseconds,
 /// a lost first packet is sent again after a second.
 constexpr auto connect_limit = std::chrono::milliseconds(1500);
-/// For one slice of what is written to be taken by the other host's kernel.
-constexpr auto slice_limit = std::chrono::seconds(3);
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 /// Requests that are written together; what comes later may still be dropped.
 constexpr std::size_t batch_size = std::size_t{64} * 1024;
@@ -182,7 +180,7 @@
     while (!self->unsent.empty() && self->socket == socket) {
       const std::string batch = self->next_batch();
       const std::function<void(std::size_t)> sent = [](std::size_t) {};
-      const error_code error = co_await socket->write_slices(batch, slice_limit, sent);
+      const error_code error = co_await socket->write_slices(batch, sent);
       if (error) {
         socket->close(true);
         break;
--- a/libs/net/src/rpc_server.cc
+++ b/libs/net/src/rpc_server.cc
@@ -16,8 +16,6 @@
 
 namespace {
 
-/// For one slice of what is written to be taken by the other host's kernel.
-constexpr auto slice_limit = std::chrono::seconds(3);
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 constexpr std::size_t standard_waiting_bytes = std::size_t{16} * 1024 * 1024;
 /// One connection's part of what may wait.
@@ -29,13 +27,12 @@
   std::size_t waiting = 0;
   std::size_t most = standard_waiting_bytes;
 };
-using byte_account = std::shared_ptr<answer_account>;
 
 /// One other host's connection.
 struct connection : std::enable_shared_from_this<connection> {
   connection(tcp::socket accepted, asio::io_context& io, deadline_sweeper& sweeper,
-             byte_account bytes)
-      : context(io), socket(std::move(accepted), sweeper), account(std::move(bytes)) {}
+             std::shared_ptr<answer_account> answers)
+      : context(io), socket(std::move(accepted), sweeper), account(std::move(answers)) {}
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
   ~connection() { this->account->waiting -= this->outgoing.size(); }
@@ -46,7 +43,7 @@
   std::string outgoing;
   /// Bytes of the batch that is being written.
   std::size_t in_batch = 0;
-  byte_account account;
+  std::shared_ptr<answer_account> account;
   bool writing = false;
 
   void answer(frame message) {
@@ -90,7 +87,7 @@
       const std::function<void(std::size_t)> sent = [self](std::size_t bytes) {
         self->sent(bytes);
       };
-      const error_code error = co_await self->socket.write_slices(batch, slice_limit, sent);
+      const error_code error = co_await self->socket.write_slices(batch, sent);
       self->sent(self->in_batch);
       if (error) {
         self->socket.close(true);
@@ -136,7 +133,7 @@
   deadline_sweeper& sweeper;
   tcp::acceptor acceptor;
   std::shared_ptr<const rpc_handler> handle;
-  byte_account account = std::make_shared<answer_account>();
+  std::shared_ptr<answer_account> account = std::make_shared<answer_account>();
 
   static asio::awaitable<void> accept(std::shared_ptr<state> self) {
     while (self->acceptor.is_open()) {
--- a/libs/net/src/timed_socket.cc
+++ b/libs/net/src/timed_socket.cc
@@ -19,6 +19,8 @@
 constexpr int unacknowledged_ms = 4000;
 /// Of a large batch: 35 ms of a link of 30 Mbit/s.
 constexpr std::size_t slice_size = std::size_t{128} * 1024;
+/// For one slice to be taken by the other side's kernel.
+constexpr auto slice_limit = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -113,7 +115,7 @@
 }
 
 asio::awaitable<error_code> timed_socket::write_slices(
-    std::string_view bytes, duration slice_limit, const std::function<void(std::size_t)>& sent) {
+    std::string_view bytes, const std::function<void(std::size_t)>& sent) {
   while (!bytes.empty()) {
     const std::string_view slice = bytes.substr(0, slice_size);
     const error_code error =
