Settle by disk_round, which counts answers already

settle_state held sets of its own for disks that have kept the record and for those under way, with a majority and a hopeless of its own. disk_round has both; it now also hands out the disks that failed, to be asked again. Each disk has one question open at a time as before (ledger_traffic_test).

--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -121,8 +121,8 @@
                         const std::vector<disk_id>& disks);
   /// At the set in hand.
   std::shared_ptr<settle_state> begin_settlement(append_request& request);
-  /// Asks the disks that lack the record and are not asked already.
-  void send_settlement(const std::shared_ptr<settle_state>& state);
+  void send_settlement(const std::shared_ptr<settle_state>& state,
+                       const std::vector<disk_id>& disks);
   void conclude(const admission_state& state, turn_admission& result);
   void note_stale(const std::optional<ledger_set>& newest);
   /// The set that was asked is still the newest known: to ask it again brings the same
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -600,49 +600,23 @@
 /// One settlement at one set, through all tries. Shared with the answers that are still
 /// on their way when it is over.
 struct ledger_client::settle_state {
-  settle_state(asio::io_context& context, ledger_set at, question request)
-      : set(std::move(at)), append(std::move(request)), signal(context) {}
+  settle_state(asio::io_context& context, const ledger_set& at, question request)
+      : round(at), append(std::move(request)), signal(context) {}
 
-  ledger_set set;
+  /// An answer to an earlier try counts as well: it is the same record, and the disk had
+  /// it before it refused this set. A disk whose answer is to come is not asked again.
+  disk_round round;
   question append;
   net::async_signal signal;
-  /// Disks that have the record. An answer to an earlier try counts as well: it is the
-  /// same record, and the disk had it before it refused this set.
-  std::set<disk_id> kept_at;
-  /// Disks whose answer is still to come; these are not asked again. Disjoint from
-  /// `kept_at`.
-  std::set<disk_id> underway;
   /// A disk refused this set since the last try.
   bool stale = false;
 
-  void answered(const disk_id& disk) {
-    this->underway.erase(disk);
-    this->kept_at.insert(disk);
-    this->signal.wake();
-  }
   void failed(const disk_id& disk) {
-    this->underway.erase(disk);
+    this->round.failed(disk);
     this->signal.wake();
   }
-  void refused(const disk_id& disk) {
-    this->stale = true;
-    this->failed(disk);
-  }
-
-  [[nodiscard]] bool majority() const { return this->set.has_majority(this->kept_at); }
-  [[nodiscard]] bool hopeless() const {
-    std::set<disk_id> possible = this->kept_at;
-    possible.insert(this->underway.begin(), this->underway.end());
-    return !this->set.has_majority(possible);
-  }
-  [[nodiscard]] bool over() const { return this->majority() || this->stale || this->hopeless(); }
-  /// Disks to ask at the next try.
-  [[nodiscard]] std::vector<disk_id> lacking() const {
-    std::vector<disk_id> disks = this->set.all();
-    std::erase_if(disks, [this](const disk_id& disk) {
-      return this->kept_at.contains(disk) || this->underway.contains(disk);
-    });
-    return disks;
+  [[nodiscard]] bool over() const {
+    return this->round.majority() || this->stale || this->round.hopeless();
   }
 };
 
@@ -654,14 +628,19 @@
       make_question(ledger_method::append, to_bytes(request), append_limit));
 }
 
-void ledger_client::send_settlement(const std::shared_ptr<settle_state>& state) {
+void ledger_client::send_settlement(const std::shared_ptr<settle_state>& state,
+                                    const std::vector<disk_id>& disks) {
   round_hooks<program_answer> hooks;
-  hooks.answered = [state](const program_answer& answer) { state->answered(answer.disk); };
+  hooks.answered = [state](const program_answer& answer) {
+    state->round.answered(answer.disk);
+    state->signal.wake();
+  };
   hooks.failed = [state](const disk_id& disk) { state->failed(disk); };
-  hooks.stale = [state](const disk_id& disk) { state->refused(disk); };
+  hooks.stale = [state](const disk_id& disk) {
+    state->stale = true;
+    state->failed(disk);
+  };
   state->stale = false;
-  const std::vector<disk_id> disks = state->lacking();
-  state->underway.insert(disks.begin(), disks.end());
   this->ask_each(disks, state->append, hooks);
 }
 
@@ -675,14 +654,16 @@
   }
   std::shared_ptr<settle_state> state;
   while (this->set) {
-    if (!state || !this->holds_still(state->set.epoch)) {
+    if (!state || !this->holds_still(state->round.of().epoch)) {
       state = this->begin_settlement(request);
+      this->send_settlement(state, state->round.of().all());
+    } else {
+      this->send_settlement(state, state->round.retry());
     }
-    this->send_settlement(state);
     while (!state->over() && steady::now() < until) {
       co_await state->signal.wait_until(until);
     }
-    if (state->majority()) {
+    if (state->round.majority()) {
       if (request.record.turn) {
         this->cache.add(*request.record.turn);
       }
@@ -691,7 +672,7 @@
     if (steady::now() >= until) {
       co_return false;
     }
-    if (this->holds_still(state->set.epoch)) {
+    if (this->holds_still(state->round.of().epoch)) {
       net::async_signal pause(this->context);
       co_await pause.wait_until(steady::now() + settle_pause);
     }
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/rounds.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/rounds.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "hawthornlane/turn_ledger/ledger_records.h"
@@ -20,6 +21,12 @@
   /// No answer will come from that disk.
   void failed(const disk_id& disk) { this->no.insert(disk); }
 
+  /// The disks that failed; they are asked again, and their answers are to come.
+  std::vector<disk_id> retry() {
+    const std::set<disk_id> failed = std::exchange(this->no, {});
+    return {failed.begin(), failed.end()};
+  }
+
   [[nodiscard]] bool majority() const { return this->set.has_majority(this->yes); }
   [[nodiscard]] bool complete() const { return this->set.has_all(this->yes); }
   /// So many disks have failed that no majority can come any more.
