Gossip: know once what this host knows, and call what is there

What the host knows (with a copy of the set of disks) was worked out up to six times for one digest; it is now once, when it is heard. A peer is looked up once to be asked, the receipt of a copy goes by send, a request for a copy is read and checked in one function, liveness is asked of one function also where hosts are dropped, and values by kind of copy are one small class in place of two look-ups and a map. decode_configuration had one caller left. Not mended, since it would change the log or a hot path: two lists of memory figures in front_host, calls_inside that sums over all servers at each choice.

--- a/libs/front/include/hawthornlane/front/copy_intake.h
+++ b/libs/front/include/hawthornlane/front/copy_intake.h
@@ -1,7 +1,6 @@
 // Which host this host asks for a whole copy of what it lacks. No I/O or clock.
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -87,11 +86,9 @@
     timestamp quiet_until{};
   };
 
-  intake& of(copy_kind kind) { return this->intakes.at(static_cast<std::size_t>(kind)); }
-
   host_id self;
   reaches_hook reaches;
-  std::array<intake, all_copy_kinds.size()> intakes;
+  per_copy_kind<intake> intakes;
 };
 
 }  // namespace hawthornlane::front
--- a/libs/front/include/hawthornlane/front/copy_messages.h
+++ b/libs/front/include/hawthornlane/front/copy_messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,6 +18,21 @@
 constexpr std::array all_copy_kinds{copy_kind::configuration, copy_kind::backends, copy_kind::hosts,
                                     copy_kind::ledger};
 
+/// One value for each kind of copy.
+template <class Value>
+class per_copy_kind {
+public:
+  Value& operator[](copy_kind kind) { return this->values.at(static_cast<std::size_t>(kind)); }
+  const Value& operator[](copy_kind kind) const {
+    return this->values.at(static_cast<std::size_t>(kind));
+  }
+  auto begin() { return this->values.begin(); }
+  auto end() { return this->values.end(); }
+
+private:
+  std::array<Value, all_copy_kinds.size()> values;
+};
+
 /// Asks for a copy, or tells that it has been taken.
 struct copy_request {
   copy_kind kind = copy_kind::configuration;
--- a/libs/front/include/hawthornlane/front/copy_outlet.h
+++ b/libs/front/include/hawthornlane/front/copy_outlet.h
@@ -2,7 +2,6 @@
 // clock.
 #pragma once
 
-#include <array>
 #include <deque>
 #include <map>
 #include <vector>
@@ -53,9 +52,7 @@
     std::deque<host_id> holders;
   };
 
-  outlet& of(copy_kind kind) { return this->outlets.at(static_cast<std::size_t>(kind)); }
-
-  std::array<outlet, all_copy_kinds.size()> outlets;
+  per_copy_kind<outlet> outlets;
 };
 
 }  // namespace hawthornlane::front
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -98,7 +98,7 @@
   void hear_again(copy_kind kind);
   /// Asks for the copies of which one is due.
   void ask_due();
-  void ask(peer& other, copy_kind kind);
+  void ask(const std::shared_ptr<peer>& other, copy_kind kind);
   void take_answer(const host_id& from, copy_kind kind, std::string bytes);
   /// Takes a copy into this host's beliefs; false when the bytes are none.
   bool take_copy(const host_id& from, copy_kind kind, const std::string& copy);
@@ -120,7 +120,7 @@
   copy_intake intake;
   copy_outlet outlet;
   /// Invariant: of `last_known`.
-  std::map<copy_kind, std::optional<std::string>> ready_copies;
+  per_copy_kind<std::optional<std::string>> ready_copies;
   copy_counters counts;
   /// Gone with this object, which answers of other hosts may outlive.
   std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
--- a/libs/front/src/copy_intake.cc
+++ b/libs/front/src/copy_intake.cc
@@ -9,7 +9,7 @@
 
 void copy_intake::heard(copy_kind kind, const host_id& from, bool ahead, bool prompt,
                         timestamp now) {
-  intake& one = this->of(kind);
+  intake& one = this->intakes[kind];
   if (!ahead) {
     one.ahead.erase(from);
     return;
@@ -19,7 +19,7 @@
 }
 
 std::optional<host_id> copy_intake::next(copy_kind kind, bool urgent, timestamp now) {
-  intake& one = this->of(kind);
+  intake& one = this->intakes[kind];
   if (one.asked || one.ahead.empty() || now < one.quiet_until) {
     return std::nullopt;
   }
@@ -52,7 +52,7 @@
 }
 
 void copy_intake::taken(copy_kind kind) {
-  intake& one = this->of(kind);
+  intake& one = this->intakes[kind];
   if (one.asked) {
     one.resting.erase(*one.asked);
   }
@@ -60,7 +60,7 @@
 }
 
 void copy_intake::renew(copy_kind kind) {
-  intake& one = this->of(kind);
+  intake& one = this->intakes[kind];
   one.ahead.clear();
   for (auto& [name, resting] : one.resting) {
     resting.busy_for = busy_pause;
@@ -68,7 +68,7 @@
 }
 
 void copy_intake::busy(copy_kind kind, const std::vector<host_id>& holders, timestamp now) {
-  intake& one = this->of(kind);
+  intake& one = this->intakes[kind];
   one.quiet_until = now + question_pause;
   if (one.asked) {
     rest& asked = one.resting[*one.asked];
@@ -86,7 +86,7 @@
 
 void copy_intake::failed(copy_kind kind, timestamp now) {
   constexpr int growth = 4;
-  intake& one = this->of(kind);
+  intake& one = this->intakes[kind];
   if (!one.asked) {
     return;
   }
--- a/libs/front/src/copy_outlet.cc
+++ b/libs/front/src/copy_outlet.cc
@@ -6,7 +6,7 @@
 namespace hawthornlane::front {
 
 bool copy_outlet::begin(copy_kind kind, const host_id& receiver, std::size_t bytes, timestamp now) {
-  auto& under_way = this->of(kind).under_way;
+  auto& under_way = this->outlets[kind].under_way;
   std::erase_if(under_way, [&](const auto& item) {
     return item.first == receiver || now - item.second.began >= longest_copy;
   });
@@ -22,7 +22,7 @@
 }
 
 void copy_outlet::taken(copy_kind kind, const host_id& receiver) {
-  outlet& one = this->of(kind);
+  outlet& one = this->outlets[kind];
   const auto copy = one.under_way.extract(receiver);
   if (copy.empty() || !copy.mapped().newest) {
     return;
@@ -35,7 +35,7 @@
 }
 
 void copy_outlet::renew(copy_kind kind) {
-  outlet& one = this->of(kind);
+  outlet& one = this->outlets[kind];
   one.holders.clear();
   for (auto& [receiver, copy] : one.under_way) {
     copy.newest = false;
@@ -43,7 +43,7 @@
 }
 
 std::vector<host_id> copy_outlet::holders(copy_kind kind) const {
-  const auto& held = this->outlets.at(static_cast<std::size_t>(kind)).holders;
+  const auto& held = this->outlets[kind].holders;
   return {held.begin(), held.end()};
 }
 
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -135,12 +135,8 @@
       log(event::peer_unreachable, {{"detail", "bytes that are no configuration"}});
       return std::nullopt;
     }
-    return decode_configuration(*std::move(text));
-  }
-
-  static std::optional<configuration> decode_configuration(std::string text) {
     platform_adapter::stored_object object;
-    object.spec = std::move(text);
+    object.spec = *std::move(text);
     failure reason;
     auto config = platform_adapter::configuration_from(object, reason);
     if (!config) {
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -87,9 +87,8 @@
 
 void peer_gossip::refresh_hosts() {
   const auto& listed = this->fleet.hosts().listed();
-  const net::steady_time now = steady::now();
   std::erase_if(this->peers, [&](const auto& item) {
-    return !listed.contains(item.first) && now - item.second->heard_at > this->silence();
+    return !listed.contains(item.first) && !this->lives(*item.second);
   });
   for (const auto& [name, entry] : listed) {
     this->add_peer(entry);
@@ -116,9 +115,8 @@
 }
 
 void peer_gossip::tell_all() {
-  const net::steady_time now = steady::now();
   for (const auto& [name, other] : this->peers) {
-    if (other->reachable && now - other->heard_at > this->silence()) {
+    if (other->reachable && !this->lives(*other)) {
       other->reachable = false;
       this->intake.forget(name);
       log(event::host_silent, {{"peer", name.get()}});
@@ -142,9 +140,8 @@
 }
 
 void peer_gossip::hear(peer& other, const gossip_digest& digest) {
-  const net::steady_time now = steady::now();
   other.heard = digest;
-  other.heard_at = now;
+  other.heard_at = steady::now();
   if (!other.reachable) {
     other.reachable = true;
     log(event::host_reachable, {{"peer", other.entry.name.get()}});
@@ -152,7 +149,8 @@
   if (!digest.checked_by.get().empty()) {
     this->checks.checked(digest.checked_by, discovery::scheduler_now() - digest.checked_ago);
   }
-  const gossip_news news = news_in(digest, this->known());
+  this->note_progress();
+  const gossip_news news = news_in(digest, this->last_known);
   const bool from_reader = digest.checked_ago < just_read;
   for (const copy_kind kind : all_copy_kinds) {
     this->intake.heard(kind, other.entry.name, news.of(kind), from_reader,
@@ -170,7 +168,7 @@
   const auto renew = [this](copy_kind kind, bool changed) {
     if (changed) {
       this->outlet.renew(kind);
-      this->ready_copies.erase(kind);
+      this->ready_copies[kind].reset();
       this->hear_again(kind);
     }
   };
@@ -181,10 +179,9 @@
 }
 
 void peer_gossip::hear_again(copy_kind kind) {
-  const known_state own = this->known();
   this->intake.renew(kind);
   for (const auto& [name, other] : this->peers) {
-    const bool ahead = this->lives(*other) && news_in(other->heard, own).of(kind);
+    const bool ahead = this->lives(*other) && news_in(other->heard, this->last_known).of(kind);
     this->intake.heard(kind, name, ahead, false, discovery::scheduler_now());
   }
 }
@@ -204,7 +201,7 @@
       this->intake.forget(*from);
       continue;
     }
-    this->ask(*known->second, kind);
+    this->ask(known->second, kind);
   }
 }
 
@@ -247,27 +244,26 @@
   return before;
 }
 
-void peer_gossip::ask(peer& other, copy_kind kind) {
+void peer_gossip::ask(const std::shared_ptr<peer>& other, copy_kind kind) {
   ++this->counts.asked;
   const copy_request request{kind, this->intake.owner()};
-  const auto asked = std::weak_ptr(this->peers.find(other.entry.name)->second);
-  other.link->call(static_cast<std::uint16_t>(gossip_method::copy), to_bytes(request), copy_limit,
-                   [this, alive = std::weak_ptr(this->lifetime), asked, from = other.entry.name,
-                    kind](net::rpc_failure why, std::string bytes) {
-                     if (alive.expired()) {
-                       return;
-                     }
-                     if (const auto known = asked.lock()) {
-                       const bool answered = why == net::rpc_failure::none;
-                       known->answered_at = answered ? steady::now() : net::steady_time{};
-                     }
-                     if (why != net::rpc_failure::none) {
-                       ++this->counts.failed;
-                       this->intake.failed(kind, discovery::scheduler_now());
-                       return;
-                     }
-                     this->take_answer(from, kind, std::move(bytes));
-                   });
+  other->link->call(static_cast<std::uint16_t>(gossip_method::copy), to_bytes(request), copy_limit,
+                    [this, alive = std::weak_ptr(this->lifetime), asked = std::weak_ptr(other),
+                     from = other->entry.name, kind](net::rpc_failure why, std::string bytes) {
+                      if (alive.expired()) {
+                        return;
+                      }
+                      if (const auto known = asked.lock()) {
+                        const bool answered = why == net::rpc_failure::none;
+                        known->answered_at = answered ? steady::now() : net::steady_time{};
+                      }
+                      if (why != net::rpc_failure::none) {
+                        ++this->counts.failed;
+                        this->intake.failed(kind, discovery::scheduler_now());
+                        return;
+                      }
+                      this->take_answer(from, kind, std::move(bytes));
+                    });
 }
 
 void peer_gossip::take_answer(const host_id& from, copy_kind kind, std::string bytes) {
@@ -286,13 +282,8 @@
   this->counts.bytes_taken += answer->copy->size();
   this->intake.taken(kind);
   this->hear_again(kind);
-  const auto source = this->peers.find(from);
-  if (source != this->peers.end()) {
-    const copy_request request{kind, this->intake.owner()};
-    source->second->link->call(static_cast<std::uint16_t>(gossip_method::copy_taken),
-                               to_bytes(request), probe_limit,
-                               [](net::rpc_failure, const std::string&) {});
-  }
+  this->send(from, gossip_method::copy_taken, to_bytes(copy_request{kind, this->intake.owner()}),
+             [](net::rpc_failure, const std::string&) {});
   this->ask_due();
 }
 
@@ -343,8 +334,12 @@
   return net::pack(to_bytes(snapshot));
 }
 
-bool is_known(copy_kind kind) {
-  return std::find(all_copy_kinds.begin(), all_copy_kinds.end(), kind) != all_copy_kinds.end();
+/// Nothing when the bytes are none, or name a kind that there is not.
+std::optional<copy_request> copy_request_from(const std::string& bytes) {
+  auto request = from_bytes<copy_request>(bytes);
+  const auto& kinds = all_copy_kinds;
+  const bool known = request && std::find(kinds.begin(), kinds.end(), request->kind) != kinds.end();
+  return known ? std::move(request) : std::nullopt;
 }
 
 }  // namespace
@@ -365,12 +360,12 @@
       return to_bytes(this->hooks.self());
     }
     case gossip_method::copy: {
-      const auto request = from_bytes<copy_request>(payload);
-      return request && is_known(request->kind) ? this->give_copy(*request) : std::nullopt;
+      const auto request = copy_request_from(payload);
+      return request ? this->give_copy(*request) : std::nullopt;
     }
     case gossip_method::copy_taken: {
-      const auto request = from_bytes<copy_request>(payload);
-      if (!request || !is_known(request->kind)) {
+      const auto request = copy_request_from(payload);
+      if (!request) {
         return std::nullopt;
       }
       this->outlet.taken(request->kind, request->asker);
@@ -401,11 +396,11 @@
 }
 
 const std::optional<std::string>& peer_gossip::ready_copy(copy_kind kind) {
-  const auto known = this->ready_copies.find(kind);
-  if (known != this->ready_copies.end()) {
-    return known->second;
+  auto& ready = this->ready_copies[kind];
+  if (!ready) {
+    ready = this->copy_of(kind);
   }
-  return this->ready_copies[kind] = this->copy_of(kind);
+  return ready;
 }
 
 std::optional<std::string> peer_gossip::copy_of(copy_kind kind) const {
--- a/libs/routing/include/hawthornlane/routing/scheduler.h
+++ b/libs/routing/include/hawthornlane/routing/scheduler.h
@@ -45,7 +45,7 @@
   bool failed = false;
 };
 
-/// Parts of the policy that the bench switches off one at a time.
+/// Parts of the policy that can be switched off one at a time.
 struct schedule_parts {
   bool window = true;
   bool program_order = true;
