Let a fence tell disks which set it is for, and keep it over a restart

Cause: whoever changes the set of disks fences the old members at once, but the fence carried the epoch alone. A fenced disk refused the old set and could not name the new one, and front hosts heard of it from the store's watches, 0.4 s later. Ruled out: no majority (all disks that were in the set answered), late watches themselves (the store may tell as late as it does). Change: fence_request carries the set; a fenced disk names it to askers, also after a restart. Its first bytes are the epoch, so programs of the first format read it, and their fences are read too. Found on the way: a fence that the store's watch had told of already was never written to the log, so a restart forgot it after a joining disk had copied. Tests (each failed first): ledger_store_test, three cases; deployment_test, turns go on while the store is silent and its watches are deaf.

--- a/libs/disk/include/hawthornlane/disk/ledger_store.h
+++ b/libs/disk/include/hawthornlane/disk/ledger_store.h
@@ -41,12 +41,9 @@
   [[nodiscard]] std::uint64_t log_bytes() const { return this->log->size(); }
   [[nodiscard]] bool failed() const { return this->broken; }
 
-  /// The newest set. Askers of older ones are refused from now on, and told of it:
-  /// one that waits for a disk of an older set would wait in vain.
-  void set_newest(const ledger_set& set) {
-    this->newest = set;
-    this->copy.raise_fence(set.epoch);
-  }
+  /// A set that the store holds. Askers of older ones are refused from now on, and told of
+  /// the newest: one that waits for a disk of an older set would wait in vain.
+  void set_newest(const ledger_set& set);
   /// This disk has copied for the joint set of that epoch.
   void set_copied(set_epoch epoch) { this->copied = epoch; }
 
@@ -58,9 +55,14 @@
 
   void load_identity(const std::string& folder);
   void on_record(std::string_view bytes);
+  /// Takes over a fence from its bytes; false when they are none.
+  bool take_fence(const std::string& bytes);
+  /// The fence as it stands, with its set where that is known.
+  [[nodiscard]] std::string fence_bytes() const;
   void on_durable(std::uint64_t up_to, bool good);
   /// `tell` once everything appended so far is on disk.
   void when_durable(std::function<void(bool good)> tell);
+  void append_fence();
   /// Its bytes in the log.
   std::size_t append_record(const ledger_record& record);
   void serve_append(const std::string& payload, const reply& answer);
@@ -75,8 +77,12 @@
   std::uint64_t most_bytes;
   disk_id id;
   ledger_copy copy;
+  /// Nothing, or one whose epoch is the fence or lower.
   std::optional<ledger_set> newest;
   set_epoch copied;
+  /// The fence that a restart finds. Lower than the fence while only the store told of a
+  /// newer set, which counts for nobody until a joining disk has asked for it.
+  set_epoch logged_fence;
   std::uint64_t last_record = 0;
   std::uint64_t durable_record = 0;
   bool broken = false;
--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -455,7 +455,7 @@
 
   static asio::awaitable<bool> copy_from(std::shared_ptr<state> self, const ledger_set joint,
                                          const disk_id member) {
-    const std::string fence_bytes = to_bytes(fence_request{joint.epoch});
+    const std::string fence_bytes = to_bytes(fence_request{joint});
     const auto fenced = co_await ask(self, member, ledger_method::fence, fence_bytes, fence_limit);
     const auto state_there = fenced ? from_bytes<probe_answer>(*fenced) : std::nullopt;
     if (!state_there || state_there->disk != member) {
--- a/libs/disk/src/ledger_store.cc
+++ b/libs/disk/src/ledger_store.cc
@@ -95,9 +95,8 @@
 void ledger_store::on_record(std::string_view bytes) {
   const std::string payload(bytes.substr(1));
   if (bytes.front() == fence_tag) {
-    if (const auto fence = from_bytes<fence_request>(payload)) {
-      this->copy.raise_fence(fence->epoch);
-    }
+    this->take_fence(payload);
+    this->logged_fence = this->copy.fenced_at();
     return;
   }
   if (const auto record = from_bytes<ledger_record>(payload)) {
@@ -105,6 +104,32 @@
   }
 }
 
+bool ledger_store::take_fence(const std::string& bytes) {
+  if (const auto fence = from_bytes<fence_request>(bytes)) {
+    this->set_newest(fence->set);
+    return true;
+  }
+  const auto mark = from_bytes<fence_mark>(bytes);
+  if (mark) {
+    this->copy.raise_fence(mark->epoch);
+  }
+  return mark.has_value();
+}
+
+std::string ledger_store::fence_bytes() const {
+  const set_epoch fence = this->copy.fenced_at();
+  const bool knows_set = this->newest && this->newest->epoch == fence;
+  return knows_set ? to_bytes(fence_request{*this->newest}) : to_bytes(fence_mark{fence});
+}
+
+void ledger_store::set_newest(const ledger_set& set) {
+  if (this->newest && set.epoch <= this->newest->epoch) {
+    return;
+  }
+  this->newest = set;
+  this->copy.raise_fence(set.epoch);
+}
+
 std::size_t ledger_store::append_record(const ledger_record& record) {
   std::string bytes = tagged(record_tag, to_bytes(record));
   const std::size_t size = bytes.size();
@@ -112,6 +137,11 @@
   return size;
 }
 
+void ledger_store::append_fence() {
+  this->logged_fence = this->copy.fenced_at();
+  this->last_record = this->log->append(tagged(fence_tag, this->fence_bytes()));
+}
+
 void ledger_store::when_durable(std::function<void(bool good)> tell) {
   if (this->broken || this->durable_record >= this->last_record) {
     tell(!this->broken);
@@ -219,14 +249,12 @@
 }
 
 void ledger_store::serve_fence(const std::string& payload, const reply& answer) {
-  const auto request = from_bytes<fence_request>(payload);
-  if (!request) {
+  if (!this->take_fence(payload)) {
     answer(std::nullopt);
     return;
   }
-  if (request->epoch > this->copy.fenced_at()) {
-    this->copy.raise_fence(request->epoch);
-    this->last_record = this->log->append(tagged(fence_tag, to_bytes(*request)));
+  if (this->copy.fenced_at() > this->logged_fence) {
+    this->append_fence();
   }
   this->when_durable([this, answer](bool good) {
     const probe_answer result{this->id, this->copy.fenced_at(), this->copied};
@@ -251,8 +279,7 @@
     this->keep_from_segment = this->log->start_segment();
     this->shortening = copy_request{};
     this->rewritten_bytes = 0;
-    const fence_request fence{this->copy.fenced_at()};
-    this->last_record = this->log->append(tagged(fence_tag, to_bytes(fence)));
+    this->append_fence();
   }
   if (this->shortening) {
     this->shorten_log();
--- a/libs/disk/test/ledger_store_test.cc
+++ b/libs/disk/test/ledger_store_test.cc
@@ -251,7 +251,7 @@
     open_store disk(folder.name());
     first = disk.store.identity();
     CHECK(disk.ask<program_answer>(ledger_method::append, append(1, "t1")));
-    CHECK(disk.ask<probe_answer>(ledger_method::fence, fence_request{set_epoch(4)}));
+    CHECK(disk.ask<probe_answer>(ledger_method::fence, fence_mark{set_epoch(4)}));
   }
   open_store disk(folder.name());
   CHECK(disk.store.identity() == first);
@@ -286,6 +286,53 @@
   CHECK_FALSE(disk.ask<program_answer>(ledger_method::append, append(9, "t2"))->stale);
 }
 
+TEST_CASE("a disk that a joining one has fenced tells askers of the set to go on with") {
+  const scratch_folder folder("ledger-store");
+  std::optional<ledger_set> joint;
+  {
+    open_store disk(folder.name());
+    joint = ledger_set{set_epoch(4), {disk.store.identity()}, {disk_id("joining")}};
+    disk.store.set_newest({set_epoch(3), {disk.store.identity()}, {}});
+    CHECK(disk.ask<probe_answer>(ledger_method::fence, fence_request{*joint})->fence ==
+          set_epoch(4));
+    CHECK(disk.ask<program_answer>(ledger_method::append, append(3, "t1"))->newest == joint);
+    SECTION("also when it hears late of the set before") {
+      disk.store.set_newest({set_epoch(3), {disk.store.identity()}, {}});
+      CHECK(disk.ask<program_answer>(ledger_method::append, append(3, "t1"))->newest == joint);
+    }
+    SECTION("also when it is fenced by a host that names no set") {
+      // Hosts of an older program send the epoch alone.
+      CHECK(disk.ask<probe_answer>(ledger_method::fence, fence_mark{set_epoch(5)})->fence ==
+            set_epoch(5));
+      CHECK(disk.ask<program_answer>(ledger_method::append, append(4, "t1"))->newest == joint);
+    }
+  }
+  SECTION("also after a restart") {
+    open_store disk(folder.name());
+    CHECK(disk.ask<program_answer>(ledger_method::append, append(3, "t1"))->newest == joint);
+  }
+}
+
+TEST_CASE("a fence outlives a restart also where the store told of its set first") {
+  // Else a joining disk has copied, and what is appended to the old set afterwards is lost.
+  const scratch_folder folder("ledger-store");
+  {
+    open_store disk(folder.name());
+    const ledger_set joint{set_epoch(4), {disk.store.identity()}, {disk_id("joining")}};
+    disk.store.set_newest(joint);
+    CHECK(disk.ask<probe_answer>(ledger_method::fence, fence_request{joint}));
+  }
+  open_store disk(folder.name());
+  CHECK(disk.ask<program_answer>(ledger_method::append, append(3, "t1"))->stale);
+}
+
+TEST_CASE("a fence is understood by hosts that know its epoch only") {
+  const fence_request request{{set_epoch(4), {disk_id("a")}, {disk_id("b")}}};
+  const auto mark = from_bytes<fence_mark>(to_bytes(request));
+  REQUIRE(mark);
+  CHECK(mark->epoch == set_epoch(4));
+}
+
 TEST_CASE("a log that grows long is shortened without losing what lives") {
   const scratch_folder folder("ledger-store");
   constexpr std::uint64_t disk_bytes = 200'000;
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
@@ -161,7 +161,20 @@
   }
 };
 
+/// Makes a disk refuse epochs lower than the set's, and tell askers of those to go on with
+/// the set. Without the set, each change of it refused turns for 0.2 to 0.4 s, until the
+/// store's watches told what the fence had kept to itself (95 hosts, watches 0.4 s late).
 struct fence_request {
+  ledger_set set;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->set);
+  }
+};
+
+/// The beginning of a `fence_request`: all that logs and programs of the first format hold.
+struct fence_mark {
   set_epoch epoch;
 
   template <class Archive>
--- a/scenarios/deployment_test.cc
+++ b/scenarios/deployment_test.cc
@@ -244,6 +244,33 @@
   }
 }
 
+TEST_CASE("turns go on while the set of disks changes and nobody else hears of it") {
+  // Mechanics' turns were refused for 0.4 s at each change of the set of disks: the host that
+  // changed it had its old members refuse the old set at once, while all others heard of the
+  // new one only from the store's watches. Programs came back a second later, and were late.
+  deployment all({1, 3, 1, 1});
+  REQUIRE(is_up(all));
+  const std::string first = keep_turn(all, "t1");
+  all.store().set_deaf_watches(true);
+  all.kill_disk(0);
+  all.start_disk(0, true);
+  REQUIRE(all.run_until([&all] {
+    const std::string set = all.store().spec_of("hawthornlane-hosts", "ledger-set");
+    return set.find("\"epoch\":2") != std::string::npos;
+  }));
+  // Time for the joining disk to begin its copy, but not for any host to read the store.
+  all.run_for(150ms);
+  all.store().set_mood(stand_ins::store_mood::silent);
+  const std::string second = keep_turn(all, "t2", first);
+  all.store().set_mood(stand_ins::store_mood::serving);
+  all.store().set_deaf_watches(false);
+  CHECK(all.run_until([&all] {
+    const std::string set = all.store().spec_of("hawthornlane-hosts", "ledger-set");
+    return set.find("\"epoch\":3") != std::string::npos;
+  }));
+  keep_turn(all, "t3", second);
+}
+
 TEST_CASE("a disk host that is to be emptied leaves the set before it says so") {
   deployment all({1, 3, 1, 1});
   REQUIRE(is_up(all));
