Test: a channel that is reset at any moment of an answer costs its caller no part of it

Played over whole hosts: resets once the request is sent, after the head, amid and after each event, and after the end; a resumable stream goes on where it stopped, another kind is answered whole on the repeat, nothing runs twice, and a dialog goes on from the answer that its caller has.

--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -51,6 +51,23 @@
   *done = true;
 }
 
+asio::awaitable<void> read_and_reset(asio::io_context& context, net::deadline_sweeper& sweeper,
+                                     http::endpoint where, std::string bytes, std::string last,
+                                     std::shared_ptr<bool> done) {
+  net::timed_socket socket(context, sweeper);
+  std::string answer;
+  net::error_code error = co_await socket.connect(where, steady::now() + call_limit);
+  if (!error) {
+    error = co_await socket.write_all(bytes, steady::now() + call_limit);
+  }
+  constexpr std::size_t step = 4096;
+  while (!error && answer.find(last) == std::string::npos) {
+    error = co_await socket.read_more(answer, step, steady::now() + call_limit);
+  }
+  socket.close(true);
+  *done = true;
+}
+
 asio::awaitable<void> exchange_bytes(asio::io_context& context, net::deadline_sweeper& sweeper,
                                      http::endpoint where, std::string bytes,
                                      std::shared_ptr<std::optional<std::string>> into) {
@@ -179,6 +196,16 @@
   this->run_until([&done] { return *done; });
 }
 
+void deployment::reset_after(int front, const call_request& what, const std::string& text) {
+  const auto done = std::make_shared<bool>(false);
+  asio::co_spawn(
+      this->around,
+      read_and_reset(this->around, this->sweeper, this->front_settings_of(front).callers_at,
+                     bytes_of(what), text, done),
+      asio::detached);
+  this->run_until([&done] { return *done; });
+}
+
 http::response deployment::get(const http::endpoint& where, const std::string& target) {
   const auto result = std::make_shared<std::optional<http::response>>();
   http::client client;
--- a/scenarios/deployment.h
+++ b/scenarios/deployment.h
@@ -54,6 +54,9 @@
   /// Begins a call and closes the connection after `stay`.
   void leave_early(int front, const call_request& what, std::chrono::milliseconds stay);
 
+  /// Resets the connection once that text has come; an empty one: once the request is sent.
+  void reset_after(int front, const call_request& what, const std::string& text);
+
   [[nodiscard]] bool ready(int front);
   /// Addresses that the directory of that front host names.
   [[nodiscard]] std::string addresses(int front);
--- a/scenarios/deployment_test.cc
+++ b/scenarios/deployment_test.cc
@@ -175,6 +175,68 @@
   }
 }
 
+TEST_CASE("a channel that is reset at any moment of an answer costs the caller no part of it") {
+  // A fault dialog broke off midway when its channel was reset, and the mechanic described the
+  // stuck feed roller all over again; a warranty claim that hung was sent again, and nobody
+  // knew whether it had gone through twice.
+  deployment all({2, 3, 2, 1});
+  REQUIRE(is_up(all));
+  REQUIRE(all.run_until([&all] { return all.ready(1); }));
+  for (const auto& server : all.engines) {
+    server->set_events(3, 40ms);
+  }
+  struct row {
+    const char* moment;
+    /// What has come by then, and how many whole events that is.
+    std::string last;
+    int events;
+  };
+  const row rows[] = {{"the request is sent", "", 0},
+                      {"the head has come", "200 OK", 0},
+                      {"amid the first event", "id: 1", 0},
+                      {"the first event has come", "piece 1\n\n", 1},
+                      {"amid the second event", "id: 2", 1},
+                      {"the second event has come", "piece 2\n\n", 2},
+                      {"the last event has come", "piece 3\n\n", 3},
+                      {"all has come", "\r\n0\r\n", 3}};
+  const std::vector<std::string> pieces = {"id: 1\ndata: piece 1\n\n", "id: 2\ndata: piece 2\n\n",
+                                           "id: 3\ndata: piece 3\n\n"};
+  int number = 0;
+  for (const row& item : rows) {
+    for (const bool resumable : {true, false}) {
+      const std::string name = "reset-" + std::to_string(++number);
+      const std::string path = resumable ? "/resumed/x" : "/kept/x";
+      const std::string program = "program-" + name;
+      INFO(item.moment << (resumable ? ", resumed" : ", asked again from the start"));
+      all.reset_after(0, turn(path, name, program), item.last);
+      const decided_turn again = decide(all, name + "-again", [&](const std::string& id) {
+        call_request call = turn(path, id, program);
+        if (resumable && item.events > 0) {
+          call.headers.push_back({"Last-Event-Id", std::to_string(item.events)});
+        }
+        return call;
+      });
+      CHECK(again.result.status == 200);
+      CHECK(again.result.whole);
+      std::string rest;
+      for (std::size_t piece = resumable ? item.events : 0; piece < pieces.size(); ++piece) {
+        rest += pieces[piece];
+      }
+      CHECK(again.result.body == rest);
+      CHECK(runs_of(all, name) <= 1);
+      CHECK(runs_of(all, again.id) == 1);
+      if (!resumable) {
+        // The dialog goes on from the answer that its caller has whole, and from no other.
+        const decided_turn next = decide(all, name + "-next", [&](const std::string& id) {
+          return turn(path, id, program, again.id);
+        });
+        CHECK(next.result.whole);
+        CHECK(runs_of(all, next.id) == 1);
+      }
+    }
+  }
+}
+
 TEST_CASE("a kept turn reaches the server with all that was said before, at any front host") {
   deployment all({2, 3, 2, 1});
   REQUIRE(is_up(all));
