Let hosts tell each other whom they suspect, and believe in a death after a second

Cause: a host believed in another's death by its own silence alone, three pauses between probes: 4.0 s among 83 hosts and 16.4 s among 340. Change: peer_watch, a decision of its own. A probe that waits 0.2 s is told to others, who ask at once for themselves; a host is gone when an own probe has failed and two others suspect it, or by silence as before. Pairs begin at phases of their own, so that hosts which start together don't probe at one moment. Ruled out by the model: only failed probes told (2.1 s among 340). Wire: the list follows the digest; hosts of the first format read the digest and stop there, and theirs are read.

--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,26 @@
   }
 };
 
+/// Short name of a host between hosts: four bytes in place of some thirty.
+using host_key = strong_value<struct host_key_tag, std::uint32_t>;
+host_key host_key_of(const host_id& host);
+
+/// A probe, and the answer to one.
+struct probe_message {
+  gossip_digest digest;
+  /// Hosts that do not answer the one that tells this.
+  std::vector<host_key> suspected;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->digest, this->suspected);
+  }
+};
+
+/// Nothing when the bytes are none. Hosts of the first format send the digest alone, and
+/// read no further than that.
+std::optional<probe_message> probe_message_from(const std::string& bytes);
+
 /// One host's whole registry of one kind of entry.
 template <class Entry>
 struct registry_snapshot {
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -16,6 +16,7 @@
 #include "hawthornlane/front/copy_outlet.h"
 #include "hawthornlane/front/gossip_messages.h"
 #include "hawthornlane/front/gossip_news.h"
+#include "hawthornlane/front/peer_watch.h"
 #include "hawthornlane/net/rpc.h"
 
 namespace hawthornlane::front {
@@ -84,10 +85,15 @@
   [[nodiscard]] std::chrono::milliseconds probe_pause() const;
   /// After this long without a word another host counts as gone.
   [[nodiscard]] std::chrono::milliseconds silence() const;
+  [[nodiscard]] watch_pace pace() const;
   /// Notes which hosts no longer count as living.
   void note_silent();
   void probe(peer& other);
-  void hear(peer& other, const gossip_digest& digest);
+  void probe_if_due(peer& other);
+  /// What this host tells with a probe, and in answer to one.
+  [[nodiscard]] std::string probe_bytes() const;
+  void hear(peer& other, const probe_message& message);
+  void hear_suspicions(const host_id& from, const std::vector<host_key>& suspected);
   /// How far this host's own knowledge goes.
   [[nodiscard]] known_state known() const;
   /// Whether another host still counts as one that lives.
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/peer_watch.h
@@ -0,0 +1,64 @@
+// What one front host believes of another one: whether it lives, and when to probe it. No
+// I/O, clock or randomness.
+//
+// Answers the loss of many hosts of a large deployment. By its own silence alone a death was
+// noticed after three pauses between probes, which grow with the number of hosts: 4 s among
+// 83 hosts, 16 s among 340, while callers were still sent there and waited a second each.
+// So hosts tell each other whom they suspect, and each asks for itself before it believes.
+#pragma once
+
+#include <set>
+
+#include "hawthornlane/front/probe_turns.h"
+#include "hawthornlane/units/ids.h"
+#include "hawthornlane/units/quantities.h"
+
+namespace hawthornlane::front {
+
+/// Pauses of a host that watches others.
+struct watch_pace {
+  /// Between two probes of a pair of hosts.
+  duration pause{};
+  /// After this long without a word another host counts as gone, whatever others say.
+  duration silence{};
+};
+
+/// One other host, as this host sees it.
+class peer_watch {
+public:
+  /// `phase_of_pair`, from 0 to 1, is the part of a pause after which the pair's probes begin:
+  /// hosts that start together would else probe each other at the same moments for ever, and a
+  /// death just after one of these be noticed a whole pause later.
+  peer_watch(timestamp now, double phase_of_pair)
+      : since(now), phase(phase_of_pair), last_heard(now), asked(now) {}
+
+  /// Any word of the other host came.
+  void heard(timestamp now);
+  void was_probed(timestamp now);
+  void probe_sent(timestamp now);
+  void probe_answered(timestamp sent);
+  void probe_failed(timestamp sent);
+  /// Another host has told that it suspects this one.
+  void told_by(const host_id& other, timestamp now);
+
+  /// An own probe has failed, or waits for long already, and no word came since: worth
+  /// telling others, who then ask for themselves.
+  [[nodiscard]] bool suspected(timestamp now) const;
+  /// `goes_first` as in `is_probe_due`.
+  [[nodiscard]] bool probe_due(bool goes_first, const watch_pace& pace, timestamp now) const;
+  [[nodiscard]] bool lives(const watch_pace& pace, timestamp now) const;
+
+private:
+  probe_moments probes;
+  timestamp since;
+  double phase;
+  timestamp last_heard;
+  /// The first probe since the last word; before that word when there is none.
+  timestamp asked;
+  bool failed = false;
+  /// Who has told of a suspicion since the last word.
+  std::set<host_id> told;
+  timestamp last_told{};
+};
+
+}  // namespace hawthornlane::front
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -4,10 +4,11 @@
 #include <algorithm>
 #include <utility>
 
-#include "hawthornlane/front/probe_turns.h"
+#include "hawthornlane/front/peer_watch.h"
 #include "hawthornlane/front/relay_choice.h"
 #include "hawthornlane/net/frame.h"
 #include "hawthornlane/net/packing.h"
+#include "hawthornlane/placement/rendezvous.h"
 #include "hawthornlane/telemetry/log.h"
 
 namespace hawthornlane::front {
@@ -24,7 +25,9 @@
 /// A host that has missed so many probes is left out of address answers.
 constexpr int probes_missed = 3;
 constexpr std::chrono::milliseconds probe_slack{100};
-constexpr duration probe_limit = std::chrono::milliseconds(600);
+/// An answer takes some milliseconds, also under load; a packet that is lost is sent again
+/// after 200 ms. What fails makes a suspicion, no more.
+constexpr duration probe_limit = std::chrono::milliseconds(500);
 /// A host that has read the store this lately tells news that nobody else may have.
 constexpr duration just_read = std::chrono::milliseconds(50);
 constexpr duration copy_limit = copy_outlet::longest_copy;
@@ -37,17 +40,29 @@
   return snapshot && snapshot->at.get() != 0 ? std::move(snapshot) : std::nullopt;
 }
 
+/// Where in a pause two hosts begin to probe each other; pairs spread evenly.
+double phase_of(const host_id& host, const host_id& other) {
+  constexpr std::uint64_t steps = 1 << 16;
+  const std::uint64_t step = rendezvous_weight(host.get(), host_key_of(other).get()) % steps;
+  return static_cast<double>(step) / steps;
+}
+
 }  // namespace
 
 /// Another front host.
 struct peer_gossip::peer {
+  peer(host_entry what, const host_id& watched_by, timestamp now)
+      : entry(std::move(what)),
+        key(host_key_of(this->entry.name)),
+        watch(now, phase_of(watched_by, this->entry.name)) {}
+
   host_entry entry;
+  host_key key;
   std::unique_ptr<net::rpc_client> link;
   gossip_digest heard;
-  net::steady_time heard_at{};
+  peer_watch watch;
   /// When it last answered a call of this host, unless a question for a copy failed since.
   net::steady_time answered_at{};
-  probe_moments probes;
   bool reachable = true;
 };
 
@@ -81,10 +96,8 @@
   if (known != this->peers.end() && known->second->entry.start > entry.start) {
     return;
   }
-  auto other = std::make_shared<peer>();
-  other->entry = entry;
+  auto other = std::make_shared<peer>(entry, this->intake.owner(), discovery::scheduler_now());
   other->link = std::make_unique<net::rpc_client>(this->context, this->sweeper, entry.peers_at);
-  other->heard_at = steady::now();
   this->peers[entry.name] = other;
   this->probe(*other);
 }
@@ -107,17 +120,22 @@
   }
   this->next_look = now + look_pause;
   this->note_silent();
-  const host_id& self = this->intake.owner();
-  const std::chrono::milliseconds pause = this->probe_pause();
   for (const auto& [name, other] : this->peers) {
-    if (is_probe_due(other->probes, self < name, pause, now)) {
-      this->probe(*other);
-    }
+    this->probe_if_due(*other);
+  }
+}
+
+void peer_gossip::probe_if_due(peer& other) {
+  const bool goes_first = this->intake.owner() < other.entry.name;
+  if (other.watch.probe_due(goes_first, this->pace(), discovery::scheduler_now())) {
+    this->probe(other);
   }
 }
 
+watch_pace peer_gossip::pace() const { return {this->probe_pause(), this->silence()}; }
+
 bool peer_gossip::lives(const peer& other) const {
-  return steady::now() - other.heard_at < this->silence();
+  return other.watch.lives(this->pace(), discovery::scheduler_now());
 }
 
 bool peer_gossip::reaches(const host_id& other) const {
@@ -142,26 +160,59 @@
 }
 
 void peer_gossip::probe(peer& other) {
-  const auto payload = to_bytes(this->hooks.self());
+  const std::string payload = this->probe_bytes();
   const auto known = this->peers.find(other.entry.name)->second;
   const timestamp sent = discovery::scheduler_now();
-  other.probes.tried = sent;
+  other.watch.probe_sent(sent);
   other.link->call(
       static_cast<std::uint16_t>(gossip_method::digest), payload, probe_limit,
       [this, sent, weak = std::weak_ptr(known)](net::rpc_failure why, std::string answer) {
         const auto told = weak.lock();
-        const auto digest = from_bytes<gossip_digest>(answer);
-        if (told && why == net::rpc_failure::none && digest) {
-          told->answered_at = steady::now();
-          told->probes.probed = sent;
-          this->hear(*told, *digest);
+        const auto message = probe_message_from(answer);
+        if (!told) {
+          return;
+        }
+        if (why != net::rpc_failure::none || !message) {
+          told->watch.probe_failed(sent);
+          return;
         }
+        told->answered_at = steady::now();
+        told->watch.probe_answered(sent);
+        this->hear(*told, *message);
       });
 }
 
-void peer_gossip::hear(peer& other, const gossip_digest& digest) {
+std::string peer_gossip::probe_bytes() const {
+  probe_message message{this->hooks.self(), {}};
+  const timestamp now = discovery::scheduler_now();
+  for (const auto& [name, other] : this->peers) {
+    if (other->watch.suspected(now)) {
+      message.suspected.push_back(other->key);
+    }
+  }
+  return to_bytes(message);
+}
+
+void peer_gossip::hear_suspicions(const host_id& from, const std::vector<host_key>& suspected) {
+  if (suspected.empty()) {
+    return;
+  }
+  const timestamp now = discovery::scheduler_now();
+  const std::set<host_key> keys(suspected.begin(), suspected.end());
+  for (const auto& [name, other] : this->peers) {
+    if (!keys.contains(other->key)) {
+      continue;
+    }
+    other->watch.told_by(from, now);
+    this->probe_if_due(*other);
+  }
+}
+
+void peer_gossip::hear(peer& other, const probe_message& message) {
+  const gossip_digest& digest = message.digest;
   other.heard = digest;
-  other.heard_at = steady::now();
+  other.watch.heard(discovery::scheduler_now());
+  this->hear_suspicions(other.entry.name, message.suspected);
   if (!other.reachable) {
     other.reachable = true;
     log(event::host_reachable, {{"peer", other.entry.name.get()}});
@@ -367,18 +418,18 @@
 std::optional<std::string> peer_gossip::serve(gossip_method method, const std::string& payload) {
   switch (method) {
     case gossip_method::digest: {
-      const auto digest = from_bytes<gossip_digest>(payload);
-      if (!digest) {
+      const auto message = probe_message_from(payload);
+      if (!message) {
         return std::nullopt;
       }
       // A host may be heard before the store's news of it come.
-      this->add_peer(digest->self);
-      const auto known = this->peers.find(digest->self.name);
+      this->add_peer(message->digest.self);
+      const auto known = this->peers.find(message->digest.self.name);
       if (known != this->peers.end()) {
-        known->second->probes.was_probed = discovery::scheduler_now();
-        this->hear(*known->second, *digest);
+        known->second->watch.was_probed(discovery::scheduler_now());
+        this->hear(*known->second, *message);
       }
-      return to_bytes(this->hooks.self());
+      return this->probe_bytes();
     }
     case gossip_method::copy: {
       const auto request = copy_request_from(payload);
--- /dev/null
+++ b/libs/front/src/peer_watch.cc
@@ -0,0 +1,71 @@
+// What one front host believes of another one.
+#include "hawthornlane/front/peer_watch.h"
+
+namespace hawthornlane::front {
+namespace {
+
+/// So many other hosts must suspect a host too: one may be cut off from it alone.
+constexpr std::size_t least_told = 2;
+/// A probe is answered within some ten milliseconds. After this time others are told of it,
+/// before it fails at 0.5 s: a zone of 340 hosts is known to be gone after 1.3 s so, and after
+/// 2.1 s when only failed probes are told.
+constexpr duration long_unanswered = std::chrono::milliseconds(200);
+/// A host that was heard this lately is not probed on others' word: what they wait for is
+/// older.
+constexpr duration just_heard = std::chrono::milliseconds(300);
+
+}  // namespace
+
+void peer_watch::heard(timestamp now) {
+  this->last_heard = now;
+  this->failed = false;
+  this->told.clear();
+}
+
+void peer_watch::was_probed(timestamp now) { this->probes.was_probed = now; }
+
+void peer_watch::probe_sent(timestamp now) {
+  this->probes.tried = now;
+  if (this->asked <= this->last_heard) {
+    this->asked = now;
+  }
+}
+
+bool peer_watch::suspected(timestamp now) const {
+  const bool is_asked = this->asked > this->last_heard;
+  return this->failed || (is_asked && now - this->asked >= long_unanswered);
+}
+
+void peer_watch::probe_answered(timestamp sent) { this->probes.probed = sent; }
+
+void peer_watch::probe_failed(timestamp sent) {
+  // A word that came while the probe was under way counts more.
+  this->failed = this->failed || sent >= this->last_heard;
+}
+
+void peer_watch::told_by(const host_id& other, timestamp now) {
+  this->told.insert(other);
+  this->last_told = now;
+}
+
+bool peer_watch::probe_due(bool goes_first, const watch_pace& pace, timestamp now) const {
+  const bool asked_since = this->probes.tried >= this->last_told;
+  const bool is_doubtful = !this->told.empty() && now - this->last_heard >= just_heard;
+  if (is_doubtful && !this->failed && !asked_since) {
+    return true;
+  }
+  const timestamp begins = this->since + from_seconds(to_seconds(pace.pause) * this->phase);
+  if (this->probes.tried < begins) {
+    return now >= begins;
+  }
+  return is_probe_due(this->probes, goes_first, pace.pause, now);
+}
+
+bool peer_watch::lives(const watch_pace& pace, timestamp now) const {
+  if (now - this->last_heard >= pace.silence) {
+    return false;
+  }
+  return !this->failed || this->told.size() < least_told;
+}
+
+}  // namespace hawthornlane::front
--- a/libs/front/test/gossip_messages_test.cc
+++ b/libs/front/test/gossip_messages_test.cc
@@ -51,6 +51,20 @@
   CHECK(read->demand == sent.demand);
 }
 
+TEST_CASE("a probe tells whom its host suspects, and hosts of the first format read its digest") {
+  const probe_message sent{full_digest(), {host_key_of(host_id("front-3")), host_key(5)}};
+  const std::string bytes = to_bytes(sent);
+  const auto read = probe_message_from(bytes);
+  REQUIRE(read);
+  CHECK(read->digest.self == sent.digest.self);
+  CHECK(read->suspected == sent.suspected);
+  CHECK(from_bytes<gossip_digest>(bytes)->demand == sent.digest.demand);
+  const auto first_format = probe_message_from(to_bytes(full_digest()));
+  REQUIRE(first_format);
+  CHECK(first_format->suspected.empty());
+  CHECK_FALSE(probe_message_from(to_bytes(full_digest()).substr(1)));
+}
+
 TEST_CASE("a digest that is cut anywhere is refused") {
   const std::string whole = to_bytes(full_digest());
   for (std::size_t length = 0; length < whole.size(); ++length) {
--- /dev/null
+++ b/libs/front/test/peer_watch_test.cc
@@ -0,0 +1,100 @@
+// What one host believes of another one by its own probes and by what others tell.
+#include "hawthornlane/front/peer_watch.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace hawthornlane;
+using namespace hawthornlane::front;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr watch_pace pace{1300ms, 4s};
+
+enum class event { heard, probe_failed, told_by_a, told_by_b };
+
+timestamp at(duration since) { return timestamp(1h + since); }
+
+}  // namespace
+
+TEST_CASE("another host is believed gone by own probes that others confirm, or by its silence") {
+  struct row {
+    const char* what;
+    std::vector<event> events;
+    bool lives;
+  };
+  using enum event;
+  const row rows[] = {
+      {"nothing happened", {}, true},
+      {"an own probe failed", {probe_failed}, true},
+      {"others suspect it, and this host has not asked", {told_by_a, told_by_b}, true},
+      {"one other confirms", {probe_failed, told_by_a}, true},
+      {"the same one twice", {probe_failed, told_by_a, told_by_a}, true},
+      {"two others confirm", {probe_failed, told_by_a, told_by_b}, false},
+      {"in another order", {told_by_a, told_by_b, probe_failed}, false},
+      {"a word came since", {probe_failed, told_by_a, told_by_b, heard}, true},
+      {"what was told before the word is void", {told_by_a, told_by_b, heard, probe_failed}, true},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    peer_watch watch(at(0s), 0);
+    duration now = 0ms;
+    for (const event what : item.events) {
+      now += 100ms;
+      switch (what) {
+        case heard:
+          watch.heard(at(now));
+          break;
+        case probe_failed:
+          watch.probe_failed(at(now));
+          break;
+        case told_by_a:
+          watch.told_by(host_id("a"), at(now));
+          break;
+        case told_by_b:
+          watch.told_by(host_id("b"), at(now));
+          break;
+      }
+    }
+    CHECK(watch.lives(pace, at(now)) == item.lives);
+    CHECK_FALSE(watch.lives(pace, at(now + pace.silence)));
+  }
+}
+
+TEST_CASE("a probe that began before the last word came does not count as failed") {
+  peer_watch watch(at(0s), 0);
+  watch.heard(at(500ms));
+  watch.probe_failed(at(400ms));
+  CHECK_FALSE(watch.suspected(at(600ms)));
+  watch.probe_failed(at(600ms));
+  CHECK(watch.suspected(at(600ms)));
+}
+
+TEST_CASE("a probe that waits for long is told of before it fails") {
+  peer_watch watch(at(0s), 0);
+  watch.heard(at(100ms));
+  watch.probe_sent(at(200ms));
+  CHECK_FALSE(watch.suspected(at(390ms)));
+  // The next one, sent meanwhile, does not hide it.
+  watch.probe_sent(at(350ms));
+  CHECK(watch.suspected(at(400ms)));
+  CHECK(watch.lives(pace, at(400ms)));
+  watch.heard(at(450ms));
+  CHECK_FALSE(watch.suspected(at(900ms)));
+}
+
+TEST_CASE("a host that others suspect is asked at once, unless it was just heard") {
+  peer_watch watch(at(0s), 0);
+  watch.probe_sent(at(0s));
+  watch.probe_answered(at(0s));
+  watch.told_by(host_id("a"), at(200ms));
+  CHECK_FALSE(watch.probe_due(false, pace, at(200ms)));
+  CHECK(watch.probe_due(false, pace, at(700ms)));
+  watch.probe_sent(at(700ms));
+  CHECK_FALSE(watch.probe_due(false, pace, at(800ms)));
+  watch.told_by(host_id("b"), at(900ms));
+  CHECK(watch.probe_due(false, pace, at(900ms)));
+  watch.probe_failed(at(900ms));
+  CHECK_FALSE(watch.probe_due(false, pace, at(950ms)));
+}
