--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -13,6 +13,7 @@
 #include "hawthornlane/ownership/placement.h"
 #include "hawthornlane/ownership/shard_core.h"
 #include "hawthornlane/peer/wire.h"
+#include "hawthornlane/placement/server_pool.h"
 #include "hawthornlane/rollout/rollout_core.h"
 #include "hawthornlane/routing/scheduler.h"
 
@@ -240,6 +241,63 @@
   }
 }
 
+/// A turn of one of many programs, whose line some server has read.
+placement_request turn_of(std::size_t number) {
+  constexpr std::size_t programs = 2000;
+  constexpr std::uint64_t first_line = 1000;
+  const std::uint64_t program = number % programs;
+  placement_request request;
+  request.id = placement_id(number + 1);
+  request.affinity = program * 104'729 + 1;
+  request.kind = 1;
+  request.prompt = {{prompt_part_key(1), token_count(512)},
+                    {prompt_part_key(first_line + program), token_count(1500)}};
+  request.give_up_at = timestamp(std::chrono::hours(1));
+  request.wanted_by = request.give_up_at;
+  return request;
+}
+
+/// One host's choice of a server for a turn, with what it asks other hosts, and the same
+/// when no server has a place left.
+void server_choice_slopes() {
+  for (const std::size_t servers : {48U, 275U, 2200U}) {
+    server_pool pool(pool_rules{}, host_id("host-0"), availability_zone("zone-0"));
+    std::vector<backend_entry> entries(servers);
+    for (std::size_t at = 0; at < servers; ++at) {
+      entries[at].id = backend_server_id("i-" + std::to_string(at * 7919));
+      entries[at].zone = availability_zone("zone-" + std::to_string(at % 20));
+      entries[at].slots = 8;
+    }
+    pool.set_servers(entries, timestamp{});
+    timestamp now{};
+    std::vector<placement> placed;
+    std::size_t number = 0;
+    const auto place = [&] {
+      now += std::chrono::milliseconds(1);
+      const placement_request request = turn_of(number++);
+      if (pool.question_for(request, now).parts.empty()) {
+        return;
+      }
+      pool.submit(request, now, placed);
+      pool.take_update();
+    };
+    const double us = each_us(10'000, [&](std::size_t at) {
+      place();
+      pool.started(placement_id(at + 1), now);
+      pool.finished(placement_id(at + 1), server_outcome::answered, now);
+    });
+    print("turn placed: servers", servers, "us/turn (question, choice, end)", us);
+    // More calls than the host may have at all servers: from then on none has a place.
+    const std::size_t places = servers * 8;
+    for (std::size_t at = 0; at < places; ++at) {
+      place();
+    }
+    const std::size_t failing = 200;
+    print("turn without a place: servers", servers, "us/turn",
+          each_us(failing, [&](std::size_t) { place(); }));
+  }
+}
+
 void limits_slopes() {
   for (const std::size_t hosts : {9U, 43U, 340U}) {
     std::vector<credit_demand> demands;
@@ -287,6 +345,7 @@
   membership_slopes();
   scheduler_slopes();
   placement_slopes();
+  server_choice_slopes();
   limits_slopes();
   document_slopes();
   return 0;
--- a/libs/placement/include/hawthornlane/placement/prefix_cache_view.h
+++ b/libs/placement/include/hawthornlane/placement/prefix_cache_view.h
@@ -34,6 +34,9 @@
   /// The other tokens of `prompt`.
   [[nodiscard]] token_count missing(const std::vector<prompt_piece>& prompt,
                                     const backend_server_id& server) const;
+  /// Servers that hold more of `prompt` than its first part, each once.
+  [[nodiscard]] std::vector<backend_server_id> holders_of_line(
+      const std::vector<prompt_piece>& prompt) const;
   /// Some server has read this part.
   [[nodiscard]] bool knows(prompt_part_key part) const { return this->parts.contains(part); }
   /// `server` reads the prompt.
--- a/libs/placement/include/hawthornlane/placement/rendezvous.h
+++ b/libs/placement/include/hawthornlane/placement/rendezvous.h
@@ -13,4 +13,14 @@
   return XXH64(member.data(), member.size(), key);
 }
 
+/// The same for a member whose name has been hashed once: a choice among 2,200 members takes
+/// 10 us so, and 130 us when each name is hashed again.
+inline std::uint64_t rendezvous_weight(std::uint64_t member_hash, std::uint64_t key) {
+  // The finaliser of splitmix64: each bit of the input changes half of the output's.
+  std::uint64_t mixed = member_hash ^ (key * 0x9e3779b97f4a7c15U);
+  mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
+  mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
+  return mixed ^ (mixed >> 31U);
+}
+
 }  // namespace hawthornlane
--- a/libs/placement/include/hawthornlane/placement/server_health.h
+++ b/libs/placement/include/hawthornlane/placement/server_health.h
@@ -94,6 +94,8 @@
     timestamp renewed{};
 
     [[nodiscard]] double at(const health_rules& rules, timestamp now) const;
+    /// The same as a comparison, which for most servers needs no exponential function.
+    [[nodiscard]] bool exceeds(double bound, const health_rules& rules, timestamp now) const;
     void renew(double sample, double weight, const health_rules& rules, timestamp now);
   };
 
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "hawthornlane/fleet/fleet_view.h"
@@ -119,7 +120,7 @@
 
   [[nodiscard]] std::size_t waiting() const { return this->queue.size(); }
   /// Calls at servers and waiting for one.
-  [[nodiscard]] std::size_t demand() const { return this->queue.size() + this->calls_inside(); }
+  [[nodiscard]] std::size_t demand() const { return this->queue.size() + this->calls_inside; }
   /// Servers that get nothing for now after failures.
   [[nodiscard]] std::set<backend_server_id> excluded(timestamp now) const;
   /// Servers that get nothing, or nothing while others are free, because of how calls
@@ -130,11 +131,15 @@
   [[nodiscard]] std::vector<backend_server_id> listed() const;
 
 private:
+  /// Numbers what this pool knows of one server from its listing, or its last start, on. The
+  /// start that an entry names may come again, when the store lists an older entry.
+  using server_life = strong_value<struct server_life_tag, std::uint64_t>;
   struct server_state {
     backend_entry entry;
+    server_life life;
     /// What hosts call it between themselves.
     server_key key;
-    /// Invariant: equals the entries of `running` for this incarnation of the server.
+    /// Invariant: equals the entries of `running` with this server's `life`.
     std::uint32_t inside = 0;
     /// Calls of other hosts when they were last heard of.
     double others = 0;
@@ -147,7 +152,8 @@
   /// A call at a server.
   struct running_call {
     backend_server_id server;
-    incarnation server_start;
+    /// Of its server; another one there by now knows nothing of the call.
+    server_life life;
     std::uint64_t kind = 0;
     /// It has a prompt: other hosts want to know of it.
     bool is_shared = false;
@@ -159,20 +165,37 @@
   /// wanted, and its name.
   using queue_key = std::tuple<std::uint32_t, bool, bool, timestamp, placement_id>;
   using server_list = std::vector<const server_state*>;
+  /// A listed server, with what each choice looks at.
+  struct listed_server {
+    server_state* server = nullptr;
+    std::uint64_t name_hash = 0;
+    /// Its place in this host's own order of equally busy servers.
+    std::uint64_t rank = 0;
+    bool near = false;
+  };
+  /// A server and its weight for a key.
+  using weighted_server = std::pair<std::uint64_t, const server_state*>;
 
   [[nodiscard]] std::uint32_t limit_of(const server_state& server) const;
   [[nodiscard]] bool is_set_aside(const server_state& server, timestamp now) const;
   [[nodiscard]] bool may_take(const server_state& server, choice_range range, timestamp now) const;
   [[nodiscard]] server_state* choose(const placement_request& request, timestamp now);
-  [[nodiscard]] server_state* choose_among(const placement_request& request, choice_range range,
+  [[nodiscard]] server_state* choose_among(const placement_request& request,
+                                           const server_list& candidates, choice_range range,
                                            timestamp now);
   [[nodiscard]] server_state* choose_for_prompt(const placement_request& request,
-                                                choice_range range, timestamp now);
+                                                const server_list& candidates, choice_range range,
+                                                timestamp now);
   [[nodiscard]] server_state* choose_least_busy(const placement_request& request,
                                                 choice_range range, timestamp now);
   /// The servers that hold the call's line, and a few others.
   [[nodiscard]] server_list candidates_for(const placement_request& request, timestamp now) const;
   [[nodiscard]] bool holds_line(const server_state& server, const placement_request& request) const;
+  /// Adds to `chosen` the servers that hold the call's line.
+  void add_holders(const placement_request& request, timestamp now,
+                   std::vector<weighted_server>& chosen) const;
+  [[nodiscard]] bool may_weigh(const server_state& server, const placement_request& request,
+                               timestamp now) const;
   [[nodiscard]] placement_basis basis_of(const server_state& server,
                                          const placement_request& request, timestamp now) const;
   /// Nothing: unknown here, of another service, or of a former incarnation.
@@ -181,13 +204,14 @@
   [[nodiscard]] server_state* server_of(const running_call& call);
   /// The server has started again: nothing known of it before counts.
   void forget_incarnation(server_state& server);
-  /// Calls at servers; those at former incarnations have no place there any more.
-  [[nodiscard]] std::size_t calls_inside() const;
+  /// Makes what is derived from `servers` anew.
+  void index_servers();
+  /// A server that is listed no more has no call left.
+  void remove_server(const backend_server_id& id);
   /// Calls of all hosts at the server now, as well as this host can tell.
   [[nodiscard]] double calls_at(const server_state& server, timestamp now) const;
   void note_prompt(const placement_request& request, const server_state& server);
   [[nodiscard]] static queue_key key_of(const placement_request& request, timestamp now);
-  [[nodiscard]] std::size_t places() const;
   void place(const placement_request& request, server_state& server, timestamp now,
              std::vector<placement>& placed);
   /// Holds what a call took so far for or against its server.
@@ -199,7 +223,19 @@
   pool_rules rules;
   availability_zone zone;
   std::map<backend_server_id, server_state> servers;
+  // Derived from `servers`, whose entries stay where they are: 2,200 servers would else be
+  // visited several times for each call, 2.5 ms.
+  std::vector<listed_server> listed_servers;
+  std::unordered_map<server_key, server_state*> by_key;
+  /// Invariant: the sum of `others`.
+  double calls_of_others = 0;
+  /// Calls that this host may have at the listed servers, and those that it has.
+  std::size_t places = 0;
+  std::size_t calls_at_listed = 0;
+  /// Invariant: the sum of `inside`. Calls at former incarnations have no place any more.
+  std::size_t calls_inside = 0;
   std::map<placement_id, running_call> running;
+  server_life last_life;
   std::map<queue_key, placement_request> queue;
   std::map<placement_id, queue_key> queued;
   usual_times usual;
--- a/libs/placement/src/prefix_cache_view.cc
+++ b/libs/placement/src/prefix_cache_view.cc
@@ -58,6 +58,24 @@
   return token_count(all - this->held(prompt, server).get());
 }
 
+std::vector<backend_server_id> prefix_cache_view::holders_of_line(
+    const std::vector<prompt_piece>& prompt) const {
+  std::vector<backend_server_id> servers;
+  for (std::size_t number = 1; number < prompt.size(); ++number) {
+    const auto found = this->parts.find(prompt[number].key);
+    if (found == this->parts.end() || prompt[number].tokens.get() <= 0) {
+      continue;
+    }
+    for (const holder& item : found->second.holders) {
+      const bool is_known = std::find(servers.begin(), servers.end(), item.server) != servers.end();
+      if (item.tokens.get() > 0 && !is_known) {
+        servers.push_back(item.server);
+      }
+    }
+  }
+  return servers;
+}
+
 void prefix_cache_view::note(const std::vector<prompt_piece>& prompt,
                              const backend_server_id& server) {
   for (const prompt_piece& piece : prompt) {
--- a/libs/placement/src/server_health.cc
+++ b/libs/placement/src/server_health.cc
@@ -50,6 +50,10 @@
   return this->value * std::exp(-age / to_seconds(rules.fading));
 }
 
+bool server_health::belief::exceeds(double bound, const health_rules& rules, timestamp now) const {
+  return this->value > bound && this->at(rules, now) > bound;
+}
+
 void server_health::belief::renew(double sample, double weight, const health_rules& rules,
                                   timestamp now) {
   const double before = this->at(rules, now);
@@ -58,8 +62,8 @@
 }
 
 bool server_health::doubted(const health_rules& rules, timestamp now) const {
-  return this->slowness.at(rules, now) > rules.doubted_pace ||
-         this->faults.at(rules, now) > rules.doubted_faults;
+  return this->slowness.exceeds(rules.doubted_pace, rules, now) ||
+         this->faults.exceeds(rules.doubted_faults, rules, now);
 }
 
 void server_health::note_pace(const pace_sample& sample, const health_rules& rules, timestamp now) {
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -25,14 +25,6 @@
   return trusted && server.inside < this->limit_of(server);
 }
 
-std::size_t server_pool::places() const {
-  std::size_t sum = 0;
-  for (const auto& [id, server] : this->servers) {
-    sum += server.listed ? this->limit_of(server) : 0;
-  }
-  return sum;
-}
-
 server_pool::queue_key server_pool::key_of(const placement_request& request, timestamp now) {
   // Programs that have begun go on before others begin, and what is late already goes
   // behind what can still be in time.
@@ -42,11 +34,16 @@
 
 server_pool::server_state* server_pool::choose(const placement_request& request, timestamp now) {
   // A call that a server has refused must find another one soon.
-  if (this->window && this->calls_inside() >= *this->window && request.tried.empty()) {
+  if (this->window && this->calls_inside >= *this->window && request.tried.empty()) {
+    return nullptr;
+  }
+  if (this->calls_at_listed >= this->places) {
     return nullptr;
   }
-  server_state* trusted = this->choose_among(request, choice_range::trusted, now);
-  return trusted != nullptr ? trusted : this->choose_among(request, choice_range::any, now);
+  const server_list candidates = this->candidates_for(request, now);
+  server_state* trusted = this->choose_among(request, candidates, choice_range::trusted, now);
+  return trusted != nullptr ? trusted
+                            : this->choose_among(request, candidates, choice_range::any, now);
 }
 
 void server_pool::place(const placement_request& request, server_state& server, timestamp now,
@@ -58,7 +55,9 @@
     this->note_prompt(request, server);
   }
   ++server.inside;
-  this->running[request.id] = {server.entry.id, server.entry.start, request.kind, is_shared, now};
+  ++this->calls_inside;
+  ++this->calls_at_listed;
+  this->running[request.id] = {server.entry.id, server.life, request.kind, is_shared, now};
   placed.push_back(std::move(chosen));
 }
 
@@ -91,6 +90,10 @@
     if (!is_new && server.entry.start != entry.start) {
       this->forget_incarnation(server);
     }
+    if (server.life == server_life()) {
+      this->last_life = server_life(this->last_life.get() + 1);
+      server.life = this->last_life;
+    }
     server.key = server_key_of(entry.id, entry.start);
     server.entry = entry;
     server.listed = true;
@@ -102,43 +105,70 @@
   }
   std::erase_if(this->servers,
                 [](const auto& item) { return !item.second.listed && item.second.inside == 0; });
+  this->index_servers();
   return this->fill(now);
 }
 
+void server_pool::index_servers() {
+  this->listed_servers.clear();
+  this->by_key.clear();
+  this->calls_of_others = 0;
+  this->places = 0;
+  this->calls_at_listed = 0;
+  for (auto& [id, server] : this->servers) {
+    this->by_key[server.key] = &server;
+    this->calls_of_others += server.others;
+    if (!server.listed) {
+      continue;
+    }
+    this->places += this->limit_of(server);
+    this->calls_at_listed += server.inside;
+    listed_server item;
+    item.server = &server;
+    item.name_hash = rendezvous_weight(id.get(), 0);
+    item.near = server.entry.zone == this->zone;
+    // Those in this zone first, then in an order of this host's own, so that it uses its kept
+    // connections and others use others.
+    const std::uint64_t far = item.near ? 0 : 1;
+    item.rank = far << 32U | (rendezvous_weight(id.get(), this->own_key) & 0xffffffffU);
+    this->listed_servers.push_back(item);
+  }
+}
+
+void server_pool::remove_server(const backend_server_id& id) {
+  const auto found = this->servers.find(id);
+  this->by_key.erase(found->second.key);
+  this->calls_of_others -= found->second.others;
+  this->servers.erase(found);
+}
+
 void server_pool::forget_incarnation(server_state& server) {
   if (server.inside > 0) {
     // Other hosts still count these calls.
     this->changed.insert(server.key);
   }
   this->caches.forget(server.entry.id);
+  this->calls_inside -= server.inside;
   server = {};
 }
 
 server_pool::server_state* server_pool::server_of(const running_call& call) {
   const auto found = this->servers.find(call.server);
-  const bool same_process =
-      found != this->servers.end() && found->second.entry.start == call.server_start;
+  const bool same_process = found != this->servers.end() && found->second.life == call.life;
   return same_process ? &found->second : nullptr;
 }
 
-std::size_t server_pool::calls_inside() const {
-  std::size_t sum = 0;
-  for (const auto& [id, server] : this->servers) {
-    sum += server.inside;
-  }
-  return sum;
-}
-
 submit_outcome server_pool::submit(const placement_request& request, timestamp now,
                                    std::vector<placement>& placed) {
   if (server_state* server = this->choose(request, now)) {
     this->place(request, *server, now, placed);
     return submit_outcome::placed;
   }
-  const bool untried = std::any_of(this->servers.begin(), this->servers.end(), [&](auto& item) {
-    return item.second.listed && !request.tried.contains(item.first);
+  const auto& listed = this->listed_servers;
+  const bool untried = std::any_of(listed.begin(), listed.end(), [&](const listed_server& item) {
+    return !request.tried.contains(item.server->entry.id);
   });
-  const double most = this->rules.queue_factor * static_cast<double>(this->places());
+  const double most = this->rules.queue_factor * static_cast<double>(this->places);
   const bool no_room = static_cast<double>(this->queue.size()) >= most;
   if (!untried || no_room || request.give_up_at <= now) {
     return submit_outcome::refused;
@@ -208,9 +238,11 @@
     this->changed.insert(server->key);
   }
   --server->inside;
+  --this->calls_inside;
+  this->calls_at_listed -= server->listed ? 1 : 0;
   server->health.note(outcome, this->rules.health, now);
   if (!server->listed && server->inside == 0) {
-    this->servers.erase(call.server);
+    this->remove_server(call.server);
   }
   return this->fill(now);
 }
--- a/libs/placement/src/server_pool_choice.cc
+++ b/libs/placement/src/server_pool_choice.cc
@@ -1,6 +1,7 @@
 // Which server of a pool takes a call, and what hosts tell each other for that.
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 #include "hawthornlane/placement/rendezvous.h"
 #include "hawthornlane/placement/server_pool.h"
@@ -8,11 +9,6 @@
 namespace hawthornlane {
 namespace {
 
-/// Hosts agree on a key's server without talking.
-std::uint64_t weight_of(const backend_server_id& server, std::uint64_t key) {
-  return rendezvous_weight(server.get(), key);
-}
-
 /// Set in the weight of a server of this zone, above all others.
 constexpr std::uint64_t near_bit = std::uint64_t{1} << 63U;
 
@@ -26,18 +22,15 @@
 }  // namespace
 
 server_pool::server_state* server_pool::choose_among(const placement_request& request,
+                                                     const server_list& candidates,
                                                      choice_range range, timestamp now) {
-  if (!request.prompt.empty()) {
-    if (server_state* server = this->choose_for_prompt(request, range, now)) {
-      return server;
-    }
-  }
-  return this->choose_least_busy(request, range, now);
+  server_state* server = this->choose_for_prompt(request, candidates, range, now);
+  return server != nullptr ? server : this->choose_least_busy(request, range, now);
 }
 
 server_pool::server_state* server_pool::choose_for_prompt(const placement_request& request,
+                                                          const server_list& candidates,
                                                           choice_range range, timestamp now) {
-  const server_list candidates = this->candidates_for(request, now);
   const server_state* best = nullptr;
   double best_cost = 0;
   for (const server_state* server : candidates) {
@@ -65,27 +58,25 @@
   server_state* preferred = nullptr;
   std::uint64_t preferred_weight = 0;
   std::uint64_t least_rank = 0;
-  for (auto& [id, server] : this->servers) {
-    if (!this->may_take(server, range, now) || request.tried.contains(id)) {
+  const auto home_weight = [](const server_state& server, const placement_request& object) {
+    return rendezvous_weight(server.entry.id.get(), object.affinity) >> 1U;
+  };
+  for (const auto& [server, name_hash, rank, near] : this->listed_servers) {
+    if (!this->may_take(*server, range, now) || request.tried.contains(server->entry.id)) {
       continue;
     }
-    const bool near = server.entry.zone == this->zone;
     // An object's server is one of this zone where it has any: callers stay in their
     // zone, so its front hosts agree, and prompts are the most of all bytes.
     const std::uint64_t weight =
-        request.affinity == 0 ? 0 : weight_of(id, request.affinity) >> 1U | (near ? near_bit : 0);
+        request.affinity == 0 ? 0 : home_weight(*server, request) | (near ? near_bit : 0);
     if (request.affinity != 0 && (preferred == nullptr || weight > preferred_weight)) {
-      preferred = &server;
+      preferred = server;
       preferred_weight = weight;
     }
-    // Among equally busy servers: those in this zone first, then in an order of this
-    // host's own, so that it uses its kept connections and others use others.
-    const std::uint64_t far = near ? 0 : 1;
-    const std::uint64_t rank = far << 32U | (weight_of(id, this->own_key) & 0xffffffffU);
-    const bool better = least == nullptr || server.inside < least->inside ||
-                        (server.inside == least->inside && rank < least_rank);
+    const bool better = least == nullptr || server->inside < least->inside ||
+                        (server->inside == least->inside && rank < least_rank);
     if (better) {
-      least = &server;
+      least = server;
       least_rank = rank;
     }
   }
@@ -101,34 +92,69 @@
          this->caches.held(request.prompt, server.entry.id) > request.prompt.front().tokens;
 }
 
+bool server_pool::may_weigh(const server_state& server, const placement_request& request,
+                            timestamp now) const {
+  return server.listed && !server.health.excluded(now) && !request.tried.contains(server.entry.id);
+}
+
+void server_pool::add_holders(const placement_request& request, timestamp now,
+                              std::vector<weighted_server>& chosen) const {
+  for (const backend_server_id& id : this->caches.holders_of_line(request.prompt)) {
+    const auto found = this->servers.find(id);
+    if (found == this->servers.end() || !this->may_weigh(found->second, request, now)) {
+      continue;
+    }
+    const std::uint64_t name_hash = rendezvous_weight(id.get(), 0);
+    chosen.emplace_back(rendezvous_weight(name_hash, request.affinity), &found->second);
+  }
+}
+
 server_pool::server_list server_pool::candidates_for(const placement_request& request,
                                                      timestamp now) const {
-  std::vector<std::pair<std::uint64_t, const server_state*>> ranked;
-  for (const auto& [id, server] : this->servers) {
-    if (server.listed && !server.health.excluded(now) && !request.tried.contains(id)) {
-      ranked.emplace_back(weight_of(id, request.affinity), &server);
+  if (request.prompt.empty()) {
+    return {};
+  }
+  std::vector<weighted_server> of_all;
+  std::vector<weighted_server> of_zone;
+  const auto is_high = [](const std::vector<weighted_server>& highest, std::size_t most,
+                          const weighted_server& item) {
+    return highest.size() < most || item > highest.back();
+  };
+  const auto keep = [](std::vector<weighted_server>& highest, std::size_t most,
+                       const weighted_server& item) {
+    highest.insert(std::upper_bound(highest.begin(), highest.end(), item, std::greater<>()), item);
+    highest.resize(std::min(highest.size(), most));
+  };
+  const choice_rules& choice = this->rules.choice;
+  for (const auto& [server, name_hash, rank, near] : this->listed_servers) {
+    const weighted_server item{rendezvous_weight(name_hash, request.affinity), server};
+    const bool as_any = is_high(of_all, choice.choices, item);
+    const bool as_near = near && is_high(of_zone, choice.near_choices, item);
+    if ((!as_any && !as_near) || !this->may_weigh(*server, request, now)) {
+      continue;
     }
-  }
-  std::sort(ranked.begin(), ranked.end(), std::greater<>());
-  server_list chosen;
-  std::size_t near = 0;
-  for (const auto& [weight, server] : ranked) {
-    const bool as_near = server->entry.zone == this->zone && near < this->rules.choice.near_choices;
-    near += as_near ? 1 : 0;
-    const bool by_hash = chosen.size() < this->rules.choice.choices;
-    if (by_hash || as_near || this->holds_line(*server, request)) {
-      chosen.push_back(server);
+    if (as_any) {
+      keep(of_all, choice.choices, item);
     }
+    if (as_near) {
+      keep(of_zone, choice.near_choices, item);
+    }
+  }
+  std::vector<weighted_server> chosen = std::move(of_all);
+  chosen.insert(chosen.end(), of_zone.begin(), of_zone.end());
+  this->add_holders(request, now, chosen);
+  std::sort(chosen.begin(), chosen.end(), std::greater<>());
+  chosen.erase(std::unique(chosen.begin(), chosen.end()), chosen.end());
+  server_list servers;
+  for (const auto& [weight, server] : chosen) {
+    servers.push_back(server);
   }
-  return chosen;
+  return servers;
 }
 
 double server_pool::calls_at(const server_state& server, timestamp now) const {
-  double sum = 0;
-  for (const auto& [id, other] : this->servers) {
-    sum += other.others;
-  }
-  const double mean = this->servers.empty() ? 0 : sum / static_cast<double>(this->servers.size());
+  const double count = static_cast<double>(this->servers.size());
+  const double mean = this->servers.empty() ? 0 : this->calls_of_others / count;
   const double age = to_seconds(std::chrono::duration_cast<duration>(now - server.others_heard));
   const double weight = std::exp(-age / load_fading_seconds);
   return server.inside + weight * server.others + (1 - weight) * mean;
@@ -172,16 +198,13 @@
 }
 
 server_pool::server_state* server_pool::find_server(server_key key) {
-  for (auto& [id, server] : this->servers) {
-    if (server.key == key) {
-      return &server;
-    }
-  }
-  return nullptr;
+  const auto found = this->by_key.find(key);
+  return found == this->by_key.end() ? nullptr : found->second;
 }
 
 void server_pool::note_load(const server_load& load, timestamp now) {
   if (server_state* server = this->find_server(load.server)) {
+    this->calls_of_others += load.calls - server->others;
     server->others = load.calls;
     server->others_heard = now;
   }
