--- a/libs/front/include/hawthornlane/front/probe_turns.h
+++ b/libs/front/include/hawthornlane/front/probe_turns.h
@@ -16,9 +16,9 @@
 };
 
 /// Whether this host probes the other one now. A probe and its answer tell both hosts all
-/// that they would tell each other, so they take turns, one probe a `pause`: when both probed
-/// at every pause, 83 hosts sent 5,200 a second, and half of these told nothing new. A probe
-/// that fails is sent again sooner, by either host.
+/// that they would tell each other, so they take turns, one probe a `pause`: were both to probe
+/// at every pause, 83 hosts would send 5,200 a second (worked out), of which half tell nothing
+/// new. A probe that fails is sent again sooner, by either host.
 /// `goes_first` is true for one of the two: its turn it is when both probed at once.
 [[nodiscard]] bool is_probe_due(const probe_moments& moments, bool goes_first, duration pause,
                                 timestamp now);
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -25,8 +25,8 @@
 /// A host that has missed so many probes is left out of address answers.
 constexpr int probes_missed = 3;
 constexpr std::chrono::milliseconds probe_slack{100};
-/// An answer takes some milliseconds, also under load; a packet that is lost is sent again
-/// after 200 ms. What fails makes a suspicion, no more.
+/// Long enough for a packet that is lost to be sent again, which kernels do after 200 ms. What
+/// fails makes a suspicion, no more.
 constexpr duration probe_limit = std::chrono::milliseconds(500);
 /// A host that has read the store this lately tells news that nobody else may have.
 constexpr duration just_read = std::chrono::milliseconds(50);
--- a/libs/front/src/peer_watch.cc
+++ b/libs/front/src/peer_watch.cc
@@ -6,9 +6,9 @@
 
 /// So many other hosts must suspect a host too: one may be cut off from it alone.
 constexpr std::size_t least_told = 2;
-/// A probe is answered within some ten milliseconds. After this time others are told of it,
+/// A probe that waits so long, many times the way to another zone and back, is told to others
 /// before it fails at 0.5 s: a zone of 340 hosts is known to be gone after 1.3 s so, and after
-/// 2.1 s when only failed probes are told.
+/// 2.1 s when only failed probes are told (death_spread_test).
 constexpr duration long_unanswered = std::chrono::milliseconds(200);
 /// A host that was heard this lately is not probed on others' word: what they wait for is
 /// older.
--- a/libs/front/src/probe_turns.cc
+++ b/libs/front/src/probe_turns.cc
@@ -5,7 +5,7 @@
 namespace {
 
 /// For a probe of the other host that is on its way, as a part of the pause: 0.1 s at few
-/// hosts, which is several times what a probe takes under load.
+/// hosts, where the way to another zone and back takes some milliseconds.
 constexpr int way_part = 4;
 /// A probe that fails is sent again after this part of the pause. With a half, twice as many
 /// hosts were taken for gone while a fifth of the messages was lost as without turns.
--- a/libs/front/test/death_spread_test.cc
+++ b/libs/front/test/death_spread_test.cc
@@ -46,7 +46,7 @@
     this->pace.pause = std::max<duration>(400ms, 16ms * (with.hosts - 1));
     this->pace.silence = 3 * this->pace.pause + 100ms;
     for (int number = 0; number < with.hosts; ++number) {
-      one host;
+      watching_host host;
       for (int other = 0; other < with.hosts; ++other) {
         const double phase = std::uniform_real_distribution<double>(0, 1)(this->random);
         host.watches.emplace_back(this->moment(), phase);
@@ -78,7 +78,7 @@
   }
 
 private:
-  struct one {
+  struct watching_host {
     std::vector<peer_watch> watches;
     duration next_look{};
   };
@@ -95,7 +95,7 @@
   }
 
   void look(int number) {
-    one& host = this->hosts[number];
+    watching_host& host = this->hosts[number];
     if (this->dead(number) || this->now < host.next_look) {
       return;
     }
@@ -180,7 +180,7 @@
   watch_pace pace;
   duration now{};
   std::mt19937 random{11};
-  std::vector<one> hosts;
+  std::vector<watching_host> hosts;
   std::vector<failing_probe> failing;
   double probes_in_calm = 0;
 };
--- a/libs/placement/include/hawthornlane/placement/rendezvous.h
+++ b/libs/placement/include/hawthornlane/placement/rendezvous.h
@@ -13,8 +13,8 @@
   return XXH64(member.data(), member.size(), key);
 }
 
-/// The same for a member whose name has been hashed once: a choice among 2,200 members takes
-/// 10 us so, and 130 us when each name is hashed again.
+/// The same for a member whose name has been hashed once, for choices among thousands. It is
+/// another order than that of the names themselves.
 inline std::uint64_t rendezvous_weight(std::uint64_t member_hash, std::uint64_t key) {
   // The finaliser of splitmix64: each bit of the input changes half of the output's.
   std::uint64_t mixed = member_hash ^ (key * 0x9e3779b97f4a7c15U);
