Encode what a host tells all others once, not once for each

Telling everybody encoded the digest and looked through all peers for suspicions again for each probe, a square of the hosts; now once. The home of an object is weighed in place in place of a lambda.

--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -88,7 +88,7 @@
   [[nodiscard]] watch_pace pace() const;
   /// Notes which hosts no longer count as living.
   void note_silent();
-  void probe(peer& other);
+  void probe(peer& other, const std::string& payload);
   void probe_if_due(peer& other);
   /// What this host tells with a probe, and in answer to one.
   [[nodiscard]] std::string probe_bytes() const;
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -99,7 +99,7 @@
   auto other = std::make_shared<peer>(entry, this->intake.owner(), discovery::scheduler_now());
   other->link = std::make_unique<net::rpc_client>(this->context, this->sweeper, entry.peers_at);
   this->peers[entry.name] = other;
-  this->probe(*other);
+  this->probe(*other, this->probe_bytes());
 }
 
 void peer_gossip::refresh_hosts() {
@@ -128,7 +128,7 @@
 void peer_gossip::probe_if_due(peer& other) {
   const bool goes_first = this->intake.owner() < other.entry.name;
   if (other.watch.probe_due(goes_first, this->pace(), discovery::scheduler_now())) {
-    this->probe(other);
+    this->probe(other, this->probe_bytes());
   }
 }
 
@@ -144,8 +144,9 @@
 }
 
 void peer_gossip::tell_all() {
+  const std::string payload = this->probe_bytes();
   for (const auto& [name, other] : this->peers) {
-    this->probe(*other);
+    this->probe(*other, payload);
   }
 }
 
@@ -159,8 +160,7 @@
   }
 }
 
-void peer_gossip::probe(peer& other) {
-  const std::string payload = this->probe_bytes();
+void peer_gossip::probe(peer& other, const std::string& payload) {
   const auto known = this->peers.find(other.entry.name)->second;
   const timestamp sent = discovery::scheduler_now();
   other.watch.probe_sent(sent);
--- a/libs/placement/src/server_pool_choice.cc
+++ b/libs/placement/src/server_pool_choice.cc
@@ -58,17 +58,17 @@
   server_state* preferred = nullptr;
   std::uint64_t preferred_weight = 0;
   std::uint64_t least_rank = 0;
-  const auto home_weight = [](const server_state& server, const placement_request& object) {
-    return rendezvous_weight(server.entry.id.get(), object.affinity) >> 1U;
-  };
   for (const auto& [server, name_hash, rank, near] : this->listed_servers) {
     if (!this->may_take(*server, range, now) || request.tried.contains(server->entry.id)) {
       continue;
     }
     // An object's server is one of this zone where it has any: callers stay in their
     // zone, so its front hosts agree, and prompts are the most of all bytes.
-    const std::uint64_t weight =
-        request.affinity == 0 ? 0 : home_weight(*server, request) | (near ? near_bit : 0);
+    std::uint64_t weight = 0;
+    if (request.affinity != 0) {
+      weight = rendezvous_weight(server->entry.id.get(), request.affinity) >> 1U;
+      weight |= near ? near_bit : 0;
+    }
     if (request.affinity != 0 && (preferred == nullptr || weight > preferred_weight)) {
       preferred = server;
       preferred_weight = weight;
