--- /dev/null
+++ b/libs/limits/include/hawthornlane/limits/quota_messages.h
@@ -0,0 +1,50 @@
+// What front hosts and the hosts that keep quotas tell each other.
+#pragma once
+
+#include <cstdint>
+
+#include "hawthornlane/accounts/account_table.h"
+#include "hawthornlane/units/ids.h"
+#include "hawthornlane/units/quantities.h"
+
+namespace hawthornlane {
+
+/// Number of the configuration that holds a limit; of two limits the one with the higher
+/// number is in force.
+using limit_version = strong_value<struct limit_version_tag, std::uint64_t>;
+
+/// Asks for one call out of an account's quota.
+struct quota_question {
+  client_account account;
+  account_limit limit;
+  limit_version version;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->account, this->limit, this->version);
+  }
+};
+
+enum class quota_verdict : std::uint8_t {
+  /// The call may run, once, at any time from now on.
+  granted,
+  /// The keeper's part of the quota is used up.
+  refused,
+  /// That host does not keep quotas now, or cannot be sure that it still does.
+  not_kept,
+};
+
+struct quota_answer {
+  quota_verdict verdict = quota_verdict::not_kept;
+  /// When refused: how long until the keeper has room again, if nobody asks before.
+  duration room_in{};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    std::int64_t wait = this->room_in.count();
+    archive(this->verdict, wait);
+    this->room_in = duration(wait);
+  }
+};
+
+}  // namespace hawthornlane
--- /dev/null
+++ b/libs/limits/include/hawthornlane/limits/quota_round.h
@@ -0,0 +1,81 @@
+// Which keepers of quotas are asked for one call, and what their answers say. No I/O, clock or
+// randomness.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "hawthornlane/limits/quota_messages.h"
+
+namespace hawthornlane {
+
+enum class quota_decision : std::uint8_t {
+  undecided,
+  granted,
+  /// All keepers that answer have given out their parts.
+  over_limit,
+  /// No keeper answers.
+  unknown,
+};
+
+/// The questions for one call. Keepers are known by their place in the order in which they are
+/// asked, 0 first.
+class quota_round {
+public:
+  explicit quota_round(std::size_t keepers) : states(keepers, state::not_asked) {}
+
+  /// The next keeper, which counts as asked from now on; nothing when all were.
+  std::optional<std::size_t> ask_next() {
+    if (this->next == this->states.size()) {
+      return std::nullopt;
+    }
+    this->states[this->next] = state::asked;
+    return this->next++;
+  }
+  void answered(std::size_t keeper, const quota_answer& answer) {
+    this->states[keeper] = state::ended;
+    if (answer.verdict == quota_verdict::granted) {
+      this->is_granted = true;
+    }
+    if (answer.verdict == quota_verdict::refused) {
+      this->soonest = std::min(this->soonest.value_or(answer.room_in), answer.room_in);
+    }
+  }
+  /// No answer will come.
+  void failed(std::size_t keeper) { this->states[keeper] = state::ended; }
+
+  /// Some keeper was asked and may still answer.
+  [[nodiscard]] bool waits() const {
+    return std::find(this->states.begin(), this->states.end(), state::asked) != this->states.end();
+  }
+  [[nodiscard]] quota_decision decision() const {
+    if (this->is_granted) {
+      return quota_decision::granted;
+    }
+    if (this->waits() || this->next < this->states.size()) {
+      return quota_decision::undecided;
+    }
+    return this->final_decision();
+  }
+  /// What the answers so far say when there is no time for more.
+  [[nodiscard]] quota_decision final_decision() const {
+    if (this->is_granted) {
+      return quota_decision::granted;
+    }
+    return this->soonest ? quota_decision::over_limit : quota_decision::unknown;
+  }
+  /// The earliest moment, from the answers on, at which a keeper has room.
+  [[nodiscard]] duration room_in() const { return this->soonest.value_or(duration::zero()); }
+
+private:
+  enum class state : std::uint8_t { not_asked, asked, ended };
+
+  std::vector<state> states;
+  std::size_t next = 0;
+  bool is_granted = false;
+  std::optional<duration> soonest;
+};
+
+}  // namespace hawthornlane
