Keys, accounts and quotas on the way of a call

A call is identified by its key right after its route; 401 else. Its account's name goes to the server in place of the key, whatever the caller sent, and its names for programs, lines and turns are kept apart by account from there on, in memory and on disks. Turns that were kept before a configuration had accounts are found no more once it has them. A key that is taken away while a call waits for a server ends the wait.

--- a/libs/disk/include/hawthornlane/disk/disk_settings.h
+++ b/libs/disk/include/hawthornlane/disk/disk_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hawthornlane/discovery/host_settings.h"
+#include "hawthornlane/limits/quota_keeper.h"
 
 namespace hawthornlane::disk {
 
@@ -17,6 +18,8 @@
   std::uint64_t disk_mb = 0;
   /// Disk hosts that may be lost at the same time.
   std::uint32_t tolerated_losses = 1;
+  /// How exactly client accounts' quotas have to be kept.
+  quota_rules quotas;
 };
 
 /// The keys that a settings file may hold.
--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -14,6 +14,7 @@
 #include "hawthornlane/discovery/store_follower.h"
 #include "hawthornlane/disk/ledger_store.h"
 #include "hawthornlane/http/server.h"
+#include "hawthornlane/limits/quota_keeper.h"
 #include "hawthornlane/net/async_signal.h"
 #include "hawthornlane/net/message_bytes.h"
 #include "hawthornlane/net/rpc.h"
@@ -37,6 +38,12 @@
 /// One of a set of two: without it nothing can be decided, so waiting costs service.
 /// Several probes and a repeated packet fit in; a hiccup must not leave one alone.
 constexpr auto patience_of_two = std::chrono::milliseconds(1000);
+/// A keeper of quotas that has not heard a majority of the set for this long grants nothing:
+/// less than `patience`, after which others may have put another host in its place.
+constexpr auto quota_lease = std::chrono::milliseconds(3000);
+static_assert(quota_lease < patience);
+/// Between two looks for accounts that need not be remembered.
+constexpr auto quota_sweep_pause = std::chrono::seconds(5);
 /// Disk hosts start within 0.3 s of each other; the first set waits for them.
 constexpr auto first_set_wait = std::chrono::milliseconds(1500);
 /// Between two decisions over the set.
@@ -52,6 +59,18 @@
 constexpr auto page_pause = std::chrono::milliseconds(5);
 constexpr auto tick_pause = std::chrono::milliseconds(100);
 
+std::string_view name_of(quota_verdict verdict) {
+  switch (verdict) {
+    case quota_verdict::granted:
+      return "granted";
+    case quota_verdict::refused:
+      return "refused";
+    case quota_verdict::not_kept:
+      return "not_kept";
+  }
+  return "";
+}
+
 }  // namespace
 
 struct disk_host::state : std::enable_shared_from_this<disk_host::state> {
@@ -61,6 +80,8 @@
     std::shared_ptr<net::rpc_client> link;
     probe_answer heard;
     net::steady_time heard_at{};
+    /// Not before it has answered.
+    std::optional<net::steady_time> answered_at;
   };
 
   state(asio::io_context& io, disk_settings with)
@@ -68,7 +89,8 @@
         settings(std::move(with)),
         sweeper(io),
         store(settings.store),
-        ledger(io, settings.data_folder, settings.disk_mb * 1024 * 1024) {}
+        ledger(io, settings.data_folder, settings.disk_mb * 1024 * 1024),
+        quotas(settings.quotas) {}
 
   asio::io_context& context;
   disk_settings settings;
@@ -76,6 +98,8 @@
   platform_adapter::store_client store;
   discovery::fleet_state fleet;
   ledger_store ledger;
+  quota_keeper quotas;
+  net::steady_time next_quota_sweep{};
   std::unique_ptr<net::rpc_server> server;
   std::unique_ptr<http::server> metrics_server;
   std::vector<std::unique_ptr<discovery::store_follower>> followers;
@@ -110,6 +134,10 @@
         this->context, this->sweeper, this->settings.peers_at,
         [this](std::uint16_t method, const std::string& payload, const net::rpc_reply& reply) {
           ++this->counts["requests_" + std::to_string(method)];
+          if (static_cast<ledger_method>(method) == ledger_method::quota) {
+            reply(this->serve_quota(payload));
+            return;
+          }
           this->ledger.serve(static_cast<ledger_method>(method), payload, reply);
         });
     this->serve_metrics();
@@ -137,6 +165,44 @@
                                                           http::server_limits{}, handle, refuse);
   }
 
+  /// Nothing when the question is malformed.
+  std::optional<std::string> serve_quota(const std::string& payload) {
+    const auto question = from_bytes<quota_question>(payload);
+    if (!question) {
+      return std::nullopt;
+    }
+    quota_answer answer;
+    if (this->holds_quota_lease()) {
+      answer = this->quotas.ask(*question, discovery::scheduler_now());
+    }
+    ++this->counts["quota_" + std::string(name_of(answer.verdict))];
+    return to_bytes(answer);
+  }
+
+  /// Nobody can have put another host in this one's place.
+  bool holds_quota_lease() const {
+    if (!this->set) {
+      return false;
+    }
+    const net::steady_time now = steady::now();
+    std::set<disk_id> heard{this->ledger.identity()};
+    for (const auto& [name, other] : this->peers) {
+      if (other.answered_at && now - *other.answered_at < quota_lease) {
+        heard.insert(disk_id(other.entry.disk));
+      }
+    }
+    return ledger_set::majority_of(this->set->members, heard);
+  }
+
+  /// While a set is joint its old members decide, and keep the quotas.
+  void keep_quotas(const ledger_set& current) {
+    const auto& members = current.members;
+    const bool is_member =
+        std::find(members.begin(), members.end(), this->ledger.identity()) != members.end();
+    const double part = is_member ? 1.0 / static_cast<double>(members.size()) : 0;
+    this->quotas.keep(part, discovery::scheduler_now());
+  }
+
   std::string metrics_text() {
     std::string text;
     const auto add = [&text](const std::string& name, std::uint64_t value) {
@@ -149,6 +215,7 @@
     add("turns", this->ledger.held().turns());
     add("text_bytes", this->ledger.held().text_bytes());
     add("log_bytes", this->ledger.log_bytes());
+    add("quota_accounts", this->quotas.accounts());
     add("set_epoch", this->set ? this->set->epoch.get() : 0);
     add("fence", this->ledger.held().fenced_at().get());
     add("store_objects_malformed", this->faults.count());
@@ -230,6 +297,7 @@
     this->set = told;
     this->set_revision = object.revision;
     this->ledger.set_newest(*told);
+    this->keep_quotas(*told);
     log(event::ledger_set_changed, {{"epoch", std::to_string(told->epoch.get())},
                                     {"members", std::to_string(told->members.size())},
                                     {"joint", told->joint() ? "yes" : "no"}});
@@ -251,6 +319,7 @@
       known.link = std::make_shared<net::rpc_client>(this->context, this->sweeper, entry.peers_at);
       known.heard = {};
       known.heard_at = steady::now();
+      known.answered_at.reset();
     }
   }
 
@@ -261,6 +330,10 @@
       this->next_tick = now + tick_pause;
       this->ledger.tick();
     }
+    if (now >= this->next_quota_sweep) {
+      this->next_quota_sweep = now + quota_sweep_pause;
+      this->quotas.forget_idle(discovery::scheduler_now());
+    }
     if (now >= this->next_probe) {
       this->next_probe = now + probe_pause;
       this->probe_peers();
@@ -283,6 +356,7 @@
             }
             found->second.heard = *answer;
             found->second.heard_at = steady::now();
+            found->second.answered_at = found->second.heard_at;
           });
     }
   }
--- a/libs/disk/src/disk_settings.cc
+++ b/libs/disk/src/disk_settings.cc
@@ -11,6 +11,12 @@
       {"disk", "size_mb", integer, true, "", 8, 1048576, "what the folder may take, MB"},
       {"disk", "tolerated_losses", integer, false, "1", 0, 8,
        "disk hosts that may be lost at once; twice as many and one keep each turn"},
+      {"quotas", "window", time, false, "1 s", 1e3, 3600e6,
+       "the span in which calls of a client account are counted against its quota"},
+      {"quotas", "excess", number, false, "0", 0, 10,
+       "part of a quota by which hosts together may miss it within a window"},
+      {"quotas", "slack", number, false, "0", 0, 1e6,
+       "calls by which hosts together may miss a quota within a window, besides"},
   };
 }
 
@@ -35,6 +41,9 @@
   settings.disk_mb = static_cast<std::uint64_t>(values.integer("disk", "size_mb"));
   settings.tolerated_losses =
       static_cast<std::uint32_t>(values.integer("disk", "tolerated_losses"));
+  settings.quotas.window = values.time("quotas", "window");
+  settings.quotas.excess = values.number("quotas", "excess");
+  settings.quotas.slack = values.number("quotas", "slack");
   return settings;
 }
 
--- a/libs/errors/include/hawthornlane/errors/error_kind.h
+++ b/libs/errors/include/hawthornlane/errors/error_kind.h
@@ -42,6 +42,7 @@
   turn_unknown,
   history_unavailable,
   no_listed_server,
+  quota_unknown,
   internal,
 };
 
--- a/libs/errors/src/error_kind.cc
+++ b/libs/errors/src/error_kind.cc
@@ -72,6 +72,8 @@
                  "too few disk hosts answer to read or keep what was said"},
     error_answer{no_listed_server, "no_listed_server", 503, outcome::not_run, true,
                  "no backend server of the service is registered"},
+    error_answer{quota_unknown, "quota_unknown", 503, outcome::not_run, true,
+                 "no disk host answers that keeps the client account's quota"},
     error_answer{internal, "internal", 500, outcome::may_have_run, false, "a fault in the host"},
 };
 
--- a/libs/fleet/include/hawthornlane/fleet/configuration.h
+++ b/libs/fleet/include/hawthornlane/fleet/configuration.h
@@ -1,4 +1,4 @@
-// The operator's configuration as the hosts use it: routes, services, limits.
+// The operator's configuration as the hosts use it: routes, services, limits, client accounts.
 #pragma once
 
 #include <cstdint>
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "hawthornlane/accounts/account_table.h"
 #include "hawthornlane/units/ids.h"
 #include "hawthornlane/units/quantities.h"
 
@@ -52,6 +53,8 @@
   std::uint32_t max_attempts = 1;
   /// 0 is the most urgent.
   std::uint32_t priority = 0;
+  /// Needs no key, also where there are client accounts.
+  bool open_to_all = false;
   /// Servers work faster on an object that they have handled lately.
   bool sticky = false;
   /// A broken stream may go on at another server after the last whole event.
@@ -105,6 +108,8 @@
   std::vector<route> routes;
   std::map<service_name, service> services;
   caller_limits limits;
+  /// Null: calls need no key and have no account.
+  account_table_ptr accounts;
 };
 
 }  // namespace hawthornlane
--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -10,6 +10,7 @@
 #include "hawthornlane/errors/error_kind.h"
 #include "hawthornlane/front/call_metrics.h"
 #include "hawthornlane/front/call_placer.h"
+#include "hawthornlane/front/quota_gate.h"
 #include "hawthornlane/front/turn_keeper.h"
 #include "hawthornlane/relay/backend_pool.h"
 #include "hawthornlane/relay/caller_link.h"
@@ -20,7 +21,8 @@
 class call_service {
 public:
   call_service(discovery::fleet_state& fleet, call_placer& placer, relay::backend_pool& backends,
-               const relay::call_codec& codec, turn_keeper& turns, call_metrics& metrics);
+               const relay::call_codec& codec, quota_gate& quotas, turn_keeper& turns,
+               call_metrics& metrics);
   call_service(const call_service&) = delete;
   call_service& operator=(const call_service&) = delete;
   ~call_service() = default;
@@ -28,8 +30,9 @@
   /// Answers one request.
   boost::asio::awaitable<void> serve(relay::caller_link& caller, http::request request);
   /// Answers a request that could not be read, or that no host may serve now.
+  /// `wait`: before the caller can do better, where that is known.
   boost::asio::awaitable<void> refuse(relay::caller_link& caller, const failure& why,
-                                      const std::string& id);
+                                      const std::string& id, duration wait = {});
   /// Calls that have been read and not answered.
   [[nodiscard]] std::size_t under_way() const { return this->calls; }
   /// From now on calls are turned away; used near the end of a planned stop.
@@ -40,6 +43,14 @@
   boost::asio::awaitable<void> run(call& one);
   /// Decodes the call and finds its route; why it cannot be served otherwise.
   std::optional<failure> prepare(call& one);
+  /// Finds the account whose key the caller shows, where the route asks for one.
+  static std::optional<failure> identify(call& one);
+  /// From here on the names that the caller chose are those of its account.
+  static void keep_apart(call& one);
+  /// The key still holds in the newest configuration, also after a wait.
+  [[nodiscard]] bool still_identified(const call& one) const;
+  /// Takes the call out of its account's quota; answers it when there is no room.
+  boost::asio::awaitable<bool> admit_to_quota(call& one);
   /// Offers the call to one server; true when it is to be offered to another one.
   boost::asio::awaitable<bool> run_once(call& one);
   static token_count tokens_handed_out(const call& one);
@@ -63,6 +74,7 @@
   call_placer& placer;
   relay::backend_pool& backends;
   const relay::call_codec& codec;
+  quota_gate& quotas;
   turn_keeper& turns;
   call_metrics& metrics;
   std::size_t calls = 0;
--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -54,6 +54,12 @@
   /// Disks of the set that have answered this host itself and are not silent since.
   [[nodiscard]] std::uint32_t reached() const;
 
+  /// Asks a disk host of the set something besides the ledger's own questions.
+  void ask_disk(const disk_id& disk, ledger_method method, std::string payload, duration limit,
+                net::rpc_done done);
+  /// Whether a disk host answers this host itself.
+  [[nodiscard]] bool reaches(const disk_id& disk) const;
+
   [[nodiscard]] const std::optional<ledger_set>& current() const { return this->set; }
 
 private:
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "hawthornlane/accounts/account_scope.h"
 #include "hawthornlane/relay/event_splitter.h"
 #include "hawthornlane/relay/framing.h"
 #include "hawthornlane/telemetry/log.h"
@@ -123,6 +124,10 @@
   relay::call_terms terms;
   route_table_ptr table;
   const route* taken = nullptr;
+  /// Points into `table`; null when the caller shows no account's key.
+  const account* caller_account = nullptr;
+  /// The call's id as the ledger knows it.
+  request_id turn_name;
   /// One of the route's services.
   service_name service;
   net::steady_time arrived = steady::now();
@@ -159,19 +164,26 @@
 
 call_service::call_service(discovery::fleet_state& state, call_placer& places,
                            relay::backend_pool& pool, const relay::call_codec& with,
-                           turn_keeper& keeper, call_metrics& counters)
-    : fleet(state), placer(places), backends(pool), codec(with), turns(keeper), metrics(counters) {}
+                           quota_gate& gate, turn_keeper& keeper, call_metrics& counters)
+    : fleet(state),
+      placer(places),
+      backends(pool),
+      codec(with),
+      quotas(gate),
+      turns(keeper),
+      metrics(counters) {}
 
 asio::awaitable<void> call_service::refuse(relay::caller_link& caller, const failure& why,
-                                           const std::string& id) {
+                                           const std::string& id, duration wait) {
   const error_answer& row = answer_for(why.kind);
   std::vector<http::header> headers{{"Content-Type", "application/json"}};
   if (row.retry_later) {
     const double part = static_cast<double>(hash_of(id) % 1000) / 1000;
-    const bool long_wait = why.kind == error_kind::history_unavailable ||
-                           why.kind == error_kind::not_ready ||
-                           why.kind == error_kind::no_listed_server;
-    const double least = long_wait ? recovery_retry_seconds : retry_seconds;
+    const bool long_wait =
+        why.kind == error_kind::history_unavailable || why.kind == error_kind::not_ready ||
+        why.kind == error_kind::no_listed_server || why.kind == error_kind::quota_unknown;
+    const double least =
+        std::max(long_wait ? recovery_retry_seconds : retry_seconds, to_seconds(wait));
     headers.push_back({"Retry-After", fmt::format("{:.2f}", least + retry_spread * part)});
   }
   this->metrics.count(fmt::format("refused_{}", row.name));
@@ -205,6 +217,7 @@
     return reason;
   }
   one.terms = std::move(*terms);
+  one.turn_name = one.terms.id;
   one.table = this->fleet.table();
   if (!one.table) {
     return failure{error_kind::not_ready, "no configuration is known yet"};
@@ -218,19 +231,62 @@
                    fmt::format("no route for {}{} in version {}", one.terms.host_name,
                                one.request.path, one.table->version().get())};
   }
+  if (auto unknown = identify(one)) {
+    return unknown;
+  }
   one.service = route_table::choose_service(*one.taken, service_draw(one.terms));
   const duration longest = one.terms.deadline.value_or(one.taken->timeout);
   one.until = one.arrived + std::min(longest, one.taken->timeout);
   return std::nullopt;
 }
 
+std::optional<failure> call_service::identify(call& one) {
+  const account_table_ptr& accounts = one.table->source().accounts;
+  if (!accounts) {
+    return std::nullopt;
+  }
+  one.caller_account = one.terms.key ? accounts->find(*one.terms.key) : nullptr;
+  if (one.caller_account == nullptr && !one.taken->open_to_all) {
+    return failure{error_kind::not_authenticated,
+                   fmt::format("{} in version {}", one.terms.key ? "unknown key" : "no key",
+                               one.table->version().get())};
+  }
+  keep_apart(one);
+  return std::nullopt;
+}
+
+void call_service::keep_apart(call& one) {
+  const client_account holder =
+      one.caller_account == nullptr ? client_account() : one.caller_account->name;
+  one.turn_name = request_id(within_account(holder, one.terms.id.get()));
+  if (one.terms.program) {
+    one.terms.program = program_id(within_account(holder, one.terms.program->get()));
+  }
+  if (one.terms.previous) {
+    one.terms.previous = request_id(within_account(holder, one.terms.previous->get()));
+  }
+  if (!one.terms.session.get().empty()) {
+    one.terms.session = session_id(within_account(holder, one.terms.session.get()));
+  }
+}
+
+bool call_service::still_identified(const call& one) const {
+  const route_table_ptr& newest = this->fleet.table();
+  if (one.caller_account == nullptr || one.taken->open_to_all || newest == one.table ||
+      !newest->source().accounts) {
+    return true;
+  }
+  const account* holder = newest->source().accounts->find(*one.terms.key);
+  return holder != nullptr && holder->name == one.caller_account->name;
+}
+
 asio::awaitable<void> call_service::run(call& one) {
   const std::optional<failure> unfit = this->prepare(one);
   if (unfit) {
     co_await this->refuse(one.caller, *unfit, one.terms.id.get());
     co_return;
   }
-  if (!co_await this->admit(one)) {
+  if (!co_await this->admit_to_quota(one) || !co_await this->admit(one)) {
     co_return;
   }
   bool again = true;
@@ -242,6 +298,16 @@
 
 asio::awaitable<bool> call_service::run_once(call& one) {
   const acquired_server got = co_await this->acquire(one);
+  if (!this->still_identified(one)) {
+    if (got.server) {
+      this->placer.finished(one.service, got.id, server_outcome::caller_left);
+    }
+    const bool may_have_run = one.runs > 0;
+    const failure why{may_have_run ? error_kind::backend_failed : error_kind::not_authenticated,
+                      "the key was taken away meanwhile"};
+    co_await this->give_up(one, why);
+    co_return false;
+  }
   if (got.caller_left) {
     one.outcome = "caller_left";
     co_await this->settle_broken(one);
@@ -284,13 +350,41 @@
   co_return false;
 }
 
+asio::awaitable<bool> call_service::admit_to_quota(call& one) {
+  if (one.caller_account == nullptr || !one.caller_account->limit.limits()) {
+    co_return true;
+  }
+  quota_question question;
+  question.account = one.caller_account->name;
+  question.limit = one.caller_account->limit;
+  question.version = limit_version(one.table->version().get());
+  const net::steady_time began = steady::now();
+  const quota_admission admission =
+      co_await this->quotas.admit(question, service_draw(one.terms), one.until);
+  this->metrics.record("quota_admit", std::chrono::duration_cast<duration>(steady::now() - began));
+  if (admission.decision == quota_decision::granted) {
+    co_return true;
+  }
+  failure why{error_kind::quota_unknown, "no keeper of the quota answers"};
+  if (admission.decision == quota_decision::over_limit) {
+    why.kind = error_kind::over_limit;
+    why.detail = fmt::format("{} calls a second and {} on top, room in {} ms",
+                             question.limit.calls_per_second, question.limit.burst,
+                             admission.room_in.count() / 1000);
+  }
+  why.detail = fmt::format("client account {}, program {}: {}", question.account.get(),
+                           one.terms.program ? one.terms.program->get() : "", why.detail);
+  co_await this->refuse(one.caller, why, one.terms.id.get(), admission.room_in);
+  co_return false;
+}
+
 asio::awaitable<bool> call_service::admit(call& one) {
   const bool counted = one.taken->kind == call_kind::stream && one.terms.program;
   if (!counted || (!one.taken->keeps_turns && !one.terms.budget)) {
     co_return true;
   }
   turn_request turn;
-  turn.id = one.terms.id;
+  turn.id = one.turn_name;
   turn.program = *one.terms.program;
   turn.most = one.terms.most_output;
   turn.budget = one.terms.budget;
@@ -337,7 +431,8 @@
     request.prompt = pieces_of(one.terms.prefix);
   }
   request.begun = one.terms.previous.has_value() || this->goes_on(one.service, request.prompt);
-  request.priority = one.taken->priority;
+  const bool has_own = one.caller_account != nullptr && one.caller_account->priority;
+  request.priority = has_own ? *one.caller_account->priority : one.taken->priority;
   request.wanted_by = now + one.terms.program_time_left.value_or(left);
   request.give_up_at = now + left - least_service_time;
   request.tried = one.tried;
@@ -372,6 +467,10 @@
   terms.server = server.id;
   terms.time_left = std::max(std::chrono::duration_cast<duration>(one.until - steady::now()),
                              duration(std::chrono::milliseconds(1)));
+  terms.hides_key = one.table->source().accounts != nullptr;
+  if (one.caller_account != nullptr) {
+    terms.account = one.caller_account->name;
+  }
   terms.last_event = one.last_event ? one.last_event : one.terms.last_event;
   relay::backend_request request;
   request.where = server.address;
@@ -537,6 +636,7 @@
   const placement_basis basis = one.basis.value_or(placement_basis{});
   log(event::call_ended, {{"request", one.terms.id.get()},
                           {"program", one.terms.program ? one.terms.program->get() : ""},
+                          {"account", one.caller_account ? one.caller_account->name.get() : ""},
                           {"route", one.taken->name.get()},
                           {"version", std::to_string(one.table->version().get())},
                           {"server", one.server.get()},
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -13,6 +13,7 @@
 #include "hawthornlane/front/call_service.h"
 #include "hawthornlane/front/ledger_client.h"
 #include "hawthornlane/front/peer_gossip.h"
+#include "hawthornlane/front/quota_client.h"
 #include "hawthornlane/http/accept_pause.h"
 #include "hawthornlane/http/server.h"
 #include "hawthornlane/net/packing.h"
@@ -84,7 +85,8 @@
         backends(io, sweeper, codec),
         ledger(io, sweeper, fleet, settings.zone, settings.memory_mb * cache_bytes_per_mb),
         placer(io, settings.host, settings.zone, fleet, metrics),
-        calls(fleet, placer, backends, codec, ledger, metrics),
+        quotas(io, make_quota_hooks()),
+        calls(fleet, placer, backends, codec, quotas, ledger, metrics),
         gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
         exchange(io, settings.host, make_exchange_hooks()),
         acceptor(io) {
@@ -107,6 +109,7 @@
   relay::backend_pool backends;
   ledger_client ledger;
   call_placer placer;
+  quota_client quotas;
   call_service calls;
   peer_gossip gossip;
   directory_exchange exchange;
@@ -160,6 +163,20 @@
     return hooks;
   }
 
+  quota_hooks make_quota_hooks() {
+    quota_hooks hooks;
+    hooks.keepers = [this] {
+      const auto& set = this->ledger.current();
+      return set ? set->members : std::vector<disk_id>();
+    };
+    hooks.reaches = [this](const disk_id& disk) { return this->ledger.reaches(disk); };
+    hooks.ask = [this](const disk_id& disk, std::string payload, duration limit,
+                       net::rpc_done done) {
+      this->ledger.ask_disk(disk, ledger_method::quota, std::move(payload), limit, std::move(done));
+    };
+    return hooks;
+  }
+
   exchange_hooks make_exchange_hooks() {
     exchange_hooks hooks;
     hooks.hosts = [this] { return this->gossip.live_hosts(); };
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -215,13 +215,23 @@
     return 0;
   }
   const std::vector<disk_id> disks = this->set->all();
-  const auto count = std::count_if(disks.begin(), disks.end(), [this](const disk_id& disk) {
-    const auto found = this->links.find(disk);
-    return found != this->links.end() && found->second.reached();
-  });
+  const auto count = std::count_if(disks.begin(), disks.end(),
+                                   [this](const disk_id& disk) { return this->reaches(disk); });
   return static_cast<std::uint32_t>(count);
 }
 
+bool ledger_client::reaches(const disk_id& disk) const {
+  const auto found = this->links.find(disk);
+  return found != this->links.end() && found->second.reached();
+}
+
+void ledger_client::ask_disk(const disk_id& disk, ledger_method method, std::string payload,
+                             duration limit, net::rpc_done done) {
+  question what = make_question(method, std::move(payload), limit);
+  what.sending = this->time_to_send(what.payload->size());
+  this->ask(disk, what, std::move(done));
+}
+
 bool ledger_client::holds_still(set_epoch asked) const {
   return this->set && this->set->epoch == asked;
 }
--- /dev/null
+++ b/libs/front/src/quota_client.cc
@@ -0,0 +1,97 @@
+// The front host's side of the quotas.
+#include "hawthornlane/front/quota_client.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "hawthornlane/net/async_signal.h"
+#include "hawthornlane/net/message_bytes.h"
+
+namespace hawthornlane::front {
+namespace asio = boost::asio;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+/// A healthy keeper answers within a few milliseconds; then the next one is asked beside it.
+constexpr auto patience = std::chrono::milliseconds(40);
+/// For the answer of one keeper, also by way of another front host.
+constexpr duration answer_limit = std::chrono::milliseconds(250);
+/// A caller that learns nothing within this time does better at another host.
+constexpr auto longest_round = std::chrono::milliseconds(400);
+
+std::uint64_t weight_of(const disk_id& keeper, std::uint64_t spread) {
+  return XXH3_64bits_withSeed(keeper.get().data(), keeper.get().size(), spread);
+}
+
+}  // namespace
+
+/// Shared with the answers that are still on their way when the call has gone on.
+struct quota_client::asking {
+  asking(asio::io_context& context, std::vector<disk_id> asked, std::string question)
+      : keepers(std::move(asked)),
+        payload(std::move(question)),
+        round(keepers.size()),
+        signal(context) {}
+
+  std::vector<disk_id> keepers;
+  std::string payload;
+  quota_round round;
+  net::async_signal signal;
+};
+
+std::vector<disk_id> quota_client::order_of(std::uint64_t spread) const {
+  std::vector<disk_id> keepers = this->hooks.keepers();
+  const auto rank = [&](const disk_id& keeper) {
+    return std::pair(!this->hooks.reaches(keeper), weight_of(keeper, spread));
+  };
+  std::sort(keepers.begin(), keepers.end(),
+            [&](const disk_id& a, const disk_id& b) { return rank(a) < rank(b); });
+  return keepers;
+}
+
+void quota_client::ask(const std::shared_ptr<asking>& state, std::size_t keeper) {
+  this->hooks.ask(state->keepers[keeper], state->payload, answer_limit,
+                  [state, keeper](net::rpc_failure why, const std::string& bytes) {
+                    const bool good = why == net::rpc_failure::none;
+                    const auto answer = good ? from_bytes<quota_answer>(bytes) : std::nullopt;
+                    if (answer) {
+                      state->round.answered(keeper, *answer);
+                    } else {
+                      state->round.failed(keeper);
+                    }
+                    state->signal.wake();
+                  });
+}
+
+asio::awaitable<quota_admission> quota_client::admit(quota_question question, std::uint64_t spread,
+                                                     net::steady_time until) {
+  const std::vector<disk_id> keepers = this->order_of(spread);
+  const std::string payload = to_bytes(question);
+  const auto state = std::make_shared<asking>(this->context, keepers, payload);
+  const net::steady_time give_up_at = std::min(until, steady::now() + longest_round);
+  net::steady_time ask_next_at = steady::now();
+  while (state->round.decision() == quota_decision::undecided) {
+    const net::steady_time now = steady::now();
+    if (now >= give_up_at) {
+      break;
+    }
+    if (now >= ask_next_at || !state->round.waits()) {
+      const auto next = state->round.ask_next();
+      ask_next_at = next ? now + patience : net::never;
+      if (next) {
+        this->ask(state, *next);
+        continue;
+      }
+    }
+    co_await state->signal.wait_until(std::min(ask_next_at, give_up_at));
+  }
+  quota_admission result;
+  result.decision = state->round.final_decision();
+  result.room_in = state->round.room_in();
+  co_return result;
+}
+
+}  // namespace hawthornlane::front
--- a/libs/relay/include/hawthornlane/relay/call_terms.h
+++ b/libs/relay/include/hawthornlane/relay/call_terms.h
@@ -26,6 +26,8 @@
   request_id id;
   /// Without a port.
   std::string host_name;
+  /// The secret that names the caller's account; never to be logged or passed on.
+  std::optional<std::string> key;
   /// How long the caller will wait, from now.
   std::optional<duration> deadline;
   /// Calls about the same object carry the same value.
@@ -53,6 +55,10 @@
   backend_server_id server;
   duration time_left{};
   std::optional<std::uint64_t> last_event;
+  /// There are client accounts: a caller's key goes no further than this host.
+  bool hides_key = false;
+  /// On whose behalf the call runs.
+  std::optional<client_account> account;
   /// How long the server keeps what the call read and generated.
   std::optional<duration> pin;
 };
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
@@ -97,6 +97,8 @@
   copy = 104,
   /// Tells which disk this is and how far it is.
   probe = 105,
+  /// Takes a call out of a client account's quota (`quota_question`).
+  quota = 106,
 };
 
 /// Asks for a record to be appended, or (without one) for the program's state.
