Keepers of quotas write their grants down before they tell, and go on after a restart

Cause: after a loss of power all keepers began with empty buckets, just when all callers came back; an account lost up to its burst and tolerance (35 calls at 14 a second).

A grant is told once a record of the changed buckets is on disk, beside the ledger's records in the same log and the same sync; one record for all grants that came while the one before was being written. Time counts by the keeper's own running time, so no clock that is set bears on it. A keeper that was none in between begins empty, as before.

Weighed beside it: no memory (before); a start level within the rest of the tolerance (7 calls of 35); asking front hosts for what they were granted, who lose power at the same moment.

The fault soak's deployments have accounts, keys and quotas now; its checker looks for the account at the server and for keys that were passed on.

--- a/libs/disk/include/hawthornlane/disk/ledger_store.h
+++ b/libs/disk/include/hawthornlane/disk/ledger_store.h
@@ -15,6 +15,14 @@
 
 namespace hawthornlane::disk {
 
+/// What else is kept in the log, in records of its own form.
+struct side_journal {
+  /// Called for each of its records at a start, in the order in which they were written.
+  std::function<void(const std::string& record)> replay = [](const std::string&) {};
+  /// The record that stands for all before it, when the log is begun anew.
+  std::function<std::string()> whole;
+};
+
 /// Answers requests about the ledger; an answer to a change comes only after the
 /// change is on disk. For one thread.
 class ledger_store {
@@ -24,7 +32,8 @@
   /// Throws `std::runtime_error` when the folder cannot be used.
   ledger_store(boost::asio::io_context& context, const std::string& folder,
                std::uint64_t disk_bytes,
-               std::uint64_t segment_bytes = turn_log::usual_segment_bytes);
+               std::uint64_t segment_bytes = turn_log::usual_segment_bytes,
+               side_journal journal = {});
   ledger_store(const ledger_store&) = delete;
   ledger_store& operator=(const ledger_store&) = delete;
   ~ledger_store();
@@ -33,6 +42,8 @@
   void serve(ledger_method method, const std::string& payload, const reply& answer);
   /// Takes over records that another disk holds; `done` when they are on disk.
   void adopt(const std::vector<ledger_record>& records, std::function<void(bool good)> done);
+  /// Appends a record of the side journal; `done` when it is on disk.
+  void append_beside(const std::string& record, std::function<void(bool good)> done);
   /// Forgets what has expired, and shortens the log when it has grown long.
   void tick();
 
@@ -75,6 +86,7 @@
 
   boost::asio::io_context& context;
   std::uint64_t most_bytes;
+  side_journal beside;
   disk_id id;
   ledger_copy copy;
   /// Nothing, or one whose epoch is the fence or lower.
--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
+#include <set>
+#include <utility>
 
 #include "hawthornlane/discovery/fleet_state.h"
 #include "hawthornlane/discovery/registration.h"
@@ -89,16 +91,20 @@
         settings(std::move(with)),
         sweeper(io),
         store(settings.store),
-        ledger(io, settings.data_folder, settings.disk_mb * 1024 * 1024),
-        quotas(settings.quotas) {}
+        quotas(settings.quotas),
+        ledger(io, settings.data_folder, settings.disk_mb * 1024 * 1024,
+               turn_log::usual_segment_bytes, make_quota_journal()) {}
 
   asio::io_context& context;
   disk_settings settings;
   net::deadline_sweeper sweeper;
   platform_adapter::store_client store;
   discovery::fleet_state fleet;
-  ledger_store ledger;
   quota_keeper quotas;
+  ledger_store ledger;
+  /// Grants that are not on disk yet: their askers are told when they are.
+  std::vector<std::function<void(bool good)>> unwritten_grants;
+  bool writing_grants = false;
   net::steady_time next_quota_sweep{};
   std::unique_ptr<net::rpc_server> server;
   std::unique_ptr<http::server> metrics_server;
@@ -135,7 +141,7 @@
         [this](std::uint16_t method, const std::string& payload, const net::rpc_reply& reply) {
           ++this->counts["requests_" + std::to_string(method)];
           if (static_cast<ledger_method>(method) == ledger_method::quota) {
-            reply(this->serve_quota(payload));
+            this->serve_quota(payload, reply);
             return;
           }
           this->ledger.serve(static_cast<ledger_method>(method), payload, reply);
@@ -165,18 +171,53 @@
                                                           http::server_limits{}, handle, refuse);
   }
 
-  /// Nothing when the question is malformed.
-  std::optional<std::string> serve_quota(const std::string& payload) {
+  side_journal make_quota_journal() {
+    side_journal journal;
+    journal.replay = [this](const std::string& bytes) {
+      if (const auto record = from_bytes<quota_record>(bytes)) {
+        this->quotas.restore(*record);
+      }
+    };
+    journal.whole = [this] { return to_bytes(this->quotas.whole(discovery::scheduler_now())); };
+    return journal;
+  }
+
+  void serve_quota(const std::string& payload, const net::rpc_reply& reply) {
     const auto question = from_bytes<quota_question>(payload);
     if (!question) {
-      return std::nullopt;
+      reply(std::nullopt);
+      return;
     }
     quota_answer answer;
     if (this->holds_quota_lease()) {
       answer = this->quotas.ask(*question, discovery::scheduler_now());
     }
     ++this->counts["quota_" + std::string(name_of(answer.verdict))];
-    return to_bytes(answer);
+    if (answer.verdict != quota_verdict::granted || !question->limit.limits()) {
+      reply(to_bytes(answer));
+      return;
+    }
+    this->unwritten_grants.push_back([reply, bytes = to_bytes(answer)](bool good) {
+      reply(good ? std::optional(bytes) : std::nullopt);
+    });
+    this->write_grants();
+  }
+
+  /// One record for all grants that came while the one before was on its way to the disk.
+  void write_grants() {
+    if (this->writing_grants || this->unwritten_grants.empty()) {
+      return;
+    }
+    this->writing_grants = true;
+    const std::string record = to_bytes(this->quotas.take_changes(discovery::scheduler_now()));
+    this->ledger.append_beside(record,
+                               [this, told = std::exchange(this->unwritten_grants, {})](bool good) {
+                                 for (const auto& tell : told) {
+                                   tell(good);
+                                 }
+                                 this->writing_grants = false;
+                                 this->write_grants();
+                               });
   }
 
   /// Nobody can have put another host in this one's place.
--- a/libs/disk/src/ledger_store.cc
+++ b/libs/disk/src/ledger_store.cc
@@ -18,6 +18,7 @@
 
 constexpr char record_tag = 'R';
 constexpr char fence_tag = 'F';
+constexpr char beside_tag = 'Q';
 /// The log is shortened at the latest when it takes this part of the disk: while it is
 /// rewritten both copies of what still lives must fit.
 constexpr double most_of_disk = 0.4;
@@ -52,8 +53,9 @@
 }  // namespace
 
 ledger_store::ledger_store(boost::asio::io_context& io, const std::string& folder,
-                           std::uint64_t disk_bytes, std::uint64_t segment_bytes)
-    : context(io), most_bytes(disk_bytes) {
+                           std::uint64_t disk_bytes, std::uint64_t segment_bytes,
+                           side_journal journal)
+    : context(io), most_bytes(disk_bytes), beside(std::move(journal)) {
   this->load_identity(folder);
   log_recovery found;
   failure reason;
@@ -99,6 +101,10 @@
     this->logged_fence = this->copy.fenced_at();
     return;
   }
+  if (bytes.front() == beside_tag) {
+    this->beside.replay(payload);
+    return;
+  }
   if (const auto record = from_bytes<ledger_record>(payload)) {
     this->copy.apply(*record);
   }
@@ -187,6 +193,9 @@
     case ledger_method::probe:
       answer(to_bytes(probe_answer{this->id, this->copy.fenced_at(), this->copied}));
       return;
+    case ledger_method::quota:
+      // Not the ledger's to answer.
+      break;
   }
   answer(std::nullopt);
 }
@@ -272,6 +281,11 @@
   this->when_durable(std::move(done));
 }
 
+void ledger_store::append_beside(const std::string& record, std::function<void(bool good)> done) {
+  this->last_record = this->log->append(tagged(beside_tag, record));
+  this->when_durable(std::move(done));
+}
+
 void ledger_store::tick() {
   this->copy.expire(wall_now());
   const bool is_busy = this->shortening || this->log->removing();
@@ -280,6 +294,9 @@
     this->shortening = copy_request{};
     this->rewritten_bytes = 0;
     this->append_fence();
+    if (this->beside.whole) {
+      this->last_record = this->log->append(tagged(beside_tag, this->beside.whole()));
+    }
   }
   if (this->shortening) {
     this->shorten_log();
--- a/libs/disk/test/ledger_store_test.cc
+++ b/libs/disk/test/ledger_store_test.cc
@@ -23,8 +23,9 @@
 class open_store {
 public:
   explicit open_store(const std::string& folder, std::uint64_t disk_bytes = 1 << 20,
-                      std::uint64_t segment_bytes = turn_log::usual_segment_bytes)
-      : store(context, folder, disk_bytes, segment_bytes) {}
+                      std::uint64_t segment_bytes = turn_log::usual_segment_bytes,
+                      side_journal journal = {})
+      : store(context, folder, disk_bytes, segment_bytes, std::move(journal)) {}
 
   template <class Answer, class Request>
   std::optional<Answer> ask(ledger_method method, const Request& request) {
@@ -373,6 +374,43 @@
   }
 }
 
+TEST_CASE("records beside the ledger's own come back in order, also after a shortening") {
+  const scratch_folder folder("beside");
+  constexpr std::uint64_t small_segments = 4096;
+  std::vector<std::string> replayed;
+  side_journal journal;
+  journal.replay = [&](const std::string& record) { replayed.push_back(record); };
+  journal.whole = [] { return std::string("whole"); };
+  const auto keep = [](open_store& open, const std::string& record) {
+    bool done = false;
+    open.store.append_beside(record, [&](bool good) { done = good; });
+    while (!done) {
+      open.context.restart();
+      open.context.poll();
+    }
+  };
+  {
+    open_store open(folder.path(), 1 << 20, small_segments, journal);
+    keep(open, "first");
+    keep(open, "second");
+  }
+  {
+    open_store open(folder.path(), 1 << 20, small_segments, journal);
+    CHECK(replayed == std::vector<std::string>{"first", "second"});
+    // Long enough to be shortened: 0.4 of the disk.
+    for (int number = 0; number < 50; ++number) {
+      open.ask<program_answer>(ledger_method::append,
+                               append(1, "r" + std::to_string(number % 3), 5000));
+      open.store.tick();
+    }
+    keep(open, "third");
+  }
+  replayed.clear();
+  const open_store open(folder.path(), 1 << 20, small_segments, journal);
+  REQUIRE_FALSE(replayed.empty());
+  CHECK(replayed.back() == "third");
+}
+
 TEST_CASE("a log of turns that have expired stays short on a large disk") {
   constexpr std::uint64_t disk_bytes = 340'000'000;
   constexpr std::uint64_t turn_bytes = 1'000'000;
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -86,7 +86,7 @@
 }
 
 void peer_gossip::add_peer(const host_entry& entry) {
-  if (entry.role != host_role::front || entry.name == this->hooks.self().self.name) {
+  if (entry.role != host_role::front || entry.name == this->intake.owner()) {
     return;
   }
   const auto known = this->peers.find(entry.name);
@@ -296,8 +296,8 @@
       candidates.push_back({name, other->entry.zone, other->heard.disks_reached});
     }
   }
-  const host_entry self = this->hooks.self().self;
-  const auto chosen = choose_relay(candidates, self.name, self.zone);
+  const availability_zone zone = this->hooks.self().self.zone;
+  const auto chosen = choose_relay(candidates, this->intake.owner(), zone);
   if (!chosen) {
     done(net::rpc_failure::unreachable, {});
     return;
@@ -307,7 +307,8 @@
 }
 
 std::size_t peer_gossip::rank() const {
-  const host_id own = this->hooks.self().self.name;
+  // Called at each pass of the event loop: a digest made for its name alone takes longer.
+  const host_id& own = this->intake.owner();
   std::size_t before = 0;
   for (const auto& [name, other] : this->peers) {
     before += name < own && this->lives(*other) ? 1 : 0;
--- a/libs/limits/include/hawthornlane/limits/quota_keeper.h
+++ b/libs/limits/include/hawthornlane/limits/quota_keeper.h
@@ -8,7 +8,9 @@
 // and arrives within some span was granted within that span.
 #pragma once
 
+#include <set>
 #include <unordered_map>
+#include <vector>
 
 #include "hawthornlane/limits/quota_messages.h"
 
@@ -22,21 +24,58 @@
   double slack = 0;
 };
 
+/// One account's bucket, as it is written down.
+struct quota_mark {
+  client_account account;
+  account_limit limit;
+  limit_version version;
+  /// Calls that may be granted.
+  double level = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->account, this->limit, this->version, this->level);
+  }
+};
+
+/// Buckets as they are at one moment.
+struct quota_record {
+  /// For how long the keeper has kept quotas then, seconds; time in which its process did not run
+  /// counts nothing, so no clock that may be set bears on it.
+  double age = 0;
+  /// What was written before counts no more.
+  bool begins = false;
+  std::vector<quota_mark> marks;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->age, this->begins, this->marks);
+  }
+};
+
 /// Invariant: in any span of t seconds the keeper grants an account at most its part of
 /// burst + tolerance + t * calls_per_second calls, or 1 + part * t * calls_per_second where that
-/// is more, also when its process has started again in between.
+/// is more, also when its process has started again in between: whatever is granted is written
+/// down before the asker is told, and `restore` brings it back. Without that all accounts stood
+/// before empty buckets after a loss of power, just when their callers came back.
 class quota_keeper {
 public:
   quota_keeper() = default;
   explicit quota_keeper(quota_rules with) : rules(with) {}
 
+  /// Takes back what an earlier process wrote down, in the order in which it did.
+  void restore(const quota_record& record);
   /// From now on this host keeps so much of each quota: 1 / number of keepers, or 0. One that
   /// begins to keep them does so with empty buckets, since it does not know what was granted
-  /// before.
+  /// before; one that goes on after a restart has those that were restored.
   void keep(double part, timestamp now);
   quota_answer ask(const quota_question& question, timestamp now);
   /// Forgets accounts whose buckets are full: they would be full too if they were new.
   void forget_idle(timestamp now);
+  /// The buckets that have changed since this was last asked, to be written down.
+  quota_record take_changes(timestamp now);
+  /// All buckets, to begin a new log with.
+  [[nodiscard]] quota_record whole(timestamp now) const;
   /// Accounts in use.
   [[nodiscard]] std::size_t accounts() const { return this->buckets.size(); }
 
@@ -44,21 +83,29 @@
   struct bucket {
     account_limit limit;
     limit_version version;
-    /// Calls that may be granted at `at`.
+    /// Calls that may be granted at the age `at`.
     double level = 0;
-    timestamp at{};
+    double at = 0;
   };
 
   [[nodiscard]] double capacity_of(const account_limit& limit) const;
   [[nodiscard]] double rate_of(const account_limit& limit) const;
-  [[nodiscard]] double level_at(const bucket& from, timestamp now) const;
+  [[nodiscard]] double age(timestamp now) const;
+  [[nodiscard]] double level_at(const bucket& from, double age) const;
   bucket& bucket_of(const quota_question& question, timestamp now);
+  [[nodiscard]] static quota_mark mark_of(const client_account& account, const bucket& item);
 
   quota_rules rules;
   /// 0: keeps none.
   double part = 0;
-  timestamp began{};
+  /// Seconds for which quotas had been kept at `resumed`.
+  double age_before = 0;
+  timestamp resumed{};
   std::unordered_map<client_account, bucket> buckets;
+  /// Nothing of this time as a keeper has been written down yet, or told.
+  bool is_new = false;
+  /// Not written down yet.
+  std::set<client_account> changed;
 };
 
 }  // namespace hawthornlane
--- a/libs/limits/src/quota_keeper.cc
+++ b/libs/limits/src/quota_keeper.cc
@@ -2,6 +2,7 @@
 #include "hawthornlane/limits/quota_keeper.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornlane {
 namespace {
@@ -11,18 +12,37 @@
 /// seventeen; and what one keeper's full bucket spills another one lacks. The rest of the
 /// tolerance is for a change of keepers that some hosts do not know of yet.
 constexpr double used_tolerance = 0.75;
+/// What sums of fractions of a call may lack, calls.
+constexpr double least_difference = 1e-6;
 
 }  // namespace
 
+void quota_keeper::restore(const quota_record& record) {
+  if (record.begins) {
+    this->buckets.clear();
+    this->age_before = 0;
+  }
+  this->age_before = std::max(this->age_before, record.age);
+  for (const quota_mark& mark : record.marks) {
+    this->buckets[mark.account] = {mark.limit, mark.version, mark.level, record.age};
+  }
+}
+
 void quota_keeper::keep(double share, timestamp now) {
-  if (this->part == 0 || share == 0) {
+  const bool begins = this->part == 0 && share != 0;
+  if (share == 0) {
     this->buckets.clear();
-    this->began = now;
+    this->changed.clear();
+    this->age_before = 0;
+    this->is_new = true;
+  } else if (begins) {
+    this->resumed = now;
   }
   // Buckets are filled at the old part up to now.
+  const double age = this->age(now);
   for (auto& [name, item] : this->buckets) {
-    item.level = this->level_at(item, now);
-    item.at = now;
+    item.level = begins ? item.level : this->level_at(item, age);
+    item.at = begins ? item.at : age;
   }
   this->part = share;
 }
@@ -38,8 +58,12 @@
   return limit.calls_per_second * this->part;
 }
 
-double quota_keeper::level_at(const bucket& from, timestamp now) const {
-  const double filled = from.level + this->rate_of(from.limit) * to_seconds(now - from.at);
+double quota_keeper::age(timestamp now) const {
+  return this->age_before + to_seconds(now - this->resumed);
+}
+
+double quota_keeper::level_at(const bucket& from, double age) const {
+  const double filled = from.level + this->rate_of(from.limit) * (age - from.at);
   return std::min(filled, this->capacity_of(from.limit));
 }
 
@@ -48,10 +72,11 @@
   bucket& item = found->second;
   if (is_new) {
     // As if it had been asked for nothing since this host began to keep quotas.
-    item = {question.limit, question.version, 0, this->began};
+    item = {question.limit, question.version, 0, 0};
   }
-  item.level = this->level_at(item, now);
-  item.at = now;
+  const double age = this->age(now);
+  item.level = this->level_at(item, age);
+  item.at = age;
   if (question.version > item.version) {
     item.limit = question.limit;
     item.version = question.version;
@@ -68,20 +93,52 @@
   if (!item.limit.limits()) {
     return {quota_verdict::granted, {}};
   }
-  if (item.level >= 1) {
+  if (item.level >= 1 - least_difference) {
     item.level -= 1;
+    this->changed.insert(question.account);
     return {quota_verdict::granted, {}};
   }
   return {quota_verdict::refused, from_seconds((1 - item.level) / this->rate_of(item.limit))};
 }
 
 void quota_keeper::forget_idle(timestamp now) {
+  const double age = this->age(now);
   std::erase_if(this->buckets, [&](const auto& entry) {
     const bucket& item = entry.second;
-    const double as_new = this->rate_of(item.limit) * to_seconds(now - this->began);
-    const double full = this->capacity_of(item.limit);
-    return as_new >= full && this->level_at(item, now) >= full;
+    const double full = this->capacity_of(item.limit) - least_difference;
+    return !this->changed.contains(entry.first) && this->rate_of(item.limit) * age >= full &&
+           this->level_at(item, age) >= full;
   });
 }
 
+quota_mark quota_keeper::mark_of(const client_account& account, const bucket& item) {
+  return {account, item.limit, item.version, item.level};
+}
+
+quota_record quota_keeper::take_changes(timestamp now) {
+  quota_record record;
+  record.age = this->age(now);
+  record.begins = std::exchange(this->is_new, false);
+  for (const client_account& account : this->changed) {
+    bucket& item = this->buckets.at(account);
+    item.level = this->level_at(item, record.age);
+    item.at = record.age;
+    record.marks.push_back(mark_of(account, item));
+  }
+  this->changed.clear();
+  return record;
+}
+
+quota_record quota_keeper::whole(timestamp now) const {
+  quota_record record;
+  record.age = this->part == 0 ? this->age_before : this->age(now);
+  record.begins = true;
+  for (const auto& [account, item] : this->buckets) {
+    bucket filled = item;
+    filled.level = this->level_at(item, record.age);
+    record.marks.push_back(mark_of(account, filled));
+  }
+  return record;
+}
+
 }  // namespace hawthornlane
--- a/libs/limits/test/quota_keeper_test.cc
+++ b/libs/limits/test/quota_keeper_test.cc
@@ -98,6 +98,55 @@
   CHECK(granted_of(keeper, limit, 11, 100) == 5);
 }
 
+TEST_CASE("who goes on after a restart has the buckets that were written down") {
+  const account_limit limit{10, 10};
+  const client_account south("south");
+  quota_keeper before;
+  before.keep(1, at(0));
+  REQUIRE(granted_of(before, limit, 100, 10) == 10);
+  std::vector<quota_record> log{before.take_changes(at(100))};
+  REQUIRE(before.ask({south, limit, limit_version(1)}, at(100.3)).verdict ==
+          quota_verdict::granted);
+  log.push_back(before.take_changes(at(100.3)));
+  CHECK(before.take_changes(at(100.3)).marks.empty());
+
+  quota_keeper after;
+  for (const quota_record& record : log) {
+    after.restore(record);
+  }
+  // The time between the last record and the restart is not known, and counts nothing.
+  after.keep(1, at(7));
+  CHECK(granted_of(after, limit, 7, 10) == 3);
+  CHECK(granted_of(after, limit, 7.5, 10) == 5);
+  // Who was not asked for before is not held to have used anything.
+  CHECK(after.ask({client_account("east"), limit, limit_version(1)}, at(7)).verdict ==
+        quota_verdict::granted);
+
+  quota_keeper from_whole;
+  from_whole.restore(before.whole(at(100.3)));
+  from_whole.keep(1, at(1));
+  CHECK(granted_of(from_whole, limit, 1, 10) == 3);
+}
+
+TEST_CASE("what was written down counts no more for one that was no keeper since") {
+  const account_limit limit{10, 10};
+  quota_keeper before;
+  before.keep(1, at(0));
+  REQUIRE(is_granted(before, limit, 100));
+  quota_keeper after;
+  after.restore(before.take_changes(at(100)));
+  after.keep(0, at(0));
+  after.keep(1, at(50));
+  CHECK(granted_of(after, limit, 50, 10) == 0);
+  // Nor for the process after that one.
+  REQUIRE(is_granted(after, limit, 50.1));
+  quota_keeper last;
+  last.restore(before.whole(at(100)));
+  last.restore(after.take_changes(at(50.1)));
+  last.keep(1, at(0));
+  CHECK(granted_of(last, limit, 0, 10) == 0);
+}
+
 TEST_CASE("the limit of the newest configuration is in force") {
   struct row {
     std::string what;
@@ -131,6 +180,10 @@
   keeper.forget_idle(at(100.5));
   CHECK(keeper.accounts() == 1);
   keeper.forget_idle(at(101));
+  // What was granted is not written down yet.
+  CHECK(keeper.accounts() == 1);
+  keeper.take_changes(at(101));
+  keeper.forget_idle(at(101));
   CHECK(keeper.accounts() == 0);
   CHECK(granted_of(keeper, limit, 101, 10) == 5);
 }
@@ -213,7 +266,12 @@
   void restart_some(double seconds, double chance) {
     for (quota_keeper& keeper : this->keepers) {
       if (this->happens(chance)) {
+        // What was granted is written down by then; what becomes of the time in between, too.
+        const quota_record known = keeper.whole(at(seconds));
         keeper = quota_keeper(tolerant);
+        if (this->happens(0.7)) {
+          keeper.restore(known);
+        }
         keeper.keep(this->part(), at(seconds));
       }
     }
--- a/scenarios/accounts_deployment_test.cc
+++ b/scenarios/accounts_deployment_test.cc
@@ -247,3 +247,31 @@
   CHECK(result.header("Retry-After"));
   CHECK(arrivals_of(all, "nobody").empty());
 }
+
+TEST_CASE("a loss of all keepers gives nobody a new burst and takes nobody's away") {
+  deployment all({1, 3, 1, 1});
+  REQUIRE(is_up(all));
+  configure_accounts(
+      all, 2,
+      account_text("north", R"("n-1")", 1, 24) + "," + account_text("south", R"("s-1")", 1, 24));
+  // The burst of 24 is there 24 s after the keepers' start; so long no test waits.
+  const auto served_of = [&](const std::string& name, const std::string& key, int calls) {
+    int served = 0;
+    for (int number = 0; number < calls; ++number) {
+      const std::string id = name + std::to_string(number);
+      served += all.call(0, plain("/once/x", id, key)).status == 200 ? 1 : 0;
+    }
+    return served;
+  };
+  all.run_for(5s);
+  REQUIRE(served_of("spent-", "n-1", 30) >= 5);
+  for (int disk : {0, 1, 2}) {
+    all.kill_disk(disk);
+  }
+  for (int disk : {0, 1, 2}) {
+    all.start_disk(disk);
+  }
+  REQUIRE(all.run_until([&] { return all.call(0, plain("/once/x", "up", "s-1")).status == 200; }));
+  CHECK(served_of("again-", "n-1", 10) <= 3);
+  CHECK(served_of("kept-", "s-1", 4) == 4);
+}
--- a/scenarios/promise_checker.cc
+++ b/scenarios/promise_checker.cc
@@ -84,6 +84,11 @@
     this->note(fmt::format("{} got another body for {}: {} bytes, not {}", server, id,
                            arrival.request.body.size(), sent.body_at_server.size()));
   }
+  if (arrival.request.find_header("X-Tenant").value_or("") != sent.account ||
+      arrival.request.find_header("Authorization")) {
+    this->note(fmt::format("{} got {} for another account than '{}', or with a key", server, id,
+                           sent.account));
+  }
   if (arrival.request.method != sent.request.method ||
       arrival.request.target != sent.request.path) {
     this->note(fmt::format("{} got {} {} for {}", server, arrival.request.method,
--- a/scenarios/promise_checker.h
+++ b/scenarios/promise_checker.h
@@ -30,6 +30,8 @@
   /// What a server has to receive: the history and the new input.
   std::string body_at_server;
   std::string program;
+  /// Whose key it bears; empty: none.
+  std::string account;
   /// Tokens that the program may generate; 0: no limit.
   int budget = 0;
   /// It goes on from a turn that was answered whole and is still kept.
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -254,6 +254,10 @@
     co_return result;
   }
   sent_call sent = what;
+  // All calls of a program are one account's.
+  const std::string& name = sent.program.empty() ? sent.request.id : sent.program;
+  sent.account = soak_accounts[std::hash<std::string>()(name) % soak_accounts.size()];
+  sent.request.headers.push_back({"Authorization", "Bearer " + soak_fleet::key_of(sent.account)});
   sent.request.headers.push_back({"X-Deadline-Ms", std::to_string(call_limit.count())});
   const auto began = steady::now();
   this->promises.on_sent(sent);
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -216,6 +216,18 @@
   return commas + 1 == static_cast<std::ptrdiff_t>(this->disks.size()) && !joint;
 }
 
+std::string soak_fleet::key_of(const std::string& account) { return account + "-key"; }
+
+std::string soak_fleet::accounts_text() {
+  // Quotas that no soak reaches: each call asks the disk hosts for its part all the same.
+  std::string list;
+  for (const char* account : soak_accounts) {
+    list += fmt::format(R"({}{{"name":"{}","api-keys":["{}"],"rate-per-s":100000,"burst":1000}})",
+                        list.empty() ? "" : ",", account, key_of(account));
+  }
+  return fmt::format(R"("tenants":[{}],)", list);
+}
+
 int soak_fleet::configure() {
   ++this->newest;
   std::string text = configuration_of(this->newest);
@@ -225,6 +237,7 @@
                   this->newest);
   constexpr std::string_view routes = "\"routes\":[";
   text.insert(text.find(routes) + routes.size(), route + this->grown);
+  text.insert(text.find("\"limits\":"), accounts_text());
   this->platform->put("config", "main", text);
   return this->newest;
 }
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -2,6 +2,7 @@
 // every connection between them carried by a proxy that can harm it.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <filesystem>
@@ -65,6 +66,9 @@
   std::shared_ptr<fault_proxy> proxy;
 };
 
+/// The client accounts of a soaked deployment.
+inline constexpr std::array<const char*, 2> soak_accounts{"north", "south"};
+
 /// For one thread, which runs `context`.
 class soak_fleet {
 public:
@@ -91,6 +95,8 @@
 
   /// Writes the next configuration; returns its version.
   int configure();
+  /// The key that callers of an account show.
+  static std::string key_of(const std::string& account);
   [[nodiscard]] int version() const { return this->newest; }
   /// Writes the next configuration, with that share of the routes that it grows by.
   void grow(double share);
@@ -107,6 +113,7 @@
   [[nodiscard]] stand_ins::object_platform& store() { return *this->platform; }
 
 private:
+  static std::string accounts_text();
   void add_backend(const std::string& service);
   [[nodiscard]] soak_backend make_backend(const std::string& service);
   soak_host make_host(const std::string& name, int number, const std::filesystem::path& program);
