Send a withdrawal again until a majority has it

Cause: a withdrawal went to each disk host once. One that no disk took left the refused turn's reservation counting in full until the program's retention ended, and the program was told 402 with its budget unspent.

Settlements and withdrawals go through one loop now. Test first: all disk hosts killed while a server refuses the turn; the same turn again was answered 402, now 200.

--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -127,6 +127,10 @@
                         const std::vector<disk_id>& disks);
   /// At the set in hand.
   std::shared_ptr<settle_state> begin_settlement(append_request& request);
+  /// Has a record taken by a majority, at this set or the next ones; false when `until` comes
+  /// first. The record may hold a whole turn: it is not copied.
+  boost::asio::awaitable<bool> keep_record(append_request& request, net::steady_time until);
+  boost::asio::awaitable<void> keep_withdrawal(append_request request);
   void send_settlement(const std::shared_ptr<settle_state>& state,
                        const std::vector<disk_id>& disks);
   void conclude(const admission_state& state, turn_admission& result);
--- a/libs/front/src/ledger_settlement.cc
+++ b/libs/front/src/ledger_settlement.cc
@@ -1,4 +1,7 @@
 // Settles a turn: what it used, and what was said in it, or that it never ran.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "hawthornlane/net/async_signal.h"
 #include "ledger_rounds.h"
 
@@ -9,6 +12,9 @@
 namespace {
 
 constexpr auto settle_pause = std::chrono::milliseconds(50);
+/// For disk hosts that are down when a turn is withdrawn: about the time of a restart and of a
+/// change of their set together.
+constexpr auto withdraw_patience = std::chrono::seconds(6);
 /// Kept longer than promised, for hosts' clocks that differ or step.
 constexpr duration retention_margin = std::chrono::seconds(15);
 
@@ -81,14 +87,7 @@
   this->ask_each(disks, state->append, hooks);
 }
 
-asio::awaitable<bool> ledger_client::settle(turn_request turn, turn_result result,
-                                            net::steady_time until) {
-  append_request request;
-  request.record = record_of(turn, reservation_phase::settled, result.used);
-  if (turn.kept && result.whole) {
-    request.record.turn =
-        kept_turn{turn.id, turn.previous, std::move(result.input), std::move(result.output)};
-  }
+asio::awaitable<bool> ledger_client::keep_record(append_request& request, net::steady_time until) {
   std::shared_ptr<settle_state> state;
   while (this->set) {
     if (!state || !this->holds_still(state->round.of().epoch)) {
@@ -101,9 +100,6 @@
       co_await state->signal.wait_until(until);
     }
     if (state->round.majority()) {
-      if (request.record.turn) {
-        this->cache.add(*request.record.turn);
-      }
       co_return true;
     }
     if (steady::now() >= until) {
@@ -117,21 +113,34 @@
   co_return false;
 }
 
+asio::awaitable<bool> ledger_client::settle(turn_request turn, turn_result result,
+                                            net::steady_time until) {
+  append_request request;
+  request.record = record_of(turn, reservation_phase::settled, result.used);
+  if (turn.kept && result.whole) {
+    request.record.turn =
+        kept_turn{turn.id, turn.previous, std::move(result.input), std::move(result.output)};
+  }
+  const bool kept = co_await this->keep_record(request, until);
+  if (kept && request.record.turn) {
+    this->cache.add(*request.record.turn);
+  }
+  co_return kept;
+}
+
 void ledger_client::withdraw(const turn_request& turn) {
   if (!this->set) {
     return;
   }
   append_request request;
-  request.epoch = this->set->epoch;
   request.record = record_of(turn, reservation_phase::withdrawn, token_count(0));
-  round_hooks<program_answer> hooks;
-  // Without the withdrawal the reservation counts in full: a later turn may be
-  // refused too early, but the budget holds.
-  hooks.answered = [](const program_answer&) {};
-  hooks.failed = [](const disk_id&) {};
-  hooks.stale = [](const disk_id&) {};
-  this->ask_each(this->set->all(),
-                 make_question(ledger_method::append, to_bytes(request), append_limit), hooks);
+  // Until a majority has the withdrawal the reservation counts in full, and the program may be
+  // told that its budget is spent when it is not.
+  asio::co_spawn(this->context, this->keep_withdrawal(std::move(request)), asio::detached);
+}
+
+asio::awaitable<void> ledger_client::keep_withdrawal(append_request request) {
+  co_await this->keep_record(request, steady::now() + withdraw_patience);
 }
 
 }  // namespace hawthornlane::front
--- a/scenarios/deployment_test.cc
+++ b/scenarios/deployment_test.cc
@@ -547,3 +547,30 @@
     CHECK(runs_of(all, id) == 1);
   }
 }
+
+TEST_CASE("a turn that has not run takes nothing from the budget, whatever the disks were doing") {
+  deployment all({1, 3, 1, 1});
+  REQUIRE(is_up(all));
+  all.engine_acts->set({backend_act::shed});
+  // From the moment on at which the server refuses the turn, no disk host takes a word.
+  bool killed = false;
+  all.engines[0]->on_arrival([&](const stand_ins::backend_arrival&) {
+    for (int disk = 0; disk < 3 && !killed; ++disk) {
+      all.kill_disk(disk);
+    }
+    killed = true;
+  });
+  constexpr int budget_of_one_turn = 30;
+  const call_result refused = all.call(0, turn("/kept/x", "not-run", "p", "", budget_of_one_turn));
+  REQUIRE(killed);
+  REQUIRE(refused.status == 503);
+  REQUIRE(runs_of(all, "not-run") == 0);
+  all.engine_acts->set({backend_act::answer});
+  for (int disk = 0; disk < 3; ++disk) {
+    all.start_disk(disk);
+  }
+  const decided_turn again = decide(all, "again", [&](const std::string& id) {
+    return turn("/kept/x", id, "p", "", budget_of_one_turn);
+  });
+  CHECK(again.result.status == 200);
+}
