--- a/libs/front/include/hawthornlane/front/quota_gate.h
+++ b/libs/front/include/hawthornlane/front/quota_gate.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 
 #include "hawthornlane/limits/quota_messages.h"
 #include "hawthornlane/limits/quota_round.h"
--- a/libs/limits/src/quota_keeper.cc
+++ b/libs/limits/src/quota_keeper.cc
@@ -7,10 +7,10 @@
 namespace hawthornlane {
 namespace {
 
-/// Part of the operator's tolerance that buckets hold beyond the burst. Programs' calls come in
-/// lumps of twenty to forty, of which an account of 14 calls a second would lose one in
-/// seventeen; and what one keeper's full bucket spills another one lacks. The rest is for a
-/// change of keepers: with five of them, half a second in which two grant the same part.
+/// Part of the operator's tolerance that buckets hold beyond the burst: programs' calls come in
+/// lumps longer than a small account's burst, and what one keeper's full bucket spills another
+/// one lacks. The rest is for a change of keepers, in which two may grant the same part for a
+/// moment.
 constexpr double used_tolerance = 0.9;
 /// What sums of fractions of a call may lack, calls.
 constexpr double least_difference = 1e-6;
