Settings say whether a deployment's load is contended

The terms of the contract reach the front host as settings; `pressure` turns on what follows (places claimed from keepers, learned speed). Nothing decides by it yet.

--- a/libs/front/include/hawthornlane/front/call_placer.h
+++ b/libs/front/include/hawthornlane/front/call_placer.h
@@ -44,7 +44,7 @@
 class call_placer {
 public:
   call_placer(boost::asio::io_context& context, host_id own, availability_zone here,
-              discovery::fleet_state& fleet, call_metrics& metrics);
+              discovery::fleet_state& fleet, call_metrics& metrics, pool_rules rules = {});
   call_placer(const call_placer&) = delete;
   call_placer& operator=(const call_placer&) = delete;
   ~call_placer();
@@ -106,6 +106,7 @@
   availability_zone zone;
   discovery::fleet_state& fleet;
   call_metrics& metrics;
+  pool_rules rules;
   /// Not there: this host decides by what it sees itself.
   directory_exchange* exchange = nullptr;
   std::map<service_name, service_pool> pools;
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -37,8 +37,13 @@
 }
 
 call_placer::call_placer(asio::io_context& io, host_id name, availability_zone here,
-                         discovery::fleet_state& state, call_metrics& counters)
-    : context(io), own(std::move(name)), zone(std::move(here)), fleet(state), metrics(counters) {}
+                         discovery::fleet_state& state, call_metrics& counters, pool_rules with)
+    : context(io),
+      own(std::move(name)),
+      zone(std::move(here)),
+      fleet(state),
+      metrics(counters),
+      rules(with) {}
 
 call_placer::~call_placer() = default;
 
@@ -48,7 +53,7 @@
     return found->second;
   }
   service_pool& item =
-      this->pools.try_emplace(name, server_pool(pool_rules{}, this->own, this->zone)).first->second;
+      this->pools.try_emplace(name, server_pool(this->rules, this->own, this->zone)).first->second;
   item.pool.set_servers(this->fleet.usable_backends(name), discovery::scheduler_now());
   return item;
 }
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -438,6 +438,9 @@
   request.begun = one.terms.previous.has_value() || this->goes_on(one.service, request.prompt);
   const bool has_own = one.caller_account != nullptr && one.caller_account->priority;
   request.priority = has_own ? *one.caller_account->priority : one.taken->priority;
+  if (one.caller_account != nullptr) {
+    request.account = one.caller_account->name;
+  }
   request.wanted_by = now + one.terms.program_time_left.value_or(left);
   request.give_up_at = now + left - least_service_time;
   request.tried = one.tried;
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -71,6 +71,13 @@
 /// Between two sweeps over idle connections to servers.
 constexpr auto idle_pause = std::chrono::seconds(1);
 
+pool_rules rules_for(const front_settings& settings) {
+  pool_rules rules;
+  rules.claims_places = settings.contended;
+  rules.learns_speed = settings.contended;
+  return rules;
+}
+
 }  // namespace
 
 struct front_host::state : std::enable_shared_from_this<front_host::state> {
@@ -84,7 +91,7 @@
         checks(settings.host, discovery::scheduler_now()),
         backends(io, sweeper, codec),
         ledger(io, sweeper, fleet, settings.zone, settings.memory_mb * cache_bytes_per_mb),
-        placer(io, settings.host, settings.zone, fleet, metrics),
+        placer(io, settings.host, settings.zone, fleet, metrics, rules_for(settings)),
         quotas(io, make_quota_hooks()),
         calls(fleet, placer, backends, codec, quotas, ledger, metrics),
         gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
--- a/libs/front/src/front_settings.cc
+++ b/libs/front/src/front_settings.cc
@@ -1,6 +1,8 @@
 // A front host's settings and their checks.
 #include "hawthornlane/front/front_settings.h"
 
+#include "hawthornlane/platform_adapter/contract_terms.h"
+
 namespace hawthornlane::front {
 namespace {
 
@@ -18,6 +20,9 @@
        "as long"},
       {"callers", "grace", time, true, "", second, 3600 * second,
        "between the request to stop and the kill"},
+      {"scheduling", "terms", list, false, "", 0, 0,
+       "terms of the deployment's contract; under `pressure` places at servers are claimed and "
+       "their speed is learned"},
   };
 }
 
@@ -44,6 +49,7 @@
   settings.directory_at = discovery::address_of(values, "callers", "directory_listen");
   settings.address_time = values.time("callers", "address_time");
   settings.grace = values.time("callers", "grace");
+  settings.contended = platform_adapter::is_contended(values.list("scheduling", "terms"));
   return settings;
 }
 
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -36,6 +36,8 @@
   std::uint64_t kind = 0;
   /// Lower goes first.
   std::uint32_t priority = 0;
+  /// Empty: callers show no account.
+  client_account account;
   /// When the program, or the call itself, should be done.
   timestamp wanted_by;
   /// After this the call cannot be served in its time any more.
@@ -78,6 +80,10 @@
   /// A call without a prompt goes to the server of its object while that has at most this
   /// many calls of this host more than the least busy one.
   std::uint32_t affinity_slack = 2;
+  /// A call for a server whose places are taken waits at the server's keeper.
+  bool claims_places = false;
+  /// Servers are weighed by the speed that calls at them have shown.
+  bool learns_speed = false;
   choice_rules choice;
   health_rules health;
 };
