Suspicions: few names a message and few probes on others' word

suspicion_limits names at most 48 suspects in a message, in turn, and lets a host probe at most 12 others on others' word between two looks of 0.1 s; the rest waits for the next look, in turn too. A peer_watch remembers no more tellers than a belief needs. A pair's own turns to probe are as before, so peer_watch tells them apart (`turn_due`, `doubted`).

death_spread_test plays the limits by the code of the host.

peer_watch_test asks `doubted` or `turn_due` for what was one function; its cases are the same.

--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -17,6 +17,7 @@
 #include "hawthornlane/front/gossip_messages.h"
 #include "hawthornlane/front/gossip_news.h"
 #include "hawthornlane/front/peer_watch.h"
+#include "hawthornlane/front/suspicion_limits.h"
 #include "hawthornlane/net/rpc.h"
 
 namespace hawthornlane::front {
@@ -89,9 +90,11 @@
   /// Notes which hosts no longer count as living.
   void note_silent();
   void probe(peer& other, const std::string& payload);
-  void probe_if_due(peer& other);
+  [[nodiscard]] bool turn_due(const peer& other) const;
+  /// Probes whom it is this host's turn to probe, and some of those whom others suspect.
+  void probe_due_ones();
   /// What this host tells with a probe, and in answer to one.
-  [[nodiscard]] std::string probe_bytes() const;
+  [[nodiscard]] std::string probe_bytes();
   void hear(peer& other, const probe_message& message);
   void hear_suspicions(const host_id& from, const std::vector<host_key>& suspected);
   /// How far this host's own knowledge goes.
@@ -124,6 +127,7 @@
   gossip_hooks hooks;
   std::map<host_id, std::shared_ptr<peer>> peers;
   timestamp next_look{};
+  suspicion_limits limits;
   known_state last_known;
   copy_intake intake;
   copy_outlet outlet;
--- a/libs/front/include/hawthornlane/front/peer_watch.h
+++ b/libs/front/include/hawthornlane/front/peer_watch.h
@@ -44,8 +44,10 @@
   /// An own probe has failed, or waits for long already, and no word came since: worth
   /// telling others, who then ask for themselves.
   [[nodiscard]] bool suspected(timestamp now) const;
-  /// `goes_first` as in `is_probe_due`.
-  [[nodiscard]] bool probe_due(bool goes_first, const watch_pace& pace, timestamp now) const;
+  /// Others suspect it, and this host has neither heard nor asked it since.
+  [[nodiscard]] bool doubted(timestamp now) const;
+  /// By the turns of the pair, whatever others say; `goes_first` as in `is_probe_due`.
+  [[nodiscard]] bool turn_due(bool goes_first, const watch_pace& pace, timestamp now) const;
   [[nodiscard]] bool lives(const watch_pace& pace, timestamp now) const;
 
 private:
@@ -56,7 +58,7 @@
   /// The first probe since the last word; before that word when there is none.
   timestamp asked;
   bool failed = false;
-  /// Who has told of a suspicion since the last word.
+  /// Who has told of a suspicion since the last word. Invariant: no more than a belief needs.
   std::set<host_id> told;
   timestamp last_told{};
 };
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -120,16 +120,31 @@
   }
   this->next_look = now + look_pause;
   this->note_silent();
+  this->probe_due_ones();
+}
+
+void peer_gossip::probe_due_ones() {
+  const timestamp now = discovery::scheduler_now();
+  std::set<host_key> doubted;
   for (const auto& [name, other] : this->peers) {
-    this->probe_if_due(*other);
+    if (this->turn_due(*other)) {
+      this->probe(*other, this->probe_bytes());
+    } else if (other->watch.doubted(now)) {
+      doubted.insert(other->key);
+    }
+  }
+  const std::vector<host_key> chosen = this->limits.to_probe(doubted);
+  const std::set<host_key> asked(chosen.begin(), chosen.end());
+  for (const auto& [name, other] : this->peers) {
+    if (asked.contains(other->key)) {
+      this->probe(*other, this->probe_bytes());
+    }
   }
 }
 
-void peer_gossip::probe_if_due(peer& other) {
+bool peer_gossip::turn_due(const peer& other) const {
   const bool goes_first = this->intake.owner() < other.entry.name;
-  if (other.watch.probe_due(goes_first, this->pace(), discovery::scheduler_now())) {
-    this->probe(other, this->probe_bytes());
-  }
+  return other.watch.turn_due(goes_first, this->pace(), discovery::scheduler_now());
 }
 
 watch_pace peer_gossip::pace() const { return {this->probe_pause(), this->silence()}; }
@@ -182,15 +197,15 @@
       });
 }
 
-std::string peer_gossip::probe_bytes() const {
-  probe_message message{this->hooks.self(), {}};
+std::string peer_gossip::probe_bytes() {
+  std::set<host_key> suspected;
   const timestamp now = discovery::scheduler_now();
   for (const auto& [name, other] : this->peers) {
     if (other->watch.suspected(now)) {
-      message.suspected.push_back(other->key);
+      suspected.insert(other->key);
     }
   }
-  return to_bytes(message);
+  return to_bytes(probe_message{this->hooks.self(), this->limits.to_name(suspected)});
 }
 
 void peer_gossip::hear_suspicions(const host_id& from, const std::vector<host_key>& suspected) {
@@ -204,7 +219,9 @@
       continue;
     }
     other->watch.told_by(from, now);
-    this->probe_if_due(*other);
+    if (other->watch.doubted(now) && this->limits.admit_probe()) {
+      this->probe(*other, this->probe_bytes());
+    }
   }
 }
 
--- a/libs/front/src/peer_watch.cc
+++ b/libs/front/src/peer_watch.cc
@@ -44,16 +44,19 @@
 }
 
 void peer_watch::told_by(const host_id& other, timestamp now) {
-  this->told.insert(other);
+  if (this->told.size() < least_told) {
+    this->told.insert(other);
+  }
   this->last_told = now;
 }
 
-bool peer_watch::probe_due(bool goes_first, const watch_pace& pace, timestamp now) const {
+bool peer_watch::doubted(timestamp now) const {
   const bool asked_since = this->probes.tried >= this->last_told;
   const bool is_doubtful = !this->told.empty() && now - this->last_heard >= just_heard;
-  if (is_doubtful && !this->failed && !asked_since) {
-    return true;
-  }
+  return is_doubtful && !this->failed && !asked_since;
+}
+
+bool peer_watch::turn_due(bool goes_first, const watch_pace& pace, timestamp now) const {
   const timestamp begins = this->since + from_seconds(to_seconds(pace.pause) * this->phase);
   if (this->probes.tried < begins) {
     return now >= begins;
--- a/libs/front/test/death_spread_test.cc
+++ b/libs/front/test/death_spread_test.cc
@@ -1,13 +1,16 @@
-// How soon all hosts of a fleet know that some have died, and what their probes cost. No
-// network: messages take a fixed time, and probes of dead hosts fail after their limit.
+// How soon all hosts of a fleet know that some have died, and what their probes cost, also while
+// all hosts are slow. No network: messages take a fixed time, and probes of dead hosts fail after
+// their limit.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "hawthornlane/front/peer_watch.h"
+#include "hawthornlane/front/suspicion_limits.h"
 
 using namespace hawthornlane;
 using namespace hawthornlane::front;
@@ -27,6 +30,8 @@
   int deaths = 1;
   /// Hosts tell each other whom they suspect.
   bool share = true;
+  /// From a probe until its answer; nobody suspects anybody of whom it is less than 0.2 s.
+  duration answer_after{};
 };
 
 struct fleet_result {
@@ -36,6 +41,10 @@
   int wrong = 0;
   /// Probes of one host a second while all live.
   double probes = 0;
+  /// In one message.
+  std::size_t most_named = 0;
+  /// Of one host between two of its looks, on others' word.
+  int most_on_word = 0;
 };
 
 /// Hosts that probe each other, of which the last ones die.
@@ -56,33 +65,49 @@
     }
   }
 
+  /// All hosts start at once, probe each other, and answer late.
+  fleet_result play_start(duration length) {
+    for (int number = 0; number < this->plan.hosts; ++number) {
+      for (int other = 0; other < this->plan.hosts; ++other) {
+        if (other != number) {
+          this->probe(number, other);
+        }
+      }
+    }
+    for (; this->now < length; this->now += step) {
+      this->answer_probes();
+      this->look_all();
+      this->result.wrong += this->wrong_beliefs();
+    }
+    return this->result;
+  }
+
   fleet_result play() {
-    fleet_result result;
     const duration end = death + 20s;
     for (; this->now < end; this->now += step) {
       this->fail_probes();
-      for (int number = 0; number < this->plan.hosts; ++number) {
-        this->look(number);
-      }
+      this->look_all();
       if (this->now < death) {
         continue;
       }
-      result.wrong += this->wrong_beliefs();
+      this->result.wrong += this->wrong_beliefs();
       if (this->all_know()) {
         break;
       }
     }
-    result.known_after = this->now - death;
-    result.probes = this->probes_in_calm / to_seconds(death - calm) / this->plan.hosts;
-    return result;
+    this->result.known_after = this->now - death;
+    this->result.probes = this->probes_in_calm / to_seconds(death - calm) / this->plan.hosts;
+    return this->result;
   }
 
 private:
   struct watching_host {
     std::vector<peer_watch> watches;
+    suspicion_limits limits;
     duration next_look{};
+    int on_word = 0;
   };
-  struct failing_probe {
+  struct open_probe {
     int from = 0;
     int to = 0;
     duration sent{};
@@ -94,24 +119,41 @@
     return this->now >= death && number >= this->plan.hosts - this->plan.deaths;
   }
 
+  void look_all() {
+    for (int number = 0; number < this->plan.hosts; ++number) {
+      this->look(number);
+    }
+  }
+
   void look(int number) {
     watching_host& host = this->hosts[number];
     if (this->dead(number) || this->now < host.next_look) {
       return;
     }
     host.next_look += look_pause;
+    host.on_word = 0;
+    std::set<host_key> doubted;
     for (int other = 0; other < this->plan.hosts; ++other) {
-      if (other != number) {
-        this->probe_if_due(number, other);
+      if (other == number) {
+        continue;
+      }
+      if (host.watches[other].turn_due(number < other, this->pace, this->moment())) {
+        this->probe(number, other);
+      } else if (host.watches[other].doubted(this->moment())) {
+        doubted.insert(key_of(other));
       }
     }
+    for (const host_key other : host.limits.to_probe(doubted)) {
+      this->probe_on_word(number, static_cast<int>(other.get()));
+    }
   }
 
-  void probe_if_due(int from, int to) {
-    const peer_watch& watch = this->hosts[from].watches[to];
-    if (watch.probe_due(from < to, this->pace, this->moment())) {
-      this->probe(from, to);
-    }
+  static host_key key_of(int number) { return host_key(static_cast<std::uint32_t>(number)); }
+
+  void probe_on_word(int from, int to) {
+    ++this->hosts[from].on_word;
+    this->result.most_on_word = std::max(this->result.most_on_word, this->hosts[from].on_word);
+    this->probe(from, to);
   }
 
   void probe(int from, int to) {
@@ -122,29 +164,62 @@
       this->failing.push_back({from, to, this->now});
       return;
     }
-    watch.probe_answered(this->moment());
+    if (this->plan.answer_after > 0ms) {
+      this->answering.push_back({from, to, this->now});
+      return;
+    }
+    this->answer({from, to, this->now});
+  }
+
+  void answer(const open_probe& probe) {
+    peer_watch& watch = this->hosts[probe.from].watches[probe.to];
+    watch.probe_answered(this->moment(probe.sent));
     watch.heard(this->moment());
-    this->hosts[to].watches[from].was_probed(this->moment());
-    this->hosts[to].watches[from].heard(this->moment());
-    this->tell(from, to);
-    this->tell(to, from);
+    this->hosts[probe.to].watches[probe.from].was_probed(this->moment());
+    this->hosts[probe.to].watches[probe.from].heard(this->moment());
+    this->tell(probe.from, probe.to);
+    this->tell(probe.to, probe.from);
+  }
+
+  void answer_probes() {
+    while (!this->answering.empty() &&
+           this->now - this->answering.front().sent >= this->plan.answer_after) {
+      const open_probe probe = this->answering.front();
+      this->answering.pop_front();
+      this->answer(probe);
+    }
   }
 
   void tell(int from, int to) {
     if (!this->plan.share) {
       return;
     }
+    std::set<host_key> suspected;
     for (int about = 0; about < this->plan.hosts; ++about) {
-      if (about != to && this->hosts[from].watches[about].suspected(this->moment())) {
-        peer_watch& watch = this->hosts[to].watches[about];
-        watch.told_by(host_id(std::to_string(from)), this->moment());
-        this->probe_if_due(to, about);
+      if (this->hosts[from].watches[about].suspected(this->moment())) {
+        suspected.insert(key_of(about));
       }
     }
+    const auto named = this->hosts[from].limits.to_name(suspected);
+    this->result.most_named = std::max(this->result.most_named, named.size());
+    for (const host_key key : named) {
+      const int about = static_cast<int>(key.get());
+      if (about != to) {
+        this->hear_suspicion(to, from, about);
+      }
+    }
+  }
+
+  void hear_suspicion(int host, int from, int about) {
+    peer_watch& watch = this->hosts[host].watches[about];
+    watch.told_by(host_id(std::to_string(from)), this->moment());
+    if (watch.doubted(this->moment()) && this->hosts[host].limits.admit_probe()) {
+      this->probe_on_word(host, about);
+    }
   }
 
   void fail_probes() {
-    std::erase_if(this->failing, [this](const failing_probe& item) {
+    std::erase_if(this->failing, [this](const open_probe& item) {
       if (this->now - item.sent < probe_limit) {
         return false;
       }
@@ -181,8 +256,11 @@
   duration now{};
   std::mt19937 random{11};
   std::vector<watching_host> hosts;
-  std::vector<failing_probe> failing;
+  std::vector<open_probe> failing;
+  /// In the order in which they were sent.
+  std::deque<open_probe> answering;
   double probes_in_calm = 0;
+  fleet_result result;
 };
 
 }  // namespace
@@ -212,3 +290,21 @@
   const fleet_result told = played_fleet({83, 1, true}).play();
   CHECK(told.known_after < alone.known_after / 2);
 }
+
+TEST_CASE("a start of many slow hosts costs each of them few names and probes") {
+  // Without limits a message named up to 127 hosts, and a host sent up to 806 probes on others'
+  // word between two looks.
+  struct row {
+    const char* what;
+    duration answer_after;
+  };
+  const row rows[] = {{"later than a suspicion", 300ms}, {"near the limit of a probe", 480ms}};
+  for (const row& item : rows) {
+    INFO(item.what);
+    constexpr int hosts = 300;
+    const fleet_result result = played_fleet({hosts, 0, true, item.answer_after}).play_start(1500ms);
+    CHECK(result.most_named <= 48);
+    CHECK(result.most_on_word <= 12);
+    CHECK(result.wrong == 0);
+  }
+}
--- a/libs/front/test/peer_watch_test.cc
+++ b/libs/front/test/peer_watch_test.cc
@@ -16,6 +16,10 @@
 
 timestamp at(duration since) { return timestamp(1h + since); }
 
+bool probe_due(const peer_watch& watch, timestamp now) {
+  return watch.doubted(now) || watch.turn_due(false, pace, now);
+}
+
 }  // namespace
 
 TEST_CASE("another host is believed gone by own probes that others confirm, or by its silence") {
@@ -89,12 +93,12 @@
   watch.probe_sent(at(0s));
   watch.probe_answered(at(0s));
   watch.told_by(host_id("a"), at(200ms));
-  CHECK_FALSE(watch.probe_due(false, pace, at(200ms)));
-  CHECK(watch.probe_due(false, pace, at(700ms)));
+  CHECK_FALSE(probe_due(watch, at(200ms)));
+  CHECK(probe_due(watch, at(700ms)));
   watch.probe_sent(at(700ms));
-  CHECK_FALSE(watch.probe_due(false, pace, at(800ms)));
+  CHECK_FALSE(probe_due(watch, at(800ms)));
   watch.told_by(host_id("b"), at(900ms));
-  CHECK(watch.probe_due(false, pace, at(900ms)));
+  CHECK(probe_due(watch, at(900ms)));
   watch.probe_failed(at(900ms));
-  CHECK_FALSE(watch.probe_due(false, pace, at(950ms)));
+  CHECK_FALSE(probe_due(watch, at(950ms)));
 }
