Suspicions: a host whose own event loop is late suspects nobody for it

A probe counted as waiting by the clock alone. A host that waits for its share of the processor, as all do at a start of 300 hosts, has answers lying unread and named everybody; timeouts that its sweeper found before the answers were read counted as failed probes.

loop_lateness sums up by how much passes of the event loop come too late (more than 50 ms after the one before). That time is taken off what a probe waits before its host is named, and a probe that fails after more than 0.3 s of it proves nothing. A refused connection still counts at once, and silence, for three pauses between probes, as before.

Tests: loop_lateness_test (a host that stands still for 0.9 s after 300 first probes suspects nobody, then whoever does not answer), a table in peer_watch_test.

--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -16,6 +16,7 @@
 #include "hawthornlane/front/copy_outlet.h"
 #include "hawthornlane/front/gossip_messages.h"
 #include "hawthornlane/front/gossip_news.h"
+#include "hawthornlane/front/loop_lateness.h"
 #include "hawthornlane/front/peer_watch.h"
 #include "hawthornlane/front/suspicion_limits.h"
 #include "hawthornlane/net/rpc.h"
@@ -128,6 +129,7 @@
   std::map<host_id, std::shared_ptr<peer>> peers;
   timestamp next_look{};
   suspicion_limits limits;
+  loop_lateness lateness;
   known_state last_known;
   copy_intake intake;
   copy_outlet outlet;
--- a/libs/front/include/hawthornlane/front/peer_watch.h
+++ b/libs/front/include/hawthornlane/front/peer_watch.h
@@ -35,15 +35,18 @@
   /// Any word of the other host came.
   void heard(timestamp now);
   void was_probed(timestamp now);
-  void probe_sent(timestamp now);
+  /// `late`: for how long this host's own event loop has been late until now, in all.
+  void probe_sent(timestamp now, duration late = {});
   void probe_answered(timestamp sent);
-  void probe_failed(timestamp sent);
+  /// `late_meanwhile`: for how long the event loop was late while the probe waited.
+  void probe_failed(timestamp sent, duration late_meanwhile = {});
   /// Another host has told that it suspects this one.
   void told_by(const host_id& other, timestamp now);
 
   /// An own probe has failed, or waits for long already, and no word came since: worth
-  /// telling others, who then ask for themselves.
-  [[nodiscard]] bool suspected(timestamp now) const;
+  /// telling others, who then ask for themselves. Time in which this host's event loop was late
+  /// does not count as waiting, for an answer may lie unread; `late` as in `probe_sent`.
+  [[nodiscard]] bool suspected(timestamp now, duration late = {}) const;
   /// Others suspect it, and this host has neither heard nor asked it since.
   [[nodiscard]] bool doubted(timestamp now) const;
   /// By the turns of the pair, whatever others say; `goes_first` as in `is_probe_due`.
@@ -57,6 +60,8 @@
   timestamp last_heard;
   /// The first probe since the last word; before that word when there is none.
   timestamp asked;
+  /// How late the event loop had been by then, in all.
+  duration late_when_asked{};
   bool failed = false;
   /// Who has told of a suspicion since the last word. Invariant: no more than a belief needs.
   std::set<host_id> told;
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -73,6 +73,7 @@
       fleet(state),
       checks(schedule),
       hooks(std::move(with)),
+      lateness(discovery::scheduler_now()),
       intake(schedule.owner(), [this](const host_id& other) { return this->reaches(other); }) {}
 
 peer_gossip::~peer_gossip() = default;
@@ -113,8 +114,9 @@
 }
 
 void peer_gossip::tick() {
-  this->ask_due();
   const timestamp now = discovery::scheduler_now();
+  this->lateness.pass(now);
+  this->ask_due();
   if (now < this->next_look) {
     return;
   }
@@ -178,17 +180,19 @@
 void peer_gossip::probe(peer& other, const std::string& payload) {
   const auto known = this->peers.find(other.entry.name)->second;
   const timestamp sent = discovery::scheduler_now();
-  other.watch.probe_sent(sent);
+  const duration late = this->lateness.total(sent);
+  other.watch.probe_sent(sent, late);
   other.link->call(
       static_cast<std::uint16_t>(gossip_method::digest), payload, probe_limit,
-      [this, sent, weak = std::weak_ptr(known)](net::rpc_failure why, std::string answer) {
+      [this, sent, late, weak = std::weak_ptr(known)](net::rpc_failure why, std::string answer) {
         const auto told = weak.lock();
         const auto message = probe_message_from(answer);
         if (!told) {
           return;
         }
         if (why != net::rpc_failure::none || !message) {
-          told->watch.probe_failed(sent);
+          const duration late_now = this->lateness.total(discovery::scheduler_now());
+          told->watch.probe_failed(sent, late_now - late);
           return;
         }
         told->answered_at = steady::now();
@@ -200,8 +204,9 @@
 std::string peer_gossip::probe_bytes() {
   std::set<host_key> suspected;
   const timestamp now = discovery::scheduler_now();
+  const duration late = this->lateness.total(now);
   for (const auto& [name, other] : this->peers) {
-    if (other->watch.suspected(now)) {
+    if (other->watch.suspected(now, late)) {
       suspected.insert(other->key);
     }
   }
--- a/libs/front/src/peer_watch.cc
+++ b/libs/front/src/peer_watch.cc
@@ -10,6 +10,9 @@
 /// before it fails at 0.5 s: a zone of 340 hosts is known to be gone after 1.3 s so, and after
 /// 2.1 s when only failed probes are told (death_spread_test).
 constexpr duration long_unanswered = std::chrono::milliseconds(200);
+/// A probe that fails while this host's event loop was late for longer proves nothing: of the
+/// 0.5 s that a probe has, less than `long_unanswered` was left for its answer.
+constexpr duration most_late = std::chrono::milliseconds(300);
 /// A host that was heard this lately is not probed on others' word: what they wait for is
 /// older.
 constexpr duration just_heard = std::chrono::milliseconds(300);
@@ -24,23 +27,26 @@
 
 void peer_watch::was_probed(timestamp now) { this->probes.was_probed = now; }
 
-void peer_watch::probe_sent(timestamp now) {
+void peer_watch::probe_sent(timestamp now, duration late) {
   this->probes.tried = now;
   if (this->asked <= this->last_heard) {
     this->asked = now;
+    this->late_when_asked = late;
   }
 }
 
-bool peer_watch::suspected(timestamp now) const {
+bool peer_watch::suspected(timestamp now, duration late) const {
   const bool is_asked = this->asked > this->last_heard;
-  return this->failed || (is_asked && now - this->asked >= long_unanswered);
+  const duration waited = (now - this->asked) - (late - this->late_when_asked);
+  return this->failed || (is_asked && waited >= long_unanswered);
 }
 
 void peer_watch::probe_answered(timestamp sent) { this->probes.probed = sent; }
 
-void peer_watch::probe_failed(timestamp sent) {
+void peer_watch::probe_failed(timestamp sent, duration late_meanwhile) {
   // A word that came while the probe was under way counts more.
-  this->failed = this->failed || sent >= this->last_heard;
+  const bool proves = sent >= this->last_heard && late_meanwhile <= most_late;
+  this->failed = this->failed || proves;
 }
 
 void peer_watch::told_by(const host_id& other, timestamp now) {
--- a/libs/front/test/peer_watch_test.cc
+++ b/libs/front/test/peer_watch_test.cc
@@ -102,3 +102,32 @@
   watch.probe_failed(at(900ms));
   CHECK_FALSE(probe_due(watch, at(950ms)));
 }
+
+TEST_CASE("time in which this host's own event loop was late does not count as waiting") {
+  struct row {
+    const char* what;
+    duration waits;
+    duration late;
+    bool suspected;
+    bool suspected_once_failed;
+  };
+  const row rows[] = {
+      {"the loop is in time", 200ms, 0ms, true, true},
+      {"an answer may lie unread", 400ms, 250ms, false, true},
+      {"enough time was left", 400ms, 200ms, true, true},
+      {"hardly any time was left", 500ms, 301ms, false, false},
+      {"it stood still all the time", 2s, 2s, false, false},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    // What was late before the probe does not bear on it.
+    constexpr duration late_before = 7s;
+    peer_watch watch(at(0s), 0);
+    watch.heard(at(100ms));
+    watch.probe_sent(at(200ms), late_before);
+    const timestamp now = at(200ms + item.waits);
+    CHECK(watch.suspected(now, late_before + item.late) == item.suspected);
+    watch.probe_failed(at(200ms), item.late);
+    CHECK(watch.suspected(now, late_before + item.late) == item.suspected_once_failed);
+  }
+}
