Probes: the message is encoded once for all probes of a look

Cause: each probe and each answer called for a digest, looked at all other hosts for suspects and encoded both: at a start of 300 hosts some 600 times a host at once, each time over up to 300 others.

probe_encoder keeps the bytes until the next look (0.1 s) or until what the host knows changes; only the age of the newest read of the store is written anew into each message, since an age that is told too low would keep a read young for ever, from host to host. `tell_all` always encodes anew.

A service without demand was left out already; to leave out what has not changed would tell hosts of the present format that there is none, so it stays.

--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "hawthornlane/front/gossip_news.h"
 #include "hawthornlane/front/loop_lateness.h"
 #include "hawthornlane/front/peer_watch.h"
+#include "hawthornlane/front/probe_encoder.h"
 #include "hawthornlane/front/suspicion_limits.h"
 #include "hawthornlane/net/rpc.h"
 
@@ -95,7 +97,9 @@
   /// Probes whom it is this host's turn to probe, and some of those whom others suspect.
   void probe_due_ones();
   /// What this host tells with a probe, and in answer to one.
-  [[nodiscard]] std::string probe_bytes();
+  [[nodiscard]] const std::string& probe_bytes();
+  /// The hosts that this host suspects.
+  [[nodiscard]] std::set<host_key> suspected() const;
   void hear(peer& other, const probe_message& message);
   void hear_suspicions(const host_id& from, const std::vector<host_key>& suspected);
   /// How far this host's own knowledge goes.
@@ -130,6 +134,8 @@
   timestamp next_look{};
   suspicion_limits limits;
   loop_lateness lateness;
+  /// Invariant: expires at each look and with each change of `last_known`.
+  probe_encoder encoder;
   known_state last_known;
   copy_intake intake;
   copy_outlet outlet;
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -121,6 +121,7 @@
     return;
   }
   this->next_look = now + look_pause;
+  this->encoder.expire();
   this->note_silent();
   this->probe_due_ones();
 }
@@ -161,6 +162,7 @@
 }
 
 void peer_gossip::tell_all() {
+  this->encoder.expire();
   const std::string payload = this->probe_bytes();
   for (const auto& [name, other] : this->peers) {
     this->probe(*other, payload);
@@ -201,16 +203,24 @@
       });
 }
 
-std::string peer_gossip::probe_bytes() {
-  std::set<host_key> suspected;
+const std::string& peer_gossip::probe_bytes() {
+  const timestamp now = discovery::scheduler_now();
+  if (this->encoder.is_stale()) {
+    this->encoder.renew({this->hooks.self(), this->limits.to_name(this->suspected())}, now);
+  }
+  return this->encoder.encoded(now);
+}
+
+std::set<host_key> peer_gossip::suspected() const {
+  std::set<host_key> keys;
   const timestamp now = discovery::scheduler_now();
   const duration late = this->lateness.total(now);
   for (const auto& [name, other] : this->peers) {
     if (other->watch.suspected(now, late)) {
-      suspected.insert(other->key);
+      keys.insert(other->key);
     }
   }
-  return to_bytes(probe_message{this->hooks.self(), this->limits.to_name(suspected)});
+  return keys;
 }
 
 void peer_gossip::hear_suspicions(const host_id& from, const std::vector<host_key>& suspected) {
@@ -258,6 +268,7 @@
     return;
   }
   const known_state before = std::exchange(this->last_known, own);
+  this->encoder.expire();
   const auto renew = [this](copy_kind kind, bool changed) {
     if (changed) {
       this->outlet.renew(kind);
--- a/libs/front/test/death_spread_test.cc
+++ b/libs/front/test/death_spread_test.cc
@@ -104,6 +104,8 @@
   struct watching_host {
     std::vector<peer_watch> watches;
     suspicion_limits limits;
+    /// Whom its messages name until its next look.
+    std::vector<host_key> named;
     duration next_look{};
     int on_word = 0;
   };
@@ -132,6 +134,7 @@
     }
     host.next_look += look_pause;
     host.on_word = 0;
+    host.named = this->names_of(host);
     std::set<host_key> doubted;
     for (int other = 0; other < this->plan.hosts; ++other) {
       if (other == number) {
@@ -190,19 +193,23 @@
     }
   }
 
-  void tell(int from, int to) {
-    if (!this->plan.share) {
-      return;
-    }
+  std::vector<host_key> names_of(watching_host& host) {
     std::set<host_key> suspected;
     for (int about = 0; about < this->plan.hosts; ++about) {
-      if (this->hosts[from].watches[about].suspected(this->moment())) {
+      if (host.watches[about].suspected(this->moment())) {
         suspected.insert(key_of(about));
       }
     }
-    const auto named = this->hosts[from].limits.to_name(suspected);
+    std::vector<host_key> named = host.limits.to_name(suspected);
     this->result.most_named = std::max(this->result.most_named, named.size());
-    for (const host_key key : named) {
+    return named;
+  }
+
+  void tell(int from, int to) {
+    if (!this->plan.share) {
+      return;
+    }
+    for (const host_key key : this->hosts[from].named) {
       const int about = static_cast<int>(key.get());
       if (about != to) {
         this->hear_suspicion(to, from, about);
@@ -302,7 +309,8 @@
   for (const row& item : rows) {
     INFO(item.what);
     constexpr int hosts = 300;
-    const fleet_result result = played_fleet({hosts, 0, true, item.answer_after}).play_start(1500ms);
+    const fleet_result result =
+        played_fleet({hosts, 0, true, item.answer_after}).play_start(1500ms);
     CHECK(result.most_named <= 48);
     CHECK(result.most_on_word <= 12);
     CHECK(result.wrong == 0);
