--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -73,6 +73,7 @@
       fleet(state),
       checks(schedule),
       hooks(std::move(with)),
+      lateness(discovery::scheduler_now()),
       intake(schedule.owner(), [this](const host_id& other) { return this->reaches(other); }) {}
 
 peer_gossip::~peer_gossip() = default;
@@ -113,23 +114,40 @@
 }
 
 void peer_gossip::tick() {
-  this->ask_due();
   const timestamp now = discovery::scheduler_now();
+  this->lateness.pass(now);
+  this->ask_due();
   if (now < this->next_look) {
     return;
   }
   this->next_look = now + look_pause;
+  this->encoder.expire();
   this->note_silent();
+  this->probe_due_ones();
+}
+
+void peer_gossip::probe_due_ones() {
+  const timestamp now = discovery::scheduler_now();
+  std::set<host_key> doubted;
   for (const auto& [name, other] : this->peers) {
-    this->probe_if_due(*other);
+    if (this->turn_due(*other)) {
+      this->probe(*other, this->probe_bytes());
+    } else if (other->watch.doubted(now)) {
+      doubted.insert(other->key);
+    }
+  }
+  const std::vector<host_key> chosen = this->limits.to_probe(doubted);
+  const std::set<host_key> asked(chosen.begin(), chosen.end());
+  for (const auto& [name, other] : this->peers) {
+    if (asked.contains(other->key)) {
+      this->probe(*other, this->probe_bytes());
+    }
   }
 }
 
-void peer_gossip::probe_if_due(peer& other) {
+bool peer_gossip::turn_due(const peer& other) const {
   const bool goes_first = this->intake.owner() < other.entry.name;
-  if (other.watch.probe_due(goes_first, this->pace(), discovery::scheduler_now())) {
-    this->probe(other, this->probe_bytes());
-  }
+  return other.watch.turn_due(goes_first, this->pace(), discovery::scheduler_now());
 }
 
 watch_pace peer_gossip::pace() const { return {this->probe_pause(), this->silence()}; }
@@ -144,6 +162,7 @@
 }
 
 void peer_gossip::tell_all() {
+  this->encoder.expire();
   const std::string payload = this->probe_bytes();
   for (const auto& [name, other] : this->peers) {
     this->probe(*other, payload);
@@ -163,17 +182,19 @@
 void peer_gossip::probe(peer& other, const std::string& payload) {
   const auto known = this->peers.find(other.entry.name)->second;
   const timestamp sent = discovery::scheduler_now();
-  other.watch.probe_sent(sent);
+  const duration late = this->lateness.total(sent);
+  other.watch.probe_sent(sent, late);
   other.link->call(
       static_cast<std::uint16_t>(gossip_method::digest), payload, probe_limit,
-      [this, sent, weak = std::weak_ptr(known)](net::rpc_failure why, std::string answer) {
+      [this, sent, late, weak = std::weak_ptr(known)](net::rpc_failure why, std::string answer) {
         const auto told = weak.lock();
         const auto message = probe_message_from(answer);
         if (!told) {
           return;
         }
         if (why != net::rpc_failure::none || !message) {
-          told->watch.probe_failed(sent);
+          const duration late_now = this->lateness.total(discovery::scheduler_now());
+          told->watch.probe_failed(sent, late_now - late);
           return;
         }
         told->answered_at = steady::now();
@@ -182,15 +203,24 @@
       });
 }
 
-std::string peer_gossip::probe_bytes() const {
-  probe_message message{this->hooks.self(), {}};
+const std::string& peer_gossip::probe_bytes() {
   const timestamp now = discovery::scheduler_now();
+  if (this->encoder.is_stale()) {
+    this->encoder.renew({this->hooks.self(), this->limits.to_name(this->suspected())}, now);
+  }
+  return this->encoder.encoded(now);
+}
+
+std::set<host_key> peer_gossip::suspected() const {
+  std::set<host_key> keys;
+  const timestamp now = discovery::scheduler_now();
+  const duration late = this->lateness.total(now);
   for (const auto& [name, other] : this->peers) {
-    if (other->watch.suspected(now)) {
-      message.suspected.push_back(other->key);
+    if (other->watch.suspected(now, late)) {
+      keys.insert(other->key);
     }
   }
-  return to_bytes(message);
+  return keys;
 }
 
 void peer_gossip::hear_suspicions(const host_id& from, const std::vector<host_key>& suspected) {
@@ -204,7 +234,9 @@
       continue;
     }
     other->watch.told_by(from, now);
-    this->probe_if_due(*other);
+    if (other->watch.doubted(now) && this->limits.admit_probe()) {
+      this->probe(*other, this->probe_bytes());
+    }
   }
 }
 
@@ -236,6 +268,7 @@
     return;
   }
   const known_state before = std::exchange(this->last_known, own);
+  this->encoder.expire();
   const auto renew = [this](copy_kind kind, bool changed) {
     if (changed) {
       this->outlet.renew(kind);
