Front: a call by its steps, one file each

It keeps the way of a call (serve, run, run_once, acquire, refuse); admission, dispatch to one server and settlement have files of their own, and what they share is in the private call_under_way.h. prepare is now decode, find_route and identify; try_server hands what it tells the server and what it makes of the answer to functions of their own. No behaviour changes.

front_test passes.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -41,33 +41,46 @@
 private:
   struct call;
   boost::asio::awaitable<void> run(call& one);
-  /// Decodes the call and finds its route; why it cannot be served otherwise.
+
+  // Admission. A step answers why the call cannot be served, or false once it has answered it.
   std::optional<failure> prepare(call& one);
+  std::optional<failure> decode(call& one);
+  std::optional<failure> find_route(call& one);
   /// Finds the account whose key the caller shows, where the route asks for one.
   static std::optional<failure> identify(call& one);
   /// From here on the names that the caller chose are those of its account.
   static void keep_apart(call& one);
   /// The key still holds in the newest configuration, also after a wait.
   [[nodiscard]] bool still_identified(const call& one) const;
-  /// Takes the call out of its account's quota; answers it when there is no room.
+  /// Takes the call out of its account's quota.
   boost::asio::awaitable<bool> admit_to_quota(call& one);
+  /// Enters the call's turn into the ledger, where its route keeps or its program counts them.
+  boost::asio::awaitable<bool> admit_to_ledger(call& one);
+
+  // Placement.
   /// Offers the call to one server; true when it is to be offered to another one.
   boost::asio::awaitable<bool> run_once(call& one);
-  static token_count tokens_handed_out(const call& one);
-  boost::asio::awaitable<bool> admit(call& one);
   boost::asio::awaitable<acquired_server> acquire(call& one);
   /// The program of this prompt has been served before, as far as this host knows.
   bool goes_on(const service_name& service, const std::vector<prompt_piece>& prompt);
-  /// What the try says about the server's health and pace.
-  void note_try(const call& one, const acquired_server& got, relay::try_outcome outcome);
+
+  // Dispatch to one server.
   boost::asio::awaitable<relay::try_outcome> try_server(call& one, const backend_entry& server);
+  static relay::dispatch_terms terms_for(const call& one, const backend_entry& server);
+  /// The outcome once the answer's signature and the stream's end have been looked at.
+  static relay::try_outcome checked(call& one, relay::try_outcome outcome);
   boost::asio::awaitable<bool> stream_head(call& one, const relay::backend_answer& head);
   boost::asio::awaitable<bool> stream_bytes(call& one, std::string_view bytes);
+  /// What the try says about the server's health and pace.
+  void note_try(const call& one, const acquired_server& got, relay::try_outcome outcome);
+  [[nodiscard]] bool may_try_again(const call& one, relay::try_outcome outcome) const;
+
+  // Settlement.
   boost::asio::awaitable<void> finish_whole(call& one);
   boost::asio::awaitable<void> finish_stream(call& one);
   boost::asio::awaitable<void> give_up(call& one, failure why);
   boost::asio::awaitable<void> settle_broken(call& one);
-  [[nodiscard]] bool may_try_again(const call& one, relay::try_outcome outcome) const;
+  static token_count tokens_handed_out(const call& one);
   void log_call(const call& one) const;
 
   discovery::fleet_state& fleet;
--- /dev/null
+++ b/libs/front/src/call_admission.cc
@@ -0,0 +1,164 @@
+// The first steps of a call: decoded, routed, identified, and admitted to its account's quota and
+// its program's budget.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "call_under_way.h"
+#include "hawthornlane/accounts/account_scope.h"
+
+namespace hawthornlane::front {
+namespace asio = boost::asio;
+using steady = std::chrono::steady_clock;
+
+std::optional<failure> call_service::prepare(call& one) {
+  if (auto malformed = this->decode(one)) {
+    return malformed;
+  }
+  if (auto unroutable = this->find_route(one)) {
+    return unroutable;
+  }
+  if (auto unknown = identify(one)) {
+    return unknown;
+  }
+  one.service = route_table::choose_service(*one.taken, service_draw(one.terms));
+  const duration longest = one.terms.deadline.value_or(one.taken->timeout);
+  one.until = one.arrived + std::min(longest, one.taken->timeout);
+  return std::nullopt;
+}
+
+std::optional<failure> call_service::decode(call& one) {
+  failure reason;
+  auto terms = this->codec.decode_call(one.request, reason);
+  if (!terms) {
+    return reason;
+  }
+  one.terms = std::move(*terms);
+  one.turn_name = one.terms.id;
+  return std::nullopt;
+}
+
+std::optional<failure> call_service::find_route(call& one) {
+  one.table = this->fleet.table();
+  if (!one.table) {
+    return failure{error_kind::not_ready, "no configuration is known yet"};
+  }
+  if (this->turning_away) {
+    return failure{error_kind::host_leaving, "the host is about to stop"};
+  }
+  one.taken = one.table->find(one.terms.host_name, one.request.path);
+  if (one.taken == nullptr) {
+    return failure{error_kind::not_found,
+                   fmt::format("no route for {}{} in version {}", one.terms.host_name,
+                               one.request.path, one.table->version().get())};
+  }
+  return std::nullopt;
+}
+
+std::optional<failure> call_service::identify(call& one) {
+  const account_table_ptr& accounts = one.table->source().accounts;
+  if (!accounts) {
+    return std::nullopt;
+  }
+  one.caller_account = one.terms.key ? accounts->find(*one.terms.key) : nullptr;
+  if (one.caller_account == nullptr && !one.taken->open_to_all) {
+    return failure{error_kind::not_authenticated,
+                   fmt::format("{} in version {}", one.terms.key ? "unknown key" : "no key",
+                               one.table->version().get())};
+  }
+  keep_apart(one);
+  return std::nullopt;
+}
+
+void call_service::keep_apart(call& one) {
+  const client_account holder =
+      one.caller_account == nullptr ? client_account() : one.caller_account->name;
+  one.turn_name = request_id(within_account(holder, one.terms.id.get()));
+  if (one.terms.program) {
+    one.terms.program = program_id(within_account(holder, one.terms.program->get()));
+  }
+  if (one.terms.previous) {
+    one.terms.previous = request_id(within_account(holder, one.terms.previous->get()));
+  }
+  if (!one.terms.session.get().empty()) {
+    one.terms.session = session_id(within_account(holder, one.terms.session.get()));
+  }
+}
+
+bool call_service::still_identified(const call& one) const {
+  const route_table_ptr& newest = this->fleet.table();
+  if (one.caller_account == nullptr || one.taken->open_to_all || newest == one.table ||
+      !newest->source().accounts) {
+    return true;
+  }
+  const account* holder = newest->source().accounts->find(*one.terms.key);
+  return holder != nullptr && holder->name == one.caller_account->name;
+}
+
+asio::awaitable<bool> call_service::admit_to_quota(call& one) {
+  if (one.caller_account == nullptr || !one.caller_account->limit.limits()) {
+    co_return true;
+  }
+  quota_question question;
+  question.account = one.caller_account->name;
+  question.limit = one.caller_account->limit;
+  question.version = limit_version(one.table->version().get());
+  const net::steady_time began = steady::now();
+  const quota_admission admission =
+      co_await this->quotas.admit(question, service_draw(one.terms), one.until);
+  this->metrics.record("quota_admit", std::chrono::duration_cast<duration>(steady::now() - began));
+  if (admission.decision == quota_decision::granted) {
+    co_return true;
+  }
+  failure why{error_kind::quota_unknown, "no keeper of the quota answers"};
+  if (admission.decision == quota_decision::over_limit) {
+    why.kind = error_kind::over_limit;
+    why.detail = fmt::format("{} calls a second and {} on top, room in {} ms",
+                             question.limit.calls_per_second, question.limit.burst,
+                             admission.room_in.count() / 1000);
+  }
+  why.detail = fmt::format("client account {}, program {}: {}", question.account.get(),
+                           one.terms.program ? one.terms.program->get() : "", why.detail);
+  co_await this->refuse(one.caller, why, one.terms.id.get(), admission.room_in);
+  co_return false;
+}
+
+asio::awaitable<bool> call_service::admit_to_ledger(call& one) {
+  const bool counted = one.taken->kind == call_kind::stream && one.terms.program;
+  if (!counted || (!one.taken->keeps_turns && !one.terms.budget)) {
+    co_return true;
+  }
+  turn_request turn;
+  turn.id = one.turn_name;
+  turn.program = *one.terms.program;
+  turn.most = one.terms.most_output;
+  turn.budget = one.terms.budget;
+  turn.kept = one.taken->keeps_turns;
+  turn.previous = one.terms.previous;
+  turn.retention = one.taken->retention;
+  const net::steady_time began = steady::now();
+  const turn_admission admission = co_await this->turns.admit(turn, one.until);
+  one.ledger_ms = milliseconds_since(began);
+  this->metrics.record("ledger_admit", std::chrono::duration_cast<duration>(steady::now() - began));
+  failure why;
+  why.detail = admission.detail;
+  switch (admission.kind) {
+    case admission_kind::admitted:
+      one.turn = turn;
+      one.history = admission.history;
+      co_return true;
+    case admission_kind::over_budget:
+      why.kind = error_kind::budget_exhausted;
+      break;
+    case admission_kind::unknown_turn:
+      why.kind = error_kind::turn_unknown;
+      break;
+    case admission_kind::unavailable:
+      why.kind = error_kind::history_unavailable;
+      break;
+  }
+  co_await this->refuse(one.caller, why, one.terms.id.get());
+  co_return false;
+}
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/front/src/call_dispatch.cc
@@ -0,0 +1,175 @@
+// One try of a call at one server: sent, its stream relayed, its outcome judged.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "call_under_way.h"
+#include "hawthornlane/relay/framing.h"
+
+namespace hawthornlane::front {
+namespace asio = boost::asio;
+using relay::try_outcome;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+/// Servers that one call is offered to at most; each costs a few milliseconds, and
+/// after so many refusals the service as a whole is full.
+constexpr int most_tries = 6;
+
+server_outcome health_of(try_outcome outcome) {
+  switch (outcome) {
+    case try_outcome::whole:
+      return server_outcome::answered;
+    case try_outcome::not_run:
+      return server_outcome::refused;
+    case try_outcome::not_sent:
+      return server_outcome::unreachable;
+    case try_outcome::abandoned:
+      return server_outcome::caller_left;
+    case try_outcome::broken:
+    case try_outcome::timed_out:
+      return server_outcome::failed;
+  }
+  return server_outcome::failed;
+}
+
+}  // namespace
+
+std::string_view name_of(try_outcome outcome) {
+  switch (outcome) {
+    case try_outcome::whole:
+      return "whole";
+    case try_outcome::not_run:
+      return "not_run";
+    case try_outcome::not_sent:
+      return "not_sent";
+    case try_outcome::abandoned:
+      return "abandoned";
+    case try_outcome::broken:
+      return "broken";
+    case try_outcome::timed_out:
+      return "timed_out";
+  }
+  return "";
+}
+
+void call_service::note_try(const call& one, const acquired_server& got, try_outcome outcome) {
+  constexpr int first_server_error = 500;
+  server_outcome health = health_of(outcome);
+  if (outcome == try_outcome::whole && one.answer.status >= first_server_error) {
+    health = server_outcome::error_answer;
+  }
+  this->placer.finished(one.service, got.id, health);
+}
+
+relay::dispatch_terms call_service::terms_for(const call& one, const backend_entry& server) {
+  relay::dispatch_terms terms;
+  terms.server = server.id;
+  terms.time_left = std::max(std::chrono::duration_cast<duration>(one.until - steady::now()),
+                             duration(std::chrono::milliseconds(1)));
+  terms.hides_key = one.table->source().accounts != nullptr;
+  if (one.caller_account != nullptr) {
+    terms.account = one.caller_account->name;
+  }
+  terms.last_event = one.last_event ? one.last_event : one.terms.last_event;
+  return terms;
+}
+
+asio::awaitable<try_outcome> call_service::try_server(call& one, const backend_entry& server) {
+  ++one.tries;
+  one.server = server.id;
+  one.events_before = one.events;
+  one.splitter = {};
+  one.handle = {};
+  const relay::dispatch_terms terms = terms_for(one, server);
+  relay::backend_request request;
+  request.where = server.address;
+  request.server_start = server.start;
+  request.method = one.request.method;
+  request.target = one.request.target;
+  request.headers = this->codec.dispatch_headers(one.request, terms);
+  const std::string body = one.history + one.request.body;
+  request.body = body;
+  request.id = one.terms.id;
+  request.until = one.until + timeout_slack;
+  request.repeatable = one.taken->kind == call_kind::idempotent;
+  relay::stream_sink sink;
+  sink.on_head = [this, &one](const relay::backend_answer& head) {
+    return this->stream_head(one, head);
+  };
+  sink.on_bytes = [this, &one](std::string_view bytes) { return this->stream_bytes(one, bytes); };
+  one.answer = {};
+  const try_outcome ended =
+      co_await this->backends.run(request, sink, one.handle, one.answer, one.detail);
+  const try_outcome outcome = checked(one, ended);
+  const bool may_have_run = outcome != try_outcome::not_sent && outcome != try_outcome::not_run;
+  one.runs += may_have_run ? 1 : 0;
+  this->metrics.count(fmt::format("tries_{}", name_of(outcome)));
+  co_return outcome;
+}
+
+try_outcome call_service::checked(call& one, try_outcome outcome) {
+  if (outcome == try_outcome::abandoned && !one.caller.gone()) {
+    return try_outcome::broken;
+  }
+  const bool is_success = one.answer.status >= 200 && one.answer.status < 300;
+  if (outcome == try_outcome::whole && is_success && !one.answer.terms.is_signed) {
+    one.detail = "a success without the server's signature";
+    return try_outcome::broken;
+  }
+  if (outcome == try_outcome::whole && one.caller.started() && !one.splitter.between_events()) {
+    one.detail = "the stream ended inside an event";
+    return try_outcome::broken;
+  }
+  return outcome;
+}
+
+bool call_service::may_try_again(const call& one, try_outcome outcome) const {
+  const bool time_left = steady::now() + least_service_time < one.until;
+  if (!time_left || one.tries >= most_tries || one.caller.gone()) {
+    return false;
+  }
+  if (outcome == try_outcome::not_sent || outcome == try_outcome::not_run) {
+    return true;
+  }
+  if (outcome == try_outcome::timed_out || one.runs >= one.taken->max_attempts) {
+    return false;
+  }
+  return one.taken->kind == call_kind::idempotent || one.taken->resumable;
+}
+
+asio::awaitable<bool> call_service::stream_head(call& one, const relay::backend_answer& head) {
+  if (one.caller.started()) {
+    co_return true;
+  }
+  if (!head.terms.is_signed) {
+    one.detail = "a stream without the server's signature";
+    co_return false;
+  }
+  one.status = head.status;
+  const std::vector<http::header> headers = relay::end_to_end(head.headers);
+  co_return co_await one.caller.start(head.status, headers);
+}
+
+asio::awaitable<bool> call_service::stream_bytes(call& one, std::string_view bytes) {
+  std::string out;
+  for (relay::stream_event& item : one.splitter.add(bytes)) {
+    out += item.bytes;
+    if (one.events == one.events_before) {
+      this->placer.started(one.service, one.placed);
+    }
+    if (one.events == 0) {
+      one.first_event_at = steady::now();
+    }
+    ++one.events;
+    one.last_event = item.id ? item.id : one.last_event;
+    if (one.turn && one.turn->kept) {
+      one.output += item.data;
+      one.output += '\n';
+    }
+  }
+  co_return co_await one.caller.write(out);
+}
+
+}  // namespace hawthornlane::front
