Disk host: quotas and changes of the set in files of their own

disk_host.cc had 648 lines with three jobs in one struct. quota_service keeps the quotas: it asks for the lease and for appending to the log by hooks, so its order (written, then told) is tested without a network. disk_membership.cc has the changes of the set of disks, disk_host.cc the listening and the following of the store. No behaviour changes.

disk_test passes, with five new cases of quota_service.

--- /dev/null
+++ b/libs/disk/src/disk_membership.cc
@@ -0,0 +1,274 @@
+// A disk host's part in the set of disks: when to change it, copying for a joint set, leaving it.
+#include <algorithm>
+#include <set>
+
+#include "disk_host_state.h"
+#include "hawthornlane/net/async_signal.h"
+#include "hawthornlane/net/message_bytes.h"
+#include "hawthornlane/telemetry/log.h"
+
+namespace hawthornlane::disk {
+namespace asio = boost::asio;
+using platform_adapter::object_kind;
+using platform_adapter::store_outcome;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+/// A disk host that has been silent for this long may be replaced. A restart takes
+/// two to three seconds; copying to a spare costs more than waiting for it.
+constexpr auto patience = std::chrono::milliseconds(3500);
+/// One of a set of two: without it nothing can be decided, so waiting costs service.
+/// Several probes and a repeated packet fit in; a hiccup must not leave one alone.
+constexpr auto patience_of_two = std::chrono::milliseconds(1000);
+/// A keeper of quotas that has not heard a majority of the set for this long grants nothing:
+/// less than `patience`, after which others may have put another host in its place.
+constexpr auto quota_lease = std::chrono::milliseconds(3000);
+static_assert(quota_lease < patience);
+/// Disk hosts start within 0.3 s of each other; the first set waits for them.
+constexpr auto first_set_wait = std::chrono::milliseconds(1500);
+/// For the first disk to make a change that is due, before the next one does: two
+/// updates of the store on a slow day.
+constexpr auto time_for_each = std::chrono::milliseconds(1000);
+/// Decisions that follow each other at once, such as a joint set and its end.
+constexpr int most_steps = 4;
+constexpr duration fence_limit = std::chrono::milliseconds(1500);
+constexpr duration copy_limit = std::chrono::milliseconds(1500);
+/// Between two pages, so that copying leaves most of a half core to turns.
+constexpr auto page_pause = std::chrono::milliseconds(5);
+
+}  // namespace
+
+bool disk_host::state::holds_quota_lease() const {
+  if (!this->set) {
+    return false;
+  }
+  const net::steady_time now = steady::now();
+  if (now - this->set_told_at < quota_lease) {
+    return true;
+  }
+  std::set<disk_id> heard{this->ledger.identity()};
+  for (const auto& [name, other] : this->peers) {
+    if (other.answered && now - other.heard_at < quota_lease) {
+      heard.insert(disk_id(other.entry.disk));
+    }
+  }
+  return ledger_set::majority_of(this->set->members, heard);
+}
+
+bool disk_host::state::must_leave(const host_id& name) const {
+  const auto known = this->retirements.find(name);
+  return known != this->retirements.end() &&
+         steady::now() - known->second.since >= known->second.request.within / 2;
+}
+
+std::size_t disk_host::state::passed_over() {
+  set_view anybody = this->view();
+  anybody.passed_over = anybody.disks.size();
+  const bool due = decide_set_change(anybody).step == set_step::propose;
+  const net::steady_time now = steady::now();
+  const set_epoch epoch = this->set ? this->set->epoch : set_epoch(0);
+  if (!due || epoch != this->due_at_epoch) {
+    this->due_at_epoch = epoch;
+    this->due_since = now;
+    return 0;
+  }
+  return static_cast<std::size_t>((now - this->due_since) / time_for_each);
+}
+
+set_view disk_host::state::view() const {
+  const net::steady_time now = steady::now();
+  const bool of_two = this->set && this->set->members.size() == 2;
+  const auto wait = of_two ? patience_of_two : patience;
+  set_view view;
+  view.self = this->ledger.identity();
+  view.set = this->set;
+  view.wanted = std::size_t{2} * this->settings.tolerated_losses + 1;
+  view.disks.push_back({view.self, true, this->is_retiring(this->self.name),
+                        this->must_leave(this->self.name), this->copied});
+  for (const auto& [name, other] : this->peers) {
+    view.disks.push_back({disk_id(other.entry.disk), now - other.heard_at < wait,
+                          this->is_retiring(name), this->must_leave(name), other.heard.copied});
+  }
+  return view;
+}
+
+asio::awaitable<void> disk_host::state::run_duties(std::shared_ptr<state> self) {
+  self->duty_running = true;
+  co_await change_set(self);
+  co_await complete_retirement(self);
+  self->duty_running = false;
+}
+
+asio::awaitable<void> disk_host::state::change_set(std::shared_ptr<state> self) {
+  const bool too_early = !self->set && steady::now() - self->started < first_set_wait;
+  if (too_early || !self->fleet.hosts().heard()) {
+    co_return;
+  }
+  for (int step = 0; step < most_steps; ++step) {
+    set_view view = self->view();
+    view.passed_over = self->passed_over();
+    const set_decision decision = decide_set_change(view);
+    if (decision.step == set_step::nothing) {
+      break;
+    }
+    const bool went_on = decision.step == set_step::propose ? co_await propose(self, decision)
+                                                            : co_await copy_from_members(self);
+    if (!went_on) {
+      break;
+    }
+  }
+}
+
+asio::awaitable<bool> disk_host::state::propose(std::shared_ptr<state> self,
+                                                set_decision decision) {
+  const std::string spec = platform_adapter::ledger_set_spec(decision.proposed);
+  failure reason;
+  store_outcome outcome = store_outcome::refused;
+  if (self->set) {
+    outcome = co_await self->store.replace(object_kind::hosts, platform_adapter::ledger_object_name,
+                                           self->set_revision, spec, reason);
+  } else {
+    outcome = co_await self->store.create(object_kind::hosts, platform_adapter::ledger_object_name,
+                                          spec, reason);
+  }
+  // Won, lost or unknown: what the store holds now decides, and the watch that
+  // would tell may be late.
+  platform_adapter::stored_object held;
+  failure read_reason;
+  const store_outcome read = co_await self->store.get(
+      object_kind::hosts, platform_adapter::ledger_object_name, held, read_reason);
+  if (read == store_outcome::done) {
+    self->take_set(held);
+  }
+  log(outcome == store_outcome::done ? event::ledger_set_changed : event::ledger_set_change_failed,
+      {{"epoch", std::to_string(decision.proposed.epoch.get())},
+       {"reason", decision.reason},
+       {"detail", reason.detail}});
+  co_return self->set&& * self->set == decision.proposed;
+}
+
+asio::awaitable<bool> disk_host::state::copy_from_members(std::shared_ptr<state> self) {
+  const ledger_set joint = *self->set;
+  const std::size_t needed = read_quorum(joint.members);
+  // This disk first, where it is one of them: it costs nothing.
+  std::vector<disk_id> order = joint.members;
+  std::stable_partition(order.begin(), order.end(),
+                        [&](const disk_id& member) { return member == self->ledger.identity(); });
+  log(event::ledger_copy_started, {{"epoch", std::to_string(joint.epoch.get())}});
+  std::size_t sources = 0;
+  for (const disk_id& member : order) {
+    if (sources >= needed) {
+      break;
+    }
+    const bool good = co_await copy_from(self, joint, member);
+    sources += good ? 1 : 0;
+  }
+  const bool enough = sources >= needed;
+  if (enough) {
+    self->copied = joint.epoch;
+    self->ledger.set_copied(joint.epoch);
+  }
+  log(event::ledger_copy_finished, {{"epoch", std::to_string(joint.epoch.get())},
+                                    {"sources", std::to_string(sources)},
+                                    {"enough", enough ? "yes" : "no"},
+                                    {"turns", std::to_string(self->ledger.held().turns())}});
+  co_return enough;
+}
+
+asio::awaitable<std::optional<std::string>> disk_host::state::ask(std::shared_ptr<state> self,
+                                                                  disk_id where,
+                                                                  ledger_method method,
+                                                                  std::string payload,
+                                                                  duration limit) {
+  struct outcome {
+    explicit outcome(asio::io_context& io) : signal(io) {}
+    std::optional<std::string> bytes;
+    net::async_signal signal;
+  };
+  const auto result = std::make_shared<outcome>(self->context);
+  if (where == self->ledger.identity()) {
+    self->ledger.serve(method, payload, [result](std::optional<std::string> bytes) {
+      result->bytes = std::move(bytes);
+      result->signal.wake();
+    });
+    co_await result->signal.wait();
+    co_return result->bytes;
+  }
+  std::shared_ptr<net::rpc_client> link;
+  for (const auto& [name, other] : self->peers) {
+    if (other.entry.disk == where.get()) {
+      link = other.link;
+    }
+  }
+  if (!link) {
+    co_return std::nullopt;
+  }
+  link->call(static_cast<std::uint16_t>(method), std::move(payload), limit,
+             [result](net::rpc_failure why, std::string bytes) {
+               if (why == net::rpc_failure::none) {
+                 result->bytes = std::move(bytes);
+               }
+               result->signal.wake();
+             });
+  co_await result->signal.wait();
+  co_return result->bytes;
+}
+
+asio::awaitable<bool> disk_host::state::copy_from(std::shared_ptr<state> self,
+                                                  const ledger_set joint, const disk_id member) {
+  const std::string fence_bytes = to_bytes(fence_request{joint});
+  const auto fenced = co_await ask(self, member, ledger_method::fence, fence_bytes, fence_limit);
+  const auto state_there = fenced ? from_bytes<probe_answer>(*fenced) : std::nullopt;
+  if (!state_there || state_there->disk != member) {
+    co_return false;
+  }
+  if (member == self->ledger.identity()) {
+    co_return true;
+  }
+  copy_request from;
+  while (true) {
+    const std::string request_bytes = to_bytes(from);
+    const auto bytes = co_await ask(self, member, ledger_method::copy, request_bytes, copy_limit);
+    const auto page = bytes ? from_bytes<copy_page>(*bytes) : std::nullopt;
+    if (!page) {
+      co_return false;
+    }
+    const auto stored = std::make_shared<net::async_signal>(self->context);
+    const auto good = std::make_shared<bool>(false);
+    self->ledger.adopt(page->records, [stored, good](bool is_good) {
+      *good = is_good;
+      stored->wake();
+    });
+    co_await stored->wait();
+    if (!*good || page->last || page->records.empty()) {
+      co_return *good && page->last;
+    }
+    from.after_program = page->records.back().program;
+    from.after_request = page->records.back().state.id;
+    net::async_signal pause(self->context);
+    co_await pause.wait_until(steady::now() + page_pause);
+  }
+}
+
+asio::awaitable<void> disk_host::state::complete_retirement(std::shared_ptr<state> self) {
+  const host_id& own = self->self.name;
+  const auto known = self->retirements.find(own);
+  if (known == self->retirements.end() || known->second.request.completed || !self->set) {
+    co_return;
+  }
+  const std::vector<disk_id> holders = self->set->all();
+  const bool held =
+      std::find(holders.begin(), holders.end(), self->ledger.identity()) != holders.end();
+  if (held) {
+    co_return;
+  }
+  failure reason;
+  const auto outcome = co_await self->store.set_status(
+      object_kind::retirements, own.get(), platform_adapter::retirement_completed_status(), reason);
+  if (outcome == store_outcome::done) {
+    self->retirements.at(own).request.completed = true;
+  }
+}
+
+}  // namespace hawthornlane::disk
--- /dev/null
+++ b/libs/disk/test/quota_service_test.cc
@@ -0,0 +1,119 @@
+// Quotas at a disk host: nothing is granted without the lease, and no asker is told of a grant
+// before it is on disk.
+#include "hawthornlane/disk/quota_service.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "hawthornlane/net/message_bytes.h"
+
+using namespace hawthornlane;
+using namespace hawthornlane::disk;
+
+namespace {
+
+const disk_id own("a");
+constexpr account_limit ten_at_once{1, 10};
+
+/// A quota service that goes on with a full bucket, and whose disk answers when the test says so.
+class service_at_a_disk {
+public:
+  service_at_a_disk() {
+    quota_record earlier;
+    earlier.marks = {{client_account("north"), ten_at_once, limit_version(1), 10}};
+    this->quotas.journal().replay(to_bytes(earlier));
+    this->quotas.keep(own, {own});
+  }
+
+  void ask() {
+    const quota_question question{client_account("north"), ten_at_once, limit_version(1)};
+    this->quotas.serve(to_bytes(question), [this](const std::optional<std::string>& bytes) {
+      this->answers.push_back(bytes ? from_bytes<quota_answer>(*bytes) : std::nullopt);
+    });
+  }
+
+  /// The disk is done with the oldest record.
+  void write(bool good) {
+    auto done = std::move(this->writes.front());
+    this->writes.erase(this->writes.begin());
+    done(good);
+  }
+
+  bool has_lease = true;
+  std::vector<std::string> records;
+  std::vector<std::function<void(bool good)>> writes;
+  std::vector<std::optional<quota_answer>> answers;
+  quota_service quotas{quota_rules{}, this->hooks()};
+
+private:
+  quota_hooks hooks() {
+    quota_hooks hooks;
+    hooks.holds_lease = [this] { return this->has_lease; };
+    hooks.append = [this](const std::string& record, std::function<void(bool good)> done) {
+      this->records.push_back(record);
+      this->writes.push_back(std::move(done));
+    };
+    hooks.count = [](const std::string&) {};
+    return hooks;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("without the lease no quota is kept and nothing is written") {
+  service_at_a_disk disk;
+  disk.has_lease = false;
+  disk.ask();
+  REQUIRE(disk.answers.size() == 1);
+  CHECK(disk.answers[0]->verdict == quota_verdict::not_kept);
+  CHECK(disk.records.empty());
+}
+
+TEST_CASE("an asker is told of a grant when it is on disk") {
+  struct row {
+    std::string name;
+    bool written;
+  };
+  for (const row& item : {row{"written", true}, row{"the disk failed", false}}) {
+    INFO(item.name);
+    service_at_a_disk disk;
+    disk.ask();
+    REQUIRE(disk.answers.empty());
+    disk.write(item.written);
+    REQUIRE(disk.answers.size() == 1);
+    CHECK(disk.answers[0].has_value() == item.written);
+  }
+}
+
+TEST_CASE("grants that come during a write share the next record") {
+  service_at_a_disk disk;
+  disk.ask();
+  disk.ask();
+  disk.ask();
+  REQUIRE(disk.records.size() == 1);
+  disk.write(true);
+  CHECK(disk.answers.size() == 1);
+  REQUIRE(disk.records.size() == 2);
+  disk.write(true);
+  CHECK(disk.answers.size() == 3);
+  CHECK(disk.records.size() == 2);
+}
+
+TEST_CASE("bytes that are no question are answered with nothing") {
+  service_at_a_disk disk;
+  std::optional<std::string> answer = "unanswered";
+  disk.quotas.serve("?", [&](std::optional<std::string> bytes) { answer = std::move(bytes); });
+  CHECK_FALSE(answer.has_value());
+}
+
+TEST_CASE("what was granted is on disk") {
+  service_at_a_disk before;
+  before.ask();
+  before.write(true);
+  const auto record = from_bytes<quota_record>(before.records[0]);
+  REQUIRE(record);
+  REQUIRE(record->marks.size() == 1);
+  CHECK(record->marks[0].level < ten_at_once.burst);
+}
