Places at servers: a keeper's queue of claims, and where a call claims

Cause: under 1.2 to 2.3 times what the servers can do, calls wait at servers in order of arrival; urgency, begun programs and accounts bear on nothing.

--- a/libs/placement/include/hawthornlane/placement/placement_directory.h
+++ b/libs/placement/include/hawthornlane/placement/placement_directory.h
@@ -72,12 +72,14 @@
   /// Lines that one host keeps entries of; some 100 bytes each.
   static constexpr std::size_t most_lines = 16384;
 
-  /// `host` has so many calls at the server now.
-  void set_load(const host_id& host, const server_load& load, timestamp now);
+  /// `host` has so many calls at the server now. Returns how many it had told before.
+  std::uint32_t set_load(const host_id& host, const server_load& load, timestamp now);
   void set_location(const part_location& location);
   /// Calls at the server of all hosts but `asker`.
   [[nodiscard]] std::uint32_t load_of_others(server_key server, const host_id& asker,
                                              timestamp now) const;
+  /// Calls at the server of all hosts.
+  [[nodiscard]] std::uint32_t load_of_all(server_key server, timestamp now) const;
   [[nodiscard]] std::optional<part_location> find(prompt_part_key part) const;
 
 private:
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -64,6 +64,16 @@
   std::optional<placement_basis> basis;
 };
 
+/// A server that a call would go to, for a claim at its keeper.
+struct place_target {
+  backend_server_id server;
+  server_key key;
+  /// Calls that may be there: it is not idle while a message travels.
+  std::uint32_t places = 0;
+  /// By what is known here.
+  bool full = false;
+};
+
 /// What happens with a call that was submitted.
 enum class submit_outcome : std::uint8_t { placed, queued, refused };
 
@@ -110,6 +120,13 @@
   /// Places the call, queues it, or refuses it at once because it cannot be served.
   submit_outcome submit(const placement_request& request, timestamp now,
                         std::vector<placement>& placed);
+  /// Where the call claims a place, the cheapest server first; none: it is submitted. While the
+  /// first one is not full the call is placed there without a claim.
+  [[nodiscard]] std::vector<place_target> claim_targets(const placement_request& request,
+                                                        timestamp now) const;
+  /// Places the call at this server, which has a place for it; nothing when it is gone.
+  std::optional<placement> place_at(const placement_request& request,
+                                    const backend_server_id& server, timestamp now);
   /// A call left its server; calls that can be placed now come back.
   std::vector<placement> finished(placement_id id, server_outcome outcome, timestamp now);
   /// The first part of a call's answer came; the rest is as long as the call itself.
@@ -194,6 +211,9 @@
                                                 timestamp now);
   [[nodiscard]] server_state* choose_least_busy(const placement_request& request,
                                                 choice_range range, timestamp now);
+  /// What it costs to send the call there.
+  [[nodiscard]] double cost_at(const server_state& server, const placement_request& request,
+                               timestamp now) const;
   /// The servers that hold the call's line, and a few others.
   [[nodiscard]] server_list candidates_for(const placement_request& request, timestamp now) const;
   [[nodiscard]] bool holds_line(const server_state& server, const placement_request& request) const;
--- a/libs/placement/src/placement_directory.cc
+++ b/libs/placement/src/placement_directory.cc
@@ -13,16 +13,25 @@
   return server_key(XXH32(server.get().data(), server.get().size(), seed));
 }
 
-void placement_directory::set_load(const host_id& host, const server_load& load, timestamp now) {
+std::uint32_t placement_directory::set_load(const host_id& host, const server_load& load,
+                                            timestamp now) {
   auto& hosts = this->loads[load.server];
+  const auto told = hosts.find(host);
+  const std::uint32_t before = told == hosts.end() ? 0 : told->second.calls;
   if (load.calls > 0) {
     hosts[host] = {load.calls, now};
-    return;
+    return before;
   }
   hosts.erase(host);
   if (hosts.empty()) {
     this->loads.erase(load.server);
   }
+  return before;
+}
+
+std::uint32_t placement_directory::load_of_all(server_key server, timestamp now) const {
+  // No host has the empty name.
+  return this->load_of_others(server, host_id(), now);
 }
 
 std::uint32_t placement_directory::load_of_others(server_key server, const host_id& asker,
--- a/libs/placement/src/server_pool_choice.cc
+++ b/libs/placement/src/server_pool_choice.cc
@@ -28,6 +28,17 @@
   return server != nullptr ? server : this->choose_least_busy(request, range, now);
 }
 
+double server_pool::cost_at(const server_state& server, const placement_request& request,
+                            timestamp now) const {
+  server_prospect prospect;
+  prospect.slots = server.entry.slots;
+  prospect.calls = this->calls_at(server, now);
+  const token_count missing = this->caches.missing(request.prompt, server.entry.id);
+  prospect.missing_tokens = static_cast<double>(missing.get());
+  prospect.near = server.entry.zone == this->zone;
+  return cost_of(prospect, this->rules.choice);
+}
+
 server_pool::server_state* server_pool::choose_for_prompt(const placement_request& request,
                                                           const server_list& candidates,
                                                           choice_range range, timestamp now) {
@@ -37,13 +48,7 @@
     if (!this->may_take(*server, range, now)) {
       continue;
     }
-    server_prospect prospect;
-    prospect.slots = server->entry.slots;
-    prospect.calls = this->calls_at(*server, now);
-    const token_count missing = this->caches.missing(request.prompt, server->entry.id);
-    prospect.missing_tokens = static_cast<double>(missing.get());
-    prospect.near = server->entry.zone == this->zone;
-    const double cost = cost_of(prospect, this->rules.choice);
+    const double cost = this->cost_at(*server, request, now);
     if (best == nullptr || cost < best_cost) {
       best = server;
       best_cost = cost;
--- /dev/null
+++ b/libs/placement/test/place_load_test.cc
@@ -0,0 +1,105 @@
+// Plays a burst of 2.3 times what the engines can do, with and without claims of places, and
+// checks what callers of each priority and account get.
+#include <catch2/catch.hpp>
+
+#include "played_turns.h"
+
+using namespace hawthornlane;
+using namespace hawthornlane::play;
+
+namespace {
+
+/// Of all accounts, in the burst, over their usual load.
+constexpr double surge = 3.5;
+/// Of the first account.
+constexpr double most_surge = 6.6;
+constexpr int accounts = 10;
+
+load_plan burst_plan(int hosts, int servers, std::uint32_t slots, double usual, unsigned seed) {
+  load_plan plan;
+  plan.hosts = hosts;
+  plan.servers = servers;
+  plan.slots = slots;
+  plan.usual = usual;
+  plan.burst = usual;
+  plan.burst_to = plan.burst_from + 6s;
+  plan.slack = 1.3;
+  plan.windows = true;
+  plan.priorities = {0, 1, 2};
+  plan.seed = seed;
+  plan.accounts.clear();
+  for (int number = 0; number < accounts; ++number) {
+    account_plan account;
+    account.name = client_account("account-" + std::to_string(number));
+    account.part = 1.0 / accounts;
+    account.surge = number == 0 ? most_surge : surge;
+    plan.accounts.push_back(account);
+  }
+  return plan;
+}
+
+std::string text_of(const load_result& result) {
+  std::string text = "in time " + std::to_string(result.in_time) + " of " +
+                     std::to_string(result.began) + ", busy " +
+                     std::to_string(result.worked_on / result.workable) + ", read " +
+                     std::to_string(result.read / result.unavoidable) + ", refused " +
+                     std::to_string(result.refused);
+  const auto add = [&text](const std::string& what, const caller_result& item) {
+    text +=
+        "\n  " + what + ": " + std::to_string(item.in_time) + " of " + std::to_string(item.began);
+  };
+  for (const auto& [priority, item] : result.by_priority) {
+    add("in the burst, priority " + std::to_string(priority), item);
+  }
+  for (const auto& [priority, item] : result.by_priority_after) {
+    add("after it, priority " + std::to_string(priority), item);
+  }
+  for (const auto& [account, item] : result.by_account) {
+    add(account.get(), item);
+  }
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("claims of places serve a burst's programs by priority, and all accounts") {
+  struct row {
+    const char* what;
+    load_plan plan;
+  };
+  // A turn at a full engine of 16 places takes 1.28 times as long as at an idle one, since the
+  // prompts of 15 others are read beside it.
+  load_plan large_engines = burst_plan(7, 8, 16, 25, 42);
+  large_engines.slack = 1.5;
+  const row rows[] = {
+      {"68 hosts, 38 servers of 6 places", burst_plan(68, 38, 6, 55, 42)},
+      {"the same, other callers", burst_plan(68, 38, 6, 55, 7)},
+      {"7 hosts, 8 servers of 16 places", large_engines},
+  };
+  for (row item : rows) {
+    item.plan.claims = false;
+    const load_result without = played_turns(item.plan).play();
+    item.plan.claims = true;
+    const load_result with = played_turns(item.plan).play();
+    INFO(item.what << "\nwithout claims: " << text_of(without) << "\nwith: " << text_of(with));
+    CHECK(with.in_time > without.in_time);
+    for (const auto& [priority, got] : with.by_priority) {
+      CHECK(got.share() >= without.by_priority.at(priority).share());
+      CHECK(with.by_priority_after.at(priority).share() >=
+            without.by_priority_after.at(priority).share());
+    }
+    // What is most urgent is served before the rest, and again as usual after the burst.
+    CHECK(with.by_priority.at(0).share() > with.by_priority.at(1).share());
+    CHECK(with.by_priority_after.at(0).share() > 0.9);
+    CHECK(with.worked_on >= 0.95 * with.workable);
+    caller_result all;
+    for (const auto& [account, got] : with.by_account) {
+      all.began += got.began;
+      all.in_time += got.in_time;
+    }
+    for (const auto& [account, got] : with.by_account) {
+      INFO(account.get());
+      CHECK(got.share() >= all.share() / 4);
+    }
+  }
+}
