Places at servers: claims, grants and withdrawals between front hosts

Calls with a prompt whose chosen server is full by what was just heard claim a place at its keeper, and at that of a second server. A call that cannot get a place in its time is refused at once; its Retry-After is at least the wait that the keepers expect.

Keepers count waiting claims into the loads that they answer, so that a server's queue is seen before a call chooses it. In force where the settings say that the load is contended; else no message differs.

--- a/libs/front/include/hawthornlane/front/call_placer.h
+++ b/libs/front/include/hawthornlane/front/call_placer.h
@@ -12,6 +12,7 @@
 #include "hawthornlane/front/call_metrics.h"
 #include "hawthornlane/front/directory_exchange.h"
 #include "hawthornlane/front/gossip_messages.h"
+#include "hawthornlane/front/place_exchange.h"
 #include "hawthornlane/net/async_signal.h"
 #include "hawthornlane/placement/server_pool.h"
 
@@ -24,6 +25,8 @@
   std::optional<placement_basis> basis;
   bool caller_left = false;
   duration waited{};
+  /// There was no server: before there is likely one, where that is known.
+  duration retry_in{};
 };
 
 /// Lets somebody else end a call's wait for a server.
@@ -36,6 +39,7 @@
   friend class call_placer;
   struct waiter;
   waiter* waiting = nullptr;
+  place_wait place;
   bool left = false;
 };
 
@@ -59,6 +63,8 @@
   void started(const service_name& service, placement_id id);
   /// From now on hosts share what they know of loads and prompts.
   void share_by(directory_exchange& with) { this->exchange = &with; }
+  /// From now on calls for full servers claim a place at the servers' keepers.
+  void claim_by(place_exchange& with) { this->places = &with; }
   /// Takes what other hosts answered.
   void take_answer(const directory_answer& answer);
   /// Tells this host's loads again, so that they are not taken for those of a dead host.
@@ -95,6 +101,10 @@
   /// Asks the other hosts what bears on the request's placement.
   boost::asio::awaitable<void> ask_others(const server_pool& pool,
                                           const placement_request& request);
+  /// Claims a place where the servers that the call would go to are full; false: it is to be
+  /// placed by what this host knows itself.
+  boost::asio::awaitable<bool> claim(server_pool& pool, const placement_request& request,
+                                     placement_wait& wait, acquired_server& got);
   void tell_changes(server_pool& pool);
   void deliver(const std::vector<placement>& placed);
   void share_places(const service_name& name, service_pool& item,
@@ -109,6 +119,8 @@
   pool_rules rules;
   /// Not there: this host decides by what it sees itself.
   directory_exchange* exchange = nullptr;
+  /// Not there: full servers are not told from others.
+  place_exchange* places = nullptr;
   std::map<service_name, service_pool> pools;
   std::map<placement_id, placement_wait::waiter*> waiters;
   placement_id last_placement;
--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -65,7 +65,7 @@
   boost::asio::awaitable<bool> stream_bytes(call& one, std::string_view bytes);
   boost::asio::awaitable<void> finish_whole(call& one);
   boost::asio::awaitable<void> finish_stream(call& one);
-  boost::asio::awaitable<void> give_up(call& one, failure why);
+  boost::asio::awaitable<void> give_up(call& one, failure why, duration wait = {});
   boost::asio::awaitable<void> settle_broken(call& one);
   [[nodiscard]] bool may_try_again(const call& one, relay::try_outcome outcome) const;
   void log_call(const call& one) const;
--- a/libs/front/include/hawthornlane/front/directory_exchange.h
+++ b/libs/front/include/hawthornlane/front/directory_exchange.h
@@ -30,7 +30,8 @@
 
 /// What the keeper answers.
 struct directory_answer {
-  /// Calls of all hosts but the asker at each server that was told of or asked for.
+  /// Calls of all hosts but the asker, and those that wait for a place, at each server that was
+  /// told of or asked for.
   std::vector<server_load> loads;
   /// Of the parts asked for, those that it knows.
   std::vector<part_location> locations;
@@ -49,6 +50,10 @@
   std::function<void(const host_id& to, const std::string& payload, net::rpc_done done)> send;
   /// Takes what a keeper has answered.
   std::function<void(const directory_answer&)> take;
+  /// A host has told this one a new count in place of `before`; may be missing.
+  std::function<void(const host_id&, const server_load&, std::uint32_t before)> counted;
+  /// Calls that wait for a place at a server which this host keeps; may be missing.
+  std::function<std::uint32_t(server_key)> waiting;
 };
 
 /// One host's side of the directory: its own entries, and its messages to the hosts that
@@ -63,6 +68,8 @@
   boost::asio::awaitable<void> ask(directory_question question);
   /// Serves another host; nothing when the message is malformed.
   std::optional<std::string> serve(const std::string& payload);
+  /// What this host keeps.
+  [[nodiscard]] const placement_directory& entries() const { return this->directory; }
 
 private:
   /// This host and the others that live.
--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -43,7 +43,13 @@
   /// Asks for a whole copy of one kind (`copy_request`).
   copy = 8,
   /// The copy asked for has arrived (`copy_request`).
-  copy_taken = 9
+  copy_taken = 9,
+  /// Claims a place at a server (`place_claim`).
+  claim = 10,
+  /// Wants it no more (`place_grant`).
+  withdraw = 11,
+  /// Gives a place to a claim that waited (`place_grant`).
+  grant = 12
 };
 
 /// What one front host needs of one service.
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -30,6 +30,7 @@
 
 void placement_wait::leave() {
   this->left = true;
+  this->place.leave();
   if (this->waiting != nullptr) {
     this->waiting->left = true;
     this->waiting->signal.wake();
@@ -173,6 +174,38 @@
   }
 }
 
+asio::awaitable<bool> call_placer::claim(server_pool& pool, const placement_request& request,
+                                         placement_wait& wait, acquired_server& got) {
+  if (this->places == nullptr) {
+    co_return false;
+  }
+  std::vector<place_target> targets = pool.claim_targets(request, discovery::scheduler_now());
+  if (targets.empty()) {
+    co_return false;
+  }
+  backend_server_id server = targets.front().server;
+  if (targets.front().full) {
+    const auto began = steady::now();
+    const claim_result result =
+        co_await this->places->claim(request, std::move(targets), wait.place);
+    got.waited = std::chrono::duration_cast<duration>(steady::now() - began);
+    got.caller_left = result.outcome == claim_result::kind::caller_left;
+    got.retry_in = result.wait;
+    if (result.outcome != claim_result::kind::granted) {
+      co_return result.outcome != claim_result::kind::unknown;
+    }
+    server = result.server;
+  }
+  const auto placed = pool.place_at(request, server, discovery::scheduler_now());
+  if (!placed) {
+    co_return false;
+  }
+  got.server = placed->server;
+  got.basis = placed->basis;
+  this->tell_changes(pool);
+  co_return true;
+}
+
 void call_placer::take_demand(const std::vector<service_demand>& others) {
   const timestamp now = discovery::scheduler_now();
   for (auto& [name, item] : this->pools) {
@@ -217,6 +250,10 @@
     got.caller_left = true;
     co_return got;
   }
+  const bool claimed = co_await this->claim(pool, request, wait, got);
+  if (claimed) {
+    co_return got;
+  }
   std::vector<placement> placed;
   const submit_outcome outcome = pool.submit(request, discovery::scheduler_now(), placed);
   if (outcome == submit_outcome::refused) {
@@ -235,8 +272,9 @@
   co_await waiting.signal.wait();
   wait.waiting = nullptr;
   this->waiters.erase(got.id);
-  got.waited = std::chrono::duration_cast<duration>(steady::now() - began);
-  this->metrics.record("queue_wait", got.waited);
+  const auto queued = std::chrono::duration_cast<duration>(steady::now() - began);
+  got.waited += queued;
+  this->metrics.record("queue_wait", queued);
   got.caller_left = waiting.left;
   if (waiting.left) {
     pool.cancel(got.id);
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -327,7 +327,7 @@
     } else if (!this->placer.lists_servers(one.service)) {
       why.kind = error_kind::no_listed_server;
     }
-    co_await this->give_up(one, why);
+    co_await this->give_up(one, why, got.retry_in);
     co_return false;
   }
   const try_outcome outcome = co_await this->try_server(one, *got.server);
@@ -622,13 +622,13 @@
   co_await this->turns.settle(*one.turn, std::move(result), until);
 }
 
-asio::awaitable<void> call_service::give_up(call& one, failure why) {
+asio::awaitable<void> call_service::give_up(call& one, failure why, duration wait) {
   if (one.caller.started()) {
     one.caller.break_off();
     one.outcome += " after the head";
   } else {
     one.status = answer_for(why.kind).http_status;
-    co_await this->refuse(one.caller, why, one.terms.id.get());
+    co_await this->refuse(one.caller, why, one.terms.id.get(), wait);
   }
   co_await this->settle_broken(one);
 }
--- a/libs/front/src/directory_exchange.cc
+++ b/libs/front/src/directory_exchange.cc
@@ -96,10 +96,15 @@
   const timestamp now = discovery::scheduler_now();
   directory_answer answer;
   const auto add_load = [&](server_key server) {
-    answer.loads.push_back({server, this->directory.load_of_others(server, message.from, now)});
+    const std::uint32_t waiting = this->hooks.waiting ? this->hooks.waiting(server) : 0;
+    const std::uint32_t calls = this->directory.load_of_others(server, message.from, now);
+    answer.loads.push_back({server, calls + waiting});
   };
   for (const server_load& load : message.loads) {
-    this->directory.set_load(message.from, load, now);
+    const std::uint32_t before = this->directory.set_load(message.from, load, now);
+    if (this->hooks.counted) {
+      this->hooks.counted(message.from, load, before);
+    }
     add_load(load.server);
   }
   for (const part_location& location : message.locations) {
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -96,8 +96,12 @@
         calls(fleet, placer, backends, codec, quotas, ledger, metrics),
         gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
         exchange(io, settings.host, make_exchange_hooks()),
+        places(io, settings.host, exchange.entries(), metrics, make_place_hooks()),
         acceptor(io) {
     this->placer.share_by(this->exchange);
+    if (this->settings.contended) {
+      this->placer.claim_by(this->places);
+    }
   }
 
   asio::io_context& context;
@@ -120,6 +124,7 @@
   call_service calls;
   peer_gossip gossip;
   directory_exchange exchange;
+  place_exchange places;
   tcp::acceptor acceptor;
   std::unique_ptr<net::rpc_server> peers;
   std::vector<std::unique_ptr<http::server>> small_servers;
@@ -191,9 +196,31 @@
       this->gossip.send(to, gossip_method::placements, payload, std::move(done));
     };
     hooks.take = [this](const directory_answer& answer) { this->placer.take_answer(answer); };
+    if (this->settings.contended) {
+      hooks.counted = [this](const host_id& host, const server_load& load, std::uint32_t before) {
+        this->places.count_changed(host, load, before);
+      };
+      hooks.waiting = [this](server_key server) { return this->places.waiting(server); };
+    }
+    return hooks;
+  }
+
+  place_hooks make_place_hooks() {
+    place_hooks hooks;
+    hooks.hosts = [this] { return this->gossip.live_hosts(); };
+    hooks.send = [this](const host_id& to, gossip_method method, const std::string& payload,
+                        net::rpc_done done) {
+      this->gossip.send(to, method, payload, std::move(done));
+    };
     return hooks;
   }
 
+  [[nodiscard]] bool claims_places(gossip_method method) const {
+    const bool of_places = method == gossip_method::claim || method == gossip_method::withdraw ||
+                           method == gossip_method::grant;
+    return this->settings.contended && of_places;
+  }
+
   gossip_digest digest() const {
     gossip_digest own;
     own.self = this->self;
@@ -251,6 +278,10 @@
             reply(this->exchange.serve(payload));
             return;
           }
+          if (this->claims_places(static_cast<gossip_method>(method))) {
+            reply(this->places.serve(static_cast<gossip_method>(method), payload));
+            return;
+          }
           reply(this->gossip.serve(static_cast<gossip_method>(method), payload));
         });
     this->peers->limit_waiting_bytes(this->settings.memory_mb * bytes_per_mb / peer_queue_share);
@@ -454,6 +485,9 @@
 
   void on_pass() {
     this->placer.tick();
+    if (this->settings.contended) {
+      this->places.tick();
+    }
     this->fleet.settle();
     this->gossip.tick();
     this->ledger.tick();
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -446,7 +446,11 @@
     }
     case gossip_method::relay:
     case gossip_method::placements:
-      // Served by the ledger, which answers later, and by the placement directory.
+    case gossip_method::claim:
+    case gossip_method::withdraw:
+    case gossip_method::grant:
+      // Served by the ledger, which answers later, by the placement directory, and by the
+      // exchange of places.
       return std::nullopt;
   }
   return std::nullopt;
