--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -151,7 +151,7 @@
     } else if (!this->placer.lists_servers(one.service)) {
       why.kind = error_kind::no_listed_server;
     }
-    co_await this->give_up(one, why);
+    co_await this->give_up(one, why, got.retry_in);
     co_return false;
   }
   const try_outcome outcome = co_await this->try_server(one, *got.server);
