Refusals: only a server's word that a call has not run is passed on as one

408, 421, 429 and 503 promise the caller that the call has not run and never will.

- a server's own 408, 429 or 503 that does not say "not run" was handed on as it was, of calls that may run once too: now the outcome of the try is broken, so the caller gets 502, and a call that may run again is tried elsewhere;
- on a kept connection a late "not run" that names no call was taken for this call's answer: now it counts as broken there, and backend_unnamed_refusals counts them;
- a resumed stream whose second server answered with a failure ended as whole: now it breaks off.

Calls whose time ends while they are sent, or before they are connected, were right already; so were servers' own 500 and 504.

--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -507,6 +507,10 @@
     one.detail = "a success without the server's signature";
     outcome = try_outcome::broken;
   }
+  if (outcome == try_outcome::whole && one.caller.started() && !is_success) {
+    one.detail = fmt::format("status {} to a stream that was to go on", one.answer.status);
+    outcome = try_outcome::broken;
+  }
   if (outcome == try_outcome::whole && one.caller.started() && !one.splitter.between_events()) {
     one.detail = "the stream ended inside an event";
     outcome = try_outcome::broken;
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -320,6 +320,8 @@
                       static_cast<double>(this->backends.counters().reused));
     this->metrics.set("backend_foreign_answers",
                       static_cast<double>(this->backends.counters().foreign_answers));
+    this->metrics.set("backend_unnamed_refusals",
+                      static_cast<double>(this->backends.counters().unnamed_refusals));
     this->metrics.set("calls_under_way", static_cast<double>(this->calls.under_way()));
     this->set_memory_metrics();
     return this->metrics.text();
--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -24,7 +24,8 @@
   not_sent,
   /// The server states that it did not run the call.
   not_run,
-  /// Sent, but no whole answer came: it may have run.
+  /// Sent, but no whole answer came, or a refusal that does not say whether it ran: it may
+  /// have run.
   broken,
   /// The time was over before the answer was whole.
   timed_out,
@@ -80,6 +81,8 @@
   std::uint64_t opened = 0;
   std::uint64_t reused = 0;
   std::uint64_t foreign_answers = 0;
+  /// Refusals that could have been meant for an earlier call of their connection.
+  std::uint64_t unnamed_refusals = 0;
 };
 
 /// Keeps idle connections of each server. For one thread.
@@ -116,6 +119,8 @@
   boost::asio::awaitable<try_outcome> read_body(link& used, const backend_request& request,
                                                 const stream_sink& sink, struct answer_parser& from,
                                                 backend_answer& answer, std::string& detail);
+  /// What a whole answer says about the run.
+  try_outcome outcome_of(const link& used, const backend_answer& answer, std::string& detail);
 
   boost::asio::io_context& context;
   net::deadline_sweeper& sweeper;
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http.hpp>
@@ -35,6 +37,8 @@
 /// Largest answer that is read whole.
 constexpr std::size_t largest_answer = std::size_t{8} * 1024 * 1024;
 constexpr int first_failure_status = 300;
+/// To a caller these say that the call has not run and never will.
+constexpr std::array promising_statuses{408, 421, 429, 503};
 
 std::optional<std::chrono::seconds> keep_alive_time(const std::vector<http::header>& headers) {
   for (const http::header& item : headers) {
@@ -54,6 +58,11 @@
   return std::nullopt;
 }
 
+bool promises_not_run(int status) {
+  return std::find(promising_statuses.begin(), promising_statuses.end(), status) !=
+         promising_statuses.end();
+}
+
 std::string request_bytes(const backend_request& request) {
   std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
   for (const http::header& item : request.headers) {
@@ -332,7 +341,26 @@
     used.usable_until = now + share;
   }
   used.reusable = from.parser.keep_alive() && !from.parser.need_eof();
-  co_return answer.terms.not_run ? try_outcome::not_run : try_outcome::whole;
+  co_return outcome_of(used, answer, detail);
+}
+
+try_outcome backend_pool::outcome_of(const link& used, const backend_answer& answer,
+                                     std::string& detail) {
+  if (answer.terms.not_run) {
+    // A late answer to an earlier call comes where this call's is due.
+    const bool is_certain = answer.terms.id || !used.reused;
+    if (is_certain) {
+      return try_outcome::not_run;
+    }
+    ++this->counts.unnamed_refusals;
+    detail = "a refusal on a kept connection that names no call";
+    return try_outcome::broken;
+  }
+  if (promises_not_run(answer.status)) {
+    detail = fmt::format("status {} without a word on whether the call ran", answer.status);
+    return try_outcome::broken;
+  }
+  return try_outcome::whole;
 }
 
 }  // namespace hawthornlane::relay
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -37,6 +37,18 @@
   hang,
   /// Runs it; a success without the server's signature.
   unsigned_answer,
+  /// Refuses it as full with status 429, and says that it was not run.
+  shed_as_too_many,
+  /// Refuses it as meant for another server.
+  misdirect,
+  /// Runs it; a signed failure with that status, which does not say that it was not run.
+  fail_408,
+  fail_429,
+  fail_500,
+  fail_503,
+  fail_504,
+  /// Runs it; a refusal comes first that says "not run" and names no call.
+  answer_refusal_first,
 };
 
 /// The acts of a group of servers, in the order in which requests reach any of them.
@@ -80,6 +92,8 @@
   [[nodiscard]] const std::string& instance() const;
   /// Events of a streamed answer, and the time between two.
   void set_events(int events, std::chrono::milliseconds pause = {});
+  /// From now on a request is read so long after its connection is free for it.
+  void set_read_pause(std::chrono::milliseconds pause);
   [[nodiscard]] const std::vector<backend_arrival>& arrivals() const;
   /// How often a request of that id was run.
   [[nodiscard]] int runs(const std::string& id) const;
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -27,6 +27,40 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+constexpr int misdirected = 421;
+
+/// The status of an act that is a failure of the server's own; 0 for all others.
+int failure_status(backend_act act) {
+  switch (act) {
+    case backend_act::fail_408:
+      return 408;
+    case backend_act::fail_429:
+      return 429;
+    case backend_act::fail_500:
+      return 500;
+    case backend_act::fail_503:
+      return 503;
+    case backend_act::fail_504:
+      return 504;
+    default:
+      return 0;
+  }
+}
+
+/// The status by which an act refuses a request that it does not run; 0 for all others.
+int refusal_status(backend_act act) {
+  switch (act) {
+    case backend_act::shed:
+      return 503;
+    case backend_act::shed_as_too_many:
+      return 429;
+    case backend_act::misdirect:
+      return misdirected;
+    default:
+      return 0;
+  }
+}
+
 net::steady_time soon() { return std::chrono::steady_clock::now() + std::chrono::seconds(5); }
 
 }  // namespace
@@ -47,6 +81,7 @@
   tcp::acceptor acceptor;
   int events = 3;
   std::chrono::milliseconds event_pause{0};
+  std::chrono::milliseconds read_pause{0};
   std::vector<backend_arrival> arrivals;
   int cancelled = 0;
   std::function<void(const backend_arrival&)> arrival_hook;
@@ -101,6 +136,9 @@
     while (caller.usable()) {
       http::request request;
       failure reason;
+      if (self->read_pause.count() > 0) {
+        co_await pause(self->read_pause);
+      }
       const auto outcome = co_await caller.read(caller_limits{}, request, reason);
       if (outcome != relay::read_outcome::request) {
         break;
@@ -115,20 +153,37 @@
     const std::string id = request.find_header("X-Request-Id").value_or("");
     const std::string expected = request.find_header("X-Expect-Instance").value_or(self->instance);
     if (expected != self->instance) {
-      constexpr int misdirected = 421;
       self->note(request, false);
       const auto headers = self->headers_for(id, false);
       co_await caller.respond(misdirected, headers, "");
       co_return;
     }
     const backend_act act = self->script->take();
-    self->note(request, act != backend_act::shed);
+    self->note(request, refusal_status(act) == 0);
     switch (act) {
-      case backend_act::shed: {
+      case backend_act::shed:
+      case backend_act::shed_as_too_many:
+      case backend_act::misdirect: {
         auto headers = self->headers_for(id, false);
-        headers.push_back({"X-Not-Executed", "1"});
-        constexpr int unavailable = 503;
-        co_await caller.respond(unavailable, headers, "");
+        if (act != backend_act::misdirect) {
+          headers.push_back({"X-Not-Executed", "1"});
+        }
+        co_await caller.respond(refusal_status(act), headers, "");
+        break;
+      }
+      case backend_act::fail_408:
+      case backend_act::fail_429:
+      case backend_act::fail_500:
+      case backend_act::fail_503:
+      case backend_act::fail_504: {
+        const auto headers = self->headers_for(id, true);
+        co_await caller.respond(failure_status(act), headers, "failed");
+        break;
+      }
+      case backend_act::answer_refusal_first: {
+        const std::vector<http::header> headers{{"X-Not-Executed", "1"}};
+        co_await caller.respond(refusal_status(backend_act::shed), headers, "");
+        co_await answer(self, caller, request, id, act);
         break;
       }
       case backend_act::lose_answer:
@@ -238,6 +293,10 @@
   this->shared->event_pause = pause;
 }
 
+void scripted_backend::set_read_pause(std::chrono::milliseconds pause) {
+  this->shared->read_pause = pause;
+}
+
 const std::vector<backend_arrival>& scripted_backend::arrivals() const {
   return this->shared->arrivals;
 }
