Listening: one function opens an acceptor, one accepts from it

Four accept loops (rpc server, front host, scripted backend, fault proxy) and five openings of an acceptor were the same text. They are http::accept_until_closed and http::listen_on now. The HTTP server keeps its loop: it accepts on strands and bounds its connections.

--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -14,7 +14,7 @@
 #include "hawthornlane/front/ledger_client.h"
 #include "hawthornlane/front/peer_gossip.h"
 #include "hawthornlane/front/quota_client.h"
-#include "hawthornlane/http/accept_pause.h"
+#include "hawthornlane/http/listening.h"
 #include "hawthornlane/http/server.h"
 #include "hawthornlane/net/packing.h"
 #include "hawthornlane/platform_adapter/call_codec.h"
@@ -266,13 +266,11 @@
       answer.body = this->metrics_text();
       return answer;
     });
-    const tcp::endpoint at(asio::ip::make_address(this->settings.callers_at.address),
-                           this->settings.callers_at.port);
-    this->acceptor.open(at.protocol());
-    this->acceptor.set_option(asio::socket_base::reuse_address(true));
-    this->acceptor.bind(at);
-    this->acceptor.listen(accept_backlog);
-    asio::co_spawn(this->context, accept(this->shared_from_this()), asio::detached);
+    http::listen_on(this->acceptor, this->settings.callers_at, accept_backlog);
+    const auto take = [self = this->shared_from_this()](tcp::socket socket) {
+      asio::co_spawn(self->context, serve_caller(self, std::move(socket)), asio::detached);
+    };
+    asio::co_spawn(this->context, http::accept_until_closed(this->acceptor, take), asio::detached);
   }
 
   void serve_small(const http::endpoint& where,
@@ -402,19 +400,6 @@
     }
   }
 
-  static asio::awaitable<void> accept(std::shared_ptr<state> self) {
-    while (self->acceptor.is_open()) {
-      boost::system::error_code error;
-      tcp::socket socket =
-          co_await self->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-      if (error) {
-        co_await http::pause_after_failed_accept(self->context);
-        continue;
-      }
-      asio::co_spawn(self->context, serve_caller(self, std::move(socket)), asio::detached);
-    }
-  }
-
   static asio::awaitable<void> serve_caller(std::shared_ptr<state> self, tcp::socket accepted) {
     net::timed_socket socket(std::move(accepted), self->sweeper);
     relay::caller_link caller(socket);
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -13,7 +13,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/url/parse.hpp>
 
-#include "hawthornlane/http/accept_pause.h"
+#include "hawthornlane/http/listening.h"
 
 namespace hawthornlane::http {
 namespace asio = boost::asio;
@@ -284,7 +284,7 @@
       break;
     }
     if (error) {
-      co_await pause_after_failed_accept(shared->context);
+      co_await pause_after_failed_accept(shared->context.get_executor());
       continue;
     }
     if (shared->connections >= shared->limits.connections) {
@@ -301,11 +301,7 @@
 server::server(asio::io_context& context, const endpoint& listen_at, server_limits limits,
                handler handle, error_responder refuse)
     : shared(std::make_shared<state>(context, limits, std::move(handle), std::move(refuse))) {
-  const tcp::endpoint at(asio::ip::make_address(listen_at.address), listen_at.port);
-  this->shared->acceptor.open(at.protocol());
-  this->shared->acceptor.set_option(asio::socket_base::reuse_address(true));
-  this->shared->acceptor.bind(at);
-  this->shared->acceptor.listen();
+  listen_on(this->shared->acceptor, listen_at);
   asio::co_spawn(this->shared->acceptor.get_executor(), accept_loop(this->shared), asio::detached);
 }
 
--- a/libs/net/src/rpc_server.cc
+++ b/libs/net/src/rpc_server.cc
@@ -5,7 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "hawthornlane/http/accept_pause.h"
+#include "hawthornlane/http/listening.h"
 #include "hawthornlane/net/frame.h"
 #include "hawthornlane/net/rpc.h"
 #include "hawthornlane/net/timed_socket.h"
@@ -135,31 +135,19 @@
   std::shared_ptr<const rpc_handler> handle;
   std::shared_ptr<answer_account> account = std::make_shared<answer_account>();
 
-  static asio::awaitable<void> accept(std::shared_ptr<state> self) {
-    while (self->acceptor.is_open()) {
-      error_code error;
-      tcp::socket socket =
-          co_await self->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-      if (error) {
-        co_await http::pause_after_failed_accept(self->context);
-        continue;
-      }
-      const auto opened = std::make_shared<connection>(std::move(socket), self->context,
-                                                       self->sweeper, self->account);
-      asio::co_spawn(self->context, connection::read(opened, self->handle), asio::detached);
-    }
+  void take(tcp::socket accepted) {
+    const auto opened = std::make_shared<connection>(std::move(accepted), this->context,
+                                                     this->sweeper, this->account);
+    asio::co_spawn(this->context, connection::read(opened, this->handle), asio::detached);
   }
 };
 
 rpc_server::rpc_server(asio::io_context& context, deadline_sweeper& sweeper,
                        const http::endpoint& listen_at, rpc_handler handle)
     : shared(std::make_shared<state>(context, sweeper, std::move(handle))) {
-  const tcp::endpoint at(asio::ip::make_address(listen_at.address), listen_at.port);
-  this->shared->acceptor.open(at.protocol());
-  this->shared->acceptor.set_option(asio::socket_base::reuse_address(true));
-  this->shared->acceptor.bind(at);
-  this->shared->acceptor.listen();
-  asio::co_spawn(context, state::accept(this->shared), asio::detached);
+  http::listen_on(this->shared->acceptor, listen_at);
+  const auto take = [self = this->shared](tcp::socket socket) { self->take(std::move(socket)); };
+  asio::co_spawn(context, http::accept_until_closed(this->shared->acceptor, take), asio::detached);
 }
 
 rpc_server::~rpc_server() {
--- a/scenarios/fault_proxy.cc
+++ b/scenarios/fault_proxy.cc
@@ -14,6 +14,8 @@
 #include <memory>
 #include <vector>
 
+#include "hawthornlane/http/listening.h"
+
 namespace hawthornlane::scenarios {
 namespace asio = boost::asio;
 using boost::system::error_code;
@@ -68,19 +70,6 @@
   std::chrono::steady_clock::time_point carried_at;
   std::vector<std::weak_ptr<carried>> links;
 
-  static asio::awaitable<void> accept(std::shared_ptr<state> self) {
-    while (self->acceptor.is_open()) {
-      error_code error;
-      tcp::socket from =
-          co_await self->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-      if (error) {
-        co_return;
-      }
-      const auto link = std::make_shared<carried>(std::move(from));
-      asio::co_spawn(self->context, carry(self, link), asio::detached);
-    }
-  }
-
   static asio::awaitable<void> carry(std::shared_ptr<state> self, std::shared_ptr<carried> link) {
     error_code error = asio::error::connection_refused;
     if (!self->fault.refuse) {
@@ -160,11 +149,12 @@
 
 fault_proxy::fault_proxy(asio::io_context& context, const http::endpoint& target)
     : shared(std::make_shared<state>(context, target)) {
-  const tcp::endpoint at(asio::ip::make_address(target.address), 0);
-  this->shared->acceptor.open(at.protocol());
-  this->shared->acceptor.bind(at);
-  this->shared->acceptor.listen();
-  asio::co_spawn(context, state::accept(this->shared), asio::detached);
+  http::listen_on(this->shared->acceptor, {target.address, 0});
+  const auto take = [self = this->shared](tcp::socket socket) {
+    const auto link = std::make_shared<carried>(std::move(socket));
+    asio::co_spawn(self->context, state::carry(self, link), asio::detached);
+  };
+  asio::co_spawn(context, http::accept_until_closed(this->shared->acceptor, take), asio::detached);
 }
 
 fault_proxy::~fault_proxy() {
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "hawthornlane/http/listening.h"
 #include "hawthornlane/net/timed_socket.h"
 #include "hawthornlane/relay/caller_link.h"
 
@@ -83,18 +84,6 @@
     return headers;
   }
 
-  static asio::awaitable<void> accept(std::shared_ptr<state> self) {
-    while (self->acceptor.is_open()) {
-      boost::system::error_code error;
-      tcp::socket socket =
-          co_await self->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-      if (error) {
-        co_return;
-      }
-      asio::co_spawn(self->context, serve(self, std::move(socket)), asio::detached);
-    }
-  }
-
   static asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket accepted) {
     net::timed_socket socket(std::move(accepted), self->sweeper);
     relay::caller_link caller(socket);
@@ -215,12 +204,11 @@
                                    const http::endpoint& listen_at, std::string instance,
                                    std::shared_ptr<act_script> script)
     : shared(std::make_shared<state>(context, sweeper, std::move(instance), std::move(script))) {
-  const tcp::endpoint at(asio::ip::make_address(listen_at.address), listen_at.port);
-  this->shared->acceptor.open(at.protocol());
-  this->shared->acceptor.set_option(asio::socket_base::reuse_address(true));
-  this->shared->acceptor.bind(at);
-  this->shared->acceptor.listen();
-  asio::co_spawn(context, state::accept(this->shared), asio::detached);
+  http::listen_on(this->shared->acceptor, listen_at);
+  const auto take = [self = this->shared](tcp::socket socket) {
+    asio::co_spawn(self->context, state::serve(self, std::move(socket)), asio::detached);
+  };
+  asio::co_spawn(context, http::accept_until_closed(this->shared->acceptor, take), asio::detached);
 }
 
 scripted_backend::~scripted_backend() {
