Soak of shard cores: its world in a header, callers and checks in a file of their own

Moved by whole functions; the draws of random numbers keep their order, so a seed gives the same run.

--- a/scenarios/soak.cc
+++ b/scenarios/soak.cc
@@ -1,517 +1,292 @@
-// One shard map, several hosts, callers that repeat themselves, and faults.
-#include "soak.h"
-
+// One shard map, several hosts, and faults; the callers are in soak_promises.cc.
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <optional>
-#include <random>
-#include <set>
-#include <vector>
 
 #include "hawthornlane/errors/error_kind.h"
 #include "hawthornlane/ownership/placement.h"
-#include "hawthornlane/ownership/shard_core.h"
+#include "soak_world.h"
 
 namespace hawthornlane::soak {
-namespace {
-
-constexpr shard_id the_shard{1};
-constexpr std::size_t program_count = 4;
-constexpr std::int64_t budget = 400;
-constexpr std::int64_t reserved = 20;
-constexpr auto step_time = std::chrono::milliseconds(40);
-constexpr auto longest_delay_ms = 600;
-
-/// Something that happens at a moment of virtual time.
-struct in_flight {
-  enum class kind : std::uint8_t { message, map_write, map_answer, send, result };
-  kind what = kind::message;
-  std::size_t host = 0;
-  host_incarnation from;
-  host_incarnation to;
-  std::optional<shard_message> message;
-  assignment expected;
-  assignment desired;
-  proposal_outcome outcome = proposal_outcome::applied;
-  call_id call;
-  ticket under;
-  bool repeatable = false;
-};
-
-/// One host: alive, paused or restarting, with a core of its present incarnation.
-struct soak_host {
-  std::optional<shard_core> core;
-  host_incarnation id;
-  timestamp paused_until;
-  timestamp dead_until;
-  bool cut_off = false;
-};
-
-/// A caller's view of its program.
-struct caller {
-  program_id program;
-  std::optional<ticket> current;
-  std::uint64_t digest = 0;
-  bool repeatable = false;
-  bool waiting = false;
-  std::uint64_t seen_turns = 0;
-};
 
-class world {
-public:
-  explicit world(const soak_parameters& with) : parameters(with), random(with.seed) {
-    for (std::size_t at = 0; at < with.hosts; ++at) {
-      this->hosts.emplace_back();
-      this->start(at);
+soak_report world::run() {
+  for (std::uint64_t step = 0; step < this->parameters.steps; ++step) {
+    this->now += step_time;
+    this->report.steps = step + 1;
+    this->deliver_due();
+    this->tick();
+    this->maybe_fault();
+    this->maybe_call();
+    this->maybe_claim();
+    this->check();
+    if (!this->report.violation.empty()) {
+      this->report.violation_step = step;
+      break;
     }
   }
+  return this->report;
+}
 
-  soak_report run() {
-    for (std::uint64_t step = 0; step < this->parameters.steps; ++step) {
-      this->now += step_time;
-      this->report.steps = step + 1;
-      this->deliver_due();
-      this->tick();
-      this->maybe_fault();
-      this->maybe_call();
-      this->maybe_claim();
-      this->check();
-      if (!this->report.violation.empty()) {
-        this->report.violation_step = step;
-        break;
-      }
-    }
-    return this->report;
-  }
+void world::start(std::size_t at) {
+  soak_host& host = this->hosts[at];
+  host.id = {host_id("host-" + std::to_string(at)), incarnation(this->next_start++)};
+  host.core.emplace(the_shard, host.id, ownership_times{}, this->parameters.rules);
+  host.core->learn(this->map, this->now);
+}
 
-private:
-  std::uint64_t draw(std::uint64_t below) { return this->random() % below; }
-  bool chance(std::uint64_t per_thousand) { return this->draw(1000) < per_thousand; }
+bool world::acts(const soak_host& host) const {
+  return host.core.has_value() && this->now >= host.paused_until;
+}
 
-  void start(std::size_t at) {
-    soak_host& host = this->hosts[at];
-    host.id = {host_id("host-" + std::to_string(at)), incarnation(this->next_start++)};
-    host.core.emplace(the_shard, host.id, ownership_times{}, this->parameters.rules);
-    host.core->learn(this->map, this->now);
-  }
-
-  bool acts(const soak_host& host) const {
-    return host.core.has_value() && this->now >= host.paused_until;
-  }
-
-  std::optional<std::size_t> find(const host_incarnation& id) const {
-    for (std::size_t at = 0; at < this->hosts.size(); ++at) {
-      if (this->hosts[at].core && this->hosts[at].id == id) {
-        return at;
-      }
+std::optional<std::size_t> world::find(const host_incarnation& id) const {
+  for (std::size_t at = 0; at < this->hosts.size(); ++at) {
+    if (this->hosts[at].core && this->hosts[at].id == id) {
+      return at;
     }
-    return std::nullopt;
   }
+  return std::nullopt;
+}
 
-  void put(in_flight item, std::uint64_t extra_ms = 0) {
-    const auto delay = std::chrono::milliseconds(1 + this->draw(60) + extra_ms);
-    this->flights.emplace(this->now + delay, std::move(item));
-  }
+void world::put(in_flight item, std::uint64_t extra_ms) {
+  const auto delay = std::chrono::milliseconds(1 + this->draw(60) + extra_ms);
+  this->flights.emplace(this->now + delay, std::move(item));
+}
 
-  void note(const std::string& text) const {
-    if (this->parameters.trace) {
-      fmt::print("{:8} {}\n", this->report.steps, text);
-    }
+void world::note(const std::string& text) const {
+  if (this->parameters.trace) {
+    fmt::print("{:8} {}\n", this->report.steps, text);
   }
+}
 
-  // --- what cores ask for --------------------------------------------------
+// --- what cores ask for --------------------------------------------------
 
-  void carry_out(std::size_t at, const actions& todo) {
-    for (const action& item : todo) {
-      if (const auto* message = std::get_if<send_message>(&item)) {
-        this->send(at, *message);
-      } else if (const auto* write = std::get_if<propose_assignment>(&item)) {
-        in_flight flight;
-        flight.what = in_flight::kind::map_write;
-        flight.host = at;
-        flight.from = this->hosts[at].id;
-        flight.expected = write->expected;
-        flight.desired = write->desired;
-        this->put(std::move(flight));
-      } else if (const auto* order = std::get_if<dispatch_call>(&item)) {
-        in_flight flight;
-        flight.what = in_flight::kind::send;
-        flight.host = at;
-        flight.from = this->hosts[at].id;
-        flight.call = order->call;
-        flight.under = order->intent.run_under;
-        flight.repeatable = order->intent.repeatable;
-        const duration wait = std::max(duration(0), order->not_before - this->now);
-        this->put(std::move(flight),
-                  static_cast<std::uint64_t>(wait / std::chrono::milliseconds(1)));
-      } else if (const auto* answer = std::get_if<answer_call>(&item)) {
-        this->take_answer(answer->call, answer->answer);
-      }
-    }
-  }
-
-  void send(std::size_t at, const send_message& message) {
-    const bool lost = this->hosts[at].cut_off || this->chance(10);
-    const int copies = lost ? 0 : (this->chance(10) ? 2 : 1);
-    this->report.faults["message lost"] += lost ? 1 : 0;
-    this->report.faults["message doubled"] += copies == 2 ? 1 : 0;
-    for (int copy = 0; copy < copies; ++copy) {
+void world::carry_out(std::size_t at, const actions& todo) {
+  for (const action& item : todo) {
+    if (const auto* message = std::get_if<send_message>(&item)) {
+      this->send(at, *message);
+    } else if (const auto* write = std::get_if<propose_assignment>(&item)) {
       in_flight flight;
+      flight.what = in_flight::kind::map_write;
+      flight.host = at;
       flight.from = this->hosts[at].id;
-      flight.to = message.to;
-      flight.message = message.message;
-      this->put(std::move(flight), this->chance(20) ? this->draw(longest_delay_ms) : 0);
+      flight.expected = write->expected;
+      flight.desired = write->desired;
+      this->put(std::move(flight));
+    } else if (const auto* order = std::get_if<dispatch_call>(&item)) {
+      in_flight flight;
+      flight.what = in_flight::kind::send;
+      flight.host = at;
+      flight.from = this->hosts[at].id;
+      flight.call = order->call;
+      flight.under = order->intent.run_under;
+      flight.repeatable = order->intent.repeatable;
+      const duration wait = std::max(duration(0), order->not_before - this->now);
+      this->put(std::move(flight), static_cast<std::uint64_t>(wait / std::chrono::milliseconds(1)));
+    } else if (const auto* answer = std::get_if<answer_call>(&item)) {
+      this->take_answer(answer->call, answer->answer);
     }
   }
+}
+
+void world::send(std::size_t at, const send_message& message) {
+  const bool lost = this->hosts[at].cut_off || this->chance(10);
+  const int copies = lost ? 0 : (this->chance(10) ? 2 : 1);
+  this->report.faults["message lost"] += lost ? 1 : 0;
+  this->report.faults["message doubled"] += copies == 2 ? 1 : 0;
+  for (int copy = 0; copy < copies; ++copy) {
+    in_flight flight;
+    flight.from = this->hosts[at].id;
+    flight.to = message.to;
+    flight.message = message.message;
+    this->put(std::move(flight), this->chance(20) ? this->draw(longest_delay_ms) : 0);
+  }
+}
 
-  // --- deliveries ------------------------------------------------------------
+// --- deliveries ----------------------------------------------------------
 
-  void deliver_due() {
-    while (!this->flights.empty() && this->flights.begin()->first <= this->now) {
-      in_flight item = std::move(this->flights.begin()->second);
-      this->flights.erase(this->flights.begin());
-      this->deliver(std::move(item));
-    }
+void world::deliver_due() {
+  while (!this->flights.empty() && this->flights.begin()->first <= this->now) {
+    in_flight item = std::move(this->flights.begin()->second);
+    this->flights.erase(this->flights.begin());
+    this->deliver(std::move(item));
   }
+}
 
-  void deliver(in_flight item) {
-    if (item.what == in_flight::kind::map_write) {
-      this->write_map(item);
-      return;
-    }
-    const host_incarnation& target = item.what == in_flight::kind::message ? item.to : item.from;
-    const auto at = this->find(target);
-    if (!at || (item.what == in_flight::kind::message && this->hosts[*at].cut_off)) {
-      return;
-    }
-    if (!this->acts(this->hosts[*at])) {
-      // A paused host finds it when it wakes.
-      this->flights.emplace(this->hosts[*at].paused_until, std::move(item));
-      return;
-    }
-    shard_core& core = *this->hosts[*at].core;
-    switch (item.what) {
-      case in_flight::kind::message:
-        this->carry_out(*at, core.receive(item.from, *item.message, this->now));
-        break;
-      case in_flight::kind::map_answer:
-        this->carry_out(*at, core.proposal_ended(item.outcome, item.desired, this->now));
-        break;
-      case in_flight::kind::send:
-        this->send_call(*at, core, item);
-        break;
-      default:
-        this->end_call(*at, core, item);
-    }
+void world::deliver(in_flight item) {
+  if (item.what == in_flight::kind::map_write) {
+    this->write_map(item);
+    return;
   }
-
-  void write_map(const in_flight& item) {
-    if (this->platform_down) {
-      in_flight again = item;
-      this->put(std::move(again), 300);
-      return;
-    }
-    in_flight answer = item;
-    answer.what = in_flight::kind::map_answer;
-    const bool applies = this->map == item.expected;
-    if (applies) {
-      this->map = item.desired;
-      this->note(fmt::format("epoch {} to {}", this->map.at.get(), this->map.owner.host.get()));
-    }
-    answer.outcome = applies ? proposal_outcome::applied : proposal_outcome::rejected;
-    answer.desired = this->map;
-    if (this->chance(50)) {
-      ++this->report.faults["map answer lost"];
-      return;
-    }
-    this->put(std::move(answer));
+  const host_incarnation& target = item.what == in_flight::kind::message ? item.to : item.from;
+  const auto at = this->find(target);
+  if (!at || (item.what == in_flight::kind::message && this->hosts[*at].cut_off)) {
+    return;
   }
-
-  void send_call(std::size_t at, shard_core& core, const in_flight& item) {
-    actions out;
-    if (core.may_send(item.call, this->now, out)) {
-      ++this->report.dispatched;
-      const int times = ++this->executed[item.under];
-      this->spent[this->calls.at(item.call)] += reserved;
-      if (times > 1 && !item.repeatable) {
-        this->violate("ticket " + to_string(item.under) + " was sent twice");
-      }
-      if (this->refused.contains(item.under)) {
-        this->violate("ticket " + to_string(item.under) + " was sent after not_run");
-      }
-      in_flight result = item;
-      result.what = in_flight::kind::result;
-      this->put(std::move(result), this->draw(2000));
-    }
-    this->carry_out(at, out);
+  if (!this->acts(this->hosts[*at])) {
+    // A paused host finds it when it wakes.
+    this->flights.emplace(this->hosts[*at].paused_until, std::move(item));
+    return;
   }
-
-  void end_call(std::size_t at, shard_core& core, const in_flight& item) {
-    call_result result;
-    result.call = item.call;
-    result.request = "q" + to_string(item.under);
-    result.answer = "a" + to_string(item.under);
-    result.used = token_count(reserved);
-    result.unknown = this->chance(10);
-    this->carry_out(at, core.finish_call(result, this->random(), this->now));
+  shard_core& core = *this->hosts[*at].core;
+  switch (item.what) {
+    case in_flight::kind::message:
+      this->carry_out(*at, core.receive(item.from, *item.message, this->now));
+      break;
+    case in_flight::kind::map_answer:
+      this->carry_out(*at, core.proposal_ended(item.outcome, item.desired, this->now));
+      break;
+    case in_flight::kind::send:
+      this->send_call(*at, core, item);
+      break;
+    default:
+      this->end_call(*at, core, item);
   }
+}
 
-  // --- time and faults --------------------------------------------------------
-
-  void tick() {
-    for (std::size_t at = 0; at < this->hosts.size(); ++at) {
-      soak_host& host = this->hosts[at];
-      if (!host.core && this->now >= host.dead_until) {
-        this->start(at);
-      }
-      if (!this->acts(host)) {
-        continue;
-      }
-      if (!this->platform_down && this->chance(100)) {
-        this->carry_out(at, host.core->learn(this->map, this->now));
-      }
-      this->carry_out(at, host.core->tick(this->now));
-      this->mend_replicas(at);
-    }
+void world::write_map(const in_flight& item) {
+  if (this->platform_down) {
+    in_flight again = item;
+    this->put(std::move(again), 300);
+    return;
   }
-
-  /// Replaces replicas that have ended, as the ownership duty does.
-  void mend_replicas(std::size_t at) {
-    soak_host& host = this->hosts[at];
-    if (!host.core->serving() || !this->chance(30)) {
-      return;
-    }
-    std::vector<placeable_host> there;
-    for (const soak_host& other : this->hosts) {
-      if (other.core) {
-        there.push_back({other.id, availability_zone(other.id.host.get())});
-      }
-    }
-    const auto& current = host.core->known_assignment().replicas;
-    auto next = choose_replicas(the_shard, {host.id, availability_zone(host.id.host.get())}, there,
-                                current, 2);
-    if (next != current) {
-      this->carry_out(at, host.core->change_replicas(next, this->random(), this->now));
-    }
+  in_flight answer = item;
+  answer.what = in_flight::kind::map_answer;
+  const bool applies = this->map == item.expected;
+  if (applies) {
+    this->map = item.desired;
+    this->note(fmt::format("epoch {} to {}", this->map.at.get(), this->map.owner.host.get()));
   }
-
-  void maybe_fault() {
-    const std::size_t at = this->draw(this->hosts.size());
+  answer.outcome = applies ? proposal_outcome::applied : proposal_outcome::rejected;
+  answer.desired = this->map;
+  if (this->chance(50)) {
+    ++this->report.faults["map answer lost"];
+    return;
+  }
+  this->put(std::move(answer));
+}
+
+void world::send_call(std::size_t at, shard_core& core, const in_flight& item) {
+  actions out;
+  if (core.may_send(item.call, this->now, out)) {
+    ++this->report.dispatched;
+    const int times = ++this->executed[item.under];
+    this->spent[this->calls.at(item.call)] += reserved;
+    if (times > 1 && !item.repeatable) {
+      this->violate("ticket " + to_string(item.under) + " was sent twice");
+    }
+    if (this->refused.contains(item.under)) {
+      this->violate("ticket " + to_string(item.under) + " was sent after not_run");
+    }
+    in_flight result = item;
+    result.what = in_flight::kind::result;
+    this->put(std::move(result), this->draw(2000));
+  }
+  this->carry_out(at, out);
+}
+
+void world::end_call(std::size_t at, shard_core& core, const in_flight& item) {
+  call_result result;
+  result.call = item.call;
+  result.request = "q" + to_string(item.under);
+  result.answer = "a" + to_string(item.under);
+  result.used = token_count(reserved);
+  result.unknown = this->chance(10);
+  this->carry_out(at, core.finish_call(result, this->random(), this->now));
+}
+
+// --- time and faults -----------------------------------------------------
+
+void world::tick() {
+  for (std::size_t at = 0; at < this->hosts.size(); ++at) {
     soak_host& host = this->hosts[at];
-    if (this->chance(2) && host.core && this->dead() < 2) {
-      ++this->report.faults["host killed"];
-      this->note("kill " + host.id.host.get());
-      host.core.reset();
-      host.dead_until = this->now + std::chrono::milliseconds(this->draw(20'000));
-    }
-    if (this->chance(3) && host.core) {
-      ++this->report.faults["host paused"];
-      host.paused_until = this->now + std::chrono::milliseconds(this->draw(8000));
+    if (!host.core && this->now >= host.dead_until) {
+      this->start(at);
     }
-    if (host.cut_off) {
-      host.cut_off = !this->chance(40);
-    } else if (this->chance(3) && this->cut() < 2) {
-      host.cut_off = true;
-      ++this->report.faults["host cut off"];
+    if (!this->acts(host)) {
+      continue;
     }
-    if (this->platform_down) {
-      this->platform_down = !this->chance(20);
-    } else if (this->chance(2)) {
-      this->platform_down = true;
-      ++this->report.faults["platform down"];
+    if (!this->platform_down && this->chance(100)) {
+      this->carry_out(at, host.core->learn(this->map, this->now));
     }
+    this->carry_out(at, host.core->tick(this->now));
+    this->mend_replicas(at);
   }
+}
 
-  std::size_t dead() const {
-    return static_cast<std::size_t>(std::count_if(
-        this->hosts.begin(), this->hosts.end(), [](const soak_host& host) { return !host.core; }));
-  }
-  std::size_t cut() const {
-    return static_cast<std::size_t>(
-        std::count_if(this->hosts.begin(), this->hosts.end(),
-                      [](const soak_host& host) { return host.cut_off; }));
+void world::mend_replicas(std::size_t at) {
+  soak_host& host = this->hosts[at];
+  if (!host.core->serving() || !this->chance(30)) {
+    return;
   }
-
-  /// Any follower may suspect the owner, rightly or not.
-  void maybe_claim() {
-    const std::size_t at = this->draw(this->hosts.size());
-    soak_host& host = this->hosts[at];
-    const bool owner_there = this->find(this->map.owner).has_value();
-    if (!this->acts(host) || this->platform_down || !this->chance(owner_there ? 10 : 200)) {
-      return;
-    }
-    std::vector<host_incarnation> replicas = this->map.replicas;
-    std::erase(replicas, host.id);
-    for (const soak_host& other : this->hosts) {
-      const bool known = std::find(replicas.begin(), replicas.end(), other.id) != replicas.end();
-      if (replicas.size() < 2 && other.core && other.id != host.id && !known) {
-        replicas.push_back(other.id);
-      }
+  std::vector<placeable_host> there;
+  for (const soak_host& other : this->hosts) {
+    if (other.core) {
+      there.push_back({other.id, availability_zone(other.id.host.get())});
     }
-    this->carry_out(at, host.core->learn(this->map, this->now));
-    this->carry_out(at, host.core->claim(std::move(replicas), this->random(), this->now));
   }
-
-  // --- callers ------------------------------------------------------------------
-
-  void maybe_call() {
-    if (!this->chance(300)) {
-      return;
-    }
-    if (this->callers.size() < program_count) {
-      this->open();
-      return;
-    }
-    caller& from = this->callers[this->draw(this->callers.size())];
-    if (!from.current) {
-      // An ended program makes room for a new one.
-      from = this->callers.back();
-      this->callers.pop_back();
-      return;
-    }
-    const std::size_t at = this->draw(this->hosts.size());
-    if (!this->acts(this->hosts[at])) {
-      return;
-    }
-    ++this->report.calls;
-    shard_core& core = *this->hosts[at].core;
-    call_request request;
-    request.call = call_id(this->next_call++);
-    request.program = from.program;
-    request.account = client_account("one");
-    request.presented = *from.current;
-    // Callers also repeat tickets that they used before.
-    if (!this->used[from.program].empty() && this->chance(150)) {
-      const auto& old = this->used[from.program];
-      request.presented = old[this->draw(old.size())];
-    }
-    request.repeatable = from.repeatable;
-    request.reserved = token_count(reserved);
-    this->calls[request.call] = from.program;
-    this->asked[request.call] = request.presented;
-    this->used[from.program].push_back(request.presented);
-    if (core.serving() && this->chance(80)) {
-      const auto early = core.check_call(request, this->random());
-      this->take_answer(
-          request.call,
-          early ? *early : core.refuse_call(request, error_kind::not_run, "full", this->random()));
-      return;
-    }
-    this->carry_out(at, core.begin_call(request, this->random(), this->now));
+  const auto& current = host.core->known_assignment().replicas;
+  auto next = choose_replicas(the_shard, {host.id, availability_zone(host.id.host.get())}, there,
+                              current, 2);
+  if (next != current) {
+    this->carry_out(at, host.core->change_replicas(next, this->random(), this->now));
   }
-
-  void open() {
-    for (std::size_t at = 0; at < this->hosts.size(); ++at) {
-      soak_host& host = this->hosts[at];
-      if (!this->acts(host) || !host.core->serving()) {
-        continue;
-      }
-      program_opened record;
-      record.program = make_program_id(the_shard, this->random());
-      record.account = client_account("one");
-      record.limits = {token_count(budget), 50, 50, 1'000'000'000};
-      const call_id call(this->next_call++);
-      caller fresh;
-      fresh.program = record.program;
-      fresh.repeatable = this->chance(400);
-      this->callers.push_back(fresh);
-      this->calls[call] = record.program;
-      this->carry_out(at, host.core->open_program(call, record, this->random(), this->now));
-      return;
-    }
+}
+
+void world::maybe_fault() {
+  const std::size_t at = this->draw(this->hosts.size());
+  soak_host& host = this->hosts[at];
+  if (this->chance(2) && host.core && this->dead() < 2) {
+    ++this->report.faults["host killed"];
+    this->note("kill " + host.id.host.get());
+    host.core.reset();
+    host.dead_until = this->now + std::chrono::milliseconds(this->draw(20'000));
   }
-
-  void take_answer(call_id call, const call_answer& answer) {
-    const std::string name =
-        answer.error ? std::string(answer_for(*answer.error).name) : std::string("kept");
-    ++this->report.answers[name];
-    const bool says_not_run =
-        answer.error && answer_for(*answer.error).outcome == run_outcome::not_run;
-    const auto asked_with = this->asked.find(call);
-    if (says_not_run && asked_with != this->asked.end()) {
-      this->refused.insert(asked_with->second);
-      if (this->executed.contains(asked_with->second)) {
-        this->violate("not_run was told of " + to_string(asked_with->second) + ", which ran");
-      }
-    }
-    if (!answer.error && answer.turn && asked_with != this->asked.end()) {
-      const std::string expected = "a" + to_string(asked_with->second);
-      if (answer.turn->answer != expected) {
-        this->violate("call under " + to_string(asked_with->second) + " got another's answer");
-      }
-    }
-    for (caller& from : this->callers) {
-      if (from.program != this->calls[call]) {
-        continue;
-      }
-      const bool newer = answer.next && (!from.current || answer.next->turn > from.current->turn ||
-                                         (answer.next->turn == from.current->turn &&
-                                          answer.next->issued_in >= from.current->issued_in));
-      if (newer) {
-        from.current = answer.next;
-      }
-      if (answer.error == error_kind::budget_exhausted ||
-          answer.error == error_kind::program_unknown) {
-        from.current.reset();
-      }
-    }
+  if (this->chance(3) && host.core) {
+    ++this->report.faults["host paused"];
+    host.paused_until = this->now + std::chrono::milliseconds(this->draw(8000));
   }
-
-  // --- invariants ----------------------------------------------------------------
-
-  void violate(const std::string& what) {
-    if (this->report.violation.empty()) {
-      this->report.violation = what;
-    }
+  if (host.cut_off) {
+    host.cut_off = !this->chance(40);
+  } else if (this->chance(3) && this->cut() < 2) {
+    host.cut_off = true;
+    ++this->report.faults["host cut off"];
   }
-
-  void check() {
-    for (const auto& [program, tokens] : this->spent) {
-      if (tokens > budget) {
-        this->violate(fmt::format("{} spent {} of {}", program.get(), tokens, budget));
-      }
-    }
-    if (this->report.steps % 16 != 0) {
-      return;
-    }
-    for (const soak_host& host : this->hosts) {
-      if (!host.core) {
-        continue;
-      }
-      const std::string broken = host.core->broken_invariant();
-      if (!broken.empty()) {
-        this->violate(broken);
-      }
-      epoch& highest = this->highest_sealed[host.id];
-      if (host.core->sealed_epoch() < highest) {
-        this->violate("a sealed epoch fell at " + host.id.host.get());
-      }
-      highest = host.core->sealed_epoch();
+  if (this->platform_down) {
+    this->platform_down = !this->chance(20);
+  } else if (this->chance(2)) {
+    this->platform_down = true;
+    ++this->report.faults["platform down"];
+  }
+}
+
+std::size_t world::dead() const {
+  return static_cast<std::size_t>(std::count_if(this->hosts.begin(), this->hosts.end(),
+                                                [](const soak_host& host) { return !host.core; }));
+}
+
+std::size_t world::cut() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->hosts.begin(), this->hosts.end(), [](const soak_host& host) { return host.cut_off; }));
+}
+
+void world::maybe_claim() {
+  const std::size_t at = this->draw(this->hosts.size());
+  soak_host& host = this->hosts[at];
+  const bool owner_there = this->find(this->map.owner).has_value();
+  if (!this->acts(host) || this->platform_down || !this->chance(owner_there ? 10 : 200)) {
+    return;
+  }
+  std::vector<host_incarnation> replicas = this->map.replicas;
+  std::erase(replicas, host.id);
+  for (const soak_host& other : this->hosts) {
+    const bool known = std::find(replicas.begin(), replicas.end(), other.id) != replicas.end();
+    if (replicas.size() < 2 && other.core && other.id != host.id && !known) {
+      replicas.push_back(other.id);
     }
   }
-
-  soak_parameters parameters;
-  std::mt19937_64 random;
-  soak_report report;
-  timestamp now{};
-  std::vector<soak_host> hosts;
-  assignment map;
-  bool platform_down = false;
-  std::multimap<timestamp, in_flight> flights;
-  std::vector<caller> callers;
-  std::map<call_id, program_id> calls;
-  std::map<call_id, ticket> asked;
-  std::map<program_id, std::vector<ticket>> used;
-  std::map<ticket, int> executed;
-  std::set<ticket> refused;
-  std::map<program_id, std::int64_t> spent;
-  std::map<host_incarnation, epoch> highest_sealed;
-  std::uint64_t next_start = 1;
-  std::uint64_t next_call = 1;
-};
-
-}  // namespace
+  this->carry_out(at, host.core->learn(this->map, this->now));
+  this->carry_out(at, host.core->claim(std::move(replicas), this->random(), this->now));
+}
 
 soak_report run(const soak_parameters& parameters) { return world(parameters).run(); }
 
