Front host: report, planned stop and the form of a configuration in files of their own

The small servers of both hosts (readiness, addresses, metrics) are http::serve_answers. No behaviour changes.

--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -6,6 +6,7 @@
 
 #include "disk_host_state.h"
 #include "hawthornlane/discovery/registration.h"
+#include "hawthornlane/http/answer_server.h"
 #include "hawthornlane/net/message_bytes.h"
 #include "hawthornlane/telemetry/log.h"
 
@@ -60,19 +61,13 @@
 }
 
 void disk_host::state::serve_metrics() {
-  const auto handle = [this](const http::request&, http::exchange& reply) -> asio::awaitable<void> {
+  const auto respond = [this](const http::request&) {
     http::response answer;
     answer.content_type = "text/plain";
     answer.body = this->metrics_text();
-    co_await reply.respond(std::move(answer));
-  };
-  const auto refuse = [](error_kind kind, std::string_view) {
-    http::response answer;
-    answer.status = answer_for(kind).http_status;
     return answer;
   };
-  this->metrics_server = std::make_unique<http::server>(this->context, this->settings.metrics_at,
-                                                        http::server_limits{}, handle, refuse);
+  this->metrics_server = http::serve_answers(this->context, this->settings.metrics_at, respond);
 }
 
 std::string disk_host::state::metrics_text() {
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -5,22 +5,21 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
+#include "configuration_copy.h"
 #include "hawthornlane/discovery/registration.h"
 #include "hawthornlane/front/address_choice.h"
 #include "hawthornlane/front/call_service.h"
+#include "hawthornlane/front/host_report.h"
 #include "hawthornlane/front/ledger_client.h"
 #include "hawthornlane/front/peer_gossip.h"
+#include "hawthornlane/front/planned_stop.h"
 #include "hawthornlane/front/quota_client.h"
+#include "hawthornlane/http/answer_server.h"
 #include "hawthornlane/http/listening.h"
-#include "hawthornlane/http/server.h"
-#include "hawthornlane/net/packing.h"
 #include "hawthornlane/platform_adapter/call_codec.h"
 #include "hawthornlane/platform_adapter/directory_answers.h"
 #include "hawthornlane/telemetry/log.h"
-#include "hawthornlane/telemetry/process_memory.h"
 
 namespace hawthornlane::front {
 namespace asio = boost::asio;
@@ -35,28 +34,15 @@
 /// Whole turns are kept in an eighth of the process's memory; the rest is for calls
 /// under way, of which the heaviest day needs 12 MB.
 constexpr std::size_t cache_bytes_per_mb = bytes_per_mb / 8;
-/// Shares of the process's memory at which the log says that it is high, and from
-/// which on it may say so again.
-constexpr std::size_t memory_high_percent = 60;
-constexpr std::size_t memory_calm_percent = 45;
 /// Answers to other hosts that wait for the link may take a thirty-second of the memory
 /// before whole copies are refused: 2.75 MB of 88, which 30 Mbit/s send in 0.7 s.
 constexpr std::size_t peer_answers_share = 32;
 /// All that waits for other hosts, relayed answers of disk hosts included.
 constexpr std::size_t peer_queue_share = 8;
-/// The store takes values of 1 MB; a text of more than this is not unpacked.
-constexpr std::size_t largest_configuration = 4 * bytes_per_mb;
-/// Callers keep an address answer up to three times as long as it says.
-constexpr int longest_keep_factor = 3;
 /// A caller's connection attempts in a burst; more are sent again by their kernels.
 constexpr int accept_backlog = 1024;
 /// An outage shorter than this lets no entry lapse.
 constexpr duration lapsing_outage = std::chrono::milliseconds(1500);
-/// Before the kill, so that what is still under way ends by itself.
-constexpr duration stop_margin = std::chrono::milliseconds(400);
-/// Calls that come this long before the end are turned away: callers then find
-/// another host, while a call taken now might be cut by the kill.
-constexpr duration turn_away_before = std::chrono::milliseconds(3200);
 /// Hosts change seldom, and their changes are learnt from refusals too.
 constexpr auto host_check_pause = std::chrono::seconds(3);
 /// Between two reads of a host that lacks the others' addresses.
@@ -96,7 +82,8 @@
         calls(fleet, placer, backends, codec, quotas, ledger, metrics),
         gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
         exchange(io, settings.host, make_exchange_hooks()),
-        acceptor(io) {
+        acceptor(io),
+        report(report_of()) {
     this->placer.share_by(this->exchange);
   }
 
@@ -135,24 +122,19 @@
   net::steady_time next_sharing{};
   net::steady_time next_renewal{};
   std::size_t connections = 0;
-  /// Said in the log; falls back when the memory is free again.
-  bool memory_high = false;
-
-  /// Of the form in which hosts pass a configuration on.
-  static std::optional<configuration> unpack_configuration(const std::string& copy) {
-    auto text = net::unpack(copy, largest_configuration);
-    if (!text) {
-      log(event::peer_unreachable, {{"detail", "bytes that are no configuration"}});
-      return std::nullopt;
-    }
-    platform_adapter::stored_object object;
-    object.spec = *std::move(text);
-    failure reason;
-    auto config = platform_adapter::configuration_from(object, reason);
-    if (!config) {
-      log(event::platform_unreachable, {{"detail", "configuration: " + reason.detail}});
-    }
-    return config;
+  host_report report;
+
+  report_sources report_of() {
+    return {.metrics = this->metrics,
+            .store = this->store,
+            .faults = this->faults,
+            .fleet = this->fleet,
+            .backends = this->backends,
+            .calls = this->calls,
+            .gossip = this->gossip,
+            .connections = [this] { return this->connections; },
+            .peer_bytes_waiting = [this] { return this->peers->waiting_bytes(); },
+            .memory_limit = this->settings.memory_mb * bytes_per_mb};
   }
 
   gossip_hooks make_gossip_hooks() {
@@ -263,7 +245,7 @@
     this->serve_small(this->settings.metrics_at, [this](const http::request&) {
       http::response answer;
       answer.content_type = "text/plain";
-      answer.body = this->metrics_text();
+      answer.body = this->report.metrics_text();
       return answer;
     });
     http::listen_on(this->acceptor, this->settings.callers_at, accept_backlog);
@@ -275,18 +257,7 @@
 
   void serve_small(const http::endpoint& where,
                    std::function<http::response(const http::request&)> respond) {
-    const auto handle = [respond = std::move(respond)](
-                            const http::request& ask,
-                            http::exchange& reply) -> asio::awaitable<void> {
-      co_await reply.respond(respond(ask));
-    };
-    const auto refuse = [](error_kind kind, std::string_view) {
-      http::response answer;
-      answer.status = answer_for(kind).http_status;
-      return answer;
-    };
-    this->small_servers.push_back(std::make_unique<http::server>(
-        this->context, where, http::server_limits{}, handle, refuse));
+    this->small_servers.push_back(http::serve_answers(this->context, where, std::move(respond)));
   }
 
   http::response addresses(const http::request& ask) {
@@ -305,66 +276,6 @@
     return platform_adapter::address_answer(list, this->settings.address_time);
   }
 
-  std::string metrics_text() {
-    const auto& store_counts = this->store.counters();
-    this->metrics.set("store_reads", static_cast<double>(store_counts.reads));
-    this->metrics.set("store_watches", static_cast<double>(store_counts.watches));
-    this->metrics.set("store_writes", static_cast<double>(store_counts.writes));
-    this->metrics.set("store_failed", static_cast<double>(store_counts.failed));
-    this->metrics.set("store_objects_malformed", static_cast<double>(this->faults.count()));
-    this->metrics.set("backend_connections_opened",
-                      static_cast<double>(this->backends.counters().opened));
-    this->metrics.set("backend_connections_reused",
-                      static_cast<double>(this->backends.counters().reused));
-    this->metrics.set("backend_foreign_answers",
-                      static_cast<double>(this->backends.counters().foreign_answers));
-    this->metrics.set("calls_under_way", static_cast<double>(this->calls.under_way()));
-    this->set_memory_metrics();
-    return this->metrics.text();
-  }
-
-  void set_memory_metrics() {
-    const copy_counters& copies = this->gossip.counters();
-    const auto set = [this](const char* name, std::uint64_t value) {
-      this->metrics.set(name, static_cast<double>(value));
-    };
-    set("resident_bytes", resident_bytes().value_or(0));
-    set("caller_connections", this->connections);
-    set("peer_bytes_waiting", this->peers->waiting_bytes());
-    set("configuration_bytes", this->fleet.configuration_copy().size());
-    set("copies_asked", copies.asked);
-    set("copies_put_off", copies.put_off);
-    set("copies_taken", copies.taken);
-    set("copies_failed", copies.failed);
-    set("copies_given", copies.given);
-    set("copy_bytes_taken", copies.bytes_taken);
-    set("copy_bytes_given", copies.bytes_given);
-  }
-
-  /// Says once what fills the memory, before the kernel ends the process for it.
-  void watch_memory() {
-    const std::size_t limit = this->settings.memory_mb * bytes_per_mb;
-    const std::size_t used = resident_bytes().value_or(0);
-    if (used < limit * memory_calm_percent / 100) {
-      this->memory_high = false;
-    }
-    if (this->memory_high || used < limit * memory_high_percent / 100) {
-      return;
-    }
-    this->memory_high = true;
-    const copy_counters& copies = this->gossip.counters();
-    log(event::memory_high,
-        {{"resident_mb", std::to_string(used / bytes_per_mb)},
-         {"limit_mb", std::to_string(this->settings.memory_mb)},
-         {"calls", std::to_string(this->calls.under_way())},
-         {"connections", std::to_string(this->connections)},
-         {"peer_bytes_waiting", std::to_string(this->peers->waiting_bytes())},
-         {"configuration_bytes", std::to_string(this->fleet.configuration_copy().size())},
-         {"copies_asked", std::to_string(copies.asked)},
-         {"copies_failed", std::to_string(copies.failed)},
-         {"copies_given", std::to_string(copies.given)}});
-  }
-
   /// The store stopped answering this host, or answers again.
   void note_store(bool reachable, const std::string& detail) {
     if (reachable == this->store_reachable) {
@@ -395,7 +306,7 @@
     this->configuration_at = newest;
     for (const auto& told : discovery::configurations_of(page, this->faults)) {
       if (this->fleet.is_newer(told.config)) {
-        this->fleet.offer_configuration(told.config, net::pack(told.text), "store");
+        this->fleet.offer_configuration(told.config, pack_configuration(told.text), "store");
       }
     }
   }
@@ -455,7 +366,7 @@
     if (now >= this->next_idle_sweep) {
       this->next_idle_sweep = now + idle_pause;
       this->close_idle();
-      this->watch_memory();
+      this->report.watch_memory();
     }
     const bool hosts_wanted =
         !this->fleet.hosts().heard() || (this->ledger.lacks_address() && this->reads_for_all());
@@ -556,13 +467,11 @@
 
   void go_on_leaving(net::steady_time now) {
     const duration since = std::chrono::duration_cast<duration>(now - this->leaving_since);
-    const duration keep = this->settings.address_time * longest_keep_factor;
-    if (since >= this->settings.grace - turn_away_before) {
+    const planned_stop stop{this->settings.grace, this->settings.address_time};
+    if (stop.turns_away(since)) {
       this->calls.turn_away();
     }
-    const bool forgotten = since >= std::min(keep, this->settings.grace - turn_away_before);
-    const bool idle = this->calls.under_way() == 0;
-    if ((forgotten && idle) || since >= this->settings.grace - stop_margin) {
+    if (stop.may_end(since, this->calls.under_way())) {
       log(event::stopped, {{"calls", std::to_string(this->calls.under_way())}});
       flush_log();
       this->stopped();
--- /dev/null
+++ b/libs/front/src/host_report.cc
@@ -0,0 +1,82 @@
+// What a front host tells of itself.
+#include "hawthornlane/front/host_report.h"
+
+#include <utility>
+
+#include "hawthornlane/telemetry/log.h"
+#include "hawthornlane/telemetry/process_memory.h"
+
+namespace hawthornlane::front {
+
+namespace {
+
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
+/// Shares of the process's memory at which the log says that it is high, and from
+/// which on it may say so again.
+constexpr std::size_t memory_high_percent = 60;
+constexpr std::size_t memory_calm_percent = 45;
+
+}  // namespace
+
+host_report::host_report(report_sources sources) : from(std::move(sources)) {}
+
+std::string host_report::metrics_text() {
+  const auto& store_counts = this->from.store.counters();
+  this->from.metrics.set("store_reads", static_cast<double>(store_counts.reads));
+  this->from.metrics.set("store_watches", static_cast<double>(store_counts.watches));
+  this->from.metrics.set("store_writes", static_cast<double>(store_counts.writes));
+  this->from.metrics.set("store_failed", static_cast<double>(store_counts.failed));
+  this->from.metrics.set("store_objects_malformed", static_cast<double>(this->from.faults.count()));
+  this->from.metrics.set("backend_connections_opened",
+                         static_cast<double>(this->from.backends.counters().opened));
+  this->from.metrics.set("backend_connections_reused",
+                         static_cast<double>(this->from.backends.counters().reused));
+  this->from.metrics.set("backend_foreign_answers",
+                         static_cast<double>(this->from.backends.counters().foreign_answers));
+  this->from.metrics.set("calls_under_way", static_cast<double>(this->from.calls.under_way()));
+  this->set_memory_metrics();
+  return this->from.metrics.text();
+}
+
+void host_report::set_memory_metrics() {
+  const copy_counters& copies = this->from.gossip.counters();
+  const auto set = [this](const char* name, std::uint64_t value) {
+    this->from.metrics.set(name, static_cast<double>(value));
+  };
+  set("resident_bytes", resident_bytes().value_or(0));
+  set("caller_connections", this->from.connections());
+  set("peer_bytes_waiting", this->from.peer_bytes_waiting());
+  set("configuration_bytes", this->from.fleet.configuration_copy().size());
+  set("copies_asked", copies.asked);
+  set("copies_put_off", copies.put_off);
+  set("copies_taken", copies.taken);
+  set("copies_failed", copies.failed);
+  set("copies_given", copies.given);
+  set("copy_bytes_taken", copies.bytes_taken);
+  set("copy_bytes_given", copies.bytes_given);
+}
+
+void host_report::watch_memory() {
+  const std::size_t limit = this->from.memory_limit;
+  const std::size_t used = resident_bytes().value_or(0);
+  if (used < limit * memory_calm_percent / 100) {
+    this->memory_high = false;
+  }
+  if (this->memory_high || used < limit * memory_high_percent / 100) {
+    return;
+  }
+  this->memory_high = true;
+  const copy_counters& copies = this->from.gossip.counters();
+  log(event::memory_high,
+      {{"resident_mb", std::to_string(used / bytes_per_mb)},
+       {"limit_mb", std::to_string(limit / bytes_per_mb)},
+       {"calls", std::to_string(this->from.calls.under_way())},
+       {"connections", std::to_string(this->from.connections())},
+       {"peer_bytes_waiting", std::to_string(this->from.peer_bytes_waiting())},
+       {"configuration_bytes", std::to_string(this->from.fleet.configuration_copy().size())},
+       {"copies_asked", std::to_string(copies.asked)},
+       {"copies_failed", std::to_string(copies.failed)},
+       {"copies_given", std::to_string(copies.given)}});
+}
+
+}  // namespace hawthornlane::front
--- /dev/null
+++ b/libs/http/src/answer_server.cc
@@ -0,0 +1,23 @@
+// An HTTP server for questions that are answered at once.
+#include "hawthornlane/http/answer_server.h"
+
+#include <utility>
+
+namespace hawthornlane::http {
+
+std::unique_ptr<server> serve_answers(boost::asio::io_context& context, const endpoint& listen_at,
+                                      std::function<response(const request&)> respond) {
+  const auto handle = [respond = std::move(respond)](
+                          const request& ask, exchange& reply) -> boost::asio::awaitable<void> {
+    response answer = respond(ask);
+    co_await reply.respond(std::move(answer));
+  };
+  const auto refuse = [](error_kind kind, std::string_view) {
+    response answer;
+    answer.status = answer_for(kind).http_status;
+    return answer;
+  };
+  return std::make_unique<server>(context, listen_at, server_limits{}, handle, refuse);
+}
+
+}  // namespace hawthornlane::http
