--- a/libs/front/include/hawthornlane/front/copy_messages.h
+++ b/libs/front/include/hawthornlane/front/copy_messages.h
@@ -44,6 +44,9 @@
   }
 };
 
+/// Nothing when the bytes are none, or name a kind that there is not.
+std::optional<copy_request> copy_request_from(const std::string& bytes);
+
 /// A copy, or where else to ask for it.
 struct copy_answer {
   /// Nothing: the host asked gives as many copies as it may already.
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -15,6 +15,7 @@
 #include "hawthornlane/fleet/check_schedule.h"
 #include "hawthornlane/front/copy_intake.h"
 #include "hawthornlane/front/copy_outlet.h"
+#include "hawthornlane/front/fleet_copies.h"
 #include "hawthornlane/front/gossip_messages.h"
 #include "hawthornlane/front/gossip_news.h"
 #include "hawthornlane/front/loop_lateness.h"
@@ -26,14 +27,9 @@
 namespace hawthornlane::front {
 
 /// What the gossip takes from and gives to the rest of the host.
-struct gossip_hooks {
+struct gossip_hooks : copy_hooks {
   /// What this host is and knows.
   std::function<gossip_digest()> self;
-  /// Decodes a configuration as hosts pass it on.
-  std::function<std::optional<configuration>(const std::string& copy)> decode_configuration;
-  /// The newest set of disks that this host knows, if any.
-  std::function<std::optional<ledger_set>()> ledger;
-  std::function<void(const ledger_set&, const host_id& from)> take_ledger;
   /// Whether what waits to be sent to other hosts leaves room for one more copy.
   std::function<bool()> may_give_copy = [] { return true; };
 };
@@ -116,14 +112,8 @@
   void ask_due();
   void ask(const std::shared_ptr<peer>& other, copy_kind kind);
   void take_answer(const host_id& from, copy_kind kind, std::string bytes);
-  /// Takes a copy into this host's beliefs; false when the bytes are none.
-  bool take_copy(const host_id& from, copy_kind kind, const std::string& copy);
   std::optional<std::string> give_copy(const copy_request& request);
   void add_peer(const host_entry& entry);
-  /// What this host knows of one kind, whole.
-  [[nodiscard]] std::optional<std::string> copy_of(copy_kind kind) const;
-  /// The same, made once for all that ask until this host's knowledge changes.
-  const std::optional<std::string>& ready_copy(copy_kind kind);
 
   boost::asio::io_context& context;
   net::deadline_sweeper& sweeper;
@@ -132,6 +122,8 @@
   gossip_hooks hooks;
   std::map<host_id, std::shared_ptr<peer>> peers;
   timestamp next_look{};
+  /// Invariant: those made are of `last_known`.
+  fleet_copies copies;
   suspicion_limits limits;
   loop_lateness lateness;
   /// Invariant: expires at each look and with each change of `last_known`.
@@ -139,8 +131,6 @@
   known_state last_known;
   copy_intake intake;
   copy_outlet outlet;
-  /// Invariant: of `last_known`.
-  per_copy_kind<std::optional<std::string>> ready_copies;
   copy_counters counts;
   /// Gone with this object, which answers of other hosts may outlive.
   std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
--- a/libs/front/src/copy_messages.cc
+++ b/libs/front/src/copy_messages.cc
@@ -1,6 +1,8 @@
 // Bytes of the messages about whole copies.
 #include "hawthornlane/front/copy_messages.h"
 
+#include <algorithm>
+
 #include "hawthornlane/net/message_bytes.h"
 
 namespace hawthornlane::front {
@@ -11,6 +13,13 @@
 
 }  // namespace
 
+std::optional<copy_request> copy_request_from(const std::string& bytes) {
+  auto request = from_bytes<copy_request>(bytes);
+  const auto& kinds = all_copy_kinds;
+  const bool known = request && std::find(kinds.begin(), kinds.end(), request->kind) != kinds.end();
+  return known ? std::move(request) : std::nullopt;
+}
+
 std::string to_answer_bytes(copy_answer answer) {
   if (answer.copy) {
     std::string bytes = *std::move(answer.copy);
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -6,8 +6,6 @@
 
 #include "hawthornlane/front/peer_watch.h"
 #include "hawthornlane/front/relay_choice.h"
-#include "hawthornlane/net/frame.h"
-#include "hawthornlane/net/packing.h"
 #include "hawthornlane/placement/rendezvous.h"
 #include "hawthornlane/telemetry/log.h"
 
@@ -32,14 +30,6 @@
 constexpr duration just_read = std::chrono::milliseconds(50);
 constexpr duration copy_limit = copy_outlet::longest_copy;
 
-/// Nothing when the bytes are none, or the other host knows nothing itself.
-template <class Entry>
-std::optional<registry_snapshot<Entry>> snapshot_from(const std::string& packed) {
-  const auto bytes = net::unpack(packed, net::largest_payload);
-  auto snapshot = bytes ? from_bytes<registry_snapshot<Entry>>(*bytes) : std::nullopt;
-  return snapshot && snapshot->at.get() != 0 ? std::move(snapshot) : std::nullopt;
-}
-
 /// Where in a pause two hosts begin to probe each other; pairs spread evenly.
 double phase_of(const host_id& host, const host_id& other) {
   constexpr std::uint64_t steps = 1 << 16;
@@ -73,6 +63,7 @@
       fleet(state),
       checks(schedule),
       hooks(std::move(with)),
+      copies(state, static_cast<const copy_hooks&>(this->hooks)),
       lateness(discovery::scheduler_now()),
       intake(schedule.owner(), [this](const host_id& other) { return this->reaches(other); }) {}
 
@@ -272,7 +263,7 @@
   const auto renew = [this](copy_kind kind, bool changed) {
     if (changed) {
       this->outlet.renew(kind);
-      this->ready_copies[kind].reset();
+      this->copies.renew(kind);
       this->hear_again(kind);
     }
   };
@@ -378,7 +369,7 @@
     this->intake.busy(kind, answer->holders, discovery::scheduler_now());
     return;
   }
-  if (!answer || !this->take_copy(from, kind, *answer->copy)) {
+  if (!answer || !this->copies.take(from, kind, *answer->copy)) {
     ++this->counts.failed;
     this->intake.failed(kind, discovery::scheduler_now());
     return;
@@ -392,63 +383,6 @@
   this->ask_due();
 }
 
-bool peer_gossip::take_copy(const host_id& from, copy_kind kind, const std::string& copy) {
-  switch (kind) {
-    case copy_kind::configuration: {
-      const auto config = this->hooks.decode_configuration(copy);
-      if (config) {
-        this->fleet.offer_configuration(*config, copy, from.get());
-      }
-      return config.has_value();
-    }
-    case copy_kind::backends: {
-      const auto told = snapshot_from<backend_entry>(copy);
-      if (told) {
-        this->fleet.list_backends(told->at, told->entries, from.get());
-      }
-      return told.has_value();
-    }
-    case copy_kind::hosts: {
-      const auto told = snapshot_from<host_entry>(copy);
-      if (told) {
-        this->fleet.list_hosts(told->at, told->entries);
-      }
-      return told.has_value();
-    }
-    case copy_kind::ledger: {
-      const auto set = from_bytes<ledger_set>(copy);
-      if (set) {
-        this->hooks.take_ledger(*set, from);
-      }
-      return set.has_value();
-    }
-  }
-  return false;
-}
-
-namespace {
-
-template <class Registry>
-std::string packed_snapshot(const Registry& from) {
-  using entry_type = typename std::decay_t<decltype(from.listed())>::mapped_type;
-  registry_snapshot<entry_type> snapshot;
-  snapshot.at = from.at();
-  for (const auto& [key, entry] : from.listed()) {
-    snapshot.entries.push_back(entry);
-  }
-  return net::pack(to_bytes(snapshot));
-}
-
-/// Nothing when the bytes are none, or name a kind that there is not.
-std::optional<copy_request> copy_request_from(const std::string& bytes) {
-  auto request = from_bytes<copy_request>(bytes);
-  const auto& kinds = all_copy_kinds;
-  const bool known = request && std::find(kinds.begin(), kinds.end(), request->kind) != kinds.end();
-  return known ? std::move(request) : std::nullopt;
-}
-
-}  // namespace
-
 std::optional<std::string> peer_gossip::serve(gossip_method method, const std::string& payload) {
   switch (method) {
     case gossip_method::digest: {
@@ -487,7 +421,7 @@
 
 std::optional<std::string> peer_gossip::give_copy(const copy_request& request) {
   this->note_progress();
-  const auto& copy = this->ready_copy(request.kind);
+  const auto& copy = this->copies.ready(request.kind);
   if (!copy) {
     return std::nullopt;
   }
@@ -501,30 +435,6 @@
   return to_answer_bytes({copy, {}});
 }
 
-const std::optional<std::string>& peer_gossip::ready_copy(copy_kind kind) {
-  auto& ready = this->ready_copies[kind];
-  if (!ready) {
-    ready = this->copy_of(kind);
-  }
-  return ready;
-}
-
-std::optional<std::string> peer_gossip::copy_of(copy_kind kind) const {
-  switch (kind) {
-    case copy_kind::configuration:
-      return this->fleet.table() ? std::optional(this->fleet.configuration_copy()) : std::nullopt;
-    case copy_kind::backends:
-      return packed_snapshot(this->fleet.backends());
-    case copy_kind::hosts:
-      return packed_snapshot(this->fleet.hosts());
-    case copy_kind::ledger: {
-      const auto set = this->hooks.ledger();
-      return set ? std::optional(to_bytes(*set)) : std::nullopt;
-    }
-  }
-  return std::nullopt;
-}
-
 std::vector<host_entry> peer_gossip::ready_hosts() const {
   std::vector<host_entry> ready;
   for (const auto& [name, other] : this->peers) {
--- a/libs/front/test/gossip_messages_test.cc
+++ b/libs/front/test/gossip_messages_test.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "hawthornlane/front/copy_messages.h"
+
 using namespace hawthornlane;
 using namespace hawthornlane::front;
 using namespace std::chrono_literals;
@@ -88,3 +90,16 @@
   CHECK(read->at == store_revision(5));
   CHECK(read->entries == std::vector<backend_entry>{sent});
 }
+
+TEST_CASE("a question for a copy names a kind that there is") {
+  const host_id asker("front-1");
+  for (const copy_kind kind : all_copy_kinds) {
+    const auto read = copy_request_from(to_bytes(copy_request{kind, asker}));
+    REQUIRE(read);
+    CHECK(read->kind == kind);
+    CHECK(read->asker == asker);
+  }
+  const auto unknown = static_cast<copy_kind>(all_copy_kinds.size());
+  CHECK_FALSE(copy_request_from(to_bytes(copy_request{unknown, asker})));
+  CHECK_FALSE(copy_request_from(""));
+}
