Server speed: a slow and a fast estimate by the times of calls

Nothing said how fast a server is, although servers of one service differ by 2.5 times. The time of a call is compared with what such calls take at all servers at present, with the load that the server had taken out, and kept as two fading means of the logarithm, own and told words apart. Nothing decides by it yet.

--- /dev/null
+++ b/libs/placement/test/server_speed_test.cc
@@ -0,0 +1,254 @@
+// Tables over how fast servers are believed to be.
+#include "hawthornlane/placement/server_speed.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <random>
+
+using namespace hawthornlane;
+using namespace std::chrono_literals;
+
+namespace {
+
+timestamp at(duration since) { return timestamp(since); }
+
+/// One host's calls at some servers, one after the other.
+class played_servers {
+public:
+  explicit played_servers(std::vector<double> with) : factors(std::move(with)) {
+    this->speeds.resize(this->factors.size());
+  }
+
+  /// A call of 140 ms at an idle server of factor 1.
+  void call(std::size_t server, double load = 1, std::uint64_t kind = 1) {
+    std::lognormal_distribution<double> spread(0, this->noise);
+    const double usual = 0.14 * static_cast<double>(kind);
+    const double took = usual * this->factors[server] * this->common * load * spread(this->random);
+    this->note(server, from_seconds(took), load, kind);
+  }
+  void call_each(int times) {
+    for (int number = 0; number < times; ++number) {
+      for (std::size_t server = 0; server < this->factors.size(); ++server) {
+        this->call(server);
+      }
+      this->now += 100ms;
+    }
+  }
+  double slow(std::size_t server) const {
+    return std::exp(this->speeds[server].slow(this->rules, at(this->now)));
+  }
+  double expected(std::size_t server) const {
+    return std::exp(this->speeds[server].expected(this->rules, at(this->now)));
+  }
+
+  std::vector<double> factors;
+  std::vector<server_speed> speeds;
+  speed_rules rules;
+  double noise = 0.3;
+  /// All calls take so many times longer.
+  double common = 1;
+  duration now{};
+
+private:
+  void note(std::size_t server, duration took, double load, std::uint64_t kind) {
+    server_speed& speed = this->speeds[server];
+    const double expected = speed.expected(this->rules, at(this->now));
+    const auto sample =
+        this->times.compare(kind, timed_part::whole, took, load, expected, this->rules);
+    if (sample) {
+      speed.note(*sample, this->rules, at(this->now));
+    }
+  }
+
+  typical_times times;
+  std::mt19937 random{5};
+};
+
+}  // namespace
+
+TEST_CASE("servers that differ are told apart after some calls") {
+  struct row {
+    const char* what;
+    std::array<double, 3> factors;
+    double noise;
+    int calls;
+    double ratio;
+    double margin;
+  };
+  const row rows[] = {
+      {"all the same", {1, 1, 1}, 0.3, 60, 1, 0.2},
+      {"the slow one at 2.4 times the others", {0.7, 0.7, 1.7}, 0.3, 60, 2.43, 0.4},
+      {"calls that differ by two times", {0.7, 0.7, 1.7}, 0.7, 150, 2.43, 0.6},
+      {"the fast one at half of the others", {1, 1, 0.5}, 0.3, 60, 0.5, 0.1},
+  };
+  for (const row& item : rows) {
+    played_servers servers({item.factors.begin(), item.factors.end()});
+    servers.noise = item.noise;
+    servers.call_each(item.calls);
+    INFO(item.what << ": " << servers.slow(0) << ", " << servers.slow(1) << ", "
+                   << servers.slow(2));
+    CHECK(servers.slow(2) / servers.slow(0) == Approx(item.ratio).margin(item.margin));
+    CHECK(servers.slow(1) / servers.slow(0) == Approx(1).margin(0.25));
+  }
+}
+
+TEST_CASE("a few calls say little, and nothing is known of a server without any") {
+  played_servers servers({1, 1, 1});
+  servers.call_each(30);
+  CHECK(server_speed().slow(servers.rules, at(0s)) == 0);
+  server_speed unknown;
+  unknown.note({std::log(2.4), 1}, servers.rules, at(servers.now));
+  CHECK(std::exp(unknown.slow(servers.rules, at(servers.now))) < 1.6);
+}
+
+TEST_CASE("without calls half of a belief is forgotten in 70 s, and nearly all in 4 minutes") {
+  played_servers servers({0.7, 0.7, 1.7});
+  servers.call_each(1000);
+  for (server_speed& speed : servers.speeds) {
+    speed.hear({530, 4000, 0, 0}, at(servers.now));
+  }
+  const double known = std::log(servers.slow(2));
+  REQUIRE(known > 0.4);
+  servers.now += 71s;
+  CHECK(std::log(servers.slow(2)) < 0.55 * known);
+  servers.now += 170s;
+  CHECK(std::log(servers.slow(2)) < 0.01 * known);
+}
+
+TEST_CASE("a server that has become fast is believed to be within 40 s") {
+  played_servers servers({0.7, 0.7, 1.7});
+  servers.call_each(300);
+  REQUIRE(servers.slow(2) > 1.5 * servers.slow(0));
+  servers.factors[2] = 0.7;
+  servers.call_each(400);
+  CHECK(servers.slow(2) < 1.15 * servers.slow(0));
+}
+
+TEST_CASE("a full server is not a slow one") {
+  struct row {
+    const char* what;
+    double load;
+  };
+  const row rows[] = {{"nearly full", 1.35}, {"one place short", 1.6}, {"a second round", 2.4}};
+  for (const row& item : rows) {
+    INFO(item.what);
+    played_servers servers({1, 1, 1});
+    for (int number = 0; number < 100; ++number) {
+      servers.call(0);
+      servers.call(1);
+      servers.call(2, item.load);
+      servers.now += 100ms;
+    }
+    CHECK(servers.slow(2) == Approx(1).margin(0.12));
+  }
+}
+
+TEST_CASE("when all servers take longer, none of them is slow") {
+  played_servers servers({0.7, 0.7, 1.7});
+  servers.noise = 0.15;
+  servers.call_each(200);
+  const double before = servers.slow(2) / servers.slow(0);
+  servers.common = 4;
+  servers.call_each(60);
+  CHECK(servers.slow(2) / servers.slow(0) == Approx(before).margin(0.4));
+  CHECK(servers.slow(0) < 1.3);
+}
+
+TEST_CASE("what a server got of long and short calls does not bear on its speed") {
+  played_servers servers({1, 1, 1});
+  for (int number = 0; number < 200; ++number) {
+    servers.call(0, 1, 1);
+    servers.call(1, 1, 1 + number % 2 * 7);
+    servers.call(2, 1, 8);
+    servers.now += 100ms;
+  }
+  CHECK(servers.slow(2) / servers.slow(0) == Approx(1).margin(0.15));
+}
+
+TEST_CASE("a short slowness is seen within 0.4 s and over 0.6 s after its end") {
+  // All calls of a server, 28 a second, as its keeper hears of them; in a spell it is 2.5 times
+  // slower, which is so for a seventh of the time.
+  played_servers servers({0.7, 0.7, 0.7, 0.7, 0.7, 0.7, 0.7, 0.7, 1.7, 1.7, 1.7, 1.7});
+  const auto call_for = [&](duration span) {
+    for (const duration end = servers.now + span; servers.now < end; servers.now += 36ms) {
+      for (std::size_t server = 0; server < servers.factors.size(); ++server) {
+        servers.call(server);
+      }
+    }
+  };
+  for (int spell = 0; spell < 10; ++spell) {
+    call_for(3400ms);
+    servers.factors[0] = 0.7 * 2.5;
+    call_for(600ms);
+    servers.factors[0] = 0.7;
+  }
+  call_for(3400ms);
+  const double before = servers.expected(0);
+  const double slow_before = servers.slow(0);
+  servers.factors[0] = 0.7 * 2.5;
+  call_for(400ms);
+  CHECK(servers.expected(0) > 1.7 * before);
+  // What the server is does not change by it.
+  CHECK(servers.slow(0) < 1.15 * slow_before);
+  call_for(200ms);
+  servers.factors[0] = 0.7;
+  call_for(600ms);
+  CHECK(servers.expected(0) < 1.3 * before);
+}
+
+TEST_CASE("what is heard is weighed by its calls, and never told on nor counted twice") {
+  struct row {
+    const char* what;
+    speed_word heard;
+    double slow;
+  };
+  // The own word is twice as slow, by a weight of 4.
+  const double own = std::log(2.0);
+  const row rows[] = {
+      {"nothing", {}, own * 4 / 5},
+      {"a light word", {0, 8, 0, 0}, own * 4 / 6},
+      {"a heavy word", {0, 320, 0, 0}, own * 4 / 45},
+      {"the same word", {693, 320, 0, 0}, own * 44 / 45},
+  };
+  const speed_rules rules;
+  for (const row& item : rows) {
+    INFO(item.what);
+    server_speed speed;
+    speed.note({own, 4}, rules, at(1s));
+    const speed_word before = speed.own_word(rules, at(1s));
+    for (int number = 0; number < 10; ++number) {
+      speed.hear(item.heard, at(1s));
+    }
+    CHECK(speed.slow(rules, at(1s)) == Approx(item.slow).margin(0.002));
+    CHECK(speed.own_word(rules, at(1s)) == before);
+    CHECK(before.slow == 693);
+    CHECK(before.slow_weight == 32);
+  }
+}
+
+TEST_CASE("a mean of words goes by their weights and ages") {
+  const speed_rules rules;
+  struct row {
+    const char* what;
+    std::vector<std::pair<speed_word, duration>> words;
+    std::int16_t slow;
+    std::uint16_t slow_weight;
+  };
+  const row rows[] = {
+      {"none", {}, 0, 0},
+      {"one", {{{500, 16, 0, 0}, 0s}}, 500, 16},
+      {"two of one weight", {{{500, 16, 0, 0}, 0s}, {{-100, 16, 0, 0}, 0s}}, 200, 32},
+      {"an old one", {{{500, 16, 0, 0}, 0s}, {{-100, 16, 0, 0}, 300s}}, 500, 16},
+      {"more than a belief weighs", {{{500, 60000, 0, 0}, 0s}}, 500, 400},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    speed_mean mean;
+    for (const auto& [word, age] : item.words) {
+      mean.add(word, age, rules);
+    }
+    CHECK(mean.word(rules).slow == item.slow);
+    CHECK(mean.word(rules).slow_weight == item.slow_weight);
+  }
+}
