Placement weighs servers by their speed, and plain calls by the load of all hosts

A host chose a server by its own calls there (calls without a prompt), and took all servers to be equally fast. With pool_rules::learns_speed cost_of multiplies waiting, crowding and reading by the expected slowness; calls without a prompt are weighed at three servers, which come up by speed, by the calls of all hosts there. Counts of such calls are told from a quarter (ends) and from 0.45 calls a place (beginnings), and asked for from one half. Without the rule nothing changes, nor does cost_of.

--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -257,11 +257,44 @@
   return request;
 }
 
+/// One host's choice of a server for a call without a prompt, by the speeds of servers.
+void plain_choice_slopes() {
+  for (const std::size_t servers : {48U, 275U, 2200U}) {
+    pool_rules rules;
+    rules.learns_speed = true;
+    server_pool pool(rules, host_id("host-0"), availability_zone("zone-0"));
+    std::vector<backend_entry> entries(servers);
+    for (std::size_t at = 0; at < servers; ++at) {
+      entries[at].id = backend_server_id("i-" + std::to_string(at * 7919));
+      entries[at].zone = availability_zone("zone-" + std::to_string(at % 20));
+      entries[at].slots = 8;
+    }
+    pool.set_servers(entries, timestamp{});
+    pool.note_fill(1);
+    timestamp now{};
+    std::vector<placement> placed;
+    const double us = each_us(10'000, [&](std::size_t at) {
+      now += std::chrono::milliseconds(1);
+      placement_request request = turn_of(at);
+      request.prompt.clear();
+      if (pool.question_for(request, now).servers.size() > servers) {
+        return;
+      }
+      pool.submit(request, now, placed);
+      pool.take_update();
+      pool.finished(request.id, server_outcome::answered, now);
+    });
+    print("plain call placed: servers", servers, "us/call (question, choice, end)", us);
+  }
+}
+
 /// One host's choice of a server for a turn, with what it asks other hosts, and the same
 /// when no server has a place left.
-void server_choice_slopes() {
+void server_choice_slopes(bool learns_speed) {
   for (const std::size_t servers : {48U, 275U, 2200U}) {
-    server_pool pool(pool_rules{}, host_id("host-0"), availability_zone("zone-0"));
+    pool_rules rules;
+    rules.learns_speed = learns_speed;
+    server_pool pool(rules, host_id("host-0"), availability_zone("zone-0"));
     std::vector<backend_entry> entries(servers);
     for (std::size_t at = 0; at < servers; ++at) {
       entries[at].id = backend_server_id("i-" + std::to_string(at * 7919));
@@ -286,7 +319,8 @@
       pool.started(placement_id(at + 1), now);
       pool.finished(placement_id(at + 1), server_outcome::answered, now);
     });
-    print("turn placed: servers", servers, "us/turn (question, choice, end)", us);
+    print(learns_speed ? "turn placed by speed: servers" : "turn placed: servers", servers,
+          "us/turn (question, choice, end)", us);
     // More calls than the host may have at all servers: from then on none has a place.
     const std::size_t places = servers * 8;
     for (std::size_t at = 0; at < places; ++at) {
@@ -345,7 +379,9 @@
   membership_slopes();
   scheduler_slopes();
   placement_slopes();
-  server_choice_slopes();
+  server_choice_slopes(false);
+  server_choice_slopes(true);
+  plain_choice_slopes();
   limits_slopes();
   document_slopes();
   return 0;
--- a/libs/placement/include/hawthornlane/placement/placement_directory.h
+++ b/libs/placement/include/hawthornlane/placement/placement_directory.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "hawthornlane/placement/prefix_cache_view.h"
+#include "hawthornlane/placement/server_speed.h"
 #include "hawthornlane/units/ids.h"
 #include "hawthornlane/units/quantities.h"
 
@@ -45,12 +46,28 @@
   }
 };
 
+/// What is believed of a server's speed.
+struct told_speed {
+  server_key server;
+  speed_word word;
+
+  friend bool operator==(const told_speed&, const told_speed&) = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->server, this->word);
+  }
+};
+
 /// What changed at one host.
 struct directory_update {
   std::vector<server_load> loads;
   std::vector<part_location> locations;
+  /// By this host's own calls.
+  std::vector<told_speed> speeds;
 
-  [[nodiscard]] bool empty() const { return this->loads.empty() && this->locations.empty(); }
+  [[nodiscard]] bool empty() const {
+    return this->loads.empty() && this->locations.empty() && this->speeds.empty();
+  }
 };
 
 /// What one host wants to know before it places a call.
@@ -69,12 +86,21 @@
   /// A host's count that has not been told again for this long no longer counts: hosts
   /// tell each count above 0 once a second, so a host that missed three is gone.
   static constexpr duration count_lifetime = std::chrono::milliseconds(3200);
+  /// What a host told of a server's speed is dropped after this time, when it weighs less than
+  /// a hundredth of what it did.
+  static constexpr duration speed_lifetime = std::chrono::seconds(75);
   /// Lines that one host keeps entries of; some 100 bytes each.
   static constexpr std::size_t most_lines = 16384;
 
   /// `host` has so many calls at the server now.
   void set_load(const host_id& host, const server_load& load, timestamp now);
   void set_location(const part_location& location);
+  /// What `host` believes of the server now; it takes the place of what it told before.
+  void set_speed(const host_id& host, const told_speed& speed, timestamp now);
+  /// The mean of what all hosts but `asker` have told. Nothing: they have told nothing that
+  /// still counts.
+  [[nodiscard]] std::optional<told_speed> speed_of_others(server_key server, const host_id& asker,
+                                                          timestamp now) const;
   /// Calls at the server of all hosts but `asker`.
   [[nodiscard]] std::uint32_t load_of_others(server_key server, const host_id& asker,
                                              timestamp now) const;
@@ -85,11 +111,21 @@
     std::uint32_t calls = 0;
     timestamp told{};
   };
+  struct told_word {
+    speed_word word;
+    timestamp told{};
+  };
   struct line_entry {
     part_location location;
     std::list<prompt_part_key>::iterator used;
   };
+  /// Drops what dead hosts told, and of servers that are gone.
+  void drop_old_speeds(timestamp now);
+
+  speed_rules rules;
   std::map<server_key, std::map<host_id, told_count>> loads;
+  std::map<server_key, std::map<host_id, told_word>> speeds;
+  timestamp next_drop{};
   /// Most recently written first. Invariant: names every entry of `lines` once.
   std::list<prompt_part_key> by_use;
   std::unordered_map<prompt_part_key, line_entry> lines;
--- a/libs/placement/include/hawthornlane/placement/server_choice.h
+++ b/libs/placement/include/hawthornlane/placement/server_choice.h
@@ -18,6 +18,8 @@
   double missing_tokens = 0;
   /// It is in this host's availability zone.
   bool near = false;
+  /// How many times longer calls take there than usual.
+  double slowness = 1;
 };
 
 /// Weights of a choice, in parts of the time that a call takes at its server: engines
@@ -43,7 +45,11 @@
   std::size_t near_choices = 2;
 };
 
-/// How many calls' time it takes until the call is through, with what it takes from others.
+/// How many times longer than alone a call takes at a server of usual speed with this load; what
+/// has to be read is left out.
+double time_at(const server_prospect& server, const choice_rules& rules);
+/// How many calls' time it takes until the call is through, with what it takes from others,
+/// beyond that of a call alone at a server of usual speed.
 double cost_of(const server_prospect& server, const choice_rules& rules);
 
 }  // namespace hawthornlane
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -14,6 +14,7 @@
 #include "hawthornlane/placement/prefix_cache_view.h"
 #include "hawthornlane/placement/server_choice.h"
 #include "hawthornlane/placement/server_health.h"
+#include "hawthornlane/placement/server_speed.h"
 #include "hawthornlane/units/ids.h"
 #include "hawthornlane/units/quantities.h"
 
@@ -86,6 +87,16 @@
   bool learns_speed = false;
   choice_rules choice;
   health_rules health;
+  speed_rules speed;
+};
+
+/// What a host believes of a server's speed, for operators.
+struct server_pace {
+  backend_server_id id;
+  /// How many times longer calls take there than usual.
+  double factor = 1;
+  /// What that rests on; 1 is as much as knowing nothing.
+  double weight = 0;
 };
 
 /// Decides for one service at one host. No I/O, clock or randomness.
@@ -105,6 +116,19 @@
   directory_update take_update();
   /// Calls of this host at each server that has any.
   [[nodiscard]] std::vector<server_load> own_loads() const;
+  /// How many calls all hosts have for each place of the servers, as far as this host has heard.
+  /// Calls without a prompt are told and asked about only when that is high.
+  void note_fill(double calls_per_place) { this->fill_heard = calls_per_place; }
+  /// Ends of calls without a prompt are told together; those due by `now` are part of the next
+  /// `take_update`. True: there are some.
+  bool release_ends(timestamp now);
+  /// Adds what calls of this host have said of the servers that `update` names, and has not
+  /// been told.
+  void add_speeds(directory_update& update, timestamp now);
+  /// What other hosts believe.
+  void note_speed(const told_speed& speed, timestamp now);
+  /// Of the listed servers of which something is known.
+  [[nodiscard]] std::vector<server_pace> paces(timestamp now) const;
   /// Some server is known to have read this part of a prompt.
   [[nodiscard]] bool knows(prompt_part_key part) const { return this->caches.knows(part); }
   /// Places the call, queues it, or refuses it at once because it cannot be served.
@@ -150,7 +174,13 @@
     /// Calls of other hosts when they were last heard of.
     double others = 0;
     timestamp others_heard{};
+    /// Those of `inside` that other hosts are told of.
+    std::uint32_t shared = 0;
     server_health health;
+    server_speed speed;
+    /// How many times longer calls take there than usual; renewed with each word of it and
+    /// once a second, since thousands of servers are weighed for one call.
+    double slow_factor = 1;
     bool listed = true;
   };
   /// The servers that a choice is made among.
@@ -161,11 +191,19 @@
     /// Of its server; another one there by now knows nothing of the call.
     server_life life;
     std::uint64_t kind = 0;
-    /// It has a prompt: other hosts want to know of it.
+    /// Other hosts want to know of it: it has a prompt, or servers are rather full.
     bool is_shared = false;
     timestamp since{};
     /// Its time until the answer began is known.
     bool timed = false;
+    /// It has no prompt, and its end is told with others.
+    bool ends_later = false;
+    /// Calls that have about as much to read take about the same time.
+    std::uint64_t timed_kind = 0;
+    /// How many times longer than alone it takes at the load that its server had.
+    double load = 1;
+    /// Its server had no place free.
+    bool waits = false;
   };
   /// Priority, whether it begins a program, whether its time is over already, when it is
   /// wanted, and its name.
@@ -194,6 +232,36 @@
                                                 timestamp now);
   [[nodiscard]] server_state* choose_least_busy(const placement_request& request,
                                                 choice_range range, timestamp now);
+  /// The same by the calls of all hosts and the servers' speeds.
+  [[nodiscard]] server_state* choose_by_speed(const placement_request& request, choice_range range,
+                                              timestamp now);
+  /// The few servers that a call without a prompt is weighed at, that of its object first. Faster
+  /// ones come up more often, so that hosts which know old loads share the work by speed.
+  [[nodiscard]] std::vector<const listed_server*> candidates_by_speed(
+      const placement_request& request, choice_range range, timestamp now) const;
+  /// How many usual calls' work is at the server with one more call.
+  [[nodiscard]] double plain_cost(const listed_server& item, timestamp now) const;
+  /// What this host believes of the server for the call.
+  [[nodiscard]] server_prospect prospect_of(const server_state& server,
+                                            const placement_request& request, timestamp now) const;
+  /// Has other hosts told of a call without a prompt as the load wants.
+  void note_plain_call(running_call& call, const server_state& server);
+  [[nodiscard]] directory_question plain_question(const placement_request& request,
+                                                  timestamp now) const;
+  /// Of a call that is about to be placed.
+  void note_load_met(running_call& call, const server_state& server,
+                     const placement_request& request, timestamp now) const;
+  /// Holds a call's time for or against its server's speed.
+  void note_speed_of(const running_call& call, timed_part part, timestamp now);
+  /// A call whose end is told later has ended.
+  void note_end(const server_state& server, timestamp now);
+  void renew_slow_factor(server_state& server, timestamp now);
+  /// Beliefs fade.
+  void renew_slow_factors(timestamp now);
+  /// What the server can do, in parts of what servers can do on average.
+  [[nodiscard]] double part_of_work(const server_state& server) const;
+  /// Calls at the server that other hosts are told of.
+  [[nodiscard]] std::uint32_t told_calls(const server_state& server) const;
   /// The servers that hold the call's line, and a few others.
   [[nodiscard]] server_list candidates_for(const placement_request& request, timestamp now) const;
   [[nodiscard]] bool holds_line(const server_state& server, const placement_request& request) const;
@@ -249,6 +317,16 @@
   /// Not told yet: where lines went, and servers at which this host's count has changed.
   std::vector<part_location> moved;
   std::set<server_key> changed;
+  /// The same by ends of calls without a prompt, and since when.
+  std::set<server_key> ended;
+  timestamp ended_since{};
+  typical_times typical;
+  /// Servers of whose speed this host has learnt more than it has told.
+  std::set<server_key> speed_news;
+  timestamp next_renewal{};
+  /// Of 1 / `slow_factor`, as of the last renewal.
+  double mean_speed = 1;
+  double fill_heard = 0;
   /// Calls that may be at servers while places are scarce; nothing: as many as fit.
   std::optional<std::uint32_t> window;
   /// Makes the order in which this host prefers equally busy servers its own.
--- a/libs/placement/include/hawthornlane/placement/server_speed.h
+++ b/libs/placement/include/hawthornlane/placement/server_speed.h
@@ -33,7 +33,7 @@
 };
 
 /// One call's time, compared with what such calls take.
-struct speed_sample {
+struct server_speed_sample {
   double pace = 0;
   double weight = 0;
 };
@@ -79,7 +79,7 @@
 class server_speed {
 public:
   /// A call of this host ended.
-  void note(const speed_sample& sample, const speed_rules& rules, timestamp now);
+  void note(const server_speed_sample& sample, const speed_rules& rules, timestamp now);
   /// The mean of what other hosts believe; it takes the place of what was heard before, and is
   /// never part of what this host tells.
   void hear(const speed_word& word, timestamp now);
@@ -121,8 +121,9 @@
   /// Compares a call's time with the usual one. `load` is how many times longer than alone a
   /// call takes at the load that the server had, `expected` what was believed of its speed.
   /// Nothing while too few calls of the kind are known.
-  std::optional<speed_sample> compare(std::uint64_t kind, timed_part part, duration took,
-                                      double load, double expected, const speed_rules& rules);
+  std::optional<server_speed_sample> compare(std::uint64_t kind, timed_part part, duration took,
+                                             double load, double expected,
+                                             const speed_rules& rules);
 
 private:
   /// Of the logarithm of seconds.
--- a/libs/placement/src/placement_directory.cc
+++ b/libs/placement/src/placement_directory.cc
@@ -41,6 +41,38 @@
   return sum;
 }
 
+void placement_directory::set_speed(const host_id& host, const told_speed& speed, timestamp now) {
+  if (now >= this->next_drop) {
+    this->drop_old_speeds(now);
+    this->next_drop = now + speed_lifetime;
+  }
+  this->speeds[speed.server][host] = {speed.word, now};
+}
+
+void placement_directory::drop_old_speeds(timestamp now) {
+  for (auto& [server, hosts] : this->speeds) {
+    std::erase_if(hosts, [&](const auto& item) { return now - item.second.told > speed_lifetime; });
+  }
+  std::erase_if(this->speeds, [](const auto& item) { return item.second.empty(); });
+}
+
+std::optional<told_speed> placement_directory::speed_of_others(server_key server,
+                                                               const host_id& asker,
+                                                               timestamp now) const {
+  const auto found = this->speeds.find(server);
+  if (found == this->speeds.end()) {
+    return std::nullopt;
+  }
+  speed_mean mean;
+  for (const auto& [host, item] : found->second) {
+    if (host != asker) {
+      mean.add(item.word, std::chrono::duration_cast<duration>(now - item.told), this->rules);
+    }
+  }
+  const speed_word word = mean.word(this->rules);
+  return word.empty() ? std::nullopt : std::optional(told_speed{server, word});
+}
+
 void placement_directory::set_location(const part_location& location) {
   const auto [found, is_new] = this->lines.try_emplace(location.part);
   line_entry& entry = found->second;
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -49,15 +49,19 @@
 void server_pool::place(const placement_request& request, server_state& server, timestamp now,
                         std::vector<placement>& placed) {
   placement chosen{request.id, server.entry, std::nullopt};
-  const bool is_shared = !request.prompt.empty();
-  if (is_shared) {
+  running_call call{server.entry.id, server.life, request.kind, !request.prompt.empty(), now};
+  this->note_load_met(call, server, request, now);
+  if (call.is_shared) {
     chosen.basis = this->basis_of(server, request, now);
     this->note_prompt(request, server);
+  } else {
+    this->note_plain_call(call, server);
   }
   ++server.inside;
+  server.shared += call.is_shared ? 1 : 0;
   ++this->calls_inside;
   ++this->calls_at_listed;
-  this->running[request.id] = {server.entry.id, server.life, request.kind, is_shared, now};
+  this->running[request.id] = call;
   placed.push_back(std::move(chosen));
 }
 
@@ -200,6 +204,7 @@
   }
   found->second.timed = true;
   this->note_time(found->second, false, now);
+  this->note_speed_of(found->second, timed_part::first_event, now);
 }
 
 void server_pool::note_late_calls(timestamp now) {
@@ -230,13 +235,19 @@
   if (!call.timed && !never_ran) {
     this->note_time(call, !answered, now);
   }
+  if (outcome == server_outcome::answered) {
+    this->note_speed_of(call, timed_part::whole, now);
+  }
   server_state* server = this->server_of(call);
   if (server == nullptr) {
     return this->fill(now);
   }
-  if (call.is_shared) {
+  if (call.ends_later) {
+    this->note_end(*server, now);
+  } else if (call.is_shared) {
     this->changed.insert(server->key);
   }
+  server->shared -= call.is_shared ? 1 : 0;
   --server->inside;
   --this->calls_inside;
   this->calls_at_listed -= server->listed ? 1 : 0;
@@ -272,6 +283,7 @@
 
 std::vector<placement> server_pool::tick(timestamp now) {
   this->note_late_calls(now);
+  this->renew_slow_factors(now);
   return this->fill(now);
 }
 
--- a/libs/placement/src/server_pool_choice.cc
+++ b/libs/placement/src/server_pool_choice.cc
@@ -37,13 +37,7 @@
     if (!this->may_take(*server, range, now)) {
       continue;
     }
-    server_prospect prospect;
-    prospect.slots = server->entry.slots;
-    prospect.calls = this->calls_at(*server, now);
-    const token_count missing = this->caches.missing(request.prompt, server->entry.id);
-    prospect.missing_tokens = static_cast<double>(missing.get());
-    prospect.near = server->entry.zone == this->zone;
-    const double cost = cost_of(prospect, this->rules.choice);
+    const double cost = cost_of(this->prospect_of(*server, request, now), this->rules.choice);
     if (best == nullptr || cost < best_cost) {
       best = server;
       best_cost = cost;
@@ -52,8 +46,25 @@
   return best == nullptr ? nullptr : &this->servers.at(best->entry.id);
 }
 
+server_prospect server_pool::prospect_of(const server_state& server,
+                                         const placement_request& request, timestamp now) const {
+  server_prospect prospect;
+  prospect.slots = server.entry.slots;
+  prospect.calls = this->calls_at(server, now);
+  const token_count missing = this->caches.missing(request.prompt, server.entry.id);
+  prospect.missing_tokens = static_cast<double>(missing.get());
+  prospect.near = server.entry.zone == this->zone;
+  if (this->rules.learns_speed) {
+    prospect.slowness = std::exp(server.speed.expected(this->rules.speed, now));
+  }
+  return prospect;
+}
+
 server_pool::server_state* server_pool::choose_least_busy(const placement_request& request,
                                                           choice_range range, timestamp now) {
+  if (this->rules.learns_speed) {
+    return this->choose_by_speed(request, range, now);
+  }
   server_state* least = nullptr;
   server_state* preferred = nullptr;
   std::uint64_t preferred_weight = 0;
@@ -154,7 +165,12 @@
 
 double server_pool::calls_at(const server_state& server, timestamp now) const {
   const double count = static_cast<double>(this->servers.size());
-  const double mean = this->servers.empty() ? 0 : this->calls_of_others / count;
+  double mean = this->servers.empty() ? 0 : this->calls_of_others / count;
+  if (this->rules.learns_speed) {
+    // Work goes to servers by their speed, and is sooner done at fast ones: as many calls are
+    // at each, of which a slow one should have fewer.
+    mean *= this->part_of_work(server);
+  }
   const double age = to_seconds(std::chrono::duration_cast<duration>(now - server.others_heard));
   const double weight = std::exp(-age / load_fading_seconds);
   return server.inside + weight * server.others + (1 - weight) * mean;
@@ -184,7 +200,7 @@
                                              timestamp now) const {
   directory_question question;
   if (request.prompt.empty()) {
-    return question;
+    return this->plain_question(request, now);
   }
   for (const server_state* server : this->candidates_for(request, now)) {
     if (now - server->others_heard > fresh_load) {
@@ -218,9 +234,13 @@
 
 directory_update server_pool::take_update() {
   directory_update update;
+  if (!this->changed.empty() || !this->moved.empty()) {
+    this->changed.merge(this->ended);
+    this->ended.clear();
+  }
   for (const server_key key : this->changed) {
     const server_state* server = this->find_server(key);
-    update.loads.push_back({key, server == nullptr ? 0 : server->inside});
+    update.loads.push_back({key, server == nullptr ? 0 : this->told_calls(*server)});
   }
   this->changed.clear();
   update.locations = std::move(this->moved);
@@ -231,8 +251,8 @@
 std::vector<server_load> server_pool::own_loads() const {
   std::vector<server_load> loads;
   for (const auto& [id, server] : this->servers) {
-    if (server.inside > 0) {
-      loads.push_back({server.key, server.inside});
+    if (this->told_calls(server) > 0) {
+      loads.push_back({server.key, this->told_calls(server)});
     }
   }
   return loads;
--- a/libs/placement/src/server_speed.cc
+++ b/libs/placement/src/server_speed.cc
@@ -66,7 +66,8 @@
   return from == 0 ? 0 : from * fading_factor(now - this->renewed, fading);
 }
 
-void server_speed::note(const speed_sample& sample, const speed_rules& rules, timestamp now) {
+void server_speed::note(const server_speed_sample& sample, const speed_rules& rules,
+                        timestamp now) {
   const double from_slow = sample.pace - this->slow(rules, now);
   this->own_fast.add(from_slow, sample.weight, rules.fast_fading, now);
   this->own_slow.add(sample.pace, sample.weight, rules.slow_fading, now);
@@ -129,9 +130,10 @@
   return mean;
 }
 
-std::optional<speed_sample> typical_times::compare(std::uint64_t kind, timed_part part,
-                                                   duration took, double load, double expected,
-                                                   const speed_rules& rules) {
+std::optional<server_speed_sample> typical_times::compare(std::uint64_t kind, timed_part part,
+                                                          duration took, double load,
+                                                          double expected,
+                                                          const speed_rules& rules) {
   kind_times& times = this->kinds[{kind, part}];
   const double log_time = std::log(std::max(to_seconds(took), least_seconds) / load);
   ++times.calls;
@@ -150,7 +152,7 @@
     return std::nullopt;
   }
   this->common += common_newest_part * unexplained;
-  return speed_sample{pace, rules.server_variance / variance};
+  return server_speed_sample{pace, rules.server_variance / variance};
 }
 
 }  // namespace hawthornlane
