Hosts tell each other of servers' speeds with their loads

Words of speed travel behind the fields of directory messages and answers, only where there are some: without them the bytes are as before, and hosts that know none of it read no further. Gauges show the fastest and slowest server of a service, backend_slow a server that stays slow.

--- a/libs/front/include/hawthornlane/front/call_placer.h
+++ b/libs/front/include/hawthornlane/front/call_placer.h
@@ -87,6 +87,8 @@
     double demand = 0;
     /// As last written to the log.
     std::set<backend_server_id> set_aside;
+    /// Known to be slow, as last written to the log.
+    std::set<backend_server_id> slow;
     /// Hosts keep to their part of the places.
     bool scarce = false;
   };
@@ -96,6 +98,8 @@
   boost::asio::awaitable<void> ask_others(const server_pool& pool,
                                           const placement_request& request);
   void tell_changes(server_pool& pool);
+  /// Writes what operators see of servers' speeds.
+  void show_speeds(const service_name& name, service_pool& item);
   void deliver(const std::vector<placement>& placed);
   void share_places(const service_name& name, service_pool& item,
                     const std::vector<service_demand>& others, timestamp now);
--- a/libs/front/include/hawthornlane/front/directory_exchange.h
+++ b/libs/front/include/hawthornlane/front/directory_exchange.h
@@ -21,6 +21,8 @@
   std::vector<part_location> locations;
   std::vector<server_key> asked_servers;
   std::vector<prompt_part_key> asked_parts;
+  /// Behind the rest where there are any; hosts that know none of it read no further.
+  std::vector<told_speed> speeds;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -34,6 +36,8 @@
   std::vector<server_load> loads;
   /// Of the parts asked for, those that it knows.
   std::vector<part_location> locations;
+  /// Of the same servers, what other hosts believe; behind the rest as well.
+  std::vector<told_speed> speeds;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -41,6 +45,12 @@
   }
 };
 
+std::string bytes_of(const directory_message& message);
+std::string bytes_of(const directory_answer& answer);
+/// Nothing when the bytes are none.
+std::optional<directory_message> directory_message_from(const std::string& bytes);
+std::optional<directory_answer> directory_answer_from(const std::string& bytes);
+
 /// What the exchange takes from and gives to the rest of the host.
 struct exchange_hooks {
   /// The other front hosts that live.
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cmath>
 
 #include "hawthornlane/placement/call_window.h"
@@ -90,6 +91,9 @@
 void call_placer::tick() {
   const timestamp now = discovery::scheduler_now();
   for (auto& [name, item] : this->pools) {
+    if (item.pool.release_ends(now)) {
+      this->tell_changes(item.pool);
+    }
     if (item.pool.waiting() == 0) {
       continue;
     }
@@ -141,12 +145,16 @@
     for (const part_location& location : answer.locations) {
       item.pool.note_location(location);
     }
+    for (const told_speed& speed : answer.speeds) {
+      item.pool.note_speed(speed, now);
+    }
   }
 }
 
 void call_placer::renew_loads() {
   directory_update update;
-  for (const auto& [name, item] : this->pools) {
+  for (auto& [name, item] : this->pools) {
+    this->show_speeds(name, item);
     const std::vector<server_load> loads = item.pool.own_loads();
     update.loads.insert(update.loads.end(), loads.begin(), loads.end());
   }
@@ -155,8 +163,44 @@
   }
 }
 
+void call_placer::show_speeds(const service_name& name, service_pool& item) {
+  /// A server is called slow from here on, and until it is nearly as others again.
+  constexpr double slow_from = 1.5;
+  constexpr double slow_until = 1.25;
+  /// Lines a service in one look, once a second.
+  constexpr std::size_t most_lines = 4;
+  const std::vector<server_pace> paces = item.pool.paces(discovery::scheduler_now());
+  if (paces.empty()) {
+    return;
+  }
+  const auto by_factor = [](const server_pace& a, const server_pace& b) {
+    return a.factor < b.factor;
+  };
+  const auto [fastest, slowest] = std::minmax_element(paces.begin(), paces.end(), by_factor);
+  this->metrics.set(fmt::format("fastest_server_factor_{}", name.get()), fastest->factor);
+  this->metrics.set(fmt::format("slowest_server_factor_{}", name.get()), slowest->factor);
+  std::set<backend_server_id> still_slow;
+  std::size_t lines = 0;
+  for (const server_pace& pace : paces) {
+    const bool was_slow = item.slow.contains(pace.id);
+    const bool turned_slow = !was_slow && pace.factor >= slow_from && lines < most_lines;
+    if (turned_slow) {
+      ++lines;
+      log(event::backend_slow, {{"server", pace.id.get()},
+                                {"service", name.get()},
+                                {"factor", fmt::format("{:.2f}", pace.factor)},
+                                {"weight", fmt::format("{:.0f}", pace.weight)}});
+    }
+    if (turned_slow || (was_slow && pace.factor >= slow_until)) {
+      still_slow.insert(pace.id);
+    }
+  }
+  item.slow = std::move(still_slow);
+}
+
 void call_placer::tell_changes(server_pool& pool) {
-  const directory_update update = pool.take_update();
+  directory_update update = pool.take_update();
+  pool.add_speeds(update, discovery::scheduler_now());
   if (this->exchange != nullptr && !update.empty()) {
     this->exchange->tell(update);
   }
@@ -191,6 +235,8 @@
   for (const service_demand& other : others) {
     load.other_calls += other.service == name ? other.calls : 0;
   }
+  const double calls = load.own_calls + load.other_calls;
+  item.pool.note_fill(load.places > 0 ? calls / load.places : 0);
   const std::optional<std::uint32_t> window = window_for(load);
   if (window.has_value() != item.scarce) {
     item.scarce = window.has_value();
--- a/libs/front/src/directory_exchange.cc
+++ b/libs/front/src/directory_exchange.cc
@@ -15,8 +15,44 @@
 /// another zone and back, and a tenth of a turn's way from its caller.
 constexpr std::chrono::milliseconds ask_limit{10};
 
+/// A message with its speeds as hosts pass it on.
+template <class Message>
+struct with_speeds {
+  Message message;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->message, this->message.speeds);
+  }
+};
+
+template <class Message>
+std::string bytes_with_speeds(const Message& message) {
+  return message.speeds.empty() ? to_bytes(message) : to_bytes(with_speeds<Message>{message});
+}
+
+template <class Message>
+std::optional<Message> read_with_speeds(const std::string& bytes) {
+  if (auto whole = from_bytes<with_speeds<Message>>(bytes)) {
+    return std::move(whole->message);
+  }
+  return from_bytes<Message>(bytes);
+}
+
 }  // namespace
 
+std::string bytes_of(const directory_message& message) { return bytes_with_speeds(message); }
+
+std::string bytes_of(const directory_answer& answer) { return bytes_with_speeds(answer); }
+
+std::optional<directory_message> directory_message_from(const std::string& bytes) {
+  return read_with_speeds<directory_message>(bytes);
+}
+
+std::optional<directory_answer> directory_answer_from(const std::string& bytes) {
+  return read_with_speeds<directory_answer>(bytes);
+}
+
 directory_exchange::directory_exchange(asio::io_context& io, host_id own, exchange_hooks with)
     : context(io), self(std::move(own)), hooks(std::move(with)) {}
 
@@ -42,6 +78,9 @@
   for (const part_location& location : update.locations) {
     this->message_to(all, location.part.get(), hosts).locations.push_back(location);
   }
+  for (const told_speed& speed : update.speeds) {
+    this->message_to(all, speed.server.get(), hosts).speeds.push_back(speed);
+  }
   for (const auto& [keeper, message] : all) {
     this->send(keeper, message, [] {});
   }
@@ -54,9 +93,9 @@
     done();
     return;
   }
-  this->hooks.send(keeper, to_bytes(message),
+  this->hooks.send(keeper, bytes_of(message),
                    [this, done = std::move(done)](net::rpc_failure why, const std::string& bytes) {
-                     const auto answer = from_bytes<directory_answer>(bytes);
+                     const auto answer = directory_answer_from(bytes);
                      if (why == net::rpc_failure::none && answer) {
                        this->hooks.take(*answer);
                      }
@@ -97,7 +136,13 @@
   directory_answer answer;
   const auto add_load = [&](server_key server) {
     answer.loads.push_back({server, this->directory.load_of_others(server, message.from, now)});
+    if (const auto speed = this->directory.speed_of_others(server, message.from, now)) {
+      answer.speeds.push_back(*speed);
+    }
   };
+  for (const told_speed& speed : message.speeds) {
+    this->directory.set_speed(message.from, speed, now);
+  }
   for (const server_load& load : message.loads) {
     this->directory.set_load(message.from, load, now);
     add_load(load.server);
@@ -117,11 +162,11 @@
 }
 
 std::optional<std::string> directory_exchange::serve(const std::string& payload) {
-  const auto message = from_bytes<directory_message>(payload);
+  const auto message = directory_message_from(payload);
   if (!message) {
     return std::nullopt;
   }
-  return to_bytes(this->answer(*message));
+  return bytes_of(this->answer(*message));
 }
 
 }  // namespace hawthornlane::front
--- a/libs/front/test/directory_exchange_test.cc
+++ b/libs/front/test/directory_exchange_test.cc
@@ -68,6 +68,7 @@
       directory_answer& all = this->taken[own];
       all.loads.insert(all.loads.end(), answer.loads.begin(), answer.loads.end());
       all.locations.insert(all.locations.end(), answer.locations.begin(), answer.locations.end());
+      all.speeds.insert(all.speeds.end(), answer.speeds.begin(), answer.speeds.end());
     };
     return hooks;
   }
@@ -90,7 +91,7 @@
   INFO(hosts << " hosts");
   exchange_network network(hosts);
   const part_location location{line, server, token_count(900)};
-  network.tell(0, {{{server, 5}}, {location}});
+  network.tell(0, {{{server, 5}}, {location}, {}});
   const directory_answer answer = network.ask(hosts - 1, {{server}, {line}});
   REQUIRE(answer.loads.size() == 1);
   // A host is not told of its own calls.
@@ -103,7 +104,7 @@
   exchange_network network(3);
   const backend_server_id id("s1");
   const server_key former = server_key_of(id, incarnation(100));
-  network.tell(0, {{{former, 5}}, {}});
+  network.tell(0, {{{former, 5}}, {}, {}});
   const server_key restarted = server_key_of(id, incarnation(200));
   const directory_answer answer = network.ask(2, {{restarted}, {}});
   REQUIRE(answer.loads.size() == 1);
@@ -132,3 +133,49 @@
   CHECK_FALSE(network.member(0).serve("short"));
   CHECK_FALSE(network.member(0).serve(std::string(64, '\xff')));
 }
+
+TEST_CASE("a host hears of speeds with the loads that it asks for, by the hosts that live") {
+  exchange_network network(3);
+  const told_speed speed{server, {700, 80, 0, 0}};
+  network.tell(0, {{{server, 5}}, {}, {speed}});
+  CHECK(network.ask(0, {{server}, {}}).speeds.empty());
+  const directory_answer answer = network.ask(2, {{server}, {}});
+  REQUIRE(answer.speeds.size() == 1);
+  CHECK(answer.speeds.front().server == server);
+  CHECK(answer.speeds.front().word.slow == 700);
+}
+
+TEST_CASE("messages without speeds have the bytes that they had before there were any") {
+  // The fields as the first hosts wrote and read them.
+  struct first_answer {
+    std::vector<server_load> loads;
+    std::vector<part_location> locations;
+    void serialize(cereal::BinaryOutputArchive& archive) { archive(loads, locations); }
+    void serialize(cereal::BinaryInputArchive& archive) { archive(loads, locations); }
+  };
+  directory_answer answer;
+  answer.loads = {{server, 5}};
+  answer.locations = {{line, server, token_count(900)}};
+  first_answer first{answer.loads, answer.locations};
+  CHECK(bytes_of(answer) == to_bytes(first));
+  const auto read_short = directory_answer_from(to_bytes(first));
+  REQUIRE(read_short);
+  CHECK(read_short->speeds.empty());
+
+  answer.speeds = {{server, {700, 80, 20, 8}}};
+  const auto read = directory_answer_from(bytes_of(answer));
+  REQUIRE(read);
+  CHECK(read->speeds == answer.speeds);
+  const auto by_first = from_bytes<first_answer>(bytes_of(answer));
+  REQUIRE(by_first);
+  CHECK(by_first->loads == answer.loads);
+  CHECK_FALSE(directory_answer_from(bytes_of(answer).substr(0, 5)));
+
+  directory_message message;
+  message.from = host_id("front-0");
+  message.asked_servers = {server};
+  CHECK(bytes_of(message) == to_bytes(message));
+  message.speeds = answer.speeds;
+  CHECK(directory_message_from(bytes_of(message))->speeds == message.speeds);
+  CHECK(from_bytes<directory_message>(bytes_of(message))->asked_servers == message.asked_servers);
+}
--- a/libs/telemetry/include/hawthornlane/telemetry/log.h
+++ b/libs/telemetry/include/hawthornlane/telemetry/log.h
@@ -53,6 +53,7 @@
   backend_trusted = 815,
   places_shared = 816,
   backend_restarted = 817,
+  backend_slow = 819,
   host_reachable = 820,
   host_silent = 821,
   settings_reread = 830,
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -86,6 +86,9 @@
                 "them, or are so no more"},
     event_entry{backend_restarted, "backend_restarted", info,
                 "a backend server started again under its id; nothing known of it before counts"},
+    event_entry{backend_slow, "backend_slow", info,
+                "calls take much longer at a backend server than at others, for longer than a "
+                "moment; it gets fewer"},
     event_entry{host_reachable, "host_reachable", info, "another host answers"},
     event_entry{host_silent, "host_silent", warning, "another host does not answer"},
     event_entry{settings_reread, "settings_reread", info, "the settings file was read again"},
