--- a/libs/placement/test/played_turns.h
+++ b/libs/placement/test/played_turns.h
@@ -26,11 +26,16 @@
       item.entry.zone = availability_zone("z" + std::to_string(number % 4));
       item.entry.slots = this->plan.slots;
       entries.push_back(item.entry);
+      if (this->plan.unequal) {
+        item.factor = number % 3 == 2 ? slow_factor : fast_factor;
+        item.spell_phase = 731ms * number;
+      }
       this->engines.emplace(item.entry.id, std::move(item));
     }
     for (int number = 0; number < this->plan.hosts; ++number) {
       pool_rules rules;
       rules.claims_places = this->plan.claims;
+      rules.learns_speed = this->plan.learns_speed;
       this->pools.emplace_back(rules, name_of(number),
                                availability_zone("z" + std::to_string(number % 4)));
       this->pools.back().set_servers(entries, timestamp{});
@@ -43,6 +48,10 @@
       this->share_places();
       this->arrive();
       this->wake();
+      this->deliver_told();
+      if (this->plan.unequal && this->now % tick_pause == 0ms) {
+        this->tick();
+      }
       this->repeat_claims();
       this->take_grants();
       for (auto& [id, server] : this->engines) {
@@ -299,6 +308,9 @@
       const auto calls = this->directory.load_of_others(server, asker, this->moment());
       const auto claims = static_cast<std::uint32_t>(this->places->waiting(server));
       pool.note_load({server, calls + claims / 2}, this->moment());
+      if (const auto speed = this->directory.speed_of_others(server, asker, this->moment())) {
+        pool.note_speed(*speed, this->moment());
+      }
     }
     for (const prompt_part_key& part : question.parts) {
       if (const auto location = this->directory.find(part)) {
@@ -308,14 +320,34 @@
   }
 
   void tell(int host) {
-    const directory_update update = this->pools[host].take_update();
-    for (const server_load& load : update.loads) {
-      const auto before = this->directory.set_load(name_of(host), load, this->moment());
-      this->places->count_changed(name_of(host), load, before, this->moment());
-    }
+    directory_update update = this->pools[host].take_update();
+    this->pools[host].add_speeds(update, this->moment());
     for (const part_location& location : update.locations) {
       this->directory.set_location(location);
     }
+    this->told.push_back({this->now + this->plan.view_age, host, std::move(update)});
+    this->deliver_told();
+  }
+
+  void deliver_told() {
+    while (!this->told.empty() && this->told.front().arrives <= this->now) {
+      const told_update item = std::move(this->told.front());
+      this->told.pop_front();
+      const host_id host = name_of(item.host);
+      for (const server_load& load : item.update.loads) {
+        const auto before = this->directory.set_load(host, load, this->moment());
+        this->places->count_changed(host, load, before, this->moment());
+      }
+      for (const told_speed& speed : item.update.speeds) {
+        this->directory.set_speed(host, speed, this->moment());
+      }
+    }
+  }
+
+  void tick() {
+    for (server_pool& pool : this->pools) {
+      this->send(pool.tick(this->moment()));
+    }
   }
 
   void send(const std::vector<placement>& placed) {
@@ -334,7 +366,7 @@
       server.running.push_back(server.queue.front());
       server.queue.pop_front();
     }
-    double left_ms = step_ms;
+    double left_ms = step_ms / this->factor_of(server);
     for (const placement_id& id : server.running) {
       turn& item = this->turns_under_way.at(id);
       const double part = std::min(item.to_read, left_ms * read_tokens_per_ms);
@@ -362,6 +394,11 @@
     }
   }
 
+  [[nodiscard]] double factor_of(const engine& server) const {
+    const duration in_turn = (this->now + server.spell_phase) % (spell + between_spells);
+    return this->plan.unequal && in_turn < spell ? server.factor * spell_factor : server.factor;
+  }
+
   static double missing(const engine& server, const std::vector<prompt_piece>& prompt) {
     double all = 0;
     for (const prompt_piece& piece : prompt) {
@@ -410,6 +447,7 @@
 
   load_plan plan;
   duration now{};
+  std::deque<told_update> told;
   std::mt19937 random{this->plan.seed};
   std::map<backend_server_id, engine> engines;
   std::vector<server_pool> pools;
--- a/libs/placement/test/turn_load_test.cc
+++ b/libs/placement/test/turn_load_test.cc
@@ -55,3 +55,38 @@
                   << alone.read / alone.unavoidable << " -> " << shared.read / shared.unavoidable);
   CHECK(share(shared.in_time, shared.began) > share(alone.in_time, alone.began) + 0.05);
 }
+
+TEST_CASE("programs are in time at servers of unequal speed") {
+  // 0.7 of what the servers can do: 45 servers of 8 places, of which a place does 3.8 turns a
+  // second at factor 1; a program has twelve.
+  load_plan plan;
+  plan.hosts = 66;
+  plan.servers = 45;
+  plan.slots = 8;
+  plan.usual = 84;
+  plan.burst = 84;
+  plan.unequal = true;
+  struct row {
+    const char* what;
+    duration view_age;
+    /// Of the programs that are late without learning, as many may be with it.
+    double late_part;
+  };
+  const row rows[] = {
+      {"loads of now", 0ms, 0.5},
+      {"loads of 50 ms ago", 50ms, 0.5},
+      {"loads of 500 ms ago", 500ms, 1},
+  };
+  for (const row& item : rows) {
+    plan.view_age = item.view_age;
+    plan.learns_speed = false;
+    const load_result before = played_turns(plan).play();
+    plan.learns_speed = true;
+    const load_result after = played_turns(plan).play();
+    const double in_time_before = share(before.in_time, before.began);
+    const double in_time = share(after.in_time, after.began);
+    INFO(item.what << ": in time " << in_time_before << " -> " << in_time << ", read "
+                   << before.read / before.unavoidable << " -> " << after.read / after.unavoidable);
+    CHECK(1 - in_time < item.late_part * (1 - in_time_before));
+  }
+}
--- a/libs/placement/test/turn_plan.h
+++ b/libs/placement/test/turn_plan.h
@@ -27,6 +27,13 @@
 /// An idle engine's time of one turn: reading, tokens, and the pause.
 constexpr double idle_turn_ms = 1000 / read_tokens_per_ms + turn_tokens * token_ms + 120;
 constexpr duration arrivals_end = 24s;
+/// Of servers that differ.
+constexpr double fast_factor = 0.7;
+constexpr double slow_factor = 1.7;
+constexpr double spell_factor = 2.5;
+constexpr duration spell = 600ms;
+constexpr duration between_spells = 3400ms;
+constexpr duration tick_pause = 100ms;
 
 /// What the programs of one kind of caller got.
 struct caller_result {
@@ -61,6 +68,11 @@
   bool windows = false;
   /// Calls for full servers claim a place at the keeper.
   bool claims = false;
+  /// Every third server is slow, and each is slower still for a seventh of the time.
+  bool unequal = false;
+  bool learns_speed = false;
+  /// What hosts tell of loads and speeds arrives so much later.
+  duration view_age{};
   /// Priorities are drawn from these evenly.
   std::vector<std::uint32_t> priorities{0};
   std::vector<account_plan> accounts{{}};
@@ -118,9 +130,19 @@
 
 struct engine {
   backend_entry entry;
+  /// How many times longer it takes than others, and when its spells begin.
+  double factor = 1;
+  duration spell_phase{};
   std::vector<placement_id> running;
   std::deque<placement_id> queue;
   prefix_cache_view cache;
 };
 
+/// What a host told, on its way.
+struct told_update {
+  duration arrives{};
+  int host = 0;
+  directory_update update;
+};
+
 }  // namespace hawthornlane::play
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -88,6 +88,9 @@
                 "a backend server started again under its id; nothing known of it before counts"},
     event_entry{place_refused, "place_refused", info,
                 "no server that a call would go to can have a place for it in its time"},
+    event_entry{backend_slow, "backend_slow", info,
+                "calls take much longer at a backend server than at others, for longer than a "
+                "moment; it gets fewer"},
     event_entry{host_reachable, "host_reachable", info, "another host answers"},
     event_entry{host_silent, "host_silent", warning, "another host does not answer"},
     event_entry{settings_reread, "settings_reread", info, "the settings file was read again"},
