Quotas: a keeper that was replaced unawares grants no more

A random-history test of the quotas (rapidcheck; kills, restarts from the log by another clock, one-way cuts, delays, duplicates, pauses, changes of limits and of the set) plays the real keepers, leases and set changes over fakes of links, logs and the store. It found two ways in which a part of a quota was kept in two places for longer than the half second that is tolerated:

- a keeper that the store did not reach went on while a majority answered it, though these had been fenced for the set that replaced it;

The lease is now a decision of its own in libs/limits: a fence above the keeper's own set ends it, and while a set is joint a member keeps the smaller of its two parts. Both mistakes, a keeper that forgets its grants, one without a lease and one that counts refusals are rows of a table that shows that the checks fire.

--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -17,6 +17,7 @@
 #include "hawthornlane/disk/ledger_store.h"
 #include "hawthornlane/http/server.h"
 #include "hawthornlane/limits/quota_keeper.h"
+#include "hawthornlane/limits/quota_lease.h"
 #include "hawthornlane/net/async_signal.h"
 #include "hawthornlane/net/message_bytes.h"
 #include "hawthornlane/net/rpc.h"
@@ -40,9 +41,6 @@
 /// One of a set of two: without it nothing can be decided, so waiting costs service.
 /// Several probes and a repeated packet fit in; a hiccup must not leave one alone.
 constexpr auto patience_of_two = std::chrono::milliseconds(1000);
-/// A keeper of quotas that has not heard a majority of the set for this long grants nothing:
-/// less than `patience`, after which others may have put another host in its place.
-constexpr auto quota_lease = std::chrono::milliseconds(3000);
 static_assert(quota_lease < patience);
 /// Between two looks for accounts that need not be remembered.
 constexpr auto quota_sweep_pause = std::chrono::seconds(5);
@@ -61,6 +59,11 @@
 constexpr auto page_pause = std::chrono::milliseconds(5);
 constexpr auto tick_pause = std::chrono::milliseconds(100);
 
+/// On the clock of `discovery::scheduler_now`.
+timestamp timestamp_of(net::steady_time time) {
+  return timestamp(std::chrono::duration_cast<duration>(time.time_since_epoch()));
+}
+
 std::string_view name_of(quota_verdict verdict) {
   switch (verdict) {
     case quota_verdict::granted:
@@ -191,7 +194,7 @@
       return;
     }
     quota_answer answer;
-    if (this->holds_quota_lease()) {
+    if (this->may_grant_quotas()) {
       answer = this->quotas.ask(*question, discovery::scheduler_now());
     }
     ++this->counts["quota_" + std::string(name_of(answer.verdict))];
@@ -222,32 +225,22 @@
                                });
   }
 
-  /// Nobody can have put another host in this one's place: the store has just named this one, or
-  /// a majority hears it.
-  bool holds_quota_lease() const {
+  bool may_grant_quotas() const {
     if (!this->set) {
       return false;
     }
-    const net::steady_time now = steady::now();
-    if (now - this->set_told_at < quota_lease) {
-      return true;
-    }
-    std::set<disk_id> heard{this->ledger.identity()};
+    quota_lease_view view{this->ledger.identity(), *this->set, timestamp_of(this->set_told_at), {}};
     for (const auto& [name, other] : this->peers) {
-      if (other.answered && now - other.heard_at < quota_lease) {
-        heard.insert(disk_id(other.entry.disk));
+      if (other.answered) {
+        view.heard.push_back(
+            {disk_id(other.entry.disk), timestamp_of(other.heard_at), other.heard.fence});
       }
     }
-    return ledger_set::majority_of(this->set->members, heard);
+    return holds_quota_lease(view, discovery::scheduler_now());
   }
 
-  /// While a set is joint its old members decide, and keep the quotas.
   void keep_quotas(const ledger_set& current) {
-    const auto& members = current.members;
-    const bool is_member =
-        std::find(members.begin(), members.end(), this->ledger.identity()) != members.end();
-    const double part = is_member ? 1.0 / static_cast<double>(members.size()) : 0;
-    this->quotas.keep(part, discovery::scheduler_now());
+    this->quotas.keep(quota_part(current, this->ledger.identity()), discovery::scheduler_now());
   }
 
   std::string metrics_text() {
--- /dev/null
+++ b/libs/limits/test/quota_grants.h
@@ -0,0 +1,67 @@
+// What was granted to an account, held against its limits and what the operator tolerates.
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+#include "quota_faults.h"
+
+namespace hawthornlane::quota_test {
+
+/// Until a change of the limit is known at every front host.
+inline constexpr duration limit_spread = std::chrono::milliseconds(500);
+/// A question that was sent by then may still be answered after so long.
+inline constexpr duration longest_way = std::chrono::milliseconds(700);
+
+class grant_history {
+public:
+  /// A call was granted then, and its asker told so.
+  void note_grant(timestamp at) { this->granted.push_back(at); }
+  void note_limit(account_limit limit, timestamp at) { this->limits.push_back({limit, at}); }
+  [[nodiscard]] std::size_t limit_changes() const { return this->limits.size(); }
+  [[nodiscard]] account_limit newest_limit() const { return this->limits.back().limit; }
+
+  /// By how many calls the worst window is beyond what the operator tolerates; at most 0 is right.
+  [[nodiscard]] double worst_excess() {
+    std::sort(this->granted.begin(), this->granted.end());
+    double worst = -1e9;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < this->granted.size(); ++last) {
+      while (this->granted[last] - this->granted[first] > rules.window) {
+        ++first;
+      }
+      const double most = this->allowed(this->granted[first], this->granted[last]);
+      worst = std::max(worst, static_cast<double>(last - first + 1) - most);
+    }
+    return worst;
+  }
+
+private:
+  struct limit_change {
+    account_limit limit;
+    timestamp at{};
+  };
+
+  /// Between two moments a window apart at most. While a change of the limit spreads, some hosts
+  /// go by the rate and some by the burst of either.
+  [[nodiscard]] double allowed(timestamp from, timestamp to) const {
+    account_limit most;
+    for (std::size_t index = 0; index < this->limits.size(); ++index) {
+      const bool is_last = index + 1 == this->limits.size();
+      const bool ended = !is_last && this->limits[index + 1].at + limit_spread + longest_way < from;
+      if (ended || this->limits[index].at > to) {
+        continue;
+      }
+      const account_limit& limit = this->limits[index].limit;
+      most.calls_per_second = std::max(most.calls_per_second, limit.calls_per_second);
+      most.burst = std::max(most.burst, limit.burst);
+    }
+    const double owed = most.calls_per_second * to_seconds(rules.window) + most.burst;
+    return owed * (1 + rules.excess) + rules.slack;
+  }
+
+  std::vector<limit_change> limits;
+  std::vector<timestamp> granted;
+};
+
+}  // namespace hawthornlane::quota_test
