--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -1,14 +1,21 @@
 // Slopes for docs/CAPACITY.md: cost and size of one unit of each role's work, at
 // several sizes, so that a line can be laid through them. CSV on standard output.
 #include <fmt/format.h>
+#include <malloc.h>
+#include <unistd.h>
 
 #include <chrono>
+#include <fstream>
 #include <random>
 #include <set>
 #include <vector>
 
+#include "hawthornlane/accounts/account_table.h"
 #include "hawthornlane/document/service_document.h"
 #include "hawthornlane/limits/credit_steward.h"
+#include "hawthornlane/limits/quota_keeper.h"
+#include "hawthornlane/limits/quota_lease.h"
+#include "hawthornlane/limits/quota_round.h"
 #include "hawthornlane/membership/membership_core.h"
 #include "hawthornlane/ownership/placement.h"
 #include "hawthornlane/ownership/shard_core.h"
@@ -321,6 +328,87 @@
   }
 }
 
+/// Memory of this process that is in use now, MB.
+double resident_mb() {
+  ::malloc_trim(0);
+  std::ifstream pages("/proc/self/statm");
+  double whole = 0;
+  double resident = 0;
+  pages >> whole >> resident;
+  constexpr double megabyte = 1e6;
+  return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / megabyte;
+}
+
+std::string key_of(std::size_t account, int number) {
+  return fmt::format("key-{:08}-{}-0123456789abcdef01234567", account, number);
+}
+
+account_table_ptr table_of(std::size_t accounts) {
+  std::vector<account_entry> entries(accounts);
+  for (std::size_t at = 0; at < accounts; ++at) {
+    entries[at].terms.name = client_account(fmt::format("account-{}", at));
+    entries[at].terms.limit = {50, 20};
+    entries[at].keys = {key_of(at, 1), key_of(at, 2)};
+  }
+  failure reason;
+  return account_table::make(std::move(entries), 17, reason);
+}
+
+/// What keys and quotas cost a call: at the front host that finds the account, and at the disk
+/// host that keeps a fifth of its quota.
+void account_slopes() {
+  constexpr std::size_t calls = 200'000;
+  for (const std::size_t accounts : {80U, 39'000U}) {
+    const double before = resident_mb();
+    const account_table_ptr table = table_of(accounts);
+    print("accounts: table with two keys each", accounts, "MB resident", resident_mb() - before);
+    std::vector<std::string> keys;
+    for (std::size_t at = 0; at < accounts; ++at) {
+      keys.push_back(key_of(at * 7919 % accounts, 2));
+    }
+    std::size_t found = 0;
+    const double us = each_us(calls, [&](std::size_t at) {
+      found += table->find(keys[at % accounts]) != nullptr ? 1 : 0;
+    });
+    print("accounts: key look-up", accounts, "us/call", us);
+    print("accounts: keys found", accounts, "count", static_cast<double>(found));
+  }
+  for (const std::size_t accounts : {80U, 39'000U}) {
+    const account_table_ptr table = table_of(accounts);
+    const double before = resident_mb();
+    constexpr std::size_t keepers = 5;
+    quota_keeper keeper(quota_rules{std::chrono::seconds(5), 0.1, 20});
+    ledger_set set;
+    quota_lease_view lease{disk_id("disk-0"), set, {}, {}};
+    for (std::size_t at = 0; at < keepers; ++at) {
+      set.members.emplace_back(fmt::format("disk-{}", at));
+      lease.heard.push_back({set.members.back(), {}, {}});
+    }
+    timestamp now{};
+    keeper.keep(1.0 / keepers, now);
+    std::size_t granted = 0;
+    const auto check = [&](std::size_t at) {
+      now += std::chrono::microseconds(100);
+      for (member_word& word : lease.heard) {
+        word.heard_at = now;
+      }
+      const account& caller = table->accounts()[at * 7919 % accounts];
+      quota_round round(keepers);
+      round.ask_next();
+      if (holds_quota_lease(lease, now)) {
+        round.answered(keeper.ask({caller.name, caller.limit, limit_version(1)}, now));
+      }
+      granted += round.decision() == quota_decision::granted ? 1 : 0;
+      keeper.take_changes(now);
+    };
+    each_us(accounts, check);
+    print("quotas: a keeper's buckets", accounts, "MB resident", resident_mb() - before);
+    print("quotas: check of a call (lease, bucket, record)", accounts, "us/call",
+          each_us(calls, check));
+    print("quotas: calls granted", accounts, "count", static_cast<double>(granted));
+  }
+}
+
 void document_slopes() {
   for (const std::size_t documents : {10U, 100U, 1000U}) {
     rollout_core core;
@@ -341,6 +429,7 @@
 
 int main() {
   fmt::print("what,size,unit,value\n");
+  account_slopes();
   owner_slopes();
   membership_slopes();
   scheduler_slopes();
