--- a/libs/disk/include/hawthornlane/disk/quota_service.h
+++ b/libs/disk/include/hawthornlane/disk/quota_service.h
@@ -34,8 +34,8 @@
   side_journal journal();
   /// Answers a front host's question; a grant is answered with nothing when the disk failed.
   void serve(const std::string& payload, const net::rpc_reply& reply);
-  /// From now on the quotas are divided evenly between these disks.
-  void keep(const disk_id& self, const std::vector<disk_id>& keepers);
+  /// From now on this host keeps so much of each quota.
+  void keep(double part);
   /// Forgets accounts that need not be remembered.
   void forget_idle();
   /// Accounts in use.
--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -7,6 +7,7 @@
 #include "disk_host_state.h"
 #include "hawthornlane/discovery/registration.h"
 #include "hawthornlane/http/answer_server.h"
+#include "hawthornlane/limits/quota_lease.h"
 #include "hawthornlane/net/message_bytes.h"
 #include "hawthornlane/telemetry/log.h"
 
@@ -52,7 +53,7 @@
 
 quota_hooks disk_host::state::make_quota_hooks() {
   quota_hooks hooks;
-  hooks.holds_lease = [this] { return this->holds_quota_lease(); };
+  hooks.holds_lease = [this] { return this->may_grant_quotas(); };
   hooks.append = [this](const std::string& record, std::function<void(bool good)> done) {
     this->ledger.append_beside(record, std::move(done));
   };
@@ -165,8 +166,7 @@
   this->set = told;
   this->set_revision = object.revision;
   this->ledger.set_newest(*told);
-  // While a set is joint its old members decide, and keep the quotas.
-  this->quotas.keep(this->ledger.identity(), told->members);
+  this->quotas.keep(quota_part(*told, this->ledger.identity()));
   log(event::ledger_set_changed, {{"epoch", std::to_string(told->epoch.get())},
                                   {"members", std::to_string(told->members.size())},
                                   {"joint", told->joint() ? "yes" : "no"}});
--- a/libs/disk/src/disk_host_state.h
+++ b/libs/disk/src/disk_host_state.h
@@ -93,9 +93,7 @@
   void probe(const host_id& name, const peer& other);
 
   // The set of disks.
-  /// Nobody can have put another host in this one's place: the store has just named this one, or
-  /// a majority hears it.
-  [[nodiscard]] bool holds_quota_lease() const;
+  [[nodiscard]] bool may_grant_quotas() const;
   [[nodiscard]] bool is_retiring(const host_id& name) const {
     return this->retirements.contains(name);
   }
--- a/libs/disk/src/quota_service.cc
+++ b/libs/disk/src/quota_service.cc
@@ -1,7 +1,6 @@
 // Keeping of client accounts' quotas at a disk host.
 #include "hawthornlane/disk/quota_service.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "hawthornlane/discovery/fleet_state.h"
@@ -75,11 +74,7 @@
   });
 }
 
-void quota_service::keep(const disk_id& self, const std::vector<disk_id>& keepers) {
-  const bool is_keeper = std::find(keepers.begin(), keepers.end(), self) != keepers.end();
-  const double part = is_keeper ? 1.0 / static_cast<double>(keepers.size()) : 0;
-  this->keeper.keep(part, discovery::scheduler_now());
-}
+void quota_service::keep(double part) { this->keeper.keep(part, discovery::scheduler_now()); }
 
 void quota_service::forget_idle() { this->keeper.forget_idle(discovery::scheduler_now()); }
 
