Daemons: hawthornlaned reads settings and follows signals as the other two do

read_file, follow_signals and the reading of settings stood twice. No behaviour changes.

platform_outage (three hawthornlaned processes) passes; a settings file that is not there ends with 2.

--- a/programs/hawthornlaned.cc
+++ b/programs/hawthornlaned.cc
@@ -7,23 +7,18 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <fstream>
-#include <functional>
-#include <sstream>
 #include <thread>
 #include <vector>
 
 #include "hawthornlane/node/node.h"
 #include "hawthornlane/telemetry/log.h"
+#include "run_host.h"
 
 namespace asio = boost::asio;
+using namespace hawthornlane::programs;
 
 namespace {
 
-constexpr int exit_good = 0;
-constexpr int exit_fault = 1;
-constexpr int exit_settings = 2;
-
 constexpr const char* usage = R"(hawthornlaned: the scheduler's daemon, one for each entry host.
 
 Usage:
@@ -41,32 +36,13 @@
 SIGTERM and SIGINT begin a planned stop, which cuts off no request.
 )";
 
-std::optional<std::string> read_file(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    return std::nullopt;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-void follow_signals(asio::signal_set& signals, hawthornlane::node& host) {
-  signals.async_wait([&signals, &host](const boost::system::error_code& error, int signal) {
-    if (error) {
-      return;
-    }
-    if (signal == SIGHUP) {
-      hawthornlane::log(hawthornlane::event::signal_explained,
-                        {{"signal", "SIGHUP"},
-                         {"detail",
-                          "settings are read at start only; restart to change them, or apply a "
-                          "service document"}});
-    } else {
-      host.stop("signal");
-    }
-    follow_signals(signals, host);
-  });
+/// The settings of a running node do not change.
+void explain_reread() {
+  hawthornlane::log(hawthornlane::event::signal_explained,
+                    {{"signal", "SIGHUP"},
+                     {"detail",
+                      "settings are read at start only; restart to change them, or apply a "
+                      "service document"}});
 }
 
 int run(const hawthornlane::node_settings& settings) {
@@ -74,7 +50,8 @@
   auto guard = asio::make_work_guard(context);
   hawthornlane::node host(context, settings, [&context] { context.stop(); });
   asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-  follow_signals(signals, host);
+  follow_signals(
+      signals, [&host] { host.stop("signal"); }, explain_reread);
   std::vector<std::jthread> workers;
   for (std::uint32_t worker = 1; worker < settings.workers; ++worker) {
     workers.emplace_back([&context] { context.run(); });
@@ -93,15 +70,9 @@
     return exit_good;
   }
   const std::string path = arguments.at("--config").asString();
-  const auto text = read_file(path);
-  if (!text) {
-    fmt::print(stderr, "{}: cannot be read\n", path);
-    return exit_settings;
-  }
-  std::vector<hawthornlane::ini_problem> problems;
-  auto settings = hawthornlane::read_node_settings(*text, problems);
+  auto settings =
+      load_settings<hawthornlane::node_settings>(path, hawthornlane::read_node_settings);
   if (!settings) {
-    fmt::print(stderr, "{}:\n{}", path, hawthornlane::to_string(problems));
     return exit_settings;
   }
   if (arguments.at("--check-config").asBool()) {
--- a/programs/run_host.h
+++ b/programs/run_host.h
@@ -1,4 +1,4 @@
-// What the platform's two daemons share: settings, signals, exit codes.
+// What the daemons share: settings, signals, exit codes.
 #pragma once
 
 #include <docopt.h>
