Places at servers: a server that comes up is known at once, and the soak claims places

Cause: a keeper answered 'unknown' for the first second of each server, also of one that started while the hosts stayed the same, where nobody can have told another keeper. It now does so only within 2 s of a change of the hosts. A granted place whose server is gone or excluded by then is given back.

A claim that no keeper answered is counted as claims_unanswered, beside claims_unknown.

--- a/libs/front/include/hawthornlane/front/place_exchange.h
+++ b/libs/front/include/hawthornlane/front/place_exchange.h
@@ -53,6 +53,7 @@
   kind outcome = kind::unknown;
   /// Of a granted claim.
   backend_server_id server;
+  server_key key;
   /// Of a refused claim: before a place is free, by the keepers' expectation.
   duration wait{};
 };
@@ -90,8 +91,8 @@
   void count_changed(const host_id& host, const server_load& load, std::uint32_t before);
   /// Calls that wait for the server, as far as they would delay another one.
   [[nodiscard]] std::uint32_t waiting(server_key server) const;
-  /// Gives out places whose grants have lapsed.
-  void tick() { this->tell_grants(); }
+  /// Gives out places whose grants have lapsed, and notes which hosts live.
+  void tick();
 
 private:
   using open_claim = place_wait::open_claim;
@@ -118,6 +119,8 @@
   call_metrics& metrics;
   place_hooks hooks;
   place_queue queue;
+  /// As of the latest tick.
+  std::optional<std::vector<host_id>> live_hosts;
   std::map<placement_id, open_claim_ptr> open;
   /// Grants are being told; those that come up meanwhile are told by the same loop.
   bool telling = false;
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -184,6 +184,7 @@
     co_return false;
   }
   backend_server_id server = targets.front().server;
+  std::optional<server_key> granted;
   if (targets.front().full) {
     const auto began = steady::now();
     const claim_result result =
@@ -195,9 +196,13 @@
       co_return result.outcome != claim_result::kind::unknown;
     }
     server = result.server;
+    granted = result.key;
   }
   const auto placed = pool.place_at(request, server, discovery::scheduler_now());
   if (!placed) {
+    if (granted) {
+      this->places->give_back(request.id, *granted);
+    }
     co_return false;
   }
   got.server = placed->server;
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -321,6 +321,9 @@
   if (!got.server) {
     failure why{error_kind::no_backend_server,
                 one.detail.empty() ? "no server can take it in its time" : one.detail};
+    if (got.retry_in > duration{}) {
+      why.detail = fmt::format("a place is expected in {} ms", got.retry_in.count() / 1000);
+    }
     if (one.runs > 0) {
       // An earlier try may have run: only what has not run is refused as such.
       why.kind = error_kind::backend_failed;
--- a/libs/front/src/place_exchange.cc
+++ b/libs/front/src/place_exchange.cc
@@ -61,6 +61,16 @@
                                call_metrics& counters, place_hooks with)
     : context(io), self(std::move(own)), metrics(counters), hooks(std::move(with)), queue(counts) {}
 
+void place_exchange::tick() {
+  std::vector<host_id> hosts = this->hooks.hosts();
+  std::sort(hosts.begin(), hosts.end());
+  if (hosts != this->live_hosts) {
+    this->live_hosts = std::move(hosts);
+    this->queue.hosts_changed(discovery::scheduler_now());
+  }
+  this->tell_grants();
+}
+
 host_id place_exchange::keeper_of_server(server_key server) const {
   std::vector<host_id> hosts = this->hooks.hosts();
   hosts.push_back(this->self);
@@ -125,11 +135,16 @@
     this->metrics.count("claims_granted");
     result.outcome = claim_result::kind::granted;
     result.server = *item.granted;
+    for (const auto& target : item.targets) {
+      result.key = target.target.server == result.server ? target.target.key : result.key;
+    }
     return result;
   }
   const bool out_of_time = discovery::scheduler_now() >= item.request.give_up_at;
   if (!out_of_time && item.count(open_claim::claim_state::unknown) > 0) {
-    this->metrics.count("claims_unknown");
+    const bool silent = std::any_of(item.targets.begin(), item.targets.end(),
+                                    [](const auto& target) { return !target.answered; });
+    this->metrics.count(silent ? "claims_unanswered" : "claims_unknown");
     return result;
   }
   result.outcome = claim_result::kind::refused;
@@ -173,6 +188,7 @@
                        const bool good = why == net::rpc_failure::none;
                        const auto answer = good ? from_bytes<claim_answer>(bytes) : std::nullopt;
                        this->take_answer(item, number, answer.value_or(claim_answer()));
+                       item->targets[number].answered = answer.has_value();
                      });
   }
 }
--- a/libs/placement/include/hawthornlane/placement/place_queue.h
+++ b/libs/placement/include/hawthornlane/placement/place_queue.h
@@ -104,6 +104,10 @@
   static constexpr duration grant_lifetime = std::chrono::milliseconds(100);
   /// Hosts tell their counts again within this time, so that a new keeper knows them then.
   static constexpr duration learning_time = std::chrono::milliseconds(1000);
+  /// Hosts learn of another host's start or end, and so which host keeps a server, within this
+  /// time of each other. A server that is first heard of later than this and the learning time
+  /// after a change was kept here before, and idle or not there.
+  static constexpr duration settling_time = std::chrono::milliseconds(1000);
   /// A server without a message for so long is forgotten.
   static constexpr duration memory = std::chrono::seconds(60);
   /// A claim that has waited this long is overdue: a program of some ten turns has lost
@@ -123,6 +127,8 @@
   /// `counts`: the calls that hosts tell of; outlives the queue.
   explicit place_queue(const placement_directory& counts) : directory(counts) {}
 
+  /// Other hosts live now than before: this one may keep servers that another one kept.
+  void hosts_changed(timestamp now) { this->hosts_changed_at = now; }
   /// Answers a new claim, or one repeated. A claim that was granted already is granted again.
   claim_answer claim(const place_claim& claim, timestamp now);
   /// The call wants no place at this server any more; a place granted to it is free.
@@ -175,6 +181,7 @@
     friend auto operator<=>(const claim_rank&, const claim_rank&) = default;
   };
 
+  [[nodiscard]] bool is_learning(const kept_server& server, timestamp now) const;
   kept_server& heard_of(server_key server, timestamp now);
   [[nodiscard]] static claim_rank rank_of(const kept_server& server, const waiting_claim& item,
                                           timestamp now);
@@ -193,6 +200,8 @@
 
   const placement_directory& directory;
   std::map<server_key, kept_server> servers;
+  /// Nothing: not known.
+  std::optional<timestamp> hosts_changed_at;
   /// Invariant: each is in the `grants` of its server, unless that has lapsed.
   std::vector<place_grant> untold;
 };
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -124,7 +124,8 @@
   /// first one is not full the call is placed there without a claim.
   [[nodiscard]] std::vector<place_target> claim_targets(const placement_request& request,
                                                         timestamp now) const;
-  /// Places the call at this server, which has a place for it; nothing when it is gone.
+  /// Places the call at this server, which has a place for it; nothing when the server is gone,
+  /// or excluded by now.
   std::optional<placement> place_at(const placement_request& request,
                                     const backend_server_id& server, timestamp now);
   /// A call left its server; calls that can be placed now come back.
--- a/libs/placement/src/place_queue.cc
+++ b/libs/placement/src/place_queue.cc
@@ -16,6 +16,12 @@
   return found->second;
 }
 
+bool place_queue::is_learning(const kept_server& server, timestamp now) const {
+  const bool settled = this->hosts_changed_at && server.first_heard - *this->hosts_changed_at >=
+                                                     settling_time + learning_time;
+  return !settled && now - server.first_heard < learning_time;
+}
+
 place_queue::claim_rank place_queue::rank_of(const kept_server& server, const waiting_claim& item,
                                              timestamp now) {
   claim_rank rank;
@@ -121,7 +127,7 @@
 
 claim_answer place_queue::claim(const place_claim& claim, timestamp now) {
   kept_server& server = this->heard_of(claim.server, now);
-  if (now - server.first_heard < learning_time) {
+  if (this->is_learning(server, now)) {
     return {};
   }
   server.places = claim.places;
--- a/libs/placement/src/server_pool_claims.cc
+++ b/libs/placement/src/server_pool_claims.cc
@@ -59,7 +59,7 @@
 std::optional<placement> server_pool::place_at(const placement_request& request,
                                                const backend_server_id& server, timestamp now) {
   const auto found = this->servers.find(server);
-  if (found == this->servers.end() || !found->second.listed) {
+  if (found == this->servers.end() || !this->may_weigh(found->second, request, now)) {
     return std::nullopt;
   }
   std::vector<placement> placed;
--- a/libs/placement/test/place_queue_test.cc
+++ b/libs/placement/test/place_queue_test.cc
@@ -238,6 +238,32 @@
   CHECK(queue.claim(claim_of(3), now).outcome == claim_outcome::unknown);
 }
 
+TEST_CASE("a server that comes up while the hosts stay the same is known at once") {
+  struct row {
+    const char* what;
+    duration since_change;
+    claim_outcome expected;
+  };
+  constexpr duration settled = place_queue::settling_time + place_queue::learning_time;
+  const row rows[] = {
+      {"the hosts have just changed", 0ms, claim_outcome::unknown},
+      {"they may not all know yet", settled - 1ms, claim_outcome::unknown},
+      {"all have told their counts since", settled, claim_outcome::granted},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    placement_directory directory;
+    place_queue queue(directory);
+    const timestamp changed{1h};
+    queue.hosts_changed(changed);
+    CHECK(queue.claim(claim_of(1), changed + item.since_change).outcome == item.expected);
+    // A later change does not take away what is known.
+    queue.hosts_changed(changed + settled);
+    const timestamp later = changed + settled + place_queue::learning_time;
+    CHECK(queue.claim(claim_of(1), later).outcome == claim_outcome::granted);
+  }
+}
+
 TEST_CASE("a claim that is repeated is one claim") {
   full_server keeper;
   for (int number = 0; number < 5; ++number) {
--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -38,6 +38,7 @@
   --link-mbps N     What each front host can send to other hosts, Mbit/s; 0: no limit
                     [default: 0].
   --callers N       Callers at once [default: 16].
+  --contended       The settings say that callers may want more than the servers can do.
   --keep DIR        Where logs of a run that failed are kept [default: run/fault-soak].
 )";
 
@@ -193,6 +194,7 @@
   constexpr std::uint64_t bytes_each_mbit = 125'000;
   options.size.link_rate = std::stoull(arguments.at("--link-mbps").asString()) * bytes_each_mbit;
   options.callers = std::stoi(arguments.at("--callers").asString());
+  options.size.contended = arguments.at("--contended").asBool();
   int failed = 0;
   int passed = 0;
   for (const std::uint64_t seed : seeds_of(arguments)) {
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -259,6 +259,9 @@
   sent.account = soak_accounts[std::hash<std::string>()(name) % soak_accounts.size()];
   sent.request.headers.push_back({"Authorization", "Bearer " + soak_fleet::key_of(sent.account)});
   sent.request.headers.push_back({"X-Deadline-Ms", std::to_string(call_limit.count())});
+  if (this->fleet.is_contended() && !sent.program.empty()) {
+    sent.request.headers.push_back({"X-Prompt-Prefix", "shared:500,line-" + sent.program + ":200"});
+  }
   const auto began = steady::now();
   this->promises.on_sent(sent);
   const std::string bytes = bytes_of(sent.request);
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -66,6 +66,7 @@
       sweeper(io),
       folder(std::move(into)),
       promises(checker),
+      contended(size.contended),
       most_routes(size.routes) {
   fs::create_directories(this->folder);
   this->platform = std::make_unique<stand_ins::object_platform>(io, http::endpoint{loopback, 0});
@@ -128,6 +129,7 @@
       "address_time = 1 s\ngrace = 8 s\n",
       http::to_string(host.callers_at), http::to_string(host.ready_at),
       http::to_string(host.directory_at));
+  file << (this->contended ? "\n[scheduling]\nterms = pressure\n" : "");
   file.close();
   this->fronts.push_back(std::move(host));
   this->start(this->fronts.back());
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -32,6 +32,8 @@
   /// What each front host's link carries from it to other hosts, bytes a second; 0: no
   /// limit.
   std::uint64_t link_rate = 0;
+  /// The settings say that callers may want more than the servers can do.
+  bool contended = false;
 };
 
 /// One host: its process, and the proxies before it.
@@ -78,6 +80,7 @@
   soak_fleet(const soak_fleet&) = delete;
   soak_fleet& operator=(const soak_fleet&) = delete;
   ~soak_fleet();
+  [[nodiscard]] bool is_contended() const { return this->contended; }
 
   /// Starts hosts whose process has ended, and notes ends that nobody caused.
   void look_after_processes();
@@ -131,6 +134,7 @@
   std::vector<soak_backend> left;
   int newest = 0;
   /// What the configuration grows by at most.
+  bool contended;
   int most_routes = 0;
   /// The routes that the configuration has grown by, as JSON, a comma after each.
   std::string grown;
