--- a/libs/placement/src/server_pool_speed.cc
+++ b/libs/placement/src/server_pool_speed.cc
@@ -37,32 +37,33 @@
 /// Below this a belief is hardly more than a guess.
 constexpr double least_shown_weight = 1;
 
-/// Members come first in proportion to their speed when the least of -log(u) * slowness wins.
-class speed_ordered {
+/// The first server in an order in which each is first in proportion to its speed: that of the
+/// least -log(u) * slowness, where u in (0, 1] comes from its name and `key`.
+template <class Server>
+class first_by_speed {
 public:
-  explicit speed_ordered(std::uint64_t with) : key(with) {}
+  explicit first_by_speed(std::uint64_t with) : key(with) {}
 
-  /// True: `hash` is the first so far.
-  bool offer(std::uint64_t hash, double slowness) {
+  void offer(const Server& server, double slowness) {
     constexpr double steps = 1.0 / static_cast<double>(std::uint64_t{1} << 53U);
-    const double number =
-        static_cast<double>((rendezvous_weight(hash, this->key) >> 11U) + 1) * steps;
+    const std::uint64_t hash = rendezvous_weight(server.name_hash, this->key);
+    const double number = static_cast<double>((hash >> 11U) + 1) * steps;
     // 1 - u is at most -log(u), and spares most of the logarithms.
-    if (this->any && (1 - number) * slowness >= this->least) {
-      return false;
+    if (this->first != nullptr && (1 - number) * slowness >= this->least) {
+      return;
     }
     const double order = -std::log(number) * slowness;
-    if (this->any && order >= this->least) {
-      return false;
+    if (this->first == nullptr || order < this->least) {
+      this->first = &server;
+      this->least = order;
     }
-    this->any = true;
-    this->least = order;
-    return true;
   }
+  /// Nothing when none was offered.
+  [[nodiscard]] const Server* get() const { return this->first; }
 
 private:
   std::uint64_t key;
-  bool any = false;
+  const Server* first = nullptr;
   double least = 0;
 };
 
@@ -100,46 +101,31 @@
 std::vector<const server_pool::listed_server*> server_pool::candidates_by_speed(
     const placement_request& request, choice_range range, timestamp now) const {
   const std::uint64_t call_key = this->own_key + request.id.get();
-  speed_ordered home_order(request.affinity);
-  speed_ordered near_order(call_key);
-  speed_ordered any_order(~call_key);
-  speed_ordered spare_order(call_key << 1U);
-  speed_ordered far_home_order(request.affinity);
-  const listed_server* home = nullptr;
-  const listed_server* far_home = nullptr;
-  const listed_server* near_one = nullptr;
-  const listed_server* any_one = nullptr;
-  const listed_server* spare = nullptr;
+  first_by_speed<listed_server> near_home(request.affinity);
+  first_by_speed<listed_server> far_home(request.affinity);
+  first_by_speed<listed_server> of_zone(call_key);
+  first_by_speed<listed_server> of_all(~call_key);
+  first_by_speed<listed_server> also_of_all(call_key << 1U);
   for (const listed_server& item : this->listed_servers) {
     const server_state& server = *item.server;
     if (!this->may_take(server, range, now) || request.tried.contains(server.entry.id)) {
       continue;
     }
+    if (request.affinity != 0) {
+      (item.near ? near_home : far_home).offer(item, server.slow_factor);
+    }
     // This host's own calls are known at once, also where nothing has been heard of others.
     const double crowd = 1.0 + server.inside;
     const double slowness = server.slow_factor * crowd * crowd;
-    if (any_order.offer(item.name_hash, slowness)) {
-      any_one = &item;
-    }
-    if (spare_order.offer(item.name_hash, slowness)) {
-      spare = &item;
-    }
-    if (!item.near) {
-      if (request.affinity != 0 && far_home_order.offer(item.name_hash, server.slow_factor)) {
-        far_home = &item;
-      }
-      continue;
-    }
-    if (near_order.offer(item.name_hash, slowness)) {
-      near_one = &item;
-    }
-    if (request.affinity != 0 && home_order.offer(item.name_hash, server.slow_factor)) {
-      home = &item;
+    of_all.offer(item, slowness);
+    also_of_all.offer(item, slowness);
+    if (item.near) {
+      of_zone.offer(item, slowness);
     }
   }
-  home = home == nullptr ? far_home : home;
+  const listed_server* home = near_home.get() != nullptr ? near_home.get() : far_home.get();
   std::vector<const listed_server*> chosen;
-  for (const listed_server* item : {home, near_one, any_one, spare}) {
+  for (const listed_server* item : {home, of_zone.get(), of_all.get(), also_of_all.get()}) {
     const bool is_new = std::find(chosen.begin(), chosen.end(), item) == chosen.end();
     if (item != nullptr && is_new && chosen.size() < plain_choices) {
       chosen.push_back(item);
