--- a/libs/disk/include/hawthornlane/disk/quota_service.h
+++ b/libs/disk/include/hawthornlane/disk/quota_service.h
@@ -40,6 +40,10 @@
   void forget_idle();
   /// Accounts in use.
   [[nodiscard]] std::size_t accounts() const { return this->keeper.accounts(); }
+  [[nodiscard]] std::uint64_t programs_held_back() const {
+    return this->keeper.programs_held_back();
+  }
+  [[nodiscard]] double calls_of_a_program() const { return this->keeper.calls_of_a_program(); }
 
 private:
   /// One record for all grants that came while the one before was on its way to the disk.
--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -3,6 +3,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <cmath>
 
 #include "disk_host_state.h"
 #include "hawthornlane/discovery/registration.h"
@@ -84,6 +85,9 @@
   add("text_bytes", this->ledger.held().text_bytes());
   add("log_bytes", this->ledger.log_bytes());
   add("quota_accounts", this->quotas.accounts());
+  add("quota_programs_held_back", this->quotas.programs_held_back());
+  add("quota_calls_of_a_program",
+      static_cast<std::uint64_t>(std::lround(this->quotas.calls_of_a_program())));
   add("set_epoch", this->set ? this->set->epoch.get() : 0);
   add("fence", this->ledger.held().fenced_at().get());
   add("store_objects_malformed", this->faults.count());
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -49,15 +49,6 @@
   return terms.prefix.empty() ? 0 : hash_of(terms.prefix.front().id);
 }
 
-std::vector<prompt_piece> pieces_of(const std::vector<relay::prompt_part>& prefix) {
-  std::vector<prompt_piece> pieces;
-  pieces.reserve(prefix.size());
-  for (const relay::prompt_part& part : prefix) {
-    pieces.push_back({prompt_part_key(hash_of(part.id)), part.tokens});
-  }
-  return pieces;
-}
-
 }  // namespace
 
 call_service::call_service(discovery::fleet_state& state, call_placer& places,
