Metrics: bytes between hosts by what they are for

peer_traffic counts bytes of requests and answers in both directions; a front host tells them as peer_bytes_sent_KIND and peer_bytes_received_KIND. Heads of frames are left out.

Tests: peer_traffic_test; a case of deployment_test reads the metrics of a host beside another one and three disk hosts.

--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -11,6 +11,7 @@
 
 #include "hawthornlane/discovery/fleet_state.h"
 #include "hawthornlane/front/gossip_messages.h"
+#include "hawthornlane/front/peer_traffic.h"
 #include "hawthornlane/front/turn_cache.h"
 #include "hawthornlane/front/turn_keeper.h"
 #include "hawthornlane/net/rpc.h"
@@ -45,6 +46,8 @@
   using relay_hook =
       std::function<void(const relayed_question&, duration limit, net::rpc_done done)>;
   void set_relay(relay_hook hook) { this->relay = std::move(hook); }
+  /// Counts there what this host asks of disk hosts itself.
+  void count_in(peer_traffic shared) { this->traffic = std::move(shared); }
   /// Serves another front host that does not reach a disk host itself.
   void serve_relayed(const std::string& payload, const net::rpc_reply& reply);
   /// Looks whether disk hosts that were not reached, or never asked, can be reached.
@@ -146,6 +149,7 @@
   std::optional<ledger_set> set;
   std::map<disk_id, disk_link> links;
   relay_hook relay;
+  peer_traffic traffic;
   net::steady_time next_probe{};
   /// Invariant: bytes of the questions that are not answered yet, each copy counted.
   std::size_t bytes_underway = 0;
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -19,6 +19,7 @@
 #include "hawthornlane/front/gossip_messages.h"
 #include "hawthornlane/front/gossip_news.h"
 #include "hawthornlane/front/loop_lateness.h"
+#include "hawthornlane/front/peer_traffic.h"
 #include "hawthornlane/front/peer_watch.h"
 #include "hawthornlane/front/probe_encoder.h"
 #include "hawthornlane/front/suspicion_limits.h"
@@ -32,6 +33,8 @@
   std::function<gossip_digest()> self;
   /// Whether what waits to be sent to other hosts leaves room for one more copy.
   std::function<bool()> may_give_copy = [] { return true; };
+  /// Counts what this host asks of other front hosts.
+  peer_traffic traffic;
 };
 
 /// Whole copies of what hosts know (configuration, registries, set of disks), counted.
@@ -89,6 +92,9 @@
   /// Notes which hosts no longer count as living.
   void note_silent();
   void probe(peer& other, const std::string& payload);
+  /// Calls another front host, and counts the bytes.
+  void call(peer& other, gossip_method method, std::string payload, duration limit,
+            net::rpc_done done);
   [[nodiscard]] bool turn_due(const peer& other) const;
   /// Probes whom it is this host's turn to probe, and some of those whom others suspect.
   void probe_due_ones();
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/peer_traffic.h
@@ -0,0 +1,51 @@
+// Counts the bytes that this host exchanges with others, by what they are for.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+#include "hawthornlane/front/gossip_messages.h"
+#include "hawthornlane/net/rpc.h"
+
+namespace hawthornlane::front {
+
+/// What a message between hosts is for.
+enum class traffic_kind : std::uint8_t { probes, copies, directory, relays, disks };
+
+constexpr std::array all_traffic_kinds{traffic_kind::probes, traffic_kind::copies,
+                                       traffic_kind::directory, traffic_kind::relays,
+                                       traffic_kind::disks};
+
+std::string_view name_of(traffic_kind kind);
+/// Of a message between front hosts; what this host does not know counts as probes.
+traffic_kind kind_of(gossip_method method);
+
+/// Bytes of requests and answers; heads of frames, below 20 bytes each, are left out.
+struct traffic_bytes {
+  std::uint64_t sent = 0;
+  std::uint64_t received = 0;
+};
+
+/// The counters. Copies of it count together, and may outlive each other. For one thread.
+class peer_traffic {
+public:
+  /// Counts a request of this host, and its answer when there is one.
+  [[nodiscard]] net::rpc_done call(traffic_kind kind, std::size_t request,
+                                   net::rpc_done done) const;
+  /// Counts a request of another host, and the answer that it gets.
+  [[nodiscard]] net::rpc_reply serve(traffic_kind kind, std::size_t request,
+                                     net::rpc_reply reply) const;
+  [[nodiscard]] const traffic_bytes& of(traffic_kind kind) const {
+    return this->counts->at(static_cast<std::size_t>(kind));
+  }
+
+private:
+  using counters = std::array<traffic_bytes, all_traffic_kinds.size()>;
+
+  std::shared_ptr<counters> counts = std::make_shared<counters>();
+};
+
+}  // namespace hawthornlane::front
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -13,6 +13,7 @@
 #include "hawthornlane/front/call_service.h"
 #include "hawthornlane/front/ledger_client.h"
 #include "hawthornlane/front/peer_gossip.h"
+#include "hawthornlane/front/peer_traffic.h"
 #include "hawthornlane/front/quota_client.h"
 #include "hawthornlane/http/accept_pause.h"
 #include "hawthornlane/http/server.h"
@@ -108,6 +109,7 @@
   platform_adapter::store_client store;
   discovery::fleet_state fleet;
   check_schedule checks;
+  peer_traffic traffic;
   bool checking = false;
   bool reading_hosts = false;
   net::steady_time next_host_read{};
@@ -157,6 +159,7 @@
 
   gossip_hooks make_gossip_hooks() {
     gossip_hooks hooks;
+    hooks.traffic = this->traffic;
     hooks.self = [this] { return this->digest(); };
     hooks.decode_configuration = unpack_configuration;
     hooks.ledger = [this] { return this->ledger.current(); };
@@ -228,6 +231,7 @@
       this->gossip.refresh_hosts();
       this->ledger.refresh_hosts();
     });
+    this->ledger.count_in(this->traffic);
     this->ledger.set_relay(
         [this](const relayed_question& question, duration limit, net::rpc_done done) {
           this->gossip.relay(question, limit, std::move(done));
@@ -242,16 +246,18 @@
   void listen() {
     this->peers = std::make_unique<net::rpc_server>(
         this->context, this->sweeper, this->settings.peers_at,
-        [this](std::uint16_t method, const std::string& payload, const net::rpc_reply& reply) {
-          if (static_cast<gossip_method>(method) == gossip_method::relay) {
+        [this](std::uint16_t number, const std::string& payload, const net::rpc_reply& answer) {
+          const auto method = static_cast<gossip_method>(number);
+          const auto reply = this->traffic.serve(kind_of(method), payload.size(), answer);
+          if (method == gossip_method::relay) {
             this->ledger.serve_relayed(payload, reply);
             return;
           }
-          if (static_cast<gossip_method>(method) == gossip_method::placements) {
+          if (method == gossip_method::placements) {
             reply(this->exchange.serve(payload));
             return;
           }
-          reply(this->gossip.serve(static_cast<gossip_method>(method), payload));
+          reply(this->gossip.serve(method, payload));
         });
     this->peers->limit_waiting_bytes(this->settings.memory_mb * bytes_per_mb / peer_queue_share);
     this->serve_small(this->settings.ready_at, [this](const http::request& ask) {
@@ -322,6 +328,7 @@
                       static_cast<double>(this->backends.counters().foreign_answers));
     this->metrics.set("calls_under_way", static_cast<double>(this->calls.under_way()));
     this->set_memory_metrics();
+    this->set_traffic_metrics();
     return this->metrics.text();
   }
 
@@ -343,6 +350,15 @@
     set("copy_bytes_given", copies.bytes_given);
   }
 
+  void set_traffic_metrics() {
+    for (const traffic_kind kind : all_traffic_kinds) {
+      const std::string name(name_of(kind));
+      const traffic_bytes& bytes = this->traffic.of(kind);
+      this->metrics.set("peer_bytes_sent_" + name, static_cast<double>(bytes.sent));
+      this->metrics.set("peer_bytes_received_" + name, static_cast<double>(bytes.received));
+    }
+  }
+
   /// Says once what fills the memory, before the kernel ends the process for it.
   void watch_memory() {
     const std::size_t limit = this->settings.memory_mb * bytes_per_mb;
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -144,9 +144,11 @@
       what.on_silence();
     }
   };
+  const std::size_t bytes = what.payload->size();
   found->second.link->call(static_cast<std::uint16_t>(what.method), *what.payload,
                            direct_limit + what.on_the_way(),
-                           this->while_underway(what.payload->size(), std::move(retry)));
+                           this->traffic.call(traffic_kind::disks, bytes,
+                                              this->while_underway(bytes, std::move(retry))));
 }
 
 void ledger_client::serve_relayed(const std::string& payload, const net::rpc_reply& reply) {
@@ -161,14 +163,14 @@
   const bool is_chain = static_cast<ledger_method>(question->method) == ledger_method::chain;
   const duration patience =
       direct_patience + this->time_to_send(bytes) + (is_chain ? chain_arrival : duration::zero());
+  auto done = [this, disk = question->disk, reply](net::rpc_failure why, std::string answer) {
+    this->note_outcome(disk, why);
+    const bool good = why == net::rpc_failure::none;
+    reply(good ? std::optional(std::move(answer)) : std::nullopt);
+  };
   found->second.link->call(
       question->method, std::move(question->payload), patience,
-      this->while_underway(
-          bytes, [this, disk = question->disk, reply](net::rpc_failure why, std::string answer) {
-            this->note_outcome(disk, why);
-            const bool good = why == net::rpc_failure::none;
-            reply(good ? std::optional(std::move(answer)) : std::nullopt);
-          }));
+      this->traffic.call(traffic_kind::disks, bytes, this->while_underway(bytes, std::move(done))));
 }
 
 void ledger_client::tick() {
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -177,8 +177,8 @@
   const timestamp sent = discovery::scheduler_now();
   const duration late = this->lateness.total(sent);
   other.watch.probe_sent(sent, late);
-  other.link->call(
-      static_cast<std::uint16_t>(gossip_method::digest), payload, probe_limit,
+  this->call(
+      other, gossip_method::digest, payload, probe_limit,
       [this, sent, late, weak = std::weak_ptr(known)](net::rpc_failure why, std::string answer) {
         const auto told = weak.lock();
         const auto message = probe_message_from(answer);
@@ -196,6 +196,13 @@
       });
 }
 
+void peer_gossip::call(peer& other, gossip_method method, std::string payload, duration limit,
+                       net::rpc_done done) {
+  auto counted = this->hooks.traffic.call(kind_of(method), payload.size(), std::move(done));
+  other.link->call(static_cast<std::uint16_t>(method), std::move(payload), limit,
+                   std::move(counted));
+}
+
 const std::string& peer_gossip::probe_bytes() {
   const timestamp now = discovery::scheduler_now();
   if (this->encoder.is_stale()) {
@@ -328,8 +335,8 @@
     done(net::rpc_failure::unreachable, {});
     return;
   }
-  this->peers.at(*chosen)->link->call(static_cast<std::uint16_t>(gossip_method::relay),
-                                      to_bytes(question), limit, std::move(done));
+  this->call(*this->peers.at(*chosen), gossip_method::relay, to_bytes(question), limit,
+             std::move(done));
 }
 
 std::size_t peer_gossip::rank() const {
@@ -345,23 +352,23 @@
 void peer_gossip::ask(const std::shared_ptr<peer>& other, copy_kind kind) {
   ++this->counts.asked;
   const copy_request request{kind, this->intake.owner()};
-  other->link->call(static_cast<std::uint16_t>(gossip_method::copy), to_bytes(request), copy_limit,
-                    [this, alive = std::weak_ptr(this->lifetime), asked = std::weak_ptr(other),
-                     from = other->entry.name, kind](net::rpc_failure why, std::string bytes) {
-                      if (alive.expired()) {
-                        return;
-                      }
-                      if (const auto known = asked.lock()) {
-                        const bool answered = why == net::rpc_failure::none;
-                        known->answered_at = answered ? steady::now() : net::steady_time{};
-                      }
-                      if (why != net::rpc_failure::none) {
-                        ++this->counts.failed;
-                        this->intake.failed(kind, discovery::scheduler_now());
-                        return;
-                      }
-                      this->take_answer(from, kind, std::move(bytes));
-                    });
+  this->call(*other, gossip_method::copy, to_bytes(request), copy_limit,
+             [this, alive = std::weak_ptr(this->lifetime), asked = std::weak_ptr(other),
+              from = other->entry.name, kind](net::rpc_failure why, std::string bytes) {
+               if (alive.expired()) {
+                 return;
+               }
+               if (const auto known = asked.lock()) {
+                 const bool answered = why == net::rpc_failure::none;
+                 known->answered_at = answered ? steady::now() : net::steady_time{};
+               }
+               if (why != net::rpc_failure::none) {
+                 ++this->counts.failed;
+                 this->intake.failed(kind, discovery::scheduler_now());
+                 return;
+               }
+               this->take_answer(from, kind, std::move(bytes));
+             });
 }
 
 void peer_gossip::take_answer(const host_id& from, copy_kind kind, std::string bytes) {
@@ -464,8 +471,7 @@
     done(net::rpc_failure::unreachable, {});
     return;
   }
-  found->second->link->call(static_cast<std::uint16_t>(method), payload, probe_limit,
-                            std::move(done));
+  this->call(*found->second, method, payload, probe_limit, std::move(done));
 }
 
 std::vector<service_demand> peer_gossip::demand_of_others() const {
--- /dev/null
+++ b/libs/front/test/peer_traffic_test.cc
@@ -0,0 +1,81 @@
+// Bytes between hosts are counted by what they are for, in both directions.
+#include "hawthornlane/front/peer_traffic.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace hawthornlane;
+using namespace hawthornlane::front;
+
+TEST_CASE("requests and answers count where they belong, and nowhere else") {
+  struct row {
+    const char* what;
+    bool serves;
+    std::optional<std::string> answer;
+    std::uint64_t sent;
+    std::uint64_t received;
+  };
+  const row rows[] = {
+      {"a call that is answered", false, "12345", 3, 5},
+      {"a call that is not", false, std::nullopt, 3, 0},
+      {"a request that is served", true, "12345", 5, 3},
+      {"a request that is refused", true, std::nullopt, 0, 3},
+  };
+  constexpr std::size_t request = 3;
+  for (const traffic_kind kind : all_traffic_kinds) {
+    for (const row& item : rows) {
+      INFO(name_of(kind) << ": " << item.what);
+      const peer_traffic traffic;
+      std::optional<std::string> passed_on;
+      if (item.serves) {
+        const auto reply = traffic.serve(
+            kind, request, [&](std::optional<std::string> answer) { passed_on = answer; });
+        reply(item.answer);
+      } else {
+        const auto done =
+            traffic.call(kind, request, [&](net::rpc_failure why, const std::string& answer) {
+              passed_on = why == net::rpc_failure::none ? std::optional(answer) : std::nullopt;
+            });
+        const bool answered = item.answer.has_value();
+        done(answered ? net::rpc_failure::none : net::rpc_failure::unknown,
+             item.answer.value_or(""));
+      }
+      CHECK(passed_on == item.answer);
+      for (const traffic_kind other : all_traffic_kinds) {
+        CHECK(traffic.of(other).sent == (other == kind ? item.sent : 0));
+        CHECK(traffic.of(other).received == (other == kind ? item.received : 0));
+      }
+    }
+  }
+}
+
+TEST_CASE("copies of the counters count together, and answers may come after the last of them") {
+  net::rpc_done late;
+  {
+    const peer_traffic one;
+    const peer_traffic other = one;
+    late = other.call(traffic_kind::disks, 7, [](net::rpc_failure, const std::string&) {});
+    CHECK(one.of(traffic_kind::disks).sent == 7);
+  }
+  late(net::rpc_failure::none, "answer");
+}
+
+TEST_CASE("each method between front hosts has its kind, and each kind its name") {
+  struct row {
+    gossip_method method;
+    traffic_kind kind;
+  };
+  const row rows[] = {{gossip_method::digest, traffic_kind::probes},
+                      {gossip_method::relay, traffic_kind::relays},
+                      {gossip_method::placements, traffic_kind::directory},
+                      {gossip_method::copy, traffic_kind::copies},
+                      {gossip_method::copy_taken, traffic_kind::copies}};
+  for (const row& item : rows) {
+    CHECK(kind_of(item.method) == item.kind);
+  }
+  std::set<std::string_view> names;
+  for (const traffic_kind kind : all_traffic_kinds) {
+    names.insert(name_of(kind));
+  }
+  CHECK(names.size() == all_traffic_kinds.size());
+}
--- a/scenarios/deployment_test.cc
+++ b/scenarios/deployment_test.cc
@@ -584,3 +584,16 @@
   CHECK(std::stod(*result.header("Retry-After")) < 0.7);
   CHECK(is_up(all));
 }
+
+TEST_CASE("a host's metrics tell what the bytes between hosts are for") {
+  deployment all({2, 3, 1, 1});
+  REQUIRE(is_up(all));
+  REQUIRE(all.call(0, turn("/kept/x", "counted", "p", "")).status == 200);
+  for (const char* name : {"peer_bytes_sent_probes", "peer_bytes_received_probes",
+                           "peer_bytes_sent_disks", "peer_bytes_received_disks"}) {
+    INFO(name);
+    CHECK(all.metric(0, name) > 0);
+  }
+  // Both hosts reach the disk hosts themselves.
+  CHECK(all.metric(0, "peer_bytes_sent_relays") == 0);
+}
