--- a/libs/front/include/hawthornlane/front/host_report.h
+++ b/libs/front/include/hawthornlane/front/host_report.h
@@ -8,6 +8,7 @@
 #include "hawthornlane/discovery/registration.h"
 #include "hawthornlane/front/call_service.h"
 #include "hawthornlane/front/peer_gossip.h"
+#include "hawthornlane/front/peer_traffic.h"
 
 namespace hawthornlane::front {
 
@@ -20,6 +21,7 @@
   const relay::backend_pool& backends;
   const call_service& calls;
   const peer_gossip& gossip;
+  const peer_traffic& traffic;
   /// Callers' connections that are open.
   std::function<std::size_t()> connections;
   /// Bytes of answers to other hosts that wait for the link.
@@ -40,6 +42,7 @@
 
 private:
   void set_memory_metrics();
+  void set_traffic_metrics();
 
   report_sources from;
   /// Said in the log; falls back when the memory is free again.
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -13,6 +13,7 @@
 #include "hawthornlane/front/host_report.h"
 #include "hawthornlane/front/ledger_client.h"
 #include "hawthornlane/front/peer_gossip.h"
+#include "hawthornlane/front/peer_traffic.h"
 #include "hawthornlane/front/planned_stop.h"
 #include "hawthornlane/front/quota_client.h"
 #include "hawthornlane/http/answer_server.h"
@@ -99,6 +100,7 @@
   platform_adapter::store_client store;
   discovery::fleet_state fleet;
   check_schedule checks;
+  peer_traffic traffic;
   bool checking = false;
   bool reading_hosts = false;
   net::steady_time next_host_read{};
@@ -137,6 +139,7 @@
             .backends = this->backends,
             .calls = this->calls,
             .gossip = this->gossip,
+            .traffic = this->traffic,
             .connections = [this] { return this->connections; },
             .peer_bytes_waiting = [this] { return this->peers->waiting_bytes(); },
             .memory_limit = this->settings.memory_mb * bytes_per_mb};
@@ -144,6 +147,7 @@
 
   gossip_hooks make_gossip_hooks() {
     gossip_hooks hooks;
+    hooks.traffic = this->traffic;
     hooks.self = [this] { return this->digest(); };
     hooks.decode_configuration = unpack_configuration;
     hooks.ledger = [this] { return this->ledger.current(); };
@@ -237,6 +241,7 @@
       this->gossip.refresh_hosts();
       this->ledger.refresh_hosts();
     });
+    this->ledger.count_in(this->traffic);
     this->ledger.set_relay(
         [this](const relayed_question& question, duration limit, net::rpc_done done) {
           this->gossip.relay(question, limit, std::move(done));
@@ -251,20 +256,22 @@
   void listen() {
     this->peers = std::make_unique<net::rpc_server>(
         this->context, this->sweeper, this->settings.peers_at,
-        [this](std::uint16_t method, const std::string& payload, const net::rpc_reply& reply) {
-          if (static_cast<gossip_method>(method) == gossip_method::relay) {
+        [this](std::uint16_t number, const std::string& payload, const net::rpc_reply& answer) {
+          const auto method = static_cast<gossip_method>(number);
+          const auto reply = this->traffic.serve(kind_of(method), payload.size(), answer);
+          if (method == gossip_method::relay) {
             this->ledger.serve_relayed(payload, reply);
             return;
           }
-          if (static_cast<gossip_method>(method) == gossip_method::placements) {
+          if (method == gossip_method::placements) {
             reply(this->exchange.serve(payload));
             return;
           }
-          if (this->claims_places(static_cast<gossip_method>(method))) {
-            reply(this->places.serve(static_cast<gossip_method>(method), payload));
+          if (this->claims_places(method)) {
+            reply(this->places.serve(method, payload));
             return;
           }
-          reply(this->gossip.serve(static_cast<gossip_method>(method), payload));
+          reply(this->gossip.serve(method, payload));
         });
     this->peers->limit_waiting_bytes(this->settings.memory_mb * bytes_per_mb / peer_queue_share);
     this->serve_small(this->settings.ready_at, [this](const http::request& ask) {
--- a/libs/front/src/host_report.cc
+++ b/libs/front/src/host_report.cc
@@ -37,6 +37,7 @@
                          static_cast<double>(this->from.backends.counters().unnamed_refusals));
   this->from.metrics.set("calls_under_way", static_cast<double>(this->from.calls.under_way()));
   this->set_memory_metrics();
+  this->set_traffic_metrics();
   return this->from.metrics.text();
 }
 
@@ -58,6 +59,15 @@
   set("copy_bytes_given", copies.bytes_given);
 }
 
+void host_report::set_traffic_metrics() {
+  for (const traffic_kind kind : all_traffic_kinds) {
+    const std::string name(name_of(kind));
+    const traffic_bytes& bytes = this->from.traffic.of(kind);
+    this->from.metrics.set("peer_bytes_sent_" + name, static_cast<double>(bytes.sent));
+    this->from.metrics.set("peer_bytes_received_" + name, static_cast<double>(bytes.received));
+  }
+}
+
 void host_report::watch_memory() {
   const std::size_t limit = this->from.memory_limit;
   const std::size_t used = resident_bytes().value_or(0);
