Places at servers: a count that fades does not make a full server free

Cause: what a host hears of a server's load fades towards the mean of all servers from the moment it is heard, so that after some milliseconds 7 calls at 7 places were 6.93, and each host placed beside the keeper.

Change: the count is rounded.

--- a/libs/front/test/call_placer_test.cc
+++ b/libs/front/test/call_placer_test.cc
@@ -1,4 +1,4 @@
-// A caller that leaves while its call's server is still being looked for.
+// Callers that leave while a server is looked for, and calls for servers that are full.
 #include "hawthornlane/front/call_placer.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -40,6 +40,16 @@
   return request;
 }
 
+/// Another host, named so that it keeps the server's entry.
+std::vector<host_id> others_that_keep(server_key server) {
+  for (int number = 0;; ++number) {
+    host_id name("other-" + std::to_string(number));
+    if (keeper_of(server.get(), {host_id("own"), name}) == name) {
+      return {std::move(name)};
+    }
+  }
+}
+
 }  // namespace
 
 TEST_CASE("a call whose caller leaves while other hosts are asked gets no server") {
@@ -66,3 +76,64 @@
   CHECK(got.caller_left);
   CHECK_FALSE(got.server);
 }
+
+TEST_CASE("only a call for a full server claims a place, and only where places are claimed") {
+  constexpr std::uint32_t slots = 4;
+  struct row {
+    const char* what;
+    bool claims_places;
+    bool has_prompt;
+    std::uint32_t calls;
+    std::size_t claims;
+  };
+  const row rows[] = {
+      {"an idle server", true, true, 0, 0},
+      {"a server with a place", true, true, slots, 0},
+      {"a full server", true, true, slots + 1, 1},
+      {"a full server, without a prompt", true, false, slots + 1, 0},
+      {"a full server, places not claimed", false, true, slots + 1, 0},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    boost::asio::io_context context;
+    discovery::fleet_state fleet;
+    fleet.list_backends(store_revision(1), {engine_entry()}, "test");
+    call_metrics metrics;
+    pool_rules rules;
+    rules.claims_places = item.claims_places;
+    call_placer placer(context, host_id("own"), availability_zone("z"), fleet, metrics, rules);
+    placement_directory counts;
+    std::vector<gossip_method> sent;
+    place_hooks hooks;
+    const server_key key = server_key_of(backend_server_id("s1"));
+    hooks.hosts = [key] { return others_that_keep(key); };
+    hooks.send = [&sent](const host_id&, gossip_method method, const std::string&,
+                         const net::rpc_done& done) {
+      sent.push_back(method);
+      done(net::rpc_failure::none,
+           to_bytes(claim_answer{claim_outcome::refused, std::chrono::seconds(7), 9}));
+    };
+    place_exchange places(context, host_id("own"), counts, metrics, hooks);
+    placer.claim_by(places);
+
+    placement_request request = turn_request();
+    request.prompt.resize(item.has_prompt ? request.prompt.size() : 0);
+    placement_wait wait;
+    acquired_server got;
+    const auto acquire = [&]() -> boost::asio::awaitable<void> {
+      got = co_await placer.acquire(service_name("models"), request, wait);
+    };
+    placer.lists_servers(service_name("models"));
+    directory_answer loads;
+    loads.loads.push_back({key, item.calls});
+    placer.take_answer(loads);
+    boost::asio::co_spawn(context, acquire(), boost::asio::detached);
+    context.run();
+
+    CHECK(sent == std::vector<gossip_method>(item.claims, gossip_method::claim));
+    // What is refused a place is refused at once, with the time to come again.
+    CHECK(got.server.has_value() == (item.claims == 0));
+    CHECK(got.retry_in == std::chrono::seconds(item.claims == 0 ? 0 : 7));
+    CHECK(got.waited < std::chrono::milliseconds(100));
+  }
+}
--- a/libs/placement/src/server_pool_claims.cc
+++ b/libs/placement/src/server_pool_claims.cc
@@ -1,5 +1,6 @@
 // Where a call claims a place while the servers it would go to are full.
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 #include "hawthornlane/placement/server_pool.h"
@@ -50,7 +51,8 @@
     target.server = item.server->entry.id;
     target.key = item.server->key;
     target.places = item.server->entry.slots + spare_places;
-    target.full = this->calls_at(*item.server, now) >= target.places;
+    // A count fades from when it is heard, by a part of a call in some milliseconds.
+    target.full = std::lround(this->calls_at(*item.server, now)) >= target.places;
     targets.push_back(std::move(target));
   }
   return targets;
