--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -228,44 +228,41 @@
   return http::to_string(this->front_settings_of(front).callers_at);
 }
 
-front::front_settings deployment::front_settings_of(int number) const {
-  const auto port = [this, number](const char* kind) {
-    auto& known = const_cast<deployment*>(this)->ports[fmt::format("front-{}-{}", number, kind)];
-    known = known == 0 ? free_port() : known;
-    return http::endpoint{loopback, known};
-  };
-  front::front_settings settings;
-  settings.host = host_id(fmt::format("front-{}", number));
+http::endpoint deployment::endpoint_of(const std::string& host, const char* kind) const {
+  auto& port = const_cast<deployment*>(this)->ports[fmt::format("{}-{}", host, kind)];
+  port = port == 0 ? free_port() : port;
+  return {loopback, port};
+}
+
+discovery::host_settings deployment::host_settings_of(const char* role, int number) const {
+  const std::string name = fmt::format("{}-{}", role, number);
+  discovery::host_settings settings;
+  settings.host = host_id(name);
   settings.zone = availability_zone(fmt::format("z{}", number));
   settings.region = "r";
-  settings.memory_mb = 64;
-  settings.callers_at = port("callers");
-  settings.ready_at = port("ready");
-  settings.directory_at = port("directory");
-  settings.peers_at = port("peers");
+  settings.peers_at = this->endpoint_of(name, "peers");
   settings.peers_advertised = settings.peers_at;
-  settings.metrics_at = port("metrics");
+  settings.metrics_at = this->endpoint_of(name, "metrics");
   settings.store = this->platform->where();
+  return settings;
+}
+
+front::front_settings deployment::front_settings_of(int number) const {
+  front::front_settings settings;
+  static_cast<discovery::host_settings&>(settings) = this->host_settings_of("front", number);
+  settings.memory_mb = 64;
+  settings.callers_at = this->endpoint_of(settings.host.get(), "callers");
+  settings.ready_at = this->endpoint_of(settings.host.get(), "ready");
+  settings.directory_at = this->endpoint_of(settings.host.get(), "directory");
   settings.address_time = std::chrono::milliseconds(300);
   settings.grace = std::chrono::seconds(5);
   return settings;
 }
 
 disk::disk_settings deployment::disk_settings_of(int number) const {
-  const auto port = [this, number](const char* kind) {
-    auto& known = const_cast<deployment*>(this)->ports[fmt::format("disk-{}-{}", number, kind)];
-    known = known == 0 ? free_port() : known;
-    return http::endpoint{loopback, known};
-  };
   disk::disk_settings settings;
-  settings.host = host_id(fmt::format("disk-{}", number));
-  settings.zone = availability_zone(fmt::format("z{}", number));
-  settings.region = "r";
-  settings.peers_at = port("peers");
-  settings.peers_advertised = settings.peers_at;
-  settings.metrics_at = port("metrics");
-  settings.store = this->platform->where();
-  settings.data_folder = (this->folder / fmt::format("disk-{}", number)).string();
+  static_cast<discovery::host_settings&>(settings) = this->host_settings_of("disk", number);
+  settings.data_folder = (this->folder / settings.host.get()).string();
   settings.disk_mb = 64;
   return settings;
 }
--- a/scenarios/deployment.h
+++ b/scenarios/deployment.h
@@ -95,6 +95,9 @@
     bool ended = false;
   };
 
+  /// A free port, the same one each time.
+  [[nodiscard]] http::endpoint endpoint_of(const std::string& host, const char* kind) const;
+  [[nodiscard]] discovery::host_settings host_settings_of(const char* role, int number) const;
   [[nodiscard]] front::front_settings front_settings_of(int number) const;
   [[nodiscard]] disk::disk_settings disk_settings_of(int number) const;
   http::response get(const http::endpoint& where, const std::string& target);
