--- a/libs/placement/src/server_pool_choice.cc
+++ b/libs/placement/src/server_pool_choice.cc
@@ -169,8 +169,7 @@
   const double count = static_cast<double>(this->servers.size());
   double mean = this->servers.empty() ? 0 : this->calls_of_others / count;
   if (this->rules.learns_speed) {
-    // Work goes to servers by their speed, and is sooner done at fast ones: as many calls are
-    // at each, of which a slow one should have fewer.
+    // A slow server is given less work, so fewer calls are expected there where none are known.
     mean *= this->part_of_work(server);
   }
   const double age = to_seconds(std::chrono::duration_cast<duration>(now - server.others_heard));
