--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <set>
 
 #include "configuration_copy.h"
 #include "hawthornlane/discovery/registration.h"
@@ -20,11 +21,10 @@
 #include "hawthornlane/platform_adapter/call_codec.h"
 #include "hawthornlane/platform_adapter/directory_answers.h"
 #include "hawthornlane/telemetry/log.h"
+#include "store_reader.h"
 
 namespace hawthornlane::front {
 namespace asio = boost::asio;
-using platform_adapter::object_kind;
-using platform_adapter::object_page;
 using steady = std::chrono::steady_clock;
 using tcp = asio::ip::tcp;
 
@@ -41,15 +41,6 @@
 constexpr std::size_t peer_queue_share = 8;
 /// A caller's connection attempts in a burst; more are sent again by their kernels.
 constexpr int accept_backlog = 1024;
-/// An outage shorter than this lets no entry lapse.
-constexpr duration lapsing_outage = std::chrono::milliseconds(1500);
-/// Hosts change seldom, and their changes are learnt from refusals too.
-constexpr auto host_check_pause = std::chrono::seconds(3);
-/// Between two reads of a host that lacks the others' addresses.
-constexpr auto host_read_pause = std::chrono::milliseconds(300);
-/// Nobody has read the store for so long: each host reads for itself. Others have taken
-/// over from a reader that is gone long before.
-constexpr duration reader_lost_after = std::chrono::seconds(2);
 /// Between two divisions of scarce places; a call at a model server takes 0.2 s.
 constexpr auto sharing_pause = std::chrono::milliseconds(100);
 /// Between two tellings of this host's loads; a third of their lifetime.
@@ -83,6 +74,7 @@
         gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
         exchange(io, settings.host, make_exchange_hooks()),
         acceptor(io),
+        reader({io, settings.host, store, fleet, checks, ledger, gossip, faults}),
         report(report_of()) {
     this->placer.share_by(this->exchange);
   }
@@ -95,10 +87,6 @@
   platform_adapter::store_client store;
   discovery::fleet_state fleet;
   check_schedule checks;
-  bool checking = false;
-  bool reading_hosts = false;
-  net::steady_time next_host_read{};
-  net::steady_time next_host_check{};
   call_metrics metrics;
   relay::backend_pool backends;
   ledger_client ledger;
@@ -112,12 +100,9 @@
   std::vector<std::unique_ptr<http::server>> small_servers;
   host_entry self;
   discovery::object_faults faults;
+  store_reader reader;
   bool leaving = false;
   net::steady_time leaving_since{};
-  /// Revision of the newest configuration that was read from the store itself.
-  store_revision configuration_at;
-  bool store_reachable = true;
-  net::steady_time store_lost_at{};
   net::steady_time next_idle_sweep{};
   net::steady_time next_sharing{};
   net::steady_time next_renewal{};
@@ -276,41 +261,6 @@
     return platform_adapter::address_answer(list, this->settings.address_time);
   }
 
-  /// The store stopped answering this host, or answers again.
-  void note_store(bool reachable, const std::string& detail) {
-    if (reachable == this->store_reachable) {
-      return;
-    }
-    this->store_reachable = reachable;
-    if (!reachable) {
-      this->store_lost_at = steady::now();
-      log(event::platform_unreachable, {{"detail", detail}});
-      return;
-    }
-    const duration away = std::chrono::duration_cast<duration>(steady::now() - this->store_lost_at);
-    log(event::platform_reachable, {{"away_ms", std::to_string(away.count() / 1000)}});
-    if (away >= lapsing_outage) {
-      this->fleet.store_is_back();
-    }
-  }
-
-  void take_configuration(const object_page& page) {
-    store_revision newest;
-    for (const auto& item : page.items) {
-      newest = std::max(newest, item.object.revision);
-    }
-    // To decode 1 MB takes an eighth of a core some 0.1 s, and it is read each 0.85 s.
-    if (newest <= this->configuration_at && page.faults.empty()) {
-      return;
-    }
-    this->configuration_at = newest;
-    for (const auto& told : discovery::configurations_of(page, this->faults)) {
-      if (this->fleet.is_newer(told.config)) {
-        this->fleet.offer_configuration(told.config, pack_configuration(told.text), "store");
-      }
-    }
-  }
-
   static asio::awaitable<void> serve_caller(std::shared_ptr<state> self, tcp::socket accepted) {
     net::timed_socket socket(std::move(accepted), self->sweeper);
     relay::caller_link caller(socket);
@@ -368,83 +318,12 @@
       this->close_idle();
       this->report.watch_memory();
     }
-    const bool hosts_wanted =
-        !this->fleet.hosts().heard() || (this->ledger.lacks_address() && this->reads_for_all());
-    if (hosts_wanted && !this->reading_hosts && now >= this->next_host_read) {
-      asio::co_spawn(this->context, read_hosts(this->shared_from_this()), asio::detached);
-    }
-    if (!this->checking && this->checks.due(discovery::scheduler_now(), this->gossip.rank())) {
-      asio::co_spawn(this->context, check_store(this->shared_from_this()), asio::detached);
-    }
+    this->reader.tick(now, this->shared_from_this());
     if (this->leaving) {
       this->go_on_leaving(now);
     }
   }
 
-  /// A new disk's address is read by one host for all: 57 hosts that each read it on
-  /// their own made 2,500 to 4,800 calls to the store in 50 s with two new disks, in place
-  /// of 1,250; calls are paid for.
-  [[nodiscard]] bool reads_for_all() const {
-    return !this->checks.heard() || this->checks.last_reader() == this->self.name ||
-           this->checks.age(discovery::scheduler_now()) > reader_lost_after;
-  }
-
-  /// Reads the store for all hosts and tells them.
-  static asio::awaitable<void> check_store(std::shared_ptr<state> self) {
-    self->checking = true;
-    const timestamp began = discovery::scheduler_now();
-    self->checks.began(began);
-    failure reason;
-    object_page page;
-    const auto took = [&](platform_adapter::store_outcome outcome) {
-      const bool good = outcome == platform_adapter::store_outcome::done;
-      self->note_store(good, reason.detail);
-      return good;
-    };
-    bool good = took(co_await self->store.list(object_kind::configuration, page, reason));
-    if (good) {
-      self->take_configuration(page);
-      good = took(co_await self->store.list(object_kind::backend_servers, page, reason));
-    }
-    if (good) {
-      self->fleet.list_backends(page.at, discovery::backend_entries_of(page, self->faults),
-                                "store");
-      const bool hosts_due = !self->fleet.hosts().heard() || steady::now() >= self->next_host_check;
-      self->checks.checked(self->self.name, began);
-      self->gossip.tell_all();
-      if (hosts_due && took(co_await self->store.list(object_kind::hosts, page, reason))) {
-        self->next_host_check = steady::now() + host_check_pause;
-        self->ledger.take_set(page);
-        self->fleet.list_hosts(page.at, discovery::host_entries_of(page, self->faults));
-      }
-    }
-    self->checking = false;
-  }
-
-  /// Reads the other hosts' entries: a new host needs them to hear the rest from
-  /// them, and a new disk's host cannot be asked before its address is known.
-  static asio::awaitable<void> read_hosts(std::shared_ptr<state> self) {
-    self->reading_hosts = true;
-    self->next_host_read = steady::now() + host_read_pause;
-    failure reason;
-    object_page page;
-    const auto outcome = co_await self->store.list(object_kind::hosts, page, reason);
-    if (outcome == platform_adapter::store_outcome::done) {
-      self->ledger.take_set(page);
-      const store_revision before = self->fleet.hosts().at();
-      self->fleet.list_hosts(page.at, discovery::host_entries_of(page, self->faults));
-      if (self->fleet.table() && self->fleet.hosts().at() > before) {
-        self->gossip.tell_all();
-      }
-      // The store is back and this host knows nothing: its callers wait for the next
-      // read, which would be due 0.35 s later on the whole.
-      if (!self->fleet.table() && !self->store_reachable && !self->checking) {
-        asio::co_spawn(self->context, check_store(self), asio::detached);
-      }
-    }
-    self->reading_hosts = false;
-  }
-
   void close_idle() {
     std::set<http::endpoint> listed;
     for (const auto& [id, entry] : this->fleet.backends().listed()) {
