Ledger: a budget is not called spent while this host still withdraws a turn of the program

Cause: a refused turn's reservation counts in full until a majority has its withdrawal, which the host sends beside.

--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -134,6 +134,8 @@
   /// first. The record may hold a whole turn: it is not copied.
   boost::asio::awaitable<bool> keep_record(append_request& request, net::steady_time until);
   boost::asio::awaitable<void> keep_withdrawal(append_request request);
+  /// A withdrawal of another turn of its program is not kept by a majority yet.
+  [[nodiscard]] bool withdraws(const turn_request& turn) const;
   void send_settlement(const std::shared_ptr<settle_state>& state,
                        const std::vector<disk_id>& disks);
   void conclude(const admission_state& state, turn_admission& result);
@@ -154,6 +156,8 @@
   /// Invariant: bytes of the questions that are not answered yet, each copy counted.
   std::size_t bytes_underway = 0;
   turn_cache cache;
+  /// Withdrawals that no majority has yet. Invariant: each count is above 0.
+  std::map<program_id, std::uint32_t> withdrawals;
 };
 
 }  // namespace hawthornlane::front
--- a/libs/front/src/ledger_admission.cc
+++ b/libs/front/src/ledger_admission.cc
@@ -273,7 +273,9 @@
     state->until = until;
     state->needs_chain = turn.kept && turn.previous && !cached;
     const bool concluded = co_await this->admit_once(state, result);
-    if (concluded && result.kind != admission_kind::unavailable) {
+    // What this host is still withdrawing may be all that the budget lacks.
+    const bool may_fit = result.kind == admission_kind::over_budget && this->withdraws(turn);
+    if (concluded && result.kind != admission_kind::unavailable && !may_fit) {
       break;
     }
     if (!concluded) {
--- a/libs/front/src/ledger_settlement.cc
+++ b/libs/front/src/ledger_settlement.cc
@@ -140,7 +140,17 @@
 }
 
 asio::awaitable<void> ledger_client::keep_withdrawal(append_request request) {
+  const program_id program = request.record.program;
+  ++this->withdrawals[program];
   co_await this->keep_record(request, steady::now() + withdraw_patience);
+  const auto pending = this->withdrawals.find(program);
+  if (--pending->second == 0) {
+    this->withdrawals.erase(pending);
+  }
+}
+
+bool ledger_client::withdraws(const turn_request& turn) const {
+  return this->withdrawals.contains(turn.program);
 }
 
 }  // namespace hawthornlane::front
