--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -3,9 +3,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <cmath>
 
 #include "disk_host_state.h"
 #include "hawthornlane/discovery/registration.h"
+#include "hawthornlane/http/answer_server.h"
+#include "hawthornlane/limits/quota_lease.h"
 #include "hawthornlane/net/message_bytes.h"
 #include "hawthornlane/telemetry/log.h"
 
@@ -51,7 +54,7 @@
 
 quota_hooks disk_host::state::make_quota_hooks() {
   quota_hooks hooks;
-  hooks.holds_lease = [this] { return this->holds_quota_lease(); };
+  hooks.holds_lease = [this] { return this->may_grant_quotas(); };
   hooks.append = [this](const std::string& record, std::function<void(bool good)> done) {
     this->ledger.append_beside(record, std::move(done));
   };
@@ -60,19 +63,13 @@
 }
 
 void disk_host::state::serve_metrics() {
-  const auto handle = [this](const http::request&, http::exchange& reply) -> asio::awaitable<void> {
+  const auto respond = [this](const http::request&) {
     http::response answer;
     answer.content_type = "text/plain";
     answer.body = this->metrics_text();
-    co_await reply.respond(std::move(answer));
-  };
-  const auto refuse = [](error_kind kind, std::string_view) {
-    http::response answer;
-    answer.status = answer_for(kind).http_status;
     return answer;
   };
-  this->metrics_server = std::make_unique<http::server>(this->context, this->settings.metrics_at,
-                                                        http::server_limits{}, handle, refuse);
+  this->metrics_server = http::serve_answers(this->context, this->settings.metrics_at, respond);
 }
 
 std::string disk_host::state::metrics_text() {
@@ -88,6 +85,9 @@
   add("text_bytes", this->ledger.held().text_bytes());
   add("log_bytes", this->ledger.log_bytes());
   add("quota_accounts", this->quotas.accounts());
+  add("quota_programs_held_back", this->quotas.programs_held_back());
+  add("quota_calls_of_a_program",
+      static_cast<std::uint64_t>(std::lround(this->quotas.calls_of_a_program())));
   add("set_epoch", this->set ? this->set->epoch.get() : 0);
   add("fence", this->ledger.held().fenced_at().get());
   add("store_objects_malformed", this->faults.count());
@@ -170,8 +170,7 @@
   this->set = told;
   this->set_revision = object.revision;
   this->ledger.set_newest(*told);
-  // While a set is joint its old members decide, and keep the quotas.
-  this->quotas.keep(this->ledger.identity(), told->members);
+  this->quotas.keep(quota_part(*told, this->ledger.identity()));
   log(event::ledger_set_changed, {{"epoch", std::to_string(told->epoch.get())},
                                   {"members", std::to_string(told->members.size())},
                                   {"joint", told->joint() ? "yes" : "no"}});
--- a/libs/disk/src/disk_membership.cc
+++ b/libs/disk/src/disk_membership.cc
@@ -1,8 +1,9 @@
 // A disk host's part in the set of disks: when to change it, copying for a joint set, leaving it.
 #include <algorithm>
-#include <set>
 
 #include "disk_host_state.h"
+#include "hawthornlane/discovery/fleet_state.h"
+#include "hawthornlane/limits/quota_lease.h"
 #include "hawthornlane/net/async_signal.h"
 #include "hawthornlane/net/message_bytes.h"
 #include "hawthornlane/telemetry/log.h"
@@ -21,9 +22,6 @@
 /// One of a set of two: without it nothing can be decided, so waiting costs service.
 /// Several probes and a repeated packet fit in; a hiccup must not leave one alone.
 constexpr auto patience_of_two = std::chrono::milliseconds(1000);
-/// A keeper of quotas that has not heard a majority of the set for this long grants nothing:
-/// less than `patience`, after which others may have put another host in its place.
-constexpr auto quota_lease = std::chrono::milliseconds(3000);
 static_assert(quota_lease < patience);
 /// Disk hosts start within 0.3 s of each other; the first set waits for them.
 constexpr auto first_set_wait = std::chrono::milliseconds(1500);
@@ -37,23 +35,25 @@
 /// Between two pages, so that copying leaves most of a half core to turns.
 constexpr auto page_pause = std::chrono::milliseconds(5);
 
+/// On the clock of `discovery::scheduler_now`.
+timestamp timestamp_of(net::steady_time time) {
+  return timestamp(std::chrono::duration_cast<duration>(time.time_since_epoch()));
+}
+
 }  // namespace
 
-bool disk_host::state::holds_quota_lease() const {
+bool disk_host::state::may_grant_quotas() const {
   if (!this->set) {
     return false;
   }
-  const net::steady_time now = steady::now();
-  if (now - this->set_told_at < quota_lease) {
-    return true;
-  }
-  std::set<disk_id> heard{this->ledger.identity()};
+  quota_lease_view view{this->ledger.identity(), *this->set, timestamp_of(this->set_told_at), {}};
   for (const auto& [name, other] : this->peers) {
-    if (other.answered && now - other.heard_at < quota_lease) {
-      heard.insert(disk_id(other.entry.disk));
+    if (other.answered) {
+      view.heard.push_back(
+          {disk_id(other.entry.disk), timestamp_of(other.heard_at), other.heard.fence});
     }
   }
-  return ledger_set::majority_of(this->set->members, heard);
+  return holds_quota_lease(view, discovery::scheduler_now());
 }
 
 bool disk_host::state::must_leave(const host_id& name) const {
--- a/libs/disk/test/quota_service_test.cc
+++ b/libs/disk/test/quota_service_test.cc
@@ -14,7 +14,6 @@
 
 namespace {
 
-const disk_id own("a");
 constexpr account_limit ten_at_once{1, 10};
 
 /// A quota service that goes on with a full bucket, and whose disk answers when the test says so.
@@ -24,7 +23,7 @@
     quota_record earlier;
     earlier.marks = {{client_account("north"), ten_at_once, limit_version(1), 10}};
     this->quotas.journal().replay(to_bytes(earlier));
-    this->quotas.keep(own, {own});
+    this->quotas.keep(1);
   }
 
   void ask() {
--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -78,7 +78,7 @@
   // Settlement.
   boost::asio::awaitable<void> finish_whole(call& one);
   boost::asio::awaitable<void> finish_stream(call& one);
-  boost::asio::awaitable<void> give_up(call& one, failure why);
+  boost::asio::awaitable<void> give_up(call& one, failure why, duration wait = {});
   boost::asio::awaitable<void> settle_broken(call& one);
   static token_count tokens_handed_out(const call& one);
   void log_call(const call& one) const;
--- a/libs/front/include/hawthornlane/front/directory_exchange.h
+++ b/libs/front/include/hawthornlane/front/directory_exchange.h
@@ -21,6 +21,8 @@
   std::vector<part_location> locations;
   std::vector<server_key> asked_servers;
   std::vector<prompt_part_key> asked_parts;
+  /// Behind the rest where there are any; hosts that know none of it read no further.
+  std::vector<told_speed> speeds;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -30,10 +32,13 @@
 
 /// What the keeper answers.
 struct directory_answer {
-  /// Calls of all hosts but the asker at each server that was told of or asked for.
+  /// Calls of all hosts but the asker, and those that wait for a place, at each server that was
+  /// told of or asked for.
   std::vector<server_load> loads;
   /// Of the parts asked for, those that it knows.
   std::vector<part_location> locations;
+  /// Of the same servers, what other hosts believe; behind the rest as well.
+  std::vector<told_speed> speeds;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -41,6 +46,12 @@
   }
 };
 
+std::string bytes_of(const directory_message& message);
+std::string bytes_of(const directory_answer& answer);
+/// Nothing when the bytes are none.
+std::optional<directory_message> directory_message_from(const std::string& bytes);
+std::optional<directory_answer> directory_answer_from(const std::string& bytes);
+
 /// What the exchange takes from and gives to the rest of the host.
 struct exchange_hooks {
   /// The other front hosts that live.
@@ -49,6 +60,10 @@
   std::function<void(const host_id& to, const std::string& payload, net::rpc_done done)> send;
   /// Takes what a keeper has answered.
   std::function<void(const directory_answer&)> take;
+  /// A host has told this one a new count in place of `before`; may be missing.
+  std::function<void(const host_id&, const server_load&, std::uint32_t before)> counted;
+  /// Calls that wait for a place at a server which this host keeps; may be missing.
+  std::function<std::uint32_t(server_key)> waiting;
 };
 
 /// One host's side of the directory: its own entries, and its messages to the hosts that
@@ -63,6 +78,8 @@
   boost::asio::awaitable<void> ask(directory_question question);
   /// Serves another host; nothing when the message is malformed.
   std::optional<std::string> serve(const std::string& payload);
+  /// What this host keeps.
+  [[nodiscard]] const placement_directory& entries() const { return this->directory; }
 
 private:
   /// This host and the others that live.
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -118,6 +118,10 @@
     one.detail = "a success without the server's signature";
     return try_outcome::broken;
   }
+  if (outcome == try_outcome::whole && one.caller.started() && !is_success) {
+    one.detail = fmt::format("status {} to a stream that was to go on", one.answer.status);
+    outcome = try_outcome::broken;
+  }
   if (outcome == try_outcome::whole && one.caller.started() && !one.splitter.between_events()) {
     one.detail = "the stream ended inside an event";
     return try_outcome::broken;
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -49,15 +49,6 @@
   return terms.prefix.empty() ? 0 : hash_of(terms.prefix.front().id);
 }
 
-std::vector<prompt_piece> pieces_of(const std::vector<relay::prompt_part>& prefix) {
-  std::vector<prompt_piece> pieces;
-  pieces.reserve(prefix.size());
-  for (const relay::prompt_part& part : prefix) {
-    pieces.push_back({prompt_part_key(hash_of(part.id)), part.tokens});
-  }
-  return pieces;
-}
-
 }  // namespace
 
 call_service::call_service(discovery::fleet_state& state, call_placer& places,
@@ -145,13 +136,16 @@
   if (!got.server) {
     failure why{error_kind::no_backend_server,
                 one.detail.empty() ? "no server can take it in its time" : one.detail};
+    if (got.retry_in > duration{}) {
+      why.detail = fmt::format("a place is expected in {} ms", got.retry_in.count() / 1000);
+    }
     if (one.runs > 0) {
       // An earlier try may have run: only what has not run is refused as such.
       why.kind = error_kind::backend_failed;
     } else if (!this->placer.lists_servers(one.service)) {
       why.kind = error_kind::no_listed_server;
     }
-    co_await this->give_up(one, why);
+    co_await this->give_up(one, why, got.retry_in);
     co_return false;
   }
   const try_outcome outcome = co_await this->try_server(one, *got.server);
--- a/libs/front/src/call_settlement.cc
+++ b/libs/front/src/call_settlement.cc
@@ -74,13 +74,13 @@
   co_await this->turns.settle(*one.turn, std::move(result), until);
 }
 
-asio::awaitable<void> call_service::give_up(call& one, failure why) {
+asio::awaitable<void> call_service::give_up(call& one, failure why, duration wait) {
   if (one.caller.started()) {
     one.caller.break_off();
     one.outcome += " after the head";
   } else {
     one.status = answer_for(why.kind).http_status;
-    co_await this->refuse(one.caller, why, one.terms.id.get());
+    co_await this->refuse(one.caller, why, one.terms.id.get(), wait);
   }
   co_await this->settle_broken(one);
 }
--- a/libs/front/src/call_under_way.h
+++ b/libs/front/src/call_under_way.h
@@ -25,6 +25,16 @@
 
 inline std::uint64_t hash_of(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
 
+/// The parts of a prompt by their hashes.
+inline std::vector<prompt_piece> pieces_of(const std::vector<relay::prompt_part>& prefix) {
+  std::vector<prompt_piece> pieces;
+  pieces.reserve(prefix.size());
+  for (const relay::prompt_part& part : prefix) {
+    pieces.push_back({prompt_part_key(hash_of(part.id)), part.tokens});
+  }
+  return pieces;
+}
+
 /// Calls of one program go to one service of a split route, and ask one keeper of a quota.
 inline std::uint64_t service_draw(const relay::call_terms& terms) {
   return hash_of(terms.program ? terms.program->get() : terms.id.get());
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -5,27 +5,27 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <set>
 
+#include "configuration_copy.h"
 #include "hawthornlane/discovery/registration.h"
 #include "hawthornlane/front/address_choice.h"
 #include "hawthornlane/front/call_service.h"
+#include "hawthornlane/front/host_report.h"
 #include "hawthornlane/front/ledger_client.h"
 #include "hawthornlane/front/peer_gossip.h"
+#include "hawthornlane/front/peer_traffic.h"
+#include "hawthornlane/front/planned_stop.h"
 #include "hawthornlane/front/quota_client.h"
-#include "hawthornlane/http/accept_pause.h"
-#include "hawthornlane/http/server.h"
-#include "hawthornlane/net/packing.h"
+#include "hawthornlane/http/answer_server.h"
+#include "hawthornlane/http/listening.h"
 #include "hawthornlane/platform_adapter/call_codec.h"
 #include "hawthornlane/platform_adapter/directory_answers.h"
 #include "hawthornlane/telemetry/log.h"
-#include "hawthornlane/telemetry/process_memory.h"
+#include "store_reader.h"
 
 namespace hawthornlane::front {
 namespace asio = boost::asio;
-using platform_adapter::object_kind;
-using platform_adapter::object_page;
 using steady = std::chrono::steady_clock;
 using tcp = asio::ip::tcp;
 
@@ -35,35 +35,13 @@
 /// Whole turns are kept in an eighth of the process's memory; the rest is for calls
 /// under way, of which the heaviest day needs 12 MB.
 constexpr std::size_t cache_bytes_per_mb = bytes_per_mb / 8;
-/// Shares of the process's memory at which the log says that it is high, and from
-/// which on it may say so again.
-constexpr std::size_t memory_high_percent = 60;
-constexpr std::size_t memory_calm_percent = 45;
 /// Answers to other hosts that wait for the link may take a thirty-second of the memory
 /// before whole copies are refused: 2.75 MB of 88, which 30 Mbit/s send in 0.7 s.
 constexpr std::size_t peer_answers_share = 32;
 /// All that waits for other hosts, relayed answers of disk hosts included.
 constexpr std::size_t peer_queue_share = 8;
-/// The store takes values of 1 MB; a text of more than this is not unpacked.
-constexpr std::size_t largest_configuration = 4 * bytes_per_mb;
-/// Callers keep an address answer up to three times as long as it says.
-constexpr int longest_keep_factor = 3;
 /// A caller's connection attempts in a burst; more are sent again by their kernels.
 constexpr int accept_backlog = 1024;
-/// An outage shorter than this lets no entry lapse.
-constexpr duration lapsing_outage = std::chrono::milliseconds(1500);
-/// Before the kill, so that what is still under way ends by itself.
-constexpr duration stop_margin = std::chrono::milliseconds(400);
-/// Calls that come this long before the end are turned away: callers then find
-/// another host, while a call taken now might be cut by the kill.
-constexpr duration turn_away_before = std::chrono::milliseconds(3200);
-/// Hosts change seldom, and their changes are learnt from refusals too.
-constexpr auto host_check_pause = std::chrono::seconds(3);
-/// Between two reads of a host that lacks the others' addresses.
-constexpr auto host_read_pause = std::chrono::milliseconds(300);
-/// Nobody has read the store for so long: each host reads for itself. Others have taken
-/// over from a reader that is gone long before.
-constexpr duration reader_lost_after = std::chrono::seconds(2);
 /// Between two divisions of scarce places; a call at a model server takes 0.2 s.
 constexpr auto sharing_pause = std::chrono::milliseconds(100);
 /// Between two tellings of this host's loads; a third of their lifetime.
@@ -96,8 +74,14 @@
         calls(fleet, placer, backends, codec, quotas, ledger, metrics),
         gossip(io, sweeper, fleet, checks, make_gossip_hooks()),
         exchange(io, settings.host, make_exchange_hooks()),
-        acceptor(io) {
+        places(io, settings.host, exchange.entries(), metrics, make_place_hooks()),
+        acceptor(io),
+        reader({io, settings.host, store, fleet, checks, ledger, gossip, faults}),
+        report(report_of()) {
     this->placer.share_by(this->exchange);
+    if (this->settings.contended) {
+      this->placer.claim_by(this->places);
+    }
   }
 
   asio::io_context& context;
@@ -108,10 +92,7 @@
   platform_adapter::store_client store;
   discovery::fleet_state fleet;
   check_schedule checks;
-  bool checking = false;
-  bool reading_hosts = false;
-  net::steady_time next_host_read{};
-  net::steady_time next_host_check{};
+  peer_traffic traffic;
   call_metrics metrics;
   relay::backend_pool backends;
   ledger_client ledger;
@@ -120,43 +101,38 @@
   call_service calls;
   peer_gossip gossip;
   directory_exchange exchange;
+  place_exchange places;
   tcp::acceptor acceptor;
   std::unique_ptr<net::rpc_server> peers;
   std::vector<std::unique_ptr<http::server>> small_servers;
   host_entry self;
   discovery::object_faults faults;
+  store_reader reader;
   bool leaving = false;
   net::steady_time leaving_since{};
-  /// Revision of the newest configuration that was read from the store itself.
-  store_revision configuration_at;
-  bool store_reachable = true;
-  net::steady_time store_lost_at{};
   net::steady_time next_idle_sweep{};
   net::steady_time next_sharing{};
   net::steady_time next_renewal{};
   std::size_t connections = 0;
-  /// Said in the log; falls back when the memory is free again.
-  bool memory_high = false;
-
-  /// Of the form in which hosts pass a configuration on.
-  static std::optional<configuration> unpack_configuration(const std::string& copy) {
-    auto text = net::unpack(copy, largest_configuration);
-    if (!text) {
-      log(event::peer_unreachable, {{"detail", "bytes that are no configuration"}});
-      return std::nullopt;
-    }
-    platform_adapter::stored_object object;
-    object.spec = *std::move(text);
-    failure reason;
-    auto config = platform_adapter::configuration_from(object, reason);
-    if (!config) {
-      log(event::platform_unreachable, {{"detail", "configuration: " + reason.detail}});
-    }
-    return config;
+  host_report report;
+
+  report_sources report_of() {
+    return {.metrics = this->metrics,
+            .store = this->store,
+            .faults = this->faults,
+            .fleet = this->fleet,
+            .backends = this->backends,
+            .calls = this->calls,
+            .gossip = this->gossip,
+            .traffic = this->traffic,
+            .connections = [this] { return this->connections; },
+            .peer_bytes_waiting = [this] { return this->peers->waiting_bytes(); },
+            .memory_limit = this->settings.memory_mb * bytes_per_mb};
   }
 
   gossip_hooks make_gossip_hooks() {
     gossip_hooks hooks;
+    hooks.traffic = this->traffic;
     hooks.self = [this] { return this->digest(); };
     hooks.decode_configuration = unpack_configuration;
     hooks.ledger = [this] { return this->ledger.current(); };
@@ -191,9 +167,31 @@
       this->gossip.send(to, gossip_method::placements, payload, std::move(done));
     };
     hooks.take = [this](const directory_answer& answer) { this->placer.take_answer(answer); };
+    if (this->settings.contended) {
+      hooks.counted = [this](const host_id& host, const server_load& load, std::uint32_t before) {
+        this->places.count_changed(host, load, before);
+      };
+      hooks.waiting = [this](server_key server) { return this->places.waiting(server); };
+    }
     return hooks;
   }
 
+  place_hooks make_place_hooks() {
+    place_hooks hooks;
+    hooks.hosts = [this] { return this->gossip.live_hosts(); };
+    hooks.send = [this](const host_id& to, gossip_method method, const std::string& payload,
+                        net::rpc_done done) {
+      this->gossip.send(to, method, payload, std::move(done));
+    };
+    return hooks;
+  }
+
+  [[nodiscard]] bool claims_places(gossip_method method) const {
+    const bool of_places = method == gossip_method::claim || method == gossip_method::withdraw ||
+                           method == gossip_method::grant;
+    return this->settings.contended && of_places;
+  }
+
   gossip_digest digest() const {
     gossip_digest own;
     own.self = this->self;
@@ -228,6 +226,7 @@
       this->gossip.refresh_hosts();
       this->ledger.refresh_hosts();
     });
+    this->ledger.count_in(this->traffic);
     this->ledger.set_relay(
         [this](const relayed_question& question, duration limit, net::rpc_done done) {
           this->gossip.relay(question, limit, std::move(done));
@@ -242,16 +241,22 @@
   void listen() {
     this->peers = std::make_unique<net::rpc_server>(
         this->context, this->sweeper, this->settings.peers_at,
-        [this](std::uint16_t method, const std::string& payload, const net::rpc_reply& reply) {
-          if (static_cast<gossip_method>(method) == gossip_method::relay) {
+        [this](std::uint16_t number, const std::string& payload, const net::rpc_reply& answer) {
+          const auto method = static_cast<gossip_method>(number);
+          const auto reply = this->traffic.serve(kind_of(method), payload.size(), answer);
+          if (method == gossip_method::relay) {
             this->ledger.serve_relayed(payload, reply);
             return;
           }
-          if (static_cast<gossip_method>(method) == gossip_method::placements) {
+          if (method == gossip_method::placements) {
             reply(this->exchange.serve(payload));
             return;
           }
-          reply(this->gossip.serve(static_cast<gossip_method>(method), payload));
+          if (this->claims_places(method)) {
+            reply(this->places.serve(method, payload));
+            return;
+          }
+          reply(this->gossip.serve(method, payload));
         });
     this->peers->limit_waiting_bytes(this->settings.memory_mb * bytes_per_mb / peer_queue_share);
     this->serve_small(this->settings.ready_at, [this](const http::request& ask) {
@@ -263,32 +268,19 @@
     this->serve_small(this->settings.metrics_at, [this](const http::request&) {
       http::response answer;
       answer.content_type = "text/plain";
-      answer.body = this->metrics_text();
+      answer.body = this->report.metrics_text();
       return answer;
     });
-    const tcp::endpoint at(asio::ip::make_address(this->settings.callers_at.address),
-                           this->settings.callers_at.port);
-    this->acceptor.open(at.protocol());
-    this->acceptor.set_option(asio::socket_base::reuse_address(true));
-    this->acceptor.bind(at);
-    this->acceptor.listen(accept_backlog);
-    asio::co_spawn(this->context, accept(this->shared_from_this()), asio::detached);
+    http::listen_on(this->acceptor, this->settings.callers_at, accept_backlog);
+    const auto take = [self = this->shared_from_this()](tcp::socket socket) {
+      asio::co_spawn(self->context, serve_caller(self, std::move(socket)), asio::detached);
+    };
+    asio::co_spawn(this->context, http::accept_until_closed(this->acceptor, take), asio::detached);
   }
 
   void serve_small(const http::endpoint& where,
                    std::function<http::response(const http::request&)> respond) {
-    const auto handle = [respond = std::move(respond)](
-                            const http::request& ask,
-                            http::exchange& reply) -> asio::awaitable<void> {
-      co_await reply.respond(respond(ask));
-    };
-    const auto refuse = [](error_kind kind, std::string_view) {
-      http::response answer;
-      answer.status = answer_for(kind).http_status;
-      return answer;
-    };
-    this->small_servers.push_back(std::make_unique<http::server>(
-        this->context, where, http::server_limits{}, handle, refuse));
+    this->small_servers.push_back(http::serve_answers(this->context, where, std::move(respond)));
   }
 
   http::response addresses(const http::request& ask) {
@@ -307,114 +299,6 @@
     return platform_adapter::address_answer(list, this->settings.address_time);
   }
 
-  std::string metrics_text() {
-    const auto& store_counts = this->store.counters();
-    this->metrics.set("store_reads", static_cast<double>(store_counts.reads));
-    this->metrics.set("store_watches", static_cast<double>(store_counts.watches));
-    this->metrics.set("store_writes", static_cast<double>(store_counts.writes));
-    this->metrics.set("store_failed", static_cast<double>(store_counts.failed));
-    this->metrics.set("store_objects_malformed", static_cast<double>(this->faults.count()));
-    this->metrics.set("backend_connections_opened",
-                      static_cast<double>(this->backends.counters().opened));
-    this->metrics.set("backend_connections_reused",
-                      static_cast<double>(this->backends.counters().reused));
-    this->metrics.set("backend_foreign_answers",
-                      static_cast<double>(this->backends.counters().foreign_answers));
-    this->metrics.set("calls_under_way", static_cast<double>(this->calls.under_way()));
-    this->set_memory_metrics();
-    return this->metrics.text();
-  }
-
-  void set_memory_metrics() {
-    const copy_counters& copies = this->gossip.counters();
-    const auto set = [this](const char* name, std::uint64_t value) {
-      this->metrics.set(name, static_cast<double>(value));
-    };
-    set("resident_bytes", resident_bytes().value_or(0));
-    set("caller_connections", this->connections);
-    set("peer_bytes_waiting", this->peers->waiting_bytes());
-    set("configuration_bytes", this->fleet.configuration_copy().size());
-    set("copies_asked", copies.asked);
-    set("copies_put_off", copies.put_off);
-    set("copies_taken", copies.taken);
-    set("copies_failed", copies.failed);
-    set("copies_given", copies.given);
-    set("copy_bytes_taken", copies.bytes_taken);
-    set("copy_bytes_given", copies.bytes_given);
-  }
-
-  /// Says once what fills the memory, before the kernel ends the process for it.
-  void watch_memory() {
-    const std::size_t limit = this->settings.memory_mb * bytes_per_mb;
-    const std::size_t used = resident_bytes().value_or(0);
-    if (used < limit * memory_calm_percent / 100) {
-      this->memory_high = false;
-    }
-    if (this->memory_high || used < limit * memory_high_percent / 100) {
-      return;
-    }
-    this->memory_high = true;
-    const copy_counters& copies = this->gossip.counters();
-    log(event::memory_high,
-        {{"resident_mb", std::to_string(used / bytes_per_mb)},
-         {"limit_mb", std::to_string(this->settings.memory_mb)},
-         {"calls", std::to_string(this->calls.under_way())},
-         {"connections", std::to_string(this->connections)},
-         {"peer_bytes_waiting", std::to_string(this->peers->waiting_bytes())},
-         {"configuration_bytes", std::to_string(this->fleet.configuration_copy().size())},
-         {"copies_asked", std::to_string(copies.asked)},
-         {"copies_failed", std::to_string(copies.failed)},
-         {"copies_given", std::to_string(copies.given)}});
-  }
-
-  /// The store stopped answering this host, or answers again.
-  void note_store(bool reachable, const std::string& detail) {
-    if (reachable == this->store_reachable) {
-      return;
-    }
-    this->store_reachable = reachable;
-    if (!reachable) {
-      this->store_lost_at = steady::now();
-      log(event::platform_unreachable, {{"detail", detail}});
-      return;
-    }
-    const duration away = std::chrono::duration_cast<duration>(steady::now() - this->store_lost_at);
-    log(event::platform_reachable, {{"away_ms", std::to_string(away.count() / 1000)}});
-    if (away >= lapsing_outage) {
-      this->fleet.store_is_back();
-    }
-  }
-
-  void take_configuration(const object_page& page) {
-    store_revision newest;
-    for (const auto& item : page.items) {
-      newest = std::max(newest, item.object.revision);
-    }
-    // To decode 1 MB takes an eighth of a core some 0.1 s, and it is read each 0.85 s.
-    if (newest <= this->configuration_at && page.faults.empty()) {
-      return;
-    }
-    this->configuration_at = newest;
-    for (const auto& told : discovery::configurations_of(page, this->faults)) {
-      if (this->fleet.is_newer(told.config)) {
-        this->fleet.offer_configuration(told.config, net::pack(told.text), "store");
-      }
-    }
-  }
-
-  static asio::awaitable<void> accept(std::shared_ptr<state> self) {
-    while (self->acceptor.is_open()) {
-      boost::system::error_code error;
-      tcp::socket socket =
-          co_await self->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-      if (error) {
-        co_await http::pause_after_failed_accept(self->context);
-        continue;
-      }
-      asio::co_spawn(self->context, serve_caller(self, std::move(socket)), asio::detached);
-    }
-  }
-
   static asio::awaitable<void> serve_caller(std::shared_ptr<state> self, tcp::socket accepted) {
     net::timed_socket socket(std::move(accepted), self->sweeper);
     relay::caller_link caller(socket);
@@ -454,6 +338,9 @@
 
   void on_pass() {
     this->placer.tick();
+    if (this->settings.contended) {
+      this->places.tick();
+    }
     this->fleet.settle();
     this->gossip.tick();
     this->ledger.tick();
@@ -470,85 +357,14 @@
     if (now >= this->next_idle_sweep) {
       this->next_idle_sweep = now + idle_pause;
       this->close_idle();
-      this->watch_memory();
-    }
-    const bool hosts_wanted =
-        !this->fleet.hosts().heard() || (this->ledger.lacks_address() && this->reads_for_all());
-    if (hosts_wanted && !this->reading_hosts && now >= this->next_host_read) {
-      asio::co_spawn(this->context, read_hosts(this->shared_from_this()), asio::detached);
-    }
-    if (!this->checking && this->checks.due(discovery::scheduler_now(), this->gossip.rank())) {
-      asio::co_spawn(this->context, check_store(this->shared_from_this()), asio::detached);
+      this->report.watch_memory();
     }
+    this->reader.tick(now, this->shared_from_this());
     if (this->leaving) {
       this->go_on_leaving(now);
     }
   }
 
-  /// A new disk's address is read by one host for all: 57 hosts that each read it on
-  /// their own made 2,500 to 4,800 calls to the store in 50 s with two new disks, in place
-  /// of 1,250; calls are paid for.
-  [[nodiscard]] bool reads_for_all() const {
-    return !this->checks.heard() || this->checks.last_reader() == this->self.name ||
-           this->checks.age(discovery::scheduler_now()) > reader_lost_after;
-  }
-
-  /// Reads the store for all hosts and tells them.
-  static asio::awaitable<void> check_store(std::shared_ptr<state> self) {
-    self->checking = true;
-    const timestamp began = discovery::scheduler_now();
-    self->checks.began(began);
-    failure reason;
-    object_page page;
-    const auto took = [&](platform_adapter::store_outcome outcome) {
-      const bool good = outcome == platform_adapter::store_outcome::done;
-      self->note_store(good, reason.detail);
-      return good;
-    };
-    bool good = took(co_await self->store.list(object_kind::configuration, page, reason));
-    if (good) {
-      self->take_configuration(page);
-      good = took(co_await self->store.list(object_kind::backend_servers, page, reason));
-    }
-    if (good) {
-      self->fleet.list_backends(page.at, discovery::backend_entries_of(page, self->faults),
-                                "store");
-      const bool hosts_due = !self->fleet.hosts().heard() || steady::now() >= self->next_host_check;
-      self->checks.checked(self->self.name, began);
-      self->gossip.tell_all();
-      if (hosts_due && took(co_await self->store.list(object_kind::hosts, page, reason))) {
-        self->next_host_check = steady::now() + host_check_pause;
-        self->ledger.take_set(page);
-        self->fleet.list_hosts(page.at, discovery::host_entries_of(page, self->faults));
-      }
-    }
-    self->checking = false;
-  }
-
-  /// Reads the other hosts' entries: a new host needs them to hear the rest from
-  /// them, and a new disk's host cannot be asked before its address is known.
-  static asio::awaitable<void> read_hosts(std::shared_ptr<state> self) {
-    self->reading_hosts = true;
-    self->next_host_read = steady::now() + host_read_pause;
-    failure reason;
-    object_page page;
-    const auto outcome = co_await self->store.list(object_kind::hosts, page, reason);
-    if (outcome == platform_adapter::store_outcome::done) {
-      self->ledger.take_set(page);
-      const store_revision before = self->fleet.hosts().at();
-      self->fleet.list_hosts(page.at, discovery::host_entries_of(page, self->faults));
-      if (self->fleet.table() && self->fleet.hosts().at() > before) {
-        self->gossip.tell_all();
-      }
-      // The store is back and this host knows nothing: its callers wait for the next
-      // read, which would be due 0.35 s later on the whole.
-      if (!self->fleet.table() && !self->store_reachable && !self->checking) {
-        asio::co_spawn(self->context, check_store(self), asio::detached);
-      }
-    }
-    self->reading_hosts = false;
-  }
-
   void close_idle() {
     std::set<http::endpoint> listed;
     for (const auto& [id, entry] : this->fleet.backends().listed()) {
@@ -571,13 +387,11 @@
 
   void go_on_leaving(net::steady_time now) {
     const duration since = std::chrono::duration_cast<duration>(now - this->leaving_since);
-    const duration keep = this->settings.address_time * longest_keep_factor;
-    if (since >= this->settings.grace - turn_away_before) {
+    const planned_stop stop{this->settings.grace, this->settings.address_time};
+    if (stop.turns_away(since)) {
       this->calls.turn_away();
     }
-    const bool forgotten = since >= std::min(keep, this->settings.grace - turn_away_before);
-    const bool idle = this->calls.under_way() == 0;
-    if ((forgotten && idle) || since >= this->settings.grace - stop_margin) {
+    if (stop.may_end(since, this->calls.under_way())) {
       log(event::stopped, {{"calls", std::to_string(this->calls.under_way())}});
       flush_log();
       this->stopped();
