Mends from the review of places, speeds and quotas

Two who had not written them read the parts; found by reading, each mended here:

- a claim refused after it had waited ended its call, though other servers may have room: it is placed as without claims; a claim ends with its call's time and not up to 0.15 s later;
- the expected wait halved claims that wait at one server only: a claim says at how many it waits;
- the shares of accounts at one priority were lost while another one was served;
- a host that keeps a server again after a while took it for idle: it forgets after 4 s;
- the question for a quota had a field more in place: it comes behind the rest, as the speeds do, which are read without an exception where there are none;
- what many hosts told of a server's speed was forgotten twice as late as what one told; gauges of speeds stayed when nothing was known any more; keys of gone servers were kept.

--- a/libs/disk/src/quota_service.cc
+++ b/libs/disk/src/quota_service.cc
@@ -39,17 +39,19 @@
 }
 
 void quota_service::serve(const std::string& payload, const net::rpc_reply& reply) {
-  const auto question = from_bytes<quota_question>(payload);
-  if (!question) {
+  auto told = from_bytes_with_tail<quota_question, std::optional<quota_program>>(payload);
+  if (!told) {
     reply(std::nullopt);
     return;
   }
+  quota_question& question = told->first;
+  question.program = told->second;
   quota_answer answer;
   if (this->hooks.holds_lease()) {
-    answer = this->keeper.ask(*question, discovery::scheduler_now());
+    answer = this->keeper.ask(question, discovery::scheduler_now());
   }
   this->hooks.count("quota_" + std::string(name_of(answer.verdict)));
-  if (answer.verdict != quota_verdict::granted || !question->limit.limits()) {
+  if (answer.verdict != quota_verdict::granted || !question.limit.limits()) {
     reply(to_bytes(answer));
     return;
   }
--- a/libs/disk/test/quota_service_test.cc
+++ b/libs/disk/test/quota_service_test.cc
@@ -61,6 +61,20 @@
 
 }  // namespace
 
+TEST_CASE("a question of a host that tells no programs is read as before") {
+  quota_question question{client_account("north"), ten_at_once, limit_version(1)};
+  const std::string before = to_bytes(question);
+  question.program = quota_program{program_key(7), true};
+  CHECK(to_bytes(question) == before);
+  using told = std::optional<quota_program>;
+  CHECK_FALSE((from_bytes_with_tail<quota_question, told>(before)->second));
+  const auto both = from_bytes_with_tail<quota_question, told>(before + to_bytes(question.program));
+  REQUIRE(both->second);
+  CHECK(both->second->begins);
+  const std::string cut = to_bytes(question.program).substr(0, 3);
+  CHECK_FALSE((from_bytes_with_tail<quota_question, told>(before + cut)));
+}
+
 TEST_CASE("without the lease no quota is kept and nothing is written") {
   service_at_a_disk disk;
   disk.has_lease = false;
--- a/libs/front/include/hawthornlane/front/call_placer.h
+++ b/libs/front/include/hawthornlane/front/call_placer.h
@@ -95,6 +95,8 @@
     std::set<backend_server_id> set_aside;
     /// Known to be slow, as last written to the log.
     std::set<backend_server_id> slow;
+    /// The gauges of its servers' speeds hold what is known.
+    bool shows_speeds = false;
     /// Hosts keep to their part of the places.
     bool scarce = false;
   };
@@ -108,6 +110,7 @@
   boost::asio::awaitable<bool> claim(server_pool& pool, const placement_request& request,
                                      placement_wait& wait, acquired_server& got);
   void tell_changes(server_pool& pool);
+  void set_speed_gauges(const service_name& name, double fastest, double slowest);
   /// Writes what operators see of servers' speeds.
   void show_speeds(const service_name& name, service_pool& item);
   void deliver(const std::vector<placement>& placed);
--- a/libs/front/include/hawthornlane/front/place_exchange.h
+++ b/libs/front/include/hawthornlane/front/place_exchange.h
@@ -104,6 +104,8 @@
   claim_result result_of(const open_claim& item);
   void send_claims(const open_claim_ptr& item);
   void take_answer(const open_claim_ptr& item, std::size_t target, const claim_answer& answer);
+  /// No answer came. A claim that waits goes on: its keeper was busy, or another one is asked next.
+  static void lose_answer(open_claim& item, std::size_t target);
   /// The places that the call has claimed beside the one it takes.
   void withdraw_others(const open_claim& item);
   void send_withdrawal(const place_grant& withdrawn);
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -164,22 +164,32 @@
   }
 }
 
+void call_placer::set_speed_gauges(const service_name& name, double fastest, double slowest) {
+  this->metrics.set(fmt::format("fastest_server_factor_{}", name.get()), fastest);
+  this->metrics.set(fmt::format("slowest_server_factor_{}", name.get()), slowest);
+}
+
 void call_placer::show_speeds(const service_name& name, service_pool& item) {
-  /// A server is called slow from here on, and until it is nearly as others again.
+  // A server is called slow from here on, and until it is nearly as others again.
   constexpr double slow_from = 1.5;
   constexpr double slow_until = 1.25;
-  /// Lines a service in one look, once a second.
+  // Lines a service in one look, once a second.
   constexpr std::size_t most_lines = 4;
   const std::vector<server_pace> paces = item.pool.paces(discovery::scheduler_now());
   if (paces.empty()) {
+    if (item.shows_speeds) {
+      this->set_speed_gauges(name, 1, 1);
+      item.slow.clear();
+      item.shows_speeds = false;
+    }
     return;
   }
+  item.shows_speeds = true;
   const auto by_factor = [](const server_pace& a, const server_pace& b) {
     return a.factor < b.factor;
   };
   const auto [fastest, slowest] = std::minmax_element(paces.begin(), paces.end(), by_factor);
-  this->metrics.set(fmt::format("fastest_server_factor_{}", name.get()), fastest->factor);
-  this->metrics.set(fmt::format("slowest_server_factor_{}", name.get()), slowest->factor);
+  this->set_speed_gauges(name, fastest->factor, slowest->factor);
   std::set<backend_server_id> still_slow;
   std::size_t lines = 0;
   for (const server_pace& pace : paces) {
--- a/libs/front/src/directory_exchange.cc
+++ b/libs/front/src/directory_exchange.cc
@@ -15,28 +15,19 @@
 /// another zone and back, and a tenth of a turn's way from its caller.
 constexpr std::chrono::milliseconds ask_limit{10};
 
-/// A message with its speeds as hosts pass it on.
-template <class Message>
-struct with_speeds {
-  Message message;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(this->message, this->message.speeds);
-  }
-};
-
 template <class Message>
 std::string bytes_with_speeds(const Message& message) {
-  return message.speeds.empty() ? to_bytes(message) : to_bytes(with_speeds<Message>{message});
+  return message.speeds.empty() ? to_bytes(message) : to_bytes(message) + to_bytes(message.speeds);
 }
 
 template <class Message>
 std::optional<Message> read_with_speeds(const std::string& bytes) {
-  if (auto whole = from_bytes<with_speeds<Message>>(bytes)) {
-    return std::move(whole->message);
+  auto both = from_bytes_with_tail<Message, std::vector<told_speed>>(bytes);
+  if (!both) {
+    return std::nullopt;
   }
-  return from_bytes<Message>(bytes);
+  both->first.speeds = std::move(both->second);
+  return std::move(both->first);
 }
 
 }  // namespace
@@ -95,8 +86,9 @@
   }
   this->hooks.send(keeper, bytes_of(message),
                    [this, done = std::move(done)](net::rpc_failure why, const std::string& bytes) {
-                     const auto answer = directory_answer_from(bytes);
-                     if (why == net::rpc_failure::none && answer) {
+                     const bool good = why == net::rpc_failure::none;
+                     const auto answer = good ? directory_answer_from(bytes) : std::nullopt;
+                     if (answer) {
                        this->hooks.take(*answer);
                      }
                      done();
--- a/libs/front/src/place_exchange.cc
+++ b/libs/front/src/place_exchange.cc
@@ -68,6 +68,7 @@
     this->live_hosts = std::move(hosts);
     this->queue.hosts_changed(discovery::scheduler_now());
   }
+  this->queue.sweep(discovery::scheduler_now());
   this->tell_grants();
 }
 
@@ -118,9 +119,11 @@
     if (item->count(open_claim::claim_state::waiting) == 0) {
       break;
     }
+    const auto left = item->request.give_up_at - discovery::scheduler_now();
+    const auto until = std::min(sent + place_queue::repeat_pause, steady::now() + left);
     while (!is_over() && item->count(open_claim::claim_state::waiting) > 0 &&
-           steady::now() < sent + place_queue::repeat_pause) {
-      co_await item->changed.wait_until(sent + place_queue::repeat_pause);
+           steady::now() < until) {
+      co_await item->changed.wait_until(until);
     }
   }
 }
@@ -172,6 +175,7 @@
     claim.from = {this->self, item->request.id.get()};
     claim.server = target.target.key;
     claim.places = target.target.places;
+    claim.targets = static_cast<std::uint32_t>(item->targets.size());
     claim.priority = item->request.priority;
     claim.begun = item->request.begun;
     claim.account = item->request.account;
@@ -187,12 +191,24 @@
                      [this, item, number](net::rpc_failure why, const std::string& bytes) {
                        const bool good = why == net::rpc_failure::none;
                        const auto answer = good ? from_bytes<claim_answer>(bytes) : std::nullopt;
-                       this->take_answer(item, number, answer.value_or(claim_answer()));
-                       item->targets[number].answered = answer.has_value();
+                       if (answer) {
+                         this->take_answer(item, number, *answer);
+                       } else {
+                         lose_answer(*item, number);
+                       }
                      });
   }
 }
 
+void place_exchange::lose_answer(open_claim& item, std::size_t number) {
+  auto& target = item.targets[number];
+  target.answered = false;
+  if (target.state == open_claim::claim_state::asked) {
+    target.state = open_claim::claim_state::unknown;
+  }
+  item.changed.wake();
+}
+
 void place_exchange::take_answer(const open_claim_ptr& item, std::size_t number,
                                  const claim_answer& answer) {
   auto& target = item->targets[number];
@@ -211,7 +227,10 @@
       target.state = open_claim::claim_state::waiting;
       break;
     case claim_outcome::refused:
-      target.state = open_claim::claim_state::refused;
+      // One that has waited may find room at servers that it was not weighed at then.
+      target.state = target.state == open_claim::claim_state::waiting
+                         ? open_claim::claim_state::unknown
+                         : open_claim::claim_state::refused;
       break;
     case claim_outcome::unknown:
       target.state = open_claim::claim_state::unknown;
@@ -251,8 +270,7 @@
 }
 
 std::uint32_t place_exchange::waiting(server_key server) const {
-  const auto claims = static_cast<double>(this->queue.waiting(server));
-  return static_cast<std::uint32_t>(claims / place_queue::claims_per_call);
+  return static_cast<std::uint32_t>(this->queue.expected_calls(server));
 }
 
 void place_exchange::tell_grants() {
@@ -261,12 +279,12 @@
     return;
   }
   this->telling = true;
-  std::vector<place_grant> grants = this->queue.take_grants(discovery::scheduler_now());
+  std::vector<place_grant> grants = this->queue.take_grants();
   while (!grants.empty()) {
     for (const place_grant& grant : grants) {
       this->tell_grant(grant);
     }
-    grants = this->queue.take_grants(discovery::scheduler_now());
+    grants = this->queue.take_grants();
   }
   this->telling = false;
 }
--- a/libs/front/src/quota_client.cc
+++ b/libs/front/src/quota_client.cc
@@ -79,7 +79,10 @@
 
 asio::awaitable<quota_admission> quota_client::admit(quota_question question, std::uint64_t spread,
                                                      net::steady_time until) {
-  const std::string payload = to_bytes(question);
+  std::string payload = to_bytes(question);
+  if (question.program) {
+    payload += to_bytes(question.program);
+  }
   const net::steady_time give_up_at = std::min(until, steady::now() + longest_wait);
   quota_admission result = co_await this->ask_round(payload, spread, give_up_at);
   while (result.decision == quota_decision::unknown &&
--- a/libs/limits/include/hawthornlane/limits/begun_programs.h
+++ b/libs/limits/include/hawthornlane/limits/begun_programs.h
@@ -17,16 +17,20 @@
 /// A program of an account; a hash of its name.
 using program_key = strong_value<struct program_key_tag, std::uint64_t>;
 
-/// A program makes calls until it ends, pauses of its tools apart; a longer silence is its end.
+/// A program makes calls until it ends, pauses of its tools apart; for one that is silent for
+/// longer nothing is held back.
 constexpr duration longest_program_silence = std::chrono::seconds(2);
+/// One that asks again within this time goes on: turns and tools may take several seconds.
+constexpr duration program_memory = std::chrono::seconds(15);
 
-/// How many calls a program makes, over all accounts of a keeper. Each keeper is the first to be
-/// asked by its share of all programs and grants as large a share of all calls, so that it learns
-/// the size of whole programs, wherever their calls were granted.
+/// How many calls a program makes, over all accounts of a keeper. A keeper is the first to be asked
+/// for each call of the programs that begin at it, so that it learns the size of whole programs,
+/// wherever their calls are granted.
 class program_size {
 public:
   void note_begin();
-  void note_grant() { this->calls += 1; }
+  /// A program whose beginning was noted asks for another call.
+  void note_call() { this->calls += 1; }
   /// Calls; 0 as long as too few programs have begun.
   [[nodiscard]] double mean() const;
 
@@ -45,8 +49,10 @@
   [[nodiscard]] bool contains(program_key program, timestamp now) const;
   /// The keeper has granted a program's first call.
   void begin(program_key program, timestamp now);
-  /// It has granted another call.
-  void note_grant(program_key program, timestamp now);
+  /// A program that began here asks for another call.
+  void note_call(program_key program, timestamp now);
+  /// The keeper has granted that.
+  void note_grant(program_key program);
   void forget_ended(timestamp now);
   [[nodiscard]] bool empty() const { return this->programs.empty(); }
 
--- a/libs/limits/include/hawthornlane/limits/quota_keeper.h
+++ b/libs/limits/include/hawthornlane/limits/quota_keeper.h
@@ -99,6 +99,8 @@
   /// What the bucket has to hold for the call to be granted, calls.
   [[nodiscard]] double level_needed(const quota_question& question, const bucket& from,
                                     timestamp now);
+  /// Of a program that began here.
+  void note_call(const quota_question& question, timestamp now);
   void note_grant(const quota_program& program, const client_account& account, timestamp now);
   bucket& bucket_of(const quota_question& question, timestamp now);
   [[nodiscard]] static quota_mark mark_of(const client_account& account, const bucket& item);
--- a/libs/limits/include/hawthornlane/limits/quota_messages.h
+++ b/libs/limits/include/hawthornlane/limits/quota_messages.h
@@ -32,12 +32,12 @@
   client_account account;
   account_limit limit;
   limit_version version;
-  /// A call without a program takes whatever is there.
+  /// A call without a program takes whatever is there. Told behind the rest where there is one.
   std::optional<quota_program> program = std::nullopt;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->account, this->limit, this->version, this->program);
+    archive(this->account, this->limit, this->version);
   }
 };
 
--- a/libs/limits/src/begun_programs.cc
+++ b/libs/limits/src/begun_programs.cc
@@ -35,25 +35,30 @@
 
 bool begun_programs::contains(program_key program, timestamp now) const {
   const auto found = this->programs.find(program);
-  return found != this->programs.end() && now - found->second.last <= longest_program_silence;
+  return found != this->programs.end() && now - found->second.last <= program_memory;
 }
 
 void begun_programs::begin(program_key program, timestamp now) {
   this->programs[program] = {1, now};
 }
 
-void begun_programs::note_grant(program_key program, timestamp now) {
+void begun_programs::note_call(program_key program, timestamp now) {
   const auto found = this->programs.find(program);
   if (found != this->programs.end()) {
-    found->second.calls += 1;
     found->second.last = now;
   }
 }
 
+void begun_programs::note_grant(program_key program) {
+  const auto found = this->programs.find(program);
+  if (found != this->programs.end()) {
+    found->second.calls += 1;
+  }
+}
+
 void begun_programs::forget_ended(timestamp now) {
-  std::erase_if(this->programs, [&](const auto& entry) {
-    return now - entry.second.last > longest_program_silence;
-  });
+  std::erase_if(this->programs,
+                [&](const auto& entry) { return now - entry.second.last > program_memory; });
 }
 
 }  // namespace hawthornlane
--- a/libs/limits/src/quota_keeper.cc
+++ b/libs/limits/src/quota_keeper.cc
@@ -95,6 +95,7 @@
     return {quota_verdict::granted, {}};
   }
   const double needed = this->level_needed(question, item, now);
+  this->note_call(question, now);
   if (item.level >= needed - least_difference) {
     item.level -= 1;
     this->changed.insert(question.account);
@@ -122,15 +123,24 @@
   return std::clamp(needed, 1.0, this->capacity_of(from.limit));
 }
 
+void quota_keeper::note_call(const quota_question& question, timestamp now) {
+  const auto begun = this->programs.find(question.account);
+  if (!question.program || begun == this->programs.end() ||
+      !begun->second.contains(question.program->key, now)) {
+    return;
+  }
+  begun->second.note_call(question.program->key, now);
+  this->size.note_call();
+}
+
 void quota_keeper::note_grant(const quota_program& program, const client_account& account,
                               timestamp now) {
   begun_programs& begun = this->programs[account];
-  if (program.begins && !begun.contains(program.key, now)) {
+  if (begun.contains(program.key, now)) {
+    begun.note_grant(program.key);
+  } else if (program.begins) {
     begun.begin(program.key, now);
     this->size.note_begin();
-  } else {
-    begun.note_grant(program.key, now);
-    this->size.note_grant();
   }
 }
 
--- a/libs/net/include/hawthornlane/net/message_bytes.h
+++ b/libs/net/include/hawthornlane/net/message_bytes.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <utility>
 
 namespace hawthornlane {
 
@@ -34,4 +35,22 @@
   }
 }
 
+/// A message, and behind it what older hosts neither write nor read: without a tail the bytes are
+/// the message's alone. Nothing when they are not a whole message, or the tail is not whole.
+template <class Message, class Tail>
+std::optional<std::pair<Message, Tail>> from_bytes_with_tail(const std::string& bytes) {
+  try {
+    std::istringstream in(bytes);
+    cereal::BinaryInputArchive archive(in);
+    std::pair<Message, Tail> both;
+    archive(both.first);
+    if (in.peek() != std::istringstream::traits_type::eof()) {
+      archive(both.second);
+    }
+    return both;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace hawthornlane
--- a/libs/placement/include/hawthornlane/placement/place_queue.h
+++ b/libs/placement/include/hawthornlane/placement/place_queue.h
@@ -34,6 +34,8 @@
   server_key server;
   /// Calls that may be at the server.
   std::uint32_t places = 0;
+  /// Servers at which the call claims a place; it leaves all but one of them without a grant.
+  std::uint32_t targets = 1;
   /// Lower goes first.
   std::uint32_t priority = 0;
   /// An earlier turn of its line has been answered.
@@ -48,8 +50,8 @@
   void serialize(Archive& archive) {
     std::int64_t wanted = this->wanted_in.count();
     std::int64_t given_up = this->given_up_in.count();
-    archive(this->from, this->server, this->places, this->priority, this->begun, this->account,
-            wanted, given_up);
+    archive(this->from, this->server, this->places, this->targets, this->priority, this->begun,
+            this->account, wanted, given_up);
     this->wanted_in = duration(wanted);
     this->given_up_in = duration(given_up);
   }
@@ -108,16 +110,15 @@
   /// time of each other. A server that is first heard of later than this and the learning time
   /// after a change was kept here before, and idle or not there.
   static constexpr duration settling_time = std::chrono::milliseconds(1000);
-  /// A server without a message for so long is forgotten.
-  static constexpr duration memory = std::chrono::seconds(60);
+  /// A server without a message for so long is forgotten: hosts tell the counts of one that is in
+  /// use once a second, so somebody else keeps it, or it is idle.
+  static constexpr duration memory = std::chrono::seconds(4);
   /// A claim that has waited this long is overdue: a program of some ten turns has lost
   /// its slack by then.
   static constexpr duration overdue_after = std::chrono::milliseconds(1500);
   /// One grant in so many goes to the claim that is overdue the longest, whatever its
   /// priority. More would serve in order of arrival as soon as all claims are overdue.
   static constexpr std::uint32_t overdue_share = 32;
-  /// A claim waits at so many servers, and leaves all but one of them without a grant.
-  static constexpr double claims_per_call = 2;
   /// Places of one server are freed at least at this pace by expectation, each: turns take
   /// 0.2 to 1 s at the engines in use.
   static constexpr double least_freed_per_second = 1;
@@ -137,9 +138,13 @@
   void count_changed(const host_id& host, const server_load& load, std::uint32_t before,
                      timestamp now);
   /// Places granted since, beside those answered to a claim at once: to be told to their hosts.
-  std::vector<place_grant> take_grants(timestamp now);
+  std::vector<place_grant> take_grants();
+  /// Gives out what lapsed grants and counts leave free, and forgets servers.
+  void sweep(timestamp now);
   /// Claims that wait at the server.
   [[nodiscard]] std::size_t waiting(server_key server) const;
+  /// The same, each by the part that it is likely to take of a place there.
+  [[nodiscard]] double expected_calls(server_key server) const;
 
 private:
   struct waiting_claim {
@@ -152,6 +157,16 @@
     claimant to;
     timestamp given{};
   };
+  /// Start-time fair queueing in calls granted.
+  struct fair_share {
+    /// The start tag of the latest grant.
+    double virtual_time = 0;
+    /// Of each account the finish tag of its latest grant. Invariant: above `virtual_time`.
+    std::map<client_account, double> finish;
+
+    [[nodiscard]] double start_of(const client_account& account) const;
+    void grant(const client_account& account);
+  };
   struct kept_server {
     std::uint32_t places = 0;
     timestamp first_heard{};
@@ -162,10 +177,8 @@
     /// Places freed lately, fading by a factor of e a second: so many a second.
     double freed = 0;
     timestamp freed_at{};
-    /// Start-time fair queueing in calls granted: the start tag of the latest grant, and of each
-    /// account the finish tag of its own latest one where that is later.
-    double virtual_time = 0;
-    std::map<client_account, double> finish;
+    /// By priority: what is granted to one takes nothing from the shares of another.
+    std::map<std::uint32_t, fair_share> shares;
     std::uint32_t grants_since_overdue = 0;
   };
   /// Lower goes first.
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -301,6 +301,8 @@
   void forget_incarnation(server_state& server);
   /// Makes what is derived from `servers` anew.
   void index_servers();
+  /// Of servers that are gone nobody is told.
+  void drop_old_news();
   /// A server that is listed no more has no call left.
   void remove_server(const backend_server_id& id);
   /// Calls of all hosts at the server now, as well as this host can tell.
--- a/libs/placement/include/hawthornlane/placement/server_speed.h
+++ b/libs/placement/include/hawthornlane/placement/server_speed.h
@@ -106,10 +106,19 @@
   [[nodiscard]] speed_word word(const speed_rules& rules) const;
 
 private:
-  double slow = 0;
-  double slow_weight = 0;
-  double fast = 0;
-  double fast_weight = 0;
+  struct faded_sum {
+    /// Of paces by their faded weights, of those weights, and of the weights as they were told.
+    double paces = 0;
+    double faded = 0;
+    double whole = 0;
+
+    void add(double pace, double weight, double fading);
+    /// What it counts for, `most` at most before it fades.
+    [[nodiscard]] double weight(double most) const;
+  };
+
+  faded_sum slow;
+  faded_sum fast;
 };
 
 /// What was measured of a call.
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -137,6 +137,11 @@
     item.rank = far << 32U | (rendezvous_weight(id.get(), this->own_key) & 0xffffffffU);
     this->listed_servers.push_back(item);
   }
+  this->drop_old_news();
+}
+
+void server_pool::drop_old_news() {
+  std::erase_if(this->speed_news, [this](server_key key) { return !this->by_key.contains(key); });
 }
 
 void server_pool::remove_server(const backend_server_id& id) {
--- a/libs/placement/src/server_speed.cc
+++ b/libs/placement/src/server_speed.cc
@@ -106,26 +106,35 @@
 }
 
 void speed_mean::add(const speed_word& word, duration age, const speed_rules& rules) {
-  const double by_slow = weight_of(word.slow_weight) * fading_factor(age, rules.slow_fading);
-  const double by_fast = weight_of(word.fast_weight) * fading_factor(age, rules.fast_fading);
-  this->slow += by_slow * pace_of(word.slow);
-  this->slow_weight += by_slow;
-  this->fast += by_fast * pace_of(word.fast);
-  this->fast_weight += by_fast;
+  this->slow.add(pace_of(word.slow), weight_of(word.slow_weight),
+                 fading_factor(age, rules.slow_fading));
+  this->fast.add(pace_of(word.fast), weight_of(word.fast_weight),
+                 fading_factor(age, rules.fast_fading));
+}
+
+void speed_mean::faded_sum::add(double pace, double weight, double fading) {
+  this->paces += weight * fading * pace;
+  this->faded += weight * fading;
+  this->whole += weight;
+}
+
+double speed_mean::faded_sum::weight(double most) const {
+  // Capped before it fades: what many hosts have told is forgotten as soon as what one has.
+  return this->whole > most ? this->faded * most / this->whole : this->faded;
 }
 
 speed_word speed_mean::word(const speed_rules& rules) const {
-  const auto told = [&](double weight) {
-    return rounded<std::uint16_t>(std::min(weight, rules.most_weight) * word_per_weight);
+  const auto told = [&](const faded_sum& sum) {
+    return rounded<std::uint16_t>(sum.weight(rules.most_weight) * word_per_weight);
   };
   speed_word mean;
-  mean.slow_weight = told(this->slow_weight);
-  mean.fast_weight = told(this->fast_weight);
+  mean.slow_weight = told(this->slow);
+  mean.fast_weight = told(this->fast);
   if (mean.slow_weight > 0) {
-    mean.slow = rounded<std::int16_t>(this->slow / this->slow_weight * word_per_pace);
+    mean.slow = rounded<std::int16_t>(this->slow.paces / this->slow.faded * word_per_pace);
   }
   if (mean.fast_weight > 0) {
-    mean.fast = rounded<std::int16_t>(this->fast / this->fast_weight * word_per_pace);
+    mean.fast = rounded<std::int16_t>(this->fast.paces / this->fast.faded * word_per_pace);
   }
   return mean;
 }
