--- a/libs/placement/include/hawthornlane/placement/place_queue.h
+++ b/libs/placement/include/hawthornlane/placement/place_queue.h
@@ -113,6 +113,9 @@
   /// A server without a message for so long is forgotten: hosts tell the counts of one that is in
   /// use once a second, so somebody else keeps it, or it is idle.
   static constexpr duration memory = std::chrono::seconds(4);
+  /// What cannot be in time any more goes behind what still can, for so long; then it goes by when
+  /// it was wanted. A turn is given up after 3 s, and with it a program that was served before.
+  static constexpr duration late_patience = std::chrono::seconds(1);
   /// A claim that has waited this long is overdue: a program of some ten turns has lost
   /// its slack by then.
   static constexpr duration overdue_after = std::chrono::milliseconds(1500);
--- a/libs/placement/src/place_queue.cc
+++ b/libs/placement/src/place_queue.cc
@@ -40,7 +40,7 @@
                                              timestamp now) {
   claim_rank rank;
   rank.priority = item.claim.priority;
-  rank.late = item.wanted_by <= now;
+  rank.late = item.wanted_by <= now && now - item.since < late_patience;
   rank.is_new = !item.claim.begun;
   const auto share = server.shares.find(item.claim.priority);
   rank.share = share == server.shares.end() ? 0 : share->second.start_of(item.claim.account);
--- a/libs/placement/test/place_queue_test.cc
+++ b/libs/placement/test/place_queue_test.cc
@@ -121,6 +121,28 @@
   }
 }
 
+TEST_CASE("a claim that cannot be in time any more is put behind others for a second at most") {
+  full_server keeper;
+  place_claim late = claim_of(1);
+  late.wanted_in = -1s;
+  CHECK(keeper.claim(late) == claim_outcome::waiting);
+  constexpr duration repeat = place_queue::repeat_pause;
+  std::uint64_t others = 1;
+  duration waited{};
+  while (waited < 2s) {
+    CHECK(keeper.claim(claim_of(++others)) == claim_outcome::waiting);
+    const calls granted = keeper.free_one();
+    if (granted == calls{1}) {
+      break;
+    }
+    keeper.now += repeat;
+    waited += repeat;
+    keeper.claim(late);
+  }
+  CHECK(waited >= place_queue::late_patience);
+  CHECK(waited < place_queue::late_patience + repeat);
+}
+
 TEST_CASE("a free place is granted at once, and no place twice") {
   full_server keeper;
   keeper.count(busy_host, places - 2);
