Claims of places are a setting of their own, off unless it says yes

The played loads of twice what servers can do gain by it (place_load_test), the users' bursts ask for little more than they can do, and there order only moves lateness from some programs to others.

Change: [scheduling] claim_places = yes turns claims on; the deployment's settings leave it at no.

--- a/libs/front/include/hawthornlane/front/front_settings.h
+++ b/libs/front/include/hawthornlane/front/front_settings.h
@@ -23,9 +23,11 @@
   duration grace{};
   /// Memory that the process may use.
   std::uint64_t memory_mb = 0;
-  /// Callers may want more than the servers can do, and servers may differ: places at servers
-  /// are claimed from their keepers, and the speed of servers is learned.
+  /// Callers may want more than the servers can do, and servers may differ: the speed of servers
+  /// is learned.
   bool contended = false;
+  /// A call for a server that is full waits for a place at the server's keeper.
+  bool claims_places = false;
 };
 
 /// The keys that a settings file may hold.
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -51,7 +51,7 @@
 
 pool_rules rules_for(const front_settings& settings) {
   pool_rules rules;
-  rules.claims_places = settings.contended;
+  rules.claims_places = settings.claims_places;
   rules.learns_speed = settings.contended;
   return rules;
 }
@@ -79,7 +79,7 @@
         reader({io, settings.host, store, fleet, checks, ledger, gossip, faults}),
         report(report_of()) {
     this->placer.share_by(this->exchange);
-    if (this->settings.contended) {
+    if (this->settings.claims_places) {
       this->placer.claim_by(this->places);
     }
   }
@@ -167,7 +167,7 @@
       this->gossip.send(to, gossip_method::placements, payload, std::move(done));
     };
     hooks.take = [this](const directory_answer& answer) { this->placer.take_answer(answer); };
-    if (this->settings.contended) {
+    if (this->settings.claims_places) {
       hooks.counted = [this](const host_id& host, const server_load& load, std::uint32_t before) {
         this->places.count_changed(host, load, before);
       };
@@ -189,7 +189,7 @@
   [[nodiscard]] bool claims_places(gossip_method method) const {
     const bool of_places = method == gossip_method::claim || method == gossip_method::withdraw ||
                            method == gossip_method::grant;
-    return this->settings.contended && of_places;
+    return this->settings.claims_places && of_places;
   }
 
   gossip_digest digest() const {
@@ -338,7 +338,7 @@
 
   void on_pass() {
     this->placer.tick();
-    if (this->settings.contended) {
+    if (this->settings.claims_places) {
       this->places.tick();
     }
     this->fleet.settle();
--- a/libs/front/src/front_settings.cc
+++ b/libs/front/src/front_settings.cc
@@ -21,8 +21,9 @@
       {"callers", "grace", time, true, "", second, 3600 * second,
        "between the request to stop and the kill"},
       {"scheduling", "terms", list, false, "", 0, 0,
-       "terms of the deployment's contract; under `pressure` places at servers are claimed and "
-       "their speed is learned"},
+       "terms of the deployment's contract; under `pressure` the speed of servers is learned"},
+      {"scheduling", "claim_places", yes_no, false, "no", 0, 0,
+       "whether calls for full servers wait at the servers' keepers, in order of urgency"},
   };
 }
 
@@ -50,6 +51,7 @@
   settings.address_time = values.time("callers", "address_time");
   settings.grace = values.time("callers", "grace");
   settings.contended = platform_adapter::is_contended(values.list("scheduling", "terms"));
+  settings.claims_places = values.yes("scheduling", "claim_places");
   return settings;
 }
 
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -129,7 +129,7 @@
       "address_time = 1 s\ngrace = 8 s\n",
       http::to_string(host.callers_at), http::to_string(host.ready_at),
       http::to_string(host.directory_at));
-  file << (this->contended ? "\n[scheduling]\nterms = pressure\n" : "");
+  file << (this->contended ? "\n[scheduling]\nterms = pressure\nclaim_places = yes\n" : "");
   file.close();
   this->fronts.push_back(std::move(host));
   this->start(this->fronts.back());
