--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -264,19 +264,23 @@
   return request;
 }
 
+std::vector<backend_entry> servers_over_zones(std::size_t count) {
+  std::vector<backend_entry> entries(count);
+  for (std::size_t at = 0; at < count; ++at) {
+    entries[at].id = backend_server_id("i-" + std::to_string(at * 7919));
+    entries[at].zone = availability_zone("zone-" + std::to_string(at % 20));
+    entries[at].slots = 8;
+  }
+  return entries;
+}
+
 /// One host's choice of a server for a call without a prompt, by the speeds of servers.
 void plain_choice_slopes() {
   for (const std::size_t servers : {48U, 275U, 2200U}) {
     pool_rules rules;
     rules.learns_speed = true;
     server_pool pool(rules, host_id("host-0"), availability_zone("zone-0"));
-    std::vector<backend_entry> entries(servers);
-    for (std::size_t at = 0; at < servers; ++at) {
-      entries[at].id = backend_server_id("i-" + std::to_string(at * 7919));
-      entries[at].zone = availability_zone("zone-" + std::to_string(at % 20));
-      entries[at].slots = 8;
-    }
-    pool.set_servers(entries, timestamp{});
+    pool.set_servers(servers_over_zones(servers), timestamp{});
     pool.note_fill(1);
     timestamp now{};
     std::vector<placement> placed;
@@ -302,13 +306,7 @@
     pool_rules rules;
     rules.learns_speed = learns_speed;
     server_pool pool(rules, host_id("host-0"), availability_zone("zone-0"));
-    std::vector<backend_entry> entries(servers);
-    for (std::size_t at = 0; at < servers; ++at) {
-      entries[at].id = backend_server_id("i-" + std::to_string(at * 7919));
-      entries[at].zone = availability_zone("zone-" + std::to_string(at % 20));
-      entries[at].slots = 8;
-    }
-    pool.set_servers(entries, timestamp{});
+    pool.set_servers(servers_over_zones(servers), timestamp{});
     timestamp now{};
     std::vector<placement> placed;
     std::size_t number = 0;
--- a/libs/front/include/hawthornlane/front/host_report.h
+++ b/libs/front/include/hawthornlane/front/host_report.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -41,6 +42,7 @@
   void watch_memory();
 
 private:
+  void set(const std::string& name, std::uint64_t value);
   void set_memory_metrics();
   void set_traffic_metrics();
 
--- a/libs/front/src/call_admission.cc
+++ b/libs/front/src/call_admission.cc
@@ -104,11 +104,9 @@
   question.limit = one.caller_account->limit;
   question.version = limit_version(one.table->version().get());
   if (one.terms.program) {
-    const bool is_turn = one.taken->kind == call_kind::stream;
-    const bool begun =
-        one.terms.previous || this->goes_on(one.service, pieces_of(one.terms.prefix));
-    question.program =
-        quota_program{program_key(hash_of(one.terms.program->get())), is_turn && !begun};
+    const bool may_begin = one.taken->kind == call_kind::stream && !one.terms.previous;
+    const bool begins = may_begin && !this->goes_on(one.service, pieces_of(one.terms.prefix));
+    question.program = quota_program{program_key(hash_of(one.terms.program->get())), begins};
   }
   const net::steady_time began = steady::now();
   const quota_admission admission =
--- a/libs/front/src/host_report.cc
+++ b/libs/front/src/host_report.cc
@@ -20,22 +20,22 @@
 
 host_report::host_report(report_sources sources) : from(std::move(sources)) {}
 
+void host_report::set(const std::string& name, std::uint64_t value) {
+  this->from.metrics.set(name, static_cast<double>(value));
+}
+
 std::string host_report::metrics_text() {
   const auto& store_counts = this->from.store.counters();
-  this->from.metrics.set("store_reads", static_cast<double>(store_counts.reads));
-  this->from.metrics.set("store_watches", static_cast<double>(store_counts.watches));
-  this->from.metrics.set("store_writes", static_cast<double>(store_counts.writes));
-  this->from.metrics.set("store_failed", static_cast<double>(store_counts.failed));
-  this->from.metrics.set("store_objects_malformed", static_cast<double>(this->from.faults.count()));
-  this->from.metrics.set("backend_connections_opened",
-                         static_cast<double>(this->from.backends.counters().opened));
-  this->from.metrics.set("backend_connections_reused",
-                         static_cast<double>(this->from.backends.counters().reused));
-  this->from.metrics.set("backend_foreign_answers",
-                         static_cast<double>(this->from.backends.counters().foreign_answers));
-  this->from.metrics.set("backend_unnamed_refusals",
-                         static_cast<double>(this->from.backends.counters().unnamed_refusals));
-  this->from.metrics.set("calls_under_way", static_cast<double>(this->from.calls.under_way()));
+  this->set("store_reads", store_counts.reads);
+  this->set("store_watches", store_counts.watches);
+  this->set("store_writes", store_counts.writes);
+  this->set("store_failed", store_counts.failed);
+  this->set("store_objects_malformed", this->from.faults.count());
+  this->set("backend_connections_opened", this->from.backends.counters().opened);
+  this->set("backend_connections_reused", this->from.backends.counters().reused);
+  this->set("backend_foreign_answers", this->from.backends.counters().foreign_answers);
+  this->set("backend_unnamed_refusals", this->from.backends.counters().unnamed_refusals);
+  this->set("calls_under_way", this->from.calls.under_way());
   this->set_memory_metrics();
   this->set_traffic_metrics();
   return this->from.metrics.text();
@@ -43,28 +43,25 @@
 
 void host_report::set_memory_metrics() {
   const copy_counters& copies = this->from.gossip.counters();
-  const auto set = [this](const char* name, std::uint64_t value) {
-    this->from.metrics.set(name, static_cast<double>(value));
-  };
-  set("resident_bytes", resident_bytes().value_or(0));
-  set("caller_connections", this->from.connections());
-  set("peer_bytes_waiting", this->from.peer_bytes_waiting());
-  set("configuration_bytes", this->from.fleet.configuration_copy().size());
-  set("copies_asked", copies.asked);
-  set("copies_put_off", copies.put_off);
-  set("copies_taken", copies.taken);
-  set("copies_failed", copies.failed);
-  set("copies_given", copies.given);
-  set("copy_bytes_taken", copies.bytes_taken);
-  set("copy_bytes_given", copies.bytes_given);
+  this->set("resident_bytes", resident_bytes().value_or(0));
+  this->set("caller_connections", this->from.connections());
+  this->set("peer_bytes_waiting", this->from.peer_bytes_waiting());
+  this->set("configuration_bytes", this->from.fleet.configuration_copy().size());
+  this->set("copies_asked", copies.asked);
+  this->set("copies_put_off", copies.put_off);
+  this->set("copies_taken", copies.taken);
+  this->set("copies_failed", copies.failed);
+  this->set("copies_given", copies.given);
+  this->set("copy_bytes_taken", copies.bytes_taken);
+  this->set("copy_bytes_given", copies.bytes_given);
 }
 
 void host_report::set_traffic_metrics() {
   for (const traffic_kind kind : all_traffic_kinds) {
     const std::string name(name_of(kind));
     const traffic_bytes& bytes = this->from.traffic.of(kind);
-    this->from.metrics.set("peer_bytes_sent_" + name, static_cast<double>(bytes.sent));
-    this->from.metrics.set("peer_bytes_received_" + name, static_cast<double>(bytes.received));
+    this->set("peer_bytes_sent_" + name, bytes.sent);
+    this->set("peer_bytes_received_" + name, bytes.received);
   }
 }
 
--- a/libs/front/src/place_exchange.cc
+++ b/libs/front/src/place_exchange.cc
@@ -45,7 +45,7 @@
   net::async_signal changed;
   placement_request request;
   std::vector<claimed_target> targets;
-  std::optional<backend_server_id> granted;
+  std::optional<place_target> granted;
   bool left = false;
 };
 
@@ -137,10 +137,8 @@
   if (item.granted) {
     this->metrics.count("claims_granted");
     result.outcome = claim_result::kind::granted;
-    result.server = *item.granted;
-    for (const auto& target : item.targets) {
-      result.key = target.target.server == result.server ? target.target.key : result.key;
-    }
+    result.server = item.granted->server;
+    result.key = item.granted->key;
     return result;
   }
   const bool out_of_time = discovery::scheduler_now() >= item.request.give_up_at;
@@ -241,7 +239,7 @@
 
 void place_exchange::withdraw_others(const open_claim& item) {
   for (const auto& target : item.targets) {
-    const bool taken = !item.left && item.granted == target.target.server;
+    const bool taken = !item.left && item.granted && item.granted->key == target.target.key;
     if (!taken && target.state != open_claim::claim_state::refused) {
       this->send_withdrawal({{this->self, item.request.id.get()}, target.target.key});
     }
@@ -270,7 +268,7 @@
 }
 
 std::uint32_t place_exchange::waiting(server_key server) const {
-  return static_cast<std::uint32_t>(this->queue.expected_calls(server));
+  return static_cast<std::uint32_t>(this->queue.waiting(server));
 }
 
 void place_exchange::tell_grants() {
@@ -318,15 +316,15 @@
     return false;
   }
   open_claim& item = *found->second;
+  if (item.granted) {
+    return item.granted->key == grant.server;
+  }
   for (const auto& target : item.targets) {
-    if (target.target.key == grant.server && !item.granted) {
-      item.granted = target.target.server;
+    if (target.target.key == grant.server) {
+      item.granted = target.target;
       item.changed.wake();
       return true;
     }
-    if (target.target.key == grant.server) {
-      return item.granted == target.target.server;
-    }
   }
   return false;
 }
--- a/libs/front/test/call_placer_test.cc
+++ b/libs/front/test/call_placer_test.cc
@@ -51,14 +51,26 @@
   }
 }
 
-}  // namespace
+/// A host that knows one server.
+struct one_server_host {
+  explicit one_server_host(pool_rules rules = {})
+      : placer(this->context, host_id("own"), availability_zone("z"), this->fleet, this->metrics,
+               rules) {
+    this->fleet.list_backends(store_revision(1), {engine_entry()}, "test");
+  }
 
-TEST_CASE("a call whose caller leaves while other hosts are asked gets no server") {
   boost::asio::io_context context;
   discovery::fleet_state fleet;
-  fleet.list_backends(store_revision(1), {engine_entry()}, "test");
   call_metrics metrics;
-  call_placer placer(context, host_id("own"), availability_zone("z"), fleet, metrics);
+  call_placer placer;
+};
+
+}  // namespace
+
+TEST_CASE("a call whose caller leaves while other hosts are asked gets no server") {
+  one_server_host host;
+  boost::asio::io_context& context = host.context;
+  call_placer& placer = host.placer;
   std::vector<net::rpc_done> unanswered;
   directory_exchange exchange(context, host_id("own"), silent_host(unanswered));
   placer.share_by(exchange);
@@ -96,13 +108,11 @@
   };
   for (const row& item : rows) {
     INFO(item.what);
-    boost::asio::io_context context;
-    discovery::fleet_state fleet;
-    fleet.list_backends(store_revision(1), {engine_entry()}, "test");
-    call_metrics metrics;
     pool_rules rules;
     rules.claims_places = item.claims_places;
-    call_placer placer(context, host_id("own"), availability_zone("z"), fleet, metrics, rules);
+    one_server_host host(rules);
+    boost::asio::io_context& context = host.context;
+    call_placer& placer = host.placer;
     placement_directory counts;
     std::vector<gossip_method> sent;
     place_hooks hooks;
@@ -114,7 +124,7 @@
       done(net::rpc_failure::none,
            to_bytes(claim_answer{claim_outcome::refused, std::chrono::seconds(7), 9}));
     };
-    place_exchange places(context, host_id("own"), counts, metrics, hooks);
+    place_exchange places(context, host_id("own"), counts, host.metrics, hooks);
     placer.claim_by(places);
 
     placement_request request = turn_request();
@@ -124,7 +134,7 @@
     const auto acquire = [&]() -> boost::asio::awaitable<void> {
       got = co_await placer.acquire(service_name("models"), request, wait);
     };
-    placer.lists_servers(service_name("models"));
+    REQUIRE(placer.lists_servers(service_name("models")));
     directory_answer loads;
     loads.loads.push_back({key, item.calls});
     placer.take_answer(loads);
@@ -154,13 +164,11 @@
   };
   for (const row& item : rows) {
     INFO(item.what);
-    boost::asio::io_context context;
-    discovery::fleet_state fleet;
-    fleet.list_backends(store_revision(1), {engine_entry()}, "test");
-    call_metrics metrics;
     pool_rules rules;
     rules.learns_speed = item.learns_speed;
-    call_placer placer(context, host_id("own"), availability_zone("z"), fleet, metrics, rules);
+    one_server_host host(rules);
+    boost::asio::io_context& context = host.context;
+    call_placer& placer = host.placer;
     std::vector<net::rpc_done> unanswered;
     // The server's keeper is the silent host or this one, by hash.
     std::size_t told = 0;
--- a/libs/placement/include/hawthornlane/placement/place_queue.h
+++ b/libs/placement/include/hawthornlane/placement/place_queue.h
@@ -144,10 +144,8 @@
   std::vector<place_grant> take_grants();
   /// Gives out what lapsed grants and counts leave free, and forgets servers.
   void sweep(timestamp now);
-  /// Claims that wait at the server.
-  [[nodiscard]] std::size_t waiting(server_key server) const;
-  /// The same, each by the part that it is likely to take of a place there.
-  [[nodiscard]] double expected_calls(server_key server) const;
+  /// Claims that wait at the server, each by the part that it is likely to take of a place there.
+  [[nodiscard]] double waiting(server_key server) const;
 
 private:
   struct waiting_claim {
--- a/libs/placement/src/place_queue.cc
+++ b/libs/placement/src/place_queue.cc
@@ -220,7 +220,7 @@
 
 std::vector<place_grant> place_queue::take_grants() { return std::exchange(this->untold, {}); }
 
-double place_queue::expected_calls(server_key server) const {
+double place_queue::waiting(server_key server) const {
   const auto found = this->servers.find(server);
   double calls = 0;
   if (found != this->servers.end()) {
@@ -231,9 +231,4 @@
   return calls;
 }
 
-std::size_t place_queue::waiting(server_key server) const {
-  const auto found = this->servers.find(server);
-  return found == this->servers.end() ? 0 : found->second.waiting.size();
-}
-
 }  // namespace hawthornlane
--- a/libs/placement/src/server_pool_speed.cc
+++ b/libs/placement/src/server_pool_speed.cc
@@ -27,7 +27,7 @@
 /// Ends are told together for this long: a part of the quickest such calls.
 constexpr duration ends_pause = std::chrono::milliseconds(50);
 /// Part of a server's slowness in the cost of a call there. The rest is in how often it comes up
-/// as a candidate: with all of it in both, fast servers get a fifth more than they can do best.
+/// as a candidate.
 constexpr double slowness_in_cost = 0.5;
 /// Servers that a call without a prompt is weighed at.
 constexpr std::size_t plain_choices = 3;
@@ -254,6 +254,9 @@
 
 std::vector<server_pace> server_pool::paces(timestamp now) const {
   std::vector<server_pace> paces;
+  if (!this->rules.learns_speed) {
+    return paces;
+  }
   for (const auto& [id, server] : this->servers) {
     const double weight = server.speed.weight(this->rules.speed, now);
     if (server.listed && weight >= least_shown_weight) {
--- /dev/null
+++ b/libs/placement/test/played_events.h
@@ -0,0 +1,47 @@
+// Virtual time of played loads: what is to happen, in its order.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "hawthornlane/units/quantities.h"
+
+namespace hawthornlane::play {
+
+/// Events at the same moment happen in the order in which they were planned.
+class played_events {
+public:
+  void at(duration after, std::function<void()> act) {
+    this->events.push({this->time + after, ++this->planned, std::move(act)});
+  }
+  /// Until nothing is left to happen.
+  void run() {
+    while (!this->events.empty()) {
+      const event next = this->events.top();
+      this->events.pop();
+      this->time = next.when;
+      next.act();
+    }
+  }
+  [[nodiscard]] duration now() const { return this->time; }
+
+private:
+  struct event {
+    duration when;
+    std::uint64_t order;
+    std::function<void()> act;
+    bool operator<(const event& other) const {
+      return std::tie(this->when, this->order) > std::tie(other.when, other.order);
+    }
+  };
+
+  duration time{};
+  std::uint64_t planned = 0;
+  std::priority_queue<event> events;
+};
+
+}  // namespace hawthornlane::play
--- a/libs/placement/test/played_turns.h
+++ b/libs/placement/test/played_turns.h
@@ -308,7 +308,7 @@
     const directory_question question = pool.question_for(request, this->moment());
     for (const server_key& server : question.servers) {
       const auto calls = this->directory.load_of_others(server, asker, this->moment());
-      const auto claims = static_cast<std::uint32_t>(this->places->expected_calls(server));
+      const auto claims = static_cast<std::uint32_t>(this->places->waiting(server));
       pool.note_load({server, calls + claims}, this->moment());
       if (const auto speed = this->directory.speed_of_others(server, asker, this->moment())) {
         pool.note_speed(*speed, this->moment());
--- a/libs/placement/test/shared_load_test.cc
+++ b/libs/placement/test/shared_load_test.cc
@@ -2,12 +2,11 @@
 // checks what callers get.
 #include <catch2/catch.hpp>
 #include <deque>
-#include <functional>
-#include <queue>
 #include <random>
 
 #include "hawthornlane/placement/call_window.h"
 #include "hawthornlane/placement/server_pool.h"
+#include "played_events.h"
 
 using namespace hawthornlane;
 using namespace std::chrono_literals;
@@ -72,24 +71,11 @@
     this->at(0ms, [this] { this->arrive(); });
     this->at(0ms, [this] { this->tell_demand(); });
     this->at(0ms, [this] { this->share(); });
-    while (!this->events.empty()) {
-      const event next = this->events.top();
-      this->events.pop();
-      this->now = next.when;
-      next.act();
-    }
+    this->events.run();
     return this->results;
   }
 
 private:
-  struct event {
-    duration when;
-    std::uint64_t order;
-    std::function<void()> act;
-    bool operator<(const event& other) const {
-      return std::tie(this->when, this->order) > std::tie(other.when, other.order);
-    }
-  };
   struct known_call {
     int host;
     std::uint32_t priority;
@@ -102,14 +88,14 @@
   };
 
   static host_id name_of(int number) { return host_id("h" + std::to_string(number)); }
-  [[nodiscard]] timestamp moment() const { return timestamp(this->now); }
-  void at(duration after, std::function<void()> act) {
-    this->events.push({this->now + after, ++this->order, std::move(act)});
+  [[nodiscard]] timestamp moment() const { return timestamp(this->events.now()); }
+  void at(duration after, std::function<void()> act) { this->events.at(after, std::move(act)); }
+  [[nodiscard]] bool in_burst() const {
+    return this->events.now() >= burst_from && this->events.now() < burst_to;
   }
-  [[nodiscard]] bool in_burst() const { return this->now >= burst_from && this->now < burst_to; }
 
   void arrive() {
-    if (this->now >= end) {
+    if (this->events.now() >= end) {
       return;
     }
     const double load = this->in_burst() ? this->plan.burst_load : this->plan.usual_load;
@@ -124,7 +110,7 @@
     request.affinity = 1 + this->calls_made % 97;
     request.wanted_by = this->moment() + aim;
     request.give_up_at = this->moment() + 3s;
-    this->known[request.id] = {host, request.priority, this->now, {}};
+    this->known[request.id] = {host, request.priority, this->events.now(), {}};
     if (this->in_burst()) {
       ++this->results[request.priority].calls;
     }
@@ -162,7 +148,7 @@
     const known_call call = this->known.at(id);
     class_result& result = this->results[call.priority];
     const bool counts = call.arrived >= burst_from && call.arrived < burst_to;
-    result.in_time += counts && this->now - call.arrived <= aim ? 1 : 0;
+    result.in_time += counts && this->events.now() - call.arrived <= aim ? 1 : 0;
     server_state& server = this->states[call.server];
     --server.busy;
     if (!server.queue.empty()) {
@@ -183,7 +169,7 @@
       this->told.push_back(demand);
       this->told_by_all += demand;
     }
-    if (this->now < end) {
+    if (this->events.now() < end) {
       this->at(demand_age, [this] { this->tell_demand(); });
     }
   }
@@ -203,7 +189,7 @@
       }
       this->send(pool.tick(this->moment()));
     }
-    if (this->now < end + 5s) {
+    if (this->events.now() < end + 5s) {
       this->at(sharing_pause, [this] { this->share(); });
     }
   }
@@ -216,11 +202,9 @@
   std::vector<double> told;
   double told_by_all = 0;
   std::set<std::string> slow;
-  std::priority_queue<event> events;
+  play::played_events events;
   std::map<std::uint32_t, class_result> results;
   std::mt19937_64 random{7};
-  duration now{};
-  std::uint64_t order = 0;
   std::uint64_t calls_made = 0;
 };
 
--- a/libs/placement/test/speed_load_test.cc
+++ b/libs/placement/test/speed_load_test.cc
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
-#include <functional>
-#include <queue>
 #include <random>
 
 #include "hawthornlane/placement/placement_directory.h"
 #include "hawthornlane/placement/server_pool.h"
+#include "played_events.h"
 
 using namespace hawthornlane;
 using namespace std::chrono_literals;
@@ -99,25 +98,12 @@
       const double first = std::uniform_real_distribution<double>(0, 4)(this->random);
       this->at(from_seconds(first), [this, number] { this->begin_spell(number); });
     }
-    while (!this->events.empty()) {
-      const event next = this->events.top();
-      this->events.pop();
-      this->now = next.when;
-      next.act();
-    }
+    this->events.run();
     this->measure_shares();
     return this->result;
   }
 
 private:
-  struct event {
-    duration when;
-    std::uint64_t order;
-    std::function<void()> act;
-    bool operator<(const event& other) const {
-      return std::tie(this->when, this->order) > std::tie(other.when, other.order);
-    }
-  };
   struct known_call {
     int host = 0;
     duration arrived{};
@@ -132,10 +118,8 @@
 
   static host_id name_of(int number) { return host_id("h" + std::to_string(number)); }
   static double factor_of(int server) { return server % 3 == 2 ? slow_factor : fast_factor; }
-  [[nodiscard]] timestamp moment() const { return timestamp(this->now); }
-  void at(duration after, std::function<void()> act) {
-    this->events.push({this->now + after, ++this->order, std::move(act)});
-  }
+  [[nodiscard]] timestamp moment() const { return timestamp(this->events.now()); }
+  void at(duration after, std::function<void()> act) { this->events.at(after, std::move(act)); }
   [[nodiscard]] bool counts(duration arrived) const {
     return arrived >= learnt_after && arrived < end;
   }
@@ -153,13 +137,13 @@
   void begin_spell(int server) {
     this->states[server].in_spell = true;
     this->at(spell, [this, server] { this->states[server].in_spell = false; });
-    if (this->now < end) {
+    if (this->events.now() < end) {
       this->at(spell + between_spells, [this, server] { this->begin_spell(server); });
     }
   }
 
   void arrive() {
-    if (this->now >= end) {
+    if (this->events.now() >= end) {
       return;
     }
     std::exponential_distribution<double> gap(this->capacity() * this->plan.load);
@@ -173,8 +157,8 @@
     }
     request.wanted_by = this->moment() + aim;
     request.give_up_at = this->moment() + 3s;
-    this->known[request.id] = {host, this->now, 0};
-    this->result.calls += this->counts(this->now) ? 1 : 0;
+    this->known[request.id] = {host, this->events.now(), 0};
+    this->result.calls += this->counts(this->events.now()) ? 1 : 0;
     this->ask(host, request);
     std::vector<placement> placed;
     this->pools[host].submit(request, this->moment(), placed);
@@ -194,7 +178,8 @@
     const host_id asker = name_of(host);
     const auto calls = this->directory.load_of_others(key, asker, this->moment());
     this->pools[host].note_load(
-        {key, calls}, timestamp(this->now - (this->plan.age_known ? this->plan.view_age : 0ms)));
+        {key, calls},
+        timestamp(this->events.now() - (this->plan.age_known ? this->plan.view_age : 0ms)));
     if (const auto speed = this->directory.speed_of_others(key, asker, this->moment())) {
       this->pools[host].note_speed(*speed, this->moment());
     }
@@ -202,7 +187,7 @@
 
   /// Nearly each server has a keeper of its own.
   void count_messages(std::size_t count) {
-    this->result.messages += this->counts(this->now) ? static_cast<double>(count) : 0;
+    this->result.messages += this->counts(this->events.now()) ? static_cast<double>(count) : 0;
   }
 
   void tell(int host, directory_update update) {
@@ -251,8 +236,8 @@
     const known_call call = this->known.at(id);
     this->known.erase(id);
     if (this->counts(call.arrived)) {
-      this->result.in_time += this->now - call.arrived <= aim ? 1 : 0;
-      this->result.time_of_all += this->now - call.arrived;
+      this->result.in_time += this->events.now() - call.arrived <= aim ? 1 : 0;
+      this->result.time_of_all += this->events.now() - call.arrived;
     }
     server_state& server = this->states[call.server];
     --server.busy;
@@ -278,7 +263,7 @@
         this->tell(host, pool.take_update());
       }
     }
-    if (this->now < end + 5s) {
+    if (this->events.now() < end + 5s) {
       this->at(fill_pause, [this] { this->look(); });
     }
   }
@@ -289,7 +274,7 @@
       update.loads = this->pools[host].own_loads();
       this->tell(host, update);
     }
-    if (this->now < end) {
+    if (this->events.now() < end) {
       this->at(renewal_pause, [this] { this->renew(); });
     }
   }
@@ -318,11 +303,9 @@
   placement_directory directory;
   std::vector<server_state> states;
   std::map<placement_id, known_call> known;
-  std::priority_queue<event> events;
+  play::played_events events;
   load_result result;
   std::mt19937_64 random{7};
-  duration now{};
-  std::uint64_t order = 0;
   std::uint64_t calls_made = 0;
 };
 
