Say which disks an admission missed, and what a ledger set waits for

Change: turn_refused names each disk that took no part and why (no address, no answer, refused, another disk answers, waiting), and whether the set is joint. Disk hosts log ledger_set_waiting once a second while a set is joint for over a second or too few members answer: epoch, age, the members it waits for and since when, the backlog of writes. Metrics set_joint_ms, append_backlog and append_backlog_ms. No decision changes. A disk host's setting added_sync_time lengthens each sync, for tests of a disk slower than the machine's; 0 by default.

--- a/libs/disk/include/hawthornlane/disk/disk_settings.h
+++ b/libs/disk/include/hawthornlane/disk/disk_settings.h
@@ -16,6 +16,8 @@
   /// Folder of persistent data; nothing else survives the process.
   std::string data_folder;
   std::uint64_t disk_mb = 0;
+  /// Added to each sync, for tests of a disk that is slower than the host's.
+  duration added_sync_time{};
   /// Number of disk hosts that may fail at the same time.
   std::uint32_t tolerated_losses = 1;
   /// How far usage may deviate from client accounts' quotas.
--- a/libs/disk/include/hawthornlane/disk/ledger_store.h
+++ b/libs/disk/include/hawthornlane/disk/ledger_store.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -29,11 +30,12 @@
 public:
   using reply = std::function<void(std::optional<std::string>)>;
 
+  /// `added_sync_time` lengthens each sync, for tests of a disk that is slower than the host's.
   /// Throws `std::runtime_error` if the folder cannot be used.
   ledger_store(boost::asio::io_context& context, const std::string& folder,
                std::uint64_t disk_bytes,
                std::uint64_t segment_bytes = turn_log::usual_segment_bytes,
-               side_journal journal = {});
+               side_journal journal = {}, duration added_sync_time = duration::zero());
   ledger_store(const ledger_store&) = delete;
   ledger_store& operator=(const ledger_store&) = delete;
   ~ledger_store();
@@ -53,6 +55,10 @@
   [[nodiscard]] const ledger_replica& held() const { return this->copy; }
   [[nodiscard]] std::uint64_t log_bytes() const { return this->log->size(); }
   [[nodiscard]] bool failed() const { return this->broken; }
+  /// Number of answers that wait for the disk.
+  [[nodiscard]] std::size_t backlog() const { return this->waiting.size(); }
+  /// How long the oldest of them has waited.
+  [[nodiscard]] std::chrono::milliseconds backlog_age() const;
 
   /// Call this with each ledger set read from the platform's store; one that is not newer than the
   /// known one is ignored. Requests for an older set are refused from then on. The refusal
@@ -67,6 +73,7 @@
   struct waiting_reply {
     std::uint64_t record = 0;
     std::function<void(bool good)> notify;
+    std::chrono::steady_clock::time_point since{};
   };
 
   void load_identity(const std::string& folder);
--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -28,6 +28,13 @@
 /// Interval between decisions about the ledger set.
 constexpr auto membership_interval = std::chrono::milliseconds(200);
 constexpr auto tick_interval = std::chrono::milliseconds(100);
+/// Interval between log lines on what the set waits for.
+constexpr auto report_interval = std::chrono::seconds(1);
+
+std::uint64_t milliseconds_since(net::steady_time then) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - then).count());
+}
 
 }  // namespace
 
@@ -90,6 +97,9 @@
   add("quota_calls_of_a_program",
       static_cast<std::uint64_t>(std::lround(this->quotas.calls_of_a_program())));
   add("set_epoch", this->set ? this->set->epoch.get() : 0);
+  add("set_joint_ms", this->set && this->set->joint() ? milliseconds_since(this->set_since) : 0);
+  add("append_backlog", this->ledger.backlog());
+  add("append_backlog_ms", static_cast<std::uint64_t>(this->ledger.backlog_age().count()));
   add("fence", this->ledger.held().fence_epoch().get());
   add("store_objects_malformed", this->faults.count());
   add("store_reads", this->store.counters().reads);
@@ -170,6 +180,7 @@
     return;
   }
   this->set = received;
+  this->set_since = this->set_confirmed_at;
   this->set_revision = object.revision;
   this->ledger.set_newest(*received);
   this->quotas.set_share(quota_share(*received, this->ledger.identity()));
@@ -213,6 +224,10 @@
     this->next_probe = now + probe_interval;
     this->probe_peers();
   }
+  if (now >= this->next_report) {
+    this->next_report = now + report_interval;
+    this->report_waiting();
+  }
   if (now >= this->next_membership_run && !this->membership_running) {
     this->next_membership_run = now + membership_interval;
     asio::co_spawn(this->context, run_membership_tasks(this->shared_from_this()), asio::detached);
--- a/libs/disk/src/disk_host_state.h
+++ b/libs/disk/src/disk_host_state.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,7 +44,7 @@
         store(settings.store),
         quotas(settings.quotas, make_quota_hooks()),
         ledger(io, settings.data_folder, settings.disk_mb * 1024 * 1024,
-               turn_log::usual_segment_bytes, quotas.journal()) {}
+               turn_log::usual_segment_bytes, quotas.journal(), settings.added_sync_time) {}
 
   boost::asio::io_context& context;
   disk_settings settings;
@@ -60,6 +61,8 @@
   discovery::object_faults faults;
   std::optional<ledger_set> set;
   store_revision set_revision;
+  /// When this process first knew the current set.
+  net::steady_time set_since{};
   /// When this process last read the set from the store.
   net::steady_time set_confirmed_at{};
   /// A request to empty a host, and when this host first read it.
@@ -73,6 +76,7 @@
   net::steady_time next_probe{};
   net::steady_time next_membership_run{};
   net::steady_time next_tick{};
+  net::steady_time next_report{};
   bool membership_running = false;
   /// When a change of the set became due. Valid only while the set's epoch is `due_at_epoch`.
   net::steady_time due_since{};
@@ -91,6 +95,10 @@
   void refresh_peers();
   void on_sweep();
   void probe_peers();
+  /// Logs what a change of the set, or the set itself, waits for; nothing if it waits for nothing.
+  void report_waiting();
+  /// How long ago the member last answered; nothing if its host is not registered.
+  [[nodiscard]] std::optional<std::chrono::milliseconds> silence_of(const disk_id& member) const;
   void probe(const host_id& name, const peer& other);
 
   // Membership in the ledger set.
--- a/libs/disk/src/disk_membership.cc
+++ b/libs/disk/src/disk_membership.cc
@@ -1,5 +1,7 @@
 // Membership of a disk host in the ledger set: decides on changes, copies records into a joint
 // set (the old and the new members during a change), and completes the host's retirement.
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "disk_host_state.h"
@@ -38,6 +40,11 @@
 /// Pause between two pages, so that copying leaves most of half a core for serving turns.
 constexpr auto page_pause = std::chrono::milliseconds(5);
 
+/// A member that has been silent for this long is named in the log as one that the set waits for.
+constexpr auto reported_silence = std::chrono::milliseconds(1000);
+/// A joint set is logged from this age on.
+constexpr auto reported_joint_time = std::chrono::milliseconds(1000);
+
 /// Converts to the clock of `discovery::scheduler_now`.
 timestamp timestamp_of(net::steady_time time) {
   return timestamp(std::chrono::duration_cast<duration>(time.time_since_epoch()));
@@ -97,6 +104,51 @@
   return view;
 }
 
+std::optional<std::chrono::milliseconds> disk_host::state::silence_of(const disk_id& member) const {
+  if (member == this->ledger.identity()) {
+    return std::chrono::milliseconds(0);
+  }
+  for (const auto& [name, other] : this->peers) {
+    if (other.entry.disk == member.get()) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() -
+                                                                   other.received_at);
+    }
+  }
+  return std::nullopt;
+}
+
+void disk_host::state::report_waiting() {
+  if (!this->set) {
+    return;
+  }
+  std::string waits_for;
+  std::set<disk_id> answering;
+  for (const disk_id& member : this->set->all()) {
+    const auto silence = this->silence_of(member);
+    if (silence && *silence < reported_silence) {
+      answering.insert(member);
+      continue;
+    }
+    waits_for += fmt::format("{}{}: {}", waits_for.empty() ? "" : "; ", member.get(),
+                             silence ? fmt::format("{} ms", silence->count()) : "not registered");
+  }
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - this->set_since);
+  const bool decides = this->set->has_majority(answering);
+  const bool late = this->set->joint() && age >= reported_joint_time;
+  if (decides && !late) {
+    return;
+  }
+  log(event::ledger_set_waiting,
+      {{"epoch", std::to_string(this->set->epoch.get())},
+       {"joint", this->set->joint() ? "yes" : "no"},
+       {"majority", decides ? "yes" : "no"},
+       {"age_ms", std::to_string(age.count())},
+       {"waits_for", waits_for},
+       {"backlog", std::to_string(this->ledger.backlog())},
+       {"backlog_ms", std::to_string(this->ledger.backlog_age().count())}});
+}
+
 asio::awaitable<void> disk_host::state::run_membership_tasks(std::shared_ptr<state> self) {
   self->membership_running = true;
   co_await change_set(self);
--- a/libs/disk/src/disk_settings.cc
+++ b/libs/disk/src/disk_settings.cc
@@ -11,6 +11,8 @@
       {"disk", "size_mb", integer, true, "", 8, 1048576, "maximum size of the folder, MB"},
       {"disk", "tolerated_losses", integer, false, "1", 0, 8,
        "disk hosts that may fail at once; each turn is stored on twice as many and one"},
+      {"disk", "added_sync_time", time, false, "0 ms", 0, 1e6,
+       "added to each sync, for tests of a slower disk"},
       {"quotas", "window", time, false, "1 s", 1e3, 3600e6,
        "window over which a client account's calls are counted against its quota"},
       {"quotas", "excess", number, false, "0", 0, 10,
@@ -39,6 +41,7 @@
   static_cast<discovery::host_settings&>(settings) = discovery::host_settings_from(values);
   settings.data_folder = values.text("disk", "folder");
   settings.disk_mb = static_cast<std::uint64_t>(values.integer("disk", "size_mb"));
+  settings.added_sync_time = values.time("disk", "added_sync_time");
   settings.tolerated_losses =
       static_cast<std::uint32_t>(values.integer("disk", "tolerated_losses"));
   settings.quotas.window = values.time("quotas", "window");
--- a/libs/disk/src/ledger_store.cc
+++ b/libs/disk/src/ledger_store.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <random>
 #include <stdexcept>
+#include <thread>
 #include <utility>
 
 #include "hawthornlane/net/message_bytes.h"
@@ -55,14 +56,15 @@
 
 ledger_store::ledger_store(boost::asio::io_context& io, const std::string& folder,
                            std::uint64_t disk_bytes, std::uint64_t segment_bytes,
-                           side_journal journal)
+                           side_journal journal, duration added_sync_time)
     : context(io), max_disk_bytes(disk_bytes), side_records(std::move(journal)) {
   this->load_identity(folder);
   log_recovery found;
   failure reason;
   this->log = turn_log::open(
       folder, [this](std::string_view bytes) { this->on_record(bytes); },
-      [this](std::uint64_t up_to, bool good) {
+      [this, added_sync_time](std::uint64_t up_to, bool good) {
+        std::this_thread::sleep_for(added_sync_time);
         boost::asio::post(this->context, [this, up_to, good] { this->on_durable(up_to, good); });
       },
       found, reason, segment_bytes);
@@ -156,7 +158,15 @@
     notify(!this->broken);
     return;
   }
-  this->waiting.push_back({this->last_record, std::move(notify)});
+  this->waiting.push_back({this->last_record, std::move(notify), std::chrono::steady_clock::now()});
+}
+
+std::chrono::milliseconds ledger_store::backlog_age() const {
+  if (this->waiting.empty()) {
+    return std::chrono::milliseconds(0);
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() -
+                                                               this->waiting.front().since);
 }
 
 void ledger_store::on_durable(std::uint64_t up_to, bool good) {
--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -21,6 +21,18 @@
 
 namespace hawthornlane::front {
 
+/// Why a disk took no part in a round.
+enum class disk_miss : std::uint8_t {
+  /// No link to its host is known, and no other front host relayed the request in time.
+  no_address,
+  /// Neither a direct nor a relayed answer came in time.
+  no_answer,
+  /// The host refused the request: its log failed, or the request was relayed in vain.
+  refused,
+  /// Another disk answered at the address.
+  other_disk,
+};
+
 /// Reserves, reads and settles turns at the disks of the current set. Not thread-safe.
 class ledger_client final : public turn_store {
 public:
@@ -109,7 +121,7 @@
   struct round_hooks {
     std::function<void(const Answer&)> answered;
     /// The disk will not answer.
-    std::function<void(const disk_id&)> failed;
+    std::function<void(const disk_id&, disk_miss)> failed;
     /// The disk has refused the request because the set is outdated.
     std::function<void(const disk_id&)> stale;
   };
@@ -142,6 +154,10 @@
   void send_settlement(const std::shared_ptr<settle_state>& state,
                        const std::vector<disk_id>& disks);
   void conclude(const admission_state& state, turn_admission& result);
+  /// Says which disks of the set did not take part in an admission, and why.
+  [[nodiscard]] std::string describe_missing(const admission_state& state) const;
+  /// The disk's host and identity, for the log.
+  [[nodiscard]] std::string name_of(const disk_id& disk) const;
   void note_stale(const std::optional<ledger_set>& newest);
   /// Whether the set at epoch `asked` is still the newest known. Asking it again gives the same
   /// answer until a newer set is known, so callers must pause before they retry.
--- a/libs/front/src/ledger_admission.cc
+++ b/libs/front/src/ledger_admission.cc
@@ -26,6 +26,20 @@
 constexpr auto admit_retry_time = std::chrono::milliseconds(300);
 constexpr auto admit_retry_interval = std::chrono::milliseconds(40);
 
+std::string_view text_of(disk_miss why) {
+  switch (why) {
+    case disk_miss::no_address:
+      return "no address";
+    case disk_miss::no_answer:
+      return "no answer";
+    case disk_miss::refused:
+      return "refused";
+    case disk_miss::other_disk:
+      return "another disk answers";
+  }
+  return "";
+}
+
 }  // namespace
 
 /// One attempt to admit a turn at one set. Shared with the answer callbacks, which may run after
@@ -55,6 +69,9 @@
   bool collecting = false;
   net::steady_time appended_at = net::never;
   net::steady_time until;
+  /// For the log: the disks that have the reservation, and the last failure of each other one.
+  std::set<disk_id> appended_at_disks;
+  std::map<disk_id, disk_miss> missed;
 
   void note_stale() {
     this->stale = true;
@@ -88,10 +105,12 @@
   request.record = record_of(state->turn, reservation_phase::open, token_count(0));
   round_hooks<program_response> hooks;
   hooks.answered = [state](const program_response& answer) {
+    state->appended_at_disks.insert(answer.disk);
     state->check.on_append(answer);
     state->signal.wake();
   };
-  hooks.failed = [state](const disk_id& disk) {
+  hooks.failed = [state](const disk_id& disk, disk_miss why) {
+    state->missed[disk] = why;
     state->check.on_append_failed(disk);
     state->signal.wake();
   };
@@ -108,7 +127,8 @@
     state->check.on_collect(answer);
     state->signal.wake();
   };
-  hooks.failed = [state](const disk_id& disk) {
+  hooks.failed = [state](const disk_id& disk, disk_miss why) {
+    state->missed[disk] = why;
     state->check.on_collect_failed(disk);
     state->signal.wake();
   };
@@ -125,7 +145,8 @@
     state->chain.on_answer(answer);
     state->ask_all_for_chain_now();
   };
-  hooks.failed = [state](const disk_id& disk) {
+  hooks.failed = [state](const disk_id& disk, disk_miss why) {
+    state->missed[disk] = why;
     state->chain.on_failed(disk);
     state->ask_all_for_chain_now();
   };
@@ -190,6 +211,26 @@
   this->send_chain_reads(state, others);
 }
 
+std::string ledger_client::name_of(const disk_id& disk) const {
+  constexpr std::size_t shown = 8;
+  const auto found = this->links.find(disk);
+  const std::string host = found == this->links.end() ? "?" : found->second.host.name.get();
+  return host + "/" + disk.get().substr(0, shown);
+}
+
+std::string ledger_client::describe_missing(const admission_state& state) const {
+  std::string text = state.set.joint() ? " (joint)" : "";
+  for (const disk_id& disk : state.set.all()) {
+    const auto missed = state.missed.find(disk);
+    if (missed == state.missed.end() && state.appended_at_disks.contains(disk)) {
+      continue;
+    }
+    const std::string_view why = missed == state.missed.end() ? "waiting" : text_of(missed->second);
+    text += fmt::format("; {}: {}", this->name_of(disk), why);
+  }
+  return text;
+}
+
 void ledger_client::conclude(const admission_state& state, turn_admission& result) {
   if (state.needs_chain && state.chain.outcome() == chain_outcome::absent) {
     result.kind = admission_kind::unknown_turn;
@@ -237,7 +278,8 @@
     }
     if (state->cannot_succeed() || now >= state->until) {
       result.kind = admission_kind::unavailable;
-      result.detail = fmt::format("no majority of epoch {} answers", state->set.epoch.get());
+      result.detail = fmt::format("no majority of epoch {} answers{}", state->set.epoch.get(),
+                                  this->describe_missing(*state));
       co_return true;
     }
     if (state->check.appended() && state->appended_at == net::never) {
--- a/libs/front/src/ledger_rounds.h
+++ b/libs/front/src/ledger_rounds.h
@@ -36,6 +36,13 @@
   [[nodiscard]] bool reached() const { return this->answered && !this->suspected; }
 };
 
+/// Why a request to a disk host whose address is known failed. An unreadable answer counts as a
+/// refusal.
+inline disk_miss miss_of(net::rpc_failure why) {
+  const bool answered = why == net::rpc_failure::none || why == net::rpc_failure::refused;
+  return answered ? disk_miss::refused : disk_miss::no_answer;
+}
+
 template <class Answer>
 void ledger_client::ask_each(const std::vector<disk_id>& disks, disk_request what,
                              const round_hooks<Answer>& hooks) {
@@ -44,8 +51,10 @@
     this->ask(disk, what, [this, disk, hooks](net::rpc_failure why, const std::string& bytes) {
       const bool good = why == net::rpc_failure::none;
       const auto answer = good ? from_bytes<Answer>(bytes) : std::nullopt;
-      if (!answer || answer->disk != disk) {
-        hooks.failed(disk);
+      if (!answer) {
+        hooks.failed(disk, this->links.contains(disk) ? miss_of(why) : disk_miss::no_address);
+      } else if (answer->disk != disk) {
+        hooks.failed(disk, disk_miss::other_disk);
       } else if (answer->stale) {
         this->note_stale(answer->newest);
         hooks.stale(disk);
--- a/libs/front/src/ledger_settlement.cc
+++ b/libs/front/src/ledger_settlement.cc
@@ -79,7 +79,7 @@
     state->round.answered(answer.disk);
     state->signal.wake();
   };
-  hooks.failed = [state](const disk_id& disk) { state->failed(disk); };
+  hooks.failed = [state](const disk_id& disk, disk_miss) { state->failed(disk); };
   hooks.stale = [state](const disk_id& disk) {
     state->stale = true;
     state->failed(disk);
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -106,6 +106,9 @@
                 "a disk starts to copy the records of the other disks"},
     event_entry{ledger_copy_finished, "ledger_copy_finished", info,
                 "copying the records of the other disks has ended; the line says from how many"},
+    event_entry{ledger_set_waiting, "ledger_set_waiting", warning,
+                "a change of the set of disks has not ended yet, or too few members answer to "
+                "decide; the line says which disks it waits for, and since when"},
     event_entry{disk_opened, "disk_opened", info, "the data folder was read"},
     event_entry{disk_failed, "disk_failed", error, "a write to the data folder failed"},
     event_entry{turn_refused, "turn_refused", info,
