Fault soak: a closing fault under traffic, on small processors and a slow disk

Cause: the soak wiped a disk only while the ledger set was stable and never together with a loss of power of the others, stopped the callers before the recovery time ran, replaced no disk host at another address, and ran on fast processors and a fast disk.

The set counts as stable only if its members are the present disks: the old reading took a wiped disk for a member.

--- a/scenarios/child_process.cc
+++ b/scenarios/child_process.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <system_error>
 
@@ -49,6 +50,33 @@
   }
 }
 
+void child_process::set_stopped(stop_reason why, bool stopped) {
+  const bool before = !this->stopped_for.empty();
+  if (stopped) {
+    this->stopped_for.insert(why);
+  } else {
+    this->stopped_for.erase(why);
+  }
+  const bool after = !this->stopped_for.empty();
+  if (before != after) {
+    this->signal(after ? SIGSTOP : SIGCONT);
+  }
+}
+
+std::optional<std::chrono::nanoseconds> child_process::processor_time() const {
+  // The first field of each thread's `schedstat` is its processor time in ns.
+  std::chrono::nanoseconds sum{0};
+  std::error_code error;
+  const std::string threads = "/proc/" + std::to_string(this->id) + "/task";
+  for (const auto& thread : std::filesystem::directory_iterator(threads, error)) {
+    std::ifstream file(thread.path() / "schedstat");
+    std::int64_t used = 0;
+    file >> used;
+    sum += std::chrono::nanoseconds(used);
+  }
+  return error || this->ended ? std::nullopt : std::optional(sum);
+}
+
 void child_process::kill() {
   this->signal(SIGKILL);
   this->reap(true);
--- a/scenarios/child_process.h
+++ b/scenarios/child_process.h
@@ -3,8 +3,10 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,11 @@
 
   /// Does nothing once the process has ended.
   void signal(int number);
+  /// Why a process is stopped; it runs while there is no reason.
+  enum class stop_reason : std::uint8_t { frozen, over_share };
+  void set_stopped(stop_reason why, bool stopped);
+  /// Processor time used so far; empty once the process has ended.
+  [[nodiscard]] std::optional<std::chrono::nanoseconds> processor_time() const;
   /// Kills the process and waits for its end.
   void kill();
   [[nodiscard]] bool running();
@@ -34,6 +41,7 @@
   void reap(bool wait);
 
   pid_t id = 0;
+  std::set<stop_reason> stopped_for;
   std::optional<int> ended;
 };
 
--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "closing_fault.h"
 #include "soak_callers.h"
 #include "soak_faults.h"
 
@@ -33,6 +34,7 @@
   --seed-file FILE  Seeds to run instead, one a line; words after the number are a comment.
   --seconds N       How long faults are injected in each run [default: 20].
   --fronts N        Front hosts [default: 4].
+  --disks N         Disk hosts; three of them store the turns [default: 3].
   --routes N        Routes that the configuration grows by in steps, up to 4000, which make
                     it 0.9 MB large; 0: it does not grow [default: 1500].
   --link-mbps N     What each front host can send to other hosts, Mbit/s; 0: no limit
@@ -40,11 +42,21 @@
   --callers N       Callers at once [default: 16].
   --contended       Configure hosts for callers that may ask for more than the servers
                     can serve.
+  --closing KIND    The last fault, after the others, while callers go on: none, power, wipe,
+                    wipe-after-replacement, wipe-in-retirement or random [default: none].
+  --front-share X   Processor time of each front host, as a share of one core; 0: no limit
+                    [default: 0].
+  --disk-share X    The same for each disk host [default: 0].
+  --sync-ms N       Added to each sync of a disk host [default: 0].
   --keep DIR        Where logs of a run that failed are kept [default: run/fault-soak].
 )";
 
 /// Promised recovery time: all calls are served again this long after the last fault.
 constexpr auto recovery = 12s;
+/// After the recovery time at least this part of the turns is served, while callers go on.
+constexpr double min_served_after_recovery = 0.25;
+constexpr auto recovered_window = 4s;
+constexpr auto closing_limit = 60s;
 constexpr auto start_limit = 15s;
 constexpr auto verify_limit = 60s;
 /// Programs that are running when the faults end finish within this time.
@@ -55,6 +67,7 @@
   fs::path keep;
   std::chrono::seconds fault_duration{};
   fleet_size size;
+  std::string closing;
   int callers = 0;
 };
 
@@ -70,7 +83,10 @@
         faults(fleet, seed),
         callers(
             context, fleet, checker,
-            [this](net::steady_time then) { return this->faults.calm_since(then); }, seed) {}
+            [this](net::steady_time then) {
+              return then >= this->calm_from && this->faults.calm_since(then);
+            },
+            seed) {}
 
   /// Returns true if every promise was kept.
   bool play() {
@@ -87,6 +103,7 @@
         },
         this->options.fault_duration + 1s);
     this->faults.end_all();
+    this->play_closing_fault();
     this->callers.stop();
     const auto recovered = steady::now() + recovery;
     if (!this->run_until([this] { return this->callers.idle(); }, callers_limit)) {
@@ -103,6 +120,35 @@
   }
 
 private:
+  /// Plays the last fault and checks that the service is back in time, while callers go on.
+  void play_closing_fault() {
+    const closing_kind kind = closing_kind_of(this->options.closing, this->seed);
+    if (kind == closing_kind::none || !this->checker.broken().empty()) {
+      return;
+    }
+    this->calm_from = net::never;
+    closing_fault closing(this->fleet, this->faults, this->checker, kind, this->seed);
+    if (!this->run_until([&closing] { return closing.tick(steady::now()); }, closing_limit)) {
+      this->checker.note("the hosts did not return from the closing fault in time");
+    }
+    const std::uint64_t served_before = this->callers.turns().served;
+    this->run_until([this, served_before] { return this->callers.turns().served > served_before; },
+                    recovery);
+    this->first_served_after =
+        std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - closing.back_at());
+    this->calm_from = closing.back_at() + recovery;
+    this->run_until([this] { return steady::now() >= this->calm_from; }, recovery);
+    const turn_counts before = this->callers.turns();
+    this->run_until([] { return false; }, recovered_window);
+    const turn_counts after = this->callers.turns();
+    const auto sent = static_cast<double>(after.sent - before.sent);
+    const auto served = static_cast<double>(after.served - before.served);
+    if (served < min_served_after_recovery * sent || sent == 0) {
+      this->checker.note(
+          fmt::format("{} of {} turns are served after the recovery time", served, sent));
+    }
+  }
+
   /// Runs everything until `done` or until a promise is broken; returns false at the limit.
   bool run_until(const std::function<bool()>& done, std::chrono::milliseconds limit) {
     const auto until = steady::now() + limit;
@@ -127,6 +173,9 @@
       fmt::print("; {} hosts up to {} MB, {}% of the limit", kind, use.peak_kb / kb_per_mb,
                  use.peak_kb * percent / use.limit_kb);
     }
+    if (this->first_served_after) {
+      fmt::print("; served {} ms after the return", this->first_served_after->count());
+    }
     fmt::print("; {} faults; {}\n", this->faults.history().size(),
                this->checker.broken().empty() ? "promises kept" : "BROKEN");
     if (this->checker.broken().empty()) {
@@ -160,6 +209,10 @@
   soak_fleet fleet;
   soak_faults faults;
   soak_callers callers;
+  /// Calls that began earlier are not held to the promises for calm times.
+  net::steady_time calm_from{};
+  /// From the return of all hosts after the closing fault to the next call that was served.
+  std::optional<std::chrono::milliseconds> first_served_after;
 };
 
 std::vector<std::uint64_t> seeds_of(std::map<std::string, docopt::value>& arguments) {
@@ -194,6 +247,12 @@
   options.size.routes = std::stoi(arguments.at("--routes").asString());
   constexpr std::uint64_t bytes_per_mbit = 125'000;
   options.size.link_rate = std::stoull(arguments.at("--link-mbps").asString()) * bytes_per_mbit;
+  options.size.disks = std::stoi(arguments.at("--disks").asString());
+  options.size.front_share = std::stod(arguments.at("--front-share").asString());
+  options.size.disk_share = std::stod(arguments.at("--disk-share").asString());
+  options.size.added_sync_time =
+      std::chrono::milliseconds(std::stoi(arguments.at("--sync-ms").asString()));
+  options.closing = arguments.at("--closing").asString();
   options.callers = std::stoi(arguments.at("--callers").asString());
   options.size.contended = arguments.at("--contended").asBool();
   int failed = 0;
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -136,7 +136,9 @@
     for (int attempt = 0; attempt < attempts_per_turn; ++attempt) {
       sent = this->turn_of(who, line);
       result = co_await this->call(who, sent, 1);
+      ++this->counts.sent;
       if (result.status == 200 && result.whole) {
+        ++this->counts.served;
         break;
       }
       co_await pause(std::chrono::milliseconds(100 + who.random_index(300)));
--- a/scenarios/soak_callers.h
+++ b/scenarios/soak_callers.h
@@ -23,6 +23,12 @@
   net::steady_time ended;
 };
 
+/// Turns of conversations that callers have sent, and those answered whole.
+struct turn_counts {
+  std::uint64_t sent = 0;
+  std::uint64_t served = 0;
+};
+
 /// Runs programs until `stop`. Callers reuse their connections as long as possible.
 /// Not thread-safe.
 class soak_callers {
@@ -38,6 +44,7 @@
   void start(int callers);
   /// Starts no new programs; running ones finish.
   void stop() { this->stopping = true; }
+  [[nodiscard]] const turn_counts& turns() const { return this->counts; }
   [[nodiscard]] bool idle() const { return this->active_tasks == 0; }
 
   /// After all faults: checks that every host serves and that stored turns can be
@@ -70,6 +77,7 @@
   http::client directory;
   std::mt19937_64 random;
   std::deque<conversation_state> lines;
+  turn_counts counts;
   bool stopping = false;
   int active_tasks = 0;
   std::uint64_t ids = 0;
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -53,8 +53,9 @@
 }
 
 soak_faults::undo soak_faults::pause_process(soak_host& host) {
-  host.process->signal(SIGSTOP);
-  return [&host] { host.process->signal(SIGCONT); };
+  constexpr auto frozen = child_process::stop_reason::frozen;
+  host.process->set_stopped(frozen, true);
+  return [&host] { host.process->set_stopped(frozen, false); };
 }
 
 std::vector<soak_faults::fault_kind> soak_faults::process_faults() {
@@ -331,6 +332,11 @@
   }
 }
 
+void soak_faults::record(const std::string& what) {
+  this->note(steady::now(), what);
+  this->fault_active_until = steady::now();
+}
+
 void soak_faults::end_all() {
   this->ended = true;
   for (active_fault& item : this->active) {
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -20,6 +20,8 @@
 
   /// Ends and starts what is due at `now`.
   void tick(net::steady_time now);
+  /// Adds a fault from elsewhere to the history; it counts as active now.
+  void record(const std::string& what);
   /// Ends every active fault and starts no other.
   void end_all();
   /// True if no fault has been active since 3 s before `then`; planned maintenance does not count.
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -35,6 +35,10 @@
 constexpr std::uint64_t disk_memory_mb = 130;
 /// Interval between memory checks of all processes.
 constexpr auto memory_check_interval = std::chrono::milliseconds(100);
+/// A host may use its share of a core in each period of this length, and is stopped for the rest of
+/// it, as by the kernel's bandwidth control.
+constexpr auto limit_period = std::chrono::milliseconds(100);
+constexpr auto limit_check_interval = std::chrono::milliseconds(5);
 /// Availability zones that hosts of a kind are spread over.
 constexpr int zones = 4;
 
@@ -60,14 +64,16 @@
 
 }  // namespace
 
-soak_fleet::soak_fleet(boost::asio::io_context& io, const fs::path& programs, fs::path into,
-                       fleet_size size, promise_checker& checker)
+soak_fleet::soak_fleet(boost::asio::io_context& io, const fs::path& from, fs::path into,
+                       fleet_size wanted, promise_checker& checker)
     : context(io),
       sweeper(io),
       folder(std::move(into)),
       promises(checker),
-      contended(size.contended),
-      max_routes(size.routes) {
+      size(wanted),
+      programs(from),
+      contended(wanted.contended),
+      max_routes(wanted.routes) {
   fs::create_directories(this->folder);
   this->platform = std::make_unique<stand_ins::object_platform>(io, http::endpoint{loopback, 0});
   for (int number = 0; number < size.engines; ++number) {
@@ -78,10 +84,11 @@
   }
   this->configure();
   for (int number = 0; number < size.disks; ++number) {
-    this->add_disk(number, programs / "hawthornlane-disk");
+    this->disks.push_back(this->make_disk());
+    this->start(this->disks.back());
   }
   for (int number = 0; number < size.fronts; ++number) {
-    this->add_front(number, programs / "hawthornlane-front");
+    this->add_front(number, this->programs / "hawthornlane-front");
     this->fronts.back().peers->limit_rate(size.link_rate);
   }
 }
@@ -106,15 +113,16 @@
   return host;
 }
 
-void soak_fleet::add_disk(int number, const fs::path& program) {
-  soak_host host = this->make_host(fmt::format("disk-{}", number), number, program);
+soak_host soak_fleet::make_disk() {
+  const int number = this->disks_made++;
+  soak_host host =
+      this->make_host(fmt::format("disk-{}", number), number, this->programs / "hawthornlane-disk");
   host.data_folder = this->folder / host.name;
   fs::create_directories(host.data_folder);
   std::ofstream file(host.command.back(), std::ios::app);
-  file << fmt::format("\n[disk]\nfolder = {}\nsize_mb = 64\n", host.data_folder.string());
-  file.close();
-  this->disks.push_back(std::move(host));
-  this->start(this->disks.back());
+  file << fmt::format("\n[disk]\nfolder = {}\nsize_mb = 64\nadded_sync_time = {} ms\n",
+                      host.data_folder.string(), this->size.added_sync_time.count());
+  return host;
 }
 
 void soak_fleet::add_front(int number, const fs::path& program) {
@@ -138,11 +146,16 @@
 void soak_fleet::start(soak_host& host) {
   ++host.incarnation;
   host.end_expected = false;
+  host.started_at = steady::now();
+  host.used_before = std::chrono::nanoseconds(0);
   host.process =
       std::make_unique<child_process>(host.command, (this->folder / (host.name + ".log")).string());
 }
 
 void soak_fleet::check_memory(const soak_host& host) {
+  if (!host.process) {
+    return;
+  }
   if (const auto peak = host.process->peak_memory_kb()) {
     this->promises.on_memory(host.kind, fmt::format("{}/{}", host.name, host.incarnation),
                              {*peak, host.memory_mb * kb_per_mb});
@@ -162,24 +175,60 @@
   if (now >= this->next_memory_check) {
     this->next_memory_check = now + memory_check_interval;
     this->check_memory();
+    this->remove_retired_disks();
+  }
+  const bool check_limits = now >= this->next_limit_check;
+  const bool begins_period = now >= this->next_limit_period;
+  if (check_limits) {
+    this->next_limit_check = now + limit_check_interval;
+  }
+  if (begins_period) {
+    this->next_limit_period = now + limit_period;
   }
   for (std::vector<soak_host>* group : {&this->fronts, &this->disks}) {
     for (soak_host& host : *group) {
-      const auto status = host.process->status();
-      if (!status) {
-        continue;
-      }
-      if (!host.end_expected) {
-        this->promises.note(fmt::format("{} exited unexpectedly, status {}", host.name, *status));
-        host.end_expected = true;
-      }
-      if (now >= host.restart_at) {
-        this->start(host);
+      this->supervise_process(host);
+      if (check_limits) {
+        this->limit_processor(host, begins_period);
       }
     }
   }
 }
 
+void soak_fleet::supervise_process(soak_host& host) {
+  if (!host.process) {
+    if (steady::now() >= host.restart_at) {
+      this->start(host);
+    }
+    return;
+  }
+  const auto status = host.process->status();
+  if (!status) {
+    return;
+  }
+  if (!host.end_expected) {
+    this->promises.note(fmt::format("{} exited unexpectedly, status {}", host.name, *status));
+    host.end_expected = true;
+  }
+  if (steady::now() >= host.restart_at) {
+    this->start(host);
+  }
+}
+
+void soak_fleet::limit_processor(soak_host& host, bool begins_period) {
+  const double share = host.kind == "disk" ? this->size.disk_share : this->size.front_share;
+  const auto used = share > 0 && host.process ? host.process->processor_time() : std::nullopt;
+  if (!used) {
+    return;
+  }
+  if (begins_period) {
+    host.used_before = *used;
+  }
+  const std::chrono::duration<double> used_now = *used - host.used_before;
+  const bool used_up = used_now >= share * std::chrono::duration<double>(limit_period);
+  host.process->set_stopped(child_process::stop_reason::over_share, used_up);
+}
+
 void soak_fleet::kill(soak_host& host, std::chrono::milliseconds down) {
   host.end_expected = true;
   host.restart_at = steady::now() + down;
@@ -204,18 +253,72 @@
   fs::create_directories(disk.data_folder);
 }
 
-bool soak_fleet::ledger_set_is_stable() const {
+void soak_fleet::replace(soak_host& disk, std::chrono::milliseconds gap) {
+  this->check_memory(disk);
+  disk.process->kill();
+  fs::remove_all(disk.data_folder);
+  soak_host fresh = this->make_disk();
+  fresh.restart_at = steady::now() + gap;
+  std::swap(disk, fresh);
+  this->removed_hosts.push_back(std::move(fresh));
+}
+
+void soak_fleet::retire(const soak_host& disk) {
+  this->platform->put("retirements", disk.name, R"({"duration-s":8})");
+}
+
+void soak_fleet::remove_retired_disks() {
+  std::erase_if(this->disks, [this](soak_host& disk) {
+    const std::string status = this->platform->status_of("retirements", disk.name);
+    if (status.find("completed") == std::string::npos) {
+      return false;
+    }
+    disk.process->kill();
+    this->removed_hosts.push_back(std::move(disk));
+    return true;
+  });
+}
+
+bool soak_fleet::all_running() {
+  for (std::vector<soak_host>* group : {&this->fronts, &this->disks}) {
+    for (soak_host& host : *group) {
+      if (!host.process || !host.process->running()) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+std::set<std::string> soak_fleet::disk_identities() const {
+  std::set<std::string> identities;
+  for (const soak_host& disk : this->disks) {
+    std::ifstream file(disk.data_folder / "identity");
+    std::string identity;
+    file >> identity;
+    identities.insert(identity);
+  }
+  return identities;
+}
+
+bool soak_fleet::ledger_set_is_joint() const {
   const std::string set = this->platform->spec_of("hawthornlane-hosts", "ledger-set");
-  const std::size_t members = set.find("\"members\":[");
   const std::size_t next = set.find("\"next\":[");
-  if (members == std::string::npos) {
+  return next != std::string::npos && set.at(set.find('[', next) + 1) != ']';
+}
+
+bool soak_fleet::ledger_set_is_stable() const {
+  constexpr std::size_t complete = 3;
+  const std::string set = this->platform->spec_of("hawthornlane-hosts", "ledger-set");
+  if (set.find("\"members\":[") == std::string::npos || this->ledger_set_is_joint()) {
     return false;
   }
-  const std::size_t end = set.find(']', members);
-  const auto between = set.substr(members, end - members);
-  const auto commas = std::count(between.begin(), between.end(), ',');
-  const bool joint = next != std::string::npos && set.at(set.find('[', next) + 1) != ']';
-  return commas + 1 == static_cast<std::ptrdiff_t>(this->disks.size()) && !joint;
+  std::size_t present = 0;
+  for (const std::string& identity : this->disk_identities()) {
+    const bool is_member = !identity.empty() && set.find(identity) != std::string::npos;
+    present += is_member ? 1 : 0;
+  }
+  return present >= std::min(complete, this->disks.size());
 }
 
 std::string soak_fleet::key_of(const std::string& account) { return account + "-key"; }
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,11 @@
   std::uint64_t link_rate = 0;
   /// Configures hosts for callers that may ask for more than the servers can serve.
   bool contended = false;
+  /// Processor time that each host may use, as a share of one core; 0: no limit.
+  double front_share = 0;
+  double disk_share = 0;
+  /// Added to each sync of a disk host.
+  std::chrono::milliseconds added_sync_time{0};
 };
 
 /// One host: its process and the proxies in front of it.
@@ -58,6 +64,10 @@
   bool end_expected = false;
   /// A host whose process has ended is not restarted before this time.
   net::steady_time restart_at{};
+  /// When its newest process was started.
+  net::steady_time started_at{};
+  /// Processor time of the process at the start of the current period of its limit.
+  std::chrono::nanoseconds used_before{0};
 };
 
 /// One backend server with its proxy.
@@ -92,8 +102,16 @@
   void cut_power(soak_host& disk, std::chrono::milliseconds down);
   /// Kills a disk host and deletes its data.
   void wipe(soak_host& disk, std::chrono::milliseconds down);
-  /// True if all disk hosts are in the ledger set and no change of the set is in progress.
+  /// Kills a disk host for good, with its disk, and starts an empty one at another address.
+  void replace(soak_host& disk, std::chrono::milliseconds gap);
+  /// Asks for a disk host to be emptied; it is removed once it reports completion.
+  void retire(const soak_host& disk);
+  /// True if the ledger set is complete, with disks of the present hosts only, and no change of
+  /// the set is in progress.
   [[nodiscard]] bool ledger_set_is_stable() const;
+  [[nodiscard]] bool ledger_set_is_joint() const;
+  /// True if every host's process runs.
+  [[nodiscard]] bool all_running();
 
   /// Writes the next configuration; returns its version.
   int configure();
@@ -122,9 +140,14 @@
   [[nodiscard]] soak_backend make_backend(const std::string& service);
   soak_host make_host(const std::string& name, int number, const std::filesystem::path& program);
   void add_front(int number, const std::filesystem::path& program);
-  void add_disk(int number, const std::filesystem::path& program);
+  soak_host make_disk();
   void start(soak_host& host);
   void check_memory(const soak_host& host);
+  void supervise_process(soak_host& host);
+  void remove_retired_disks();
+  /// Stops a process for the rest of a period in which it has used up its processor time.
+  void limit_processor(soak_host& host, bool begins_period);
+  [[nodiscard]] std::set<std::string> disk_identities() const;
 
   boost::asio::io_context& context;
   net::deadline_sweeper sweeper;
@@ -133,6 +156,13 @@
   std::unique_ptr<stand_ins::object_platform> platform;
   /// Removed servers, which may still have open connections from callers.
   std::vector<soak_backend> removed_backends;
+  /// Hosts that were removed for good; faults may still use their proxies.
+  std::vector<soak_host> removed_hosts;
+  fleet_size size;
+  std::filesystem::path programs;
+  int disks_made = 0;
+  net::steady_time next_limit_check{};
+  net::steady_time next_limit_period{};
   int newest = 0;
   bool contended;
   /// Maximum number of additional routes.
