A disk host that reaches too few members changes the ledger set no more

What callers saw: while one disk host was cut off from the others, but not from the store, the set changed without end (epochs rose every 0.2 to 0.8 s), each change made turns wait, and the host was never replaced, so the next loss stood in a joint set with one old member left: no turn was served until the end.

Cause: deciding asked only whether the proposer may act, not whether the change can end. A member that is cut off sees the joining disk silent and abandons the change that replaces it; a spare that is cut off sees all members silent and proposes to replace them. Both still reach the store.

Change: only a disk host that reaches a read quorum of the old members (itself included) proposes a change of a single set or abandons a joint one. With fewer, no copy could be complete, so the change could not end; a set that waits in its single form needs no second majority meanwhile.

--- a/libs/turn_ledger/src/set_change.cc
+++ b/libs/turn_ledger/src/set_change.cc
@@ -49,6 +49,14 @@
   return false;
 }
 
+/// True if this disk reaches, itself included, so many members that records can be copied from
+/// them. Without them a change could not end, and this disk may be the one that is cut off.
+bool reaches_read_quorum(const set_view& view, const ledger_set& set) {
+  const auto reached = std::count_if(set.members.begin(), set.members.end(),
+                                     [&](const disk_id& disk) { return is_reachable(view, disk); });
+  return static_cast<std::size_t>(reached) >= read_quorum(set.members);
+}
+
 ledger_set next_epoch(const ledger_set& from) {
   ledger_set proposed = from;
   proposed.epoch = from.epoch.next();
@@ -105,7 +113,7 @@
   const bool copier_unreachable = std::any_of(
       copiers.begin(), copiers.end(),
       [&](const disk_id& disk) { return !has_copied(disk) && !is_reachable(view, disk); });
-  if (copier_unreachable && may_act(view, set.members)) {
+  if (copier_unreachable && reaches_read_quorum(view, set) && may_act(view, set.members)) {
     ledger_set proposed = next_epoch(set);
     proposed.next.clear();
     return {set_step::propose, proposed, "a joining disk is gone"};
@@ -114,6 +122,9 @@
 }
 
 set_decision decide_single(const set_view& view, const ledger_set& set) {
+  if (!reaches_read_quorum(view, set)) {
+    return {};
+  }
   std::vector<disk_id> lost;
   std::vector<disk_id> retiring;
   std::vector<disk_id> due;
