A copy between disks goes on where it was interrupted, and reads changes only

Meanwhile a second lost disk stops the service for good.

Cause: after any page that failed or took over 1.5 s a joining disk began again with the first record of every source, each 200 ms, on the processors that serve the appends.

Change: a cursor for each source keeps the position, and the number of the source's newest change when the pass began. The next pass asks only for programs that changed since then, whole ones, since the reader may have dropped their earlier records as expired. A pass counts for a joint set only if it began after the source had raised its fence. A restarted source counts changes anew under another process number and is read from the beginning. Request and page carry the numbers behind their old fields, so hosts of the version before copy from and to this one as they did. A copy that found too few sources is tried again after 0.5 s instead of 0.2 s.

--- a/libs/disk/include/hawthornlane/disk/ledger_store.h
+++ b/libs/disk/include/hawthornlane/disk/ledger_store.h
@@ -76,6 +76,7 @@
     std::chrono::steady_clock::time_point since{};
   };
 
+  static std::uint64_t new_process_number();
   void load_identity(const std::string& folder);
   void on_record(std::string_view bytes);
   /// Raises the fence: the lowest epoch of a ledger set whose requests this disk accepts. Returns
@@ -93,6 +94,7 @@
   void serve_collect(const std::string& payload, const reply& answer);
   void serve_chain(const std::string& payload, const reply& answer);
   void serve_fence(const std::string& payload, const reply& answer);
+  void serve_copy(const std::string& payload, const reply& answer);
   /// Log size above which the log is compacted, bytes.
   [[nodiscard]] std::uint64_t max_log_bytes() const;
   void compact_log();
@@ -101,6 +103,8 @@
   std::uint64_t max_disk_bytes;
   side_journal side_records;
   disk_id id;
+  /// Differs for each process, since the changes of `copy` are counted anew in each.
+  std::uint64_t process = new_process_number();
   ledger_replica copy;
   /// Invariant: its epoch is not above the fence.
   std::optional<ledger_set> newest;
--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -1,6 +1,7 @@
 // A disk host: serves the ledger and quotas, and follows the platform's store.
 #include "hawthornlane/disk/disk_host.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <cmath>
@@ -183,6 +184,10 @@
   this->set_since = this->set_confirmed_at;
   this->set_revision = object.revision;
   this->ledger.set_newest(*received);
+  const std::vector<disk_id> members = received->all();
+  std::erase_if(this->cursors, [&members](const auto& item) {
+    return std::find(members.begin(), members.end(), item.first) == members.end();
+  });
   this->quotas.set_share(quota_share(*received, this->ledger.identity()));
   log(event::ledger_set_changed, {{"epoch", std::to_string(received->epoch.get())},
                                   {"members", std::to_string(received->members.size())},
--- a/libs/disk/src/disk_host_state.h
+++ b/libs/disk/src/disk_host_state.h
@@ -21,6 +21,7 @@
 #include "hawthornlane/disk/quota_service.h"
 #include "hawthornlane/http/server.h"
 #include "hawthornlane/net/rpc.h"
+#include "hawthornlane/turn_ledger/copy_cursor.h"
 #include "hawthornlane/turn_ledger/set_change.h"
 
 namespace hawthornlane::disk {
@@ -82,6 +83,9 @@
   net::steady_time due_since{};
   set_epoch due_at_epoch;
   set_epoch copied;
+  /// Per member of the set, what has been copied from its disk.
+  std::map<disk_id, copy_cursor> cursors;
+  net::steady_time next_copy{};
   std::map<std::string, std::uint64_t> counts;
 
   void start();
@@ -124,8 +128,20 @@
   static boost::asio::awaitable<std::optional<std::string>> send_request(
       std::shared_ptr<state> self, disk_id where, ledger_method method, std::string payload,
       duration timeout);
-  static boost::asio::awaitable<bool> copy_from(std::shared_ptr<state> self, ledger_set joint,
-                                                disk_id member);
+  /// Copies from a member all records that it accepted below the joint set's epoch, or only raises
+  /// its fence if the member is this disk. True on success.
+  static boost::asio::awaitable<bool> copy_old_records(std::shared_ptr<state> self,
+                                                       ledger_set joint, disk_id member);
+  /// Makes the member refuse epochs below the joint set's. True on success.
+  static boost::asio::awaitable<bool> fence_member(std::shared_ptr<state> self, ledger_set joint,
+                                                   disk_id member);
+  /// Copies from a member until a pass ends that began after its fence was raised to `epoch`, or
+  /// any pass if `epoch` is 0. True on success; a later call goes on where this one failed.
+  static boost::asio::awaitable<bool> copy_from(std::shared_ptr<state> self, disk_id member,
+                                                set_epoch epoch);
+  /// Copies the next page from a member; true on success.
+  static boost::asio::awaitable<bool> copy_next_page(std::shared_ptr<state> self, disk_id member,
+                                                     bool& pass_ended);
   /// If this host is retiring and its disk is no longer a member of the set, reports to the
   /// platform that the host may be removed.
   static boost::asio::awaitable<void> complete_retirement(std::shared_ptr<state> self);
--- a/libs/disk/src/disk_membership.cc
+++ b/libs/disk/src/disk_membership.cc
@@ -37,6 +37,8 @@
 constexpr int max_steps = 4;
 constexpr duration fence_timeout = std::chrono::milliseconds(1500);
 constexpr duration copy_timeout = std::chrono::milliseconds(1500);
+/// Pause before the members are asked again if too few could be copied from.
+constexpr auto copy_retry_interval = std::chrono::milliseconds(500);
 /// Pause between two pages, so that copying leaves most of half a core for serving turns.
 constexpr auto page_pause = std::chrono::milliseconds(5);
 
@@ -205,6 +207,9 @@
 }
 
 asio::awaitable<bool> disk_host::state::copy_from_members(std::shared_ptr<state> self) {
+  if (steady::now() < self->next_copy) {
+    co_return false;
+  }
   const ledger_set joint = *self->set;
   const std::size_t needed = read_quorum(joint.members);
   // Start with this disk if it is a member: it needs no copying.
@@ -217,13 +222,15 @@
     if (sources >= needed) {
       break;
     }
-    const bool good = co_await copy_from(self, joint, member);
+    const bool good = co_await copy_old_records(self, joint, member);
     sources += good ? 1 : 0;
   }
   const bool enough = sources >= needed;
   if (enough) {
     self->copied = joint.epoch;
     self->ledger.set_copied(joint.epoch);
+  } else {
+    self->next_copy = steady::now() + copy_retry_interval;
   }
   log(event::ledger_copy_finished, {{"epoch", std::to_string(joint.epoch.get())},
                                     {"sources", std::to_string(sources)},
@@ -232,6 +239,20 @@
   co_return enough;
 }
 
+asio::awaitable<bool> disk_host::state::copy_old_records(std::shared_ptr<state> self,
+                                                         const ledger_set joint,
+                                                         const disk_id member) {
+  if (self->cursors[member].complete_below(joint.epoch)) {
+    co_return true;
+  }
+  const bool fenced = co_await fence_member(self, joint, member);
+  if (!fenced || member == self->ledger.identity()) {
+    co_return fenced;
+  }
+  const bool copied = co_await copy_from(self, member, joint.epoch);
+  co_return copied;
+}
+
 asio::awaitable<std::optional<std::string>> disk_host::state::send_request(
     std::shared_ptr<state> self, disk_id where, ledger_method method, std::string payload,
     duration timeout) {
@@ -269,39 +290,61 @@
   co_return result->bytes;
 }
 
-asio::awaitable<bool> disk_host::state::copy_from(std::shared_ptr<state> self,
-                                                  const ledger_set joint, const disk_id member) {
+asio::awaitable<bool> disk_host::state::fence_member(std::shared_ptr<state> self,
+                                                     const ledger_set joint, const disk_id member) {
   const std::string fence_bytes = to_bytes(fence_request{joint});
   const auto fenced =
       co_await send_request(self, member, ledger_method::fence, fence_bytes, fence_timeout);
   const auto member_state = fenced ? from_bytes<probe_response>(*fenced) : std::nullopt;
-  if (!member_state || member_state->disk != member) {
+  const bool good = member_state && member_state->disk == member;
+  if (good) {
+    self->cursors[member].on_fenced(joint.epoch);
+  }
+  co_return good;
+}
+
+asio::awaitable<bool> disk_host::state::copy_next_page(std::shared_ptr<state> self,
+                                                       const disk_id member, bool& pass_ended) {
+  const copy_cursor& before = self->cursors[member];
+  const std::string request = to_bytes(before.position()) + to_bytes(before.resumption());
+  const auto bytes =
+      co_await send_request(self, member, ledger_method::copy, request, copy_timeout);
+  const auto answer = bytes ? from_bytes_with_tail<copy_page, copy_progress>(*bytes) : std::nullopt;
+  if (!answer) {
     co_return false;
   }
-  if (member == self->ledger.identity()) {
-    co_return true;
+  const copy_page& page = answer->first;
+  const auto stored = std::make_shared<net::async_signal>(self->context);
+  const auto good = std::make_shared<bool>(false);
+  self->ledger.adopt(page.records, [stored, good](bool is_good) {
+    *good = is_good;
+    stored->wake();
+  });
+  co_await stored->wait();
+  if (!*good || (page.records.empty() && !page.last)) {
+    co_return false;
   }
-  copy_request from;
+  const auto cursor = self->cursors.find(member);
+  if (cursor == self->cursors.end()) {
+    co_return false;
+  }
+  pass_ended = cursor->second.on_page(page, answer->second);
+  co_return true;
+}
+
+asio::awaitable<bool> disk_host::state::copy_from(std::shared_ptr<state> self, const disk_id member,
+                                                  const set_epoch epoch) {
   while (true) {
-    const std::string request_bytes = to_bytes(from);
-    const auto bytes =
-        co_await send_request(self, member, ledger_method::copy, request_bytes, copy_timeout);
-    const auto page = bytes ? from_bytes<copy_page>(*bytes) : std::nullopt;
-    if (!page) {
+    bool pass_ended = false;
+    const bool copied = co_await copy_next_page(self, member, pass_ended);
+    if (!copied) {
       co_return false;
     }
-    const auto stored = std::make_shared<net::async_signal>(self->context);
-    const auto good = std::make_shared<bool>(false);
-    self->ledger.adopt(page->records, [stored, good](bool is_good) {
-      *good = is_good;
-      stored->wake();
-    });
-    co_await stored->wait();
-    if (!*good || page->last || page->records.empty()) {
-      co_return *good && page->last;
+    const bool enough =
+        epoch == set_epoch(0) ? pass_ended : self->cursors[member].complete_below(epoch);
+    if (enough) {
+      co_return true;
     }
-    from.after_program = page->records.back().program;
-    from.after_request = page->records.back().state.id;
     net::async_signal pause(self->context);
     co_await pause.wait_until(steady::now() + page_pause);
   }
--- a/libs/disk/src/ledger_store.cc
+++ b/libs/disk/src/ledger_store.cc
@@ -82,6 +82,12 @@
 
 ledger_store::~ledger_store() = default;
 
+std::uint64_t ledger_store::new_process_number() {
+  std::random_device source;
+  constexpr unsigned half = 32;
+  return (std::uint64_t{source()} << half) | source() | 1U;
+}
+
 void ledger_store::load_identity(const std::string& folder) {
   const std::string path = folder + "/identity";
   const auto text = read_small_file(path);
@@ -197,12 +203,9 @@
     case ledger_method::fence:
       this->serve_fence(payload, answer);
       return;
-    case ledger_method::copy: {
-      const auto request = from_bytes<copy_request>(payload);
-      answer(request ? std::optional(to_bytes(this->copy.page_after(*request, copy_page_bytes)))
-                     : std::nullopt);
+    case ledger_method::copy:
+      this->serve_copy(payload, answer);
       return;
-    }
     case ledger_method::probe:
       answer(to_bytes(probe_response{this->id, this->copy.fence_epoch(), this->copied}));
       return;
@@ -284,6 +287,19 @@
   });
 }
 
+void ledger_store::serve_copy(const std::string& payload, const reply& answer) {
+  const auto both = from_bytes_with_tail<copy_request, copy_resumption>(payload);
+  if (!both) {
+    answer(std::nullopt);
+    return;
+  }
+  const auto& [request, resumption] = *both;
+  const bool same_process = resumption.source_process == this->process;
+  const change_number since = same_process ? resumption.since : change_number(0);
+  const copy_progress progress{this->process, this->copy.newest_change()};
+  answer(to_bytes(this->copy.page_after(request, copy_page_bytes, since)) + to_bytes(progress));
+}
+
 void ledger_store::adopt(const std::vector<ledger_record>& records,
                          std::function<void(bool good)> done) {
   for (const ledger_record& record : records) {
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
@@ -200,6 +200,23 @@
   }
 };
 
+/// Number of a change of a replica, counted from the start of its process.
+using change_number = strong_value<struct change_number_tag, std::uint64_t>;
+
+/// Follows a `copy_request`: which records the reader lacks. Hosts of older versions neither send
+/// nor read it.
+struct copy_resumption {
+  /// The source's process whose changes `since` counts; 0: none.
+  std::uint64_t source_process = 0;
+  /// Programs that have not changed after this change are not wanted.
+  change_number since;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->source_process, this->since);
+  }
+};
+
 struct copy_page {
   std::vector<ledger_record> records;
   bool last = false;
@@ -210,6 +227,19 @@
   }
 };
 
+/// Follows a `copy_page`. Hosts of older versions neither send nor read it.
+struct copy_progress {
+  /// Differs for each process of the source; 0: the source is of an older version.
+  std::uint64_t source_process = 0;
+  /// The source's newest change when it made the page.
+  change_number newest;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->source_process, this->newest);
+  }
+};
+
 struct probe_response {
   disk_id disk;
   set_epoch fence;
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_replica.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_replica.h
@@ -28,8 +28,13 @@
   [[nodiscard]] std::vector<reservation> reservations_of(const program_id& program) const;
   /// Returns the chain that ends with `last`; `known` and `turns` as in `chain_response`.
   [[nodiscard]] chain_response chain_of(const request_id& last) const;
-  /// Returns the records after a position, up to about `bytes` of text.
-  [[nodiscard]] copy_page page_after(const copy_request& from, std::size_t bytes) const;
+  /// Returns the records after a position, up to about `bytes` of text. Programs that have not
+  /// changed after `since` are left out; the others are returned whole, since a reader may have
+  /// dropped their earlier records as expired.
+  [[nodiscard]] copy_page page_after(const copy_request& from, std::size_t bytes,
+                                     change_number since = change_number(0)) const;
+  /// Number of the newest change, counted from 1.
+  [[nodiscard]] change_number newest_change() const { return this->newest; }
   /// Drops programs whose last record has expired, with their turns.
   void expire(wall_ms now);
 
@@ -42,6 +47,8 @@
   struct program_state {
     std::map<request_id, ledger_record> records;
     wall_ms expires_at;
+    /// The last change of its records or of `expires_at`.
+    change_number changed;
   };
   /// Locates a turn's text, which is stored in the record of its program.
   struct turn_location {
@@ -51,11 +58,13 @@
   /// program may continue from another program's turns.
   void extend_chain(const stored_turn& turn, wall_ms until);
   [[nodiscard]] const stored_turn* turn_of(const request_id& id) const;
+  void note_change(program_state& program);
 
   std::map<program_id, program_state> by_program;
   /// Invariant: one entry for each record with a turn.
   std::map<request_id, turn_location> turn_locations;
   set_epoch fence;
+  change_number newest;
   std::size_t text_size = 0;
 };
 
--- a/libs/turn_ledger/src/ledger_replica.cc
+++ b/libs/turn_ledger/src/ledger_replica.cc
@@ -14,6 +14,7 @@
 
 bool ledger_replica::apply(const ledger_record& record) {
   program_state& program = this->by_program[record.program];
+  const bool extends = record.expires_at > program.expires_at;
   program.expires_at = std::max(program.expires_at, record.expires_at);
   const auto [found, is_new] = program.records.try_emplace(record.state.id, record);
   ledger_record& stored = found->second;
@@ -29,6 +30,9 @@
       changed = true;
     }
   }
+  if (changed || extends) {
+    this->note_change(program);
+  }
   if (changed && stored.turn && !this->turn_locations.contains(record.state.id)) {
     this->turn_locations[record.state.id] = {record.program};
     this->text_size += text_of(stored);
@@ -47,11 +51,19 @@
       return;
     }
     program_state& program = this->by_program.at(link->second.program);
-    program.expires_at = std::max(program.expires_at, until);
+    if (until > program.expires_at) {
+      program.expires_at = until;
+      this->note_change(program);
+    }
     previous = program.records.at(*previous).turn->previous;
   }
 }
 
+void ledger_replica::note_change(program_state& program) {
+  this->newest = change_number(this->newest.get() + 1);
+  program.changed = this->newest;
+}
+
 std::vector<reservation> ledger_replica::reservations_of(const program_id& program) const {
   std::vector<reservation> all;
   const auto found = this->by_program.find(program);
@@ -89,11 +101,15 @@
   return answer;
 }
 
-copy_page ledger_replica::page_after(const copy_request& from, std::size_t bytes) const {
+copy_page ledger_replica::page_after(const copy_request& from, std::size_t bytes,
+                                     change_number since) const {
   copy_page page;
   std::size_t size = 0;
   for (auto program = this->by_program.lower_bound(from.after_program);
        program != this->by_program.end(); ++program) {
+    if (program->second.changed <= since) {
+      continue;
+    }
     const bool resumed = program->first == from.after_program;
     auto record = resumed ? program->second.records.upper_bound(from.after_request)
                           : program->second.records.begin();
--- a/libs/turn_ledger/test/turn_ledger_test.cc
+++ b/libs/turn_ledger/test/turn_ledger_test.cc
@@ -1,6 +1,7 @@
 // Tests of one disk's replica, chains of turns, majorities and changes of the replica set.
 #include <catch2/catch.hpp>
 
+#include "hawthornlane/turn_ledger/copy_cursor.h"
 #include "hawthornlane/turn_ledger/ledger_replica.h"
 #include "hawthornlane/turn_ledger/quorum_checks.h"
 #include "hawthornlane/turn_ledger/set_change.h"
@@ -118,6 +119,95 @@
   CHECK(target.turns() == 35);
 }
 
+namespace {
+
+/// A disk that is copied, with pages of about three records.
+struct copied_disk {
+  ledger_replica records;
+  std::uint64_t process = 7;
+
+  /// Copies one page into `target`; returns whether a pass ended.
+  bool copy_page_to(ledger_replica& target, copy_cursor& cursor) const {
+    constexpr std::size_t page_bytes = 700;
+    const copy_resumption wanted = cursor.resumption();
+    const change_number since =
+        wanted.source_process == this->process ? wanted.since : change_number(0);
+    const copy_page page = this->records.page_after(cursor.position(), page_bytes, since);
+    for (const ledger_record& item : page.records) {
+      target.apply(item);
+    }
+    return cursor.on_page(page, {this->process, this->records.newest_change()});
+  }
+  int pages_of_pass(ledger_replica& target, copy_cursor& cursor) const {
+    int pages = 1;
+    while (!this->copy_page_to(target, cursor)) {
+      ++pages;
+    }
+    return pages;
+  }
+};
+
+copied_disk disk_of_programs(int programs) {
+  copied_disk source;
+  for (int number = 0; number < programs; ++number) {
+    const std::string name = std::to_string(number);
+    source.records.apply(turn("p" + name, "t" + name, ""));
+  }
+  return source;
+}
+
+}  // namespace
+
+TEST_CASE("a copy that is interrupted does not begin again, and a second pass reads only changes") {
+  copied_disk source = disk_of_programs(9);
+  ledger_replica target;
+  copy_cursor cursor;
+  CHECK_FALSE(source.copy_page_to(target, cursor));
+  const std::size_t before = target.turns();
+  CHECK(before > 0);
+  // Changes before and after the position, and a lifetime that only another program extends.
+  source.records.apply(turn("p0", "t0-later", "t0"));
+  source.records.apply(turn("p8", "t8-later", "t8"));
+  source.pages_of_pass(target, cursor);
+  CHECK(target.chain_of(request_id("t8-later")).turns.size() == 2);
+  source.records.apply(turn("q", "tq", "t5", 5000));
+  CHECK(source.pages_of_pass(target, cursor) <= 2);
+  CHECK(target.turns() == source.records.turns());
+  target.expire(wall_ms(2000));
+  CHECK(target.chain_of(request_id("tq")).turns.size() == 2);
+  CHECK(source.pages_of_pass(target, cursor) == 1);
+}
+
+TEST_CASE("records of a restarted source are copied again from the first one") {
+  copied_disk source = disk_of_programs(9);
+  ledger_replica target;
+  copy_cursor cursor;
+  const bool in_a_pass = GENERATE(true, false);
+  if (in_a_pass) {
+    source.copy_page_to(target, cursor);
+  } else {
+    source.pages_of_pass(target, cursor);
+  }
+  // The changes of the new process are counted from 1 again.
+  source = disk_of_programs(12);
+  source.process = 8;
+  source.pages_of_pass(target, cursor);
+  CHECK(target.turns() == 12);
+}
+
+TEST_CASE("a copy is complete only after a pass that began behind the fence") {
+  copied_disk source = disk_of_programs(9);
+  ledger_replica target;
+  copy_cursor cursor;
+  source.copy_page_to(target, cursor);
+  cursor.on_fenced(set_epoch(4));
+  source.pages_of_pass(target, cursor);
+  CHECK_FALSE(cursor.complete_below(set_epoch(4)));
+  source.pages_of_pass(target, cursor);
+  CHECK(cursor.complete_below(set_epoch(4)));
+  CHECK_FALSE(cursor.complete_below(set_epoch(6)));
+}
+
 // A completed turn is stored at a majority, so a minority without it proves nothing.
 TEST_CASE("a turn is not reported absent without a majority") {
   const ledger_set set{set_epoch(1), {disk("A"), disk("B"), disk("C")}, {}};
