Replace a removed disk host within its successor's catch-up time

Change: disk hosts name in probe responses whom they have not heard and for how long; a host that has never heard another one takes their word. A disk that would replace a member silent for a second copies ahead, so the joint set lasts for the changes since then. A host silent for 2.5 s may be replaced (3.5 s before); quota leases last 2 s (3 s before), so that they still end half a second before a replacement. The soak chooses a member for replacement, reports when the set is whole, and judges the set only after the recovery, so that a standstill shows.

--- a/libs/disk/include/hawthornlane/disk/ledger_store.h
+++ b/libs/disk/include/hawthornlane/disk/ledger_store.h
@@ -51,6 +51,9 @@
   /// Removes expired records, and compacts the log when it is too long.
   void tick();
 
+  [[nodiscard]] probe_response probe() const {
+    return {this->id, this->copy.fence_epoch(), this->copied};
+  }
   [[nodiscard]] const disk_id& identity() const { return this->id; }
   [[nodiscard]] const ledger_replica& held() const { return this->copy; }
   [[nodiscard]] std::uint64_t log_bytes() const { return this->log->size(); }
--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -23,6 +23,8 @@
 
 /// Interval between probes of the other disk hosts.
 constexpr auto probe_interval = std::chrono::milliseconds(250);
+/// Disk hosts that have been silent for this long are named in probe responses.
+constexpr auto reported_silence = std::chrono::milliseconds(500);
 constexpr duration probe_timeout = std::chrono::milliseconds(600);
 /// Interval between removals of idle quota accounts.
 constexpr auto quota_sweep_interval = std::chrono::seconds(5);
@@ -47,6 +49,10 @@
       this->context, this->sweeper, this->settings.peers_at,
       [this](std::uint16_t method, const std::string& payload, const net::rpc_reply& reply) {
         ++this->counts["requests_" + std::to_string(method)];
+        if (static_cast<ledger_method>(method) == ledger_method::probe) {
+          reply(this->probe_answer());
+          return;
+        }
         if (static_cast<ledger_method>(method) == ledger_method::quota) {
           this->quotas.serve(payload, reply);
           return;
@@ -248,17 +254,31 @@
 void disk_host::state::probe(const host_id& name, const peer& other) {
   other.client->call(static_cast<std::uint16_t>(ledger_method::probe), "", probe_timeout,
                      [this, name](net::rpc_failure why, const std::string& bytes) {
-                       const auto answer = from_bytes<probe_response>(bytes);
+                       const auto answer =
+                           from_bytes_with_tail<probe_response, probe_report>(bytes);
                        const auto found = this->peers.find(name);
                        if (why != net::rpc_failure::none || !answer || found == this->peers.end()) {
                          return;
                        }
-                       found->second.heard = *answer;
+                       found->second.heard = answer->first;
+                       found->second.silent = answer->second.silent;
                        found->second.received_at = steady::now();
                        found->second.answered = true;
                      });
 }
 
+std::string disk_host::state::probe_answer() const {
+  probe_report report;
+  for (const auto& [name, other] : this->peers) {
+    const auto ms = milliseconds_since(other.received_at);
+    if (ms >= static_cast<std::uint64_t>(reported_silence.count())) {
+      report.silent.push_back(
+          {disk_id(other.entry.disk), other.entry.start.get(), static_cast<std::uint32_t>(ms)});
+    }
+  }
+  return to_bytes(this->ledger.probe()) + to_bytes(report);
+}
+
 disk_host::disk_host(asio::io_context& context, disk_settings settings)
     : impl(std::make_shared<state>(context, std::move(settings))) {
   this->impl->start();
--- a/libs/disk/src/disk_host_state.h
+++ b/libs/disk/src/disk_host_state.h
@@ -1,5 +1,6 @@
 // The state of a disk host. disk_host.cc listens and follows the platform's store,
-// disk_membership.cc takes part in changes of the ledger set.
+// disk_membership.cc takes part in changes of the ledger set, disk_copies.cc copies records from
+// other disks.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -36,6 +37,8 @@
     /// True if `received_at` is the time of a probe response. False if no probe of the current
     /// entry was answered; `received_at` is then the time at which the entry was first listed.
     bool answered = false;
+    /// The disk hosts that this one has not heard for a while, by its last probe response.
+    std::vector<silent_disk> silent;
   };
 
   state(boost::asio::io_context& io, disk_settings with)
@@ -86,6 +89,7 @@
   /// Per member of the set, what has been copied from its disk.
   std::map<disk_id, copy_cursor> cursors;
   net::steady_time next_copy{};
+  net::steady_time next_copy_ahead{};
   std::map<std::string, std::uint64_t> counts;
 
   void start();
@@ -104,6 +108,10 @@
   /// How long ago the member last answered; nothing if its host is not registered.
   [[nodiscard]] std::optional<std::chrono::milliseconds> silence_of(const disk_id& member) const;
   void probe(const host_id& name, const peer& other);
+  [[nodiscard]] std::string probe_answer() const;
+  /// How long ago the disk host last answered. If it has never answered this process, others' word
+  /// counts too.
+  [[nodiscard]] duration silence_of(const peer& other) const;
 
   // Membership in the ledger set.
   [[nodiscard]] bool may_grant_quotas() const;
@@ -116,7 +124,16 @@
   /// When a change of the set is due, each disk in turn has a fixed time to make it. Returns how
   /// many of these times have passed since the change became due; 0 if none is due.
   std::size_t skipped_candidates();
-  [[nodiscard]] set_view view() const;
+  /// A disk host that has been silent for `wait` counts as unreachable.
+  [[nodiscard]] set_view view(duration wait) const;
+  /// How long a disk host may be silent before it is replaced.
+  [[nodiscard]] duration time_to_replacement() const;
+  /// True if this disk joins the set as soon as members that are silent now have been so for
+  /// longer.
+  [[nodiscard]] bool may_join_soon() const;
+  /// Copies from members that this disk may soon have to copy from as a joining disk, so that the
+  /// joint set lasts only for what has changed since.
+  static boost::asio::awaitable<void> copy_ahead(std::shared_ptr<state> self);
   static boost::asio::awaitable<void> run_membership_tasks(std::shared_ptr<state> self);
   static boost::asio::awaitable<void> change_set(std::shared_ptr<state> self);
   /// Writes the proposed set to the store; true if the store holds it afterwards.
--- a/libs/disk/src/disk_membership.cc
+++ b/libs/disk/src/disk_membership.cc
@@ -1,5 +1,5 @@
-// Membership of a disk host in the ledger set: decides on changes, copies records into a joint
-// set (the old and the new members during a change), and completes the host's retirement.
+// Membership of a disk host in the ledger set: decides on changes, writes them to the store, and
+// completes the host's retirement.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -7,8 +7,6 @@
 #include "disk_host_state.h"
 #include "hawthornlane/discovery/fleet_state.h"
 #include "hawthornlane/limits/quota_lease.h"
-#include "hawthornlane/net/async_signal.h"
-#include "hawthornlane/net/message_bytes.h"
 #include "hawthornlane/telemetry/log.h"
 
 namespace hawthornlane::disk {
@@ -19,9 +17,11 @@
 
 namespace {
 
-/// A disk host that has not answered for this long may be replaced. A restart takes two to
-/// three seconds, and copying to another disk host costs more than waiting for the restart.
-constexpr auto failure_timeout = std::chrono::milliseconds(3500);
+/// A disk host that has not answered for this long may be replaced. Most restarts take less.
+/// The change has to end soon after: until then the loss of another disk stops the service.
+constexpr auto failure_timeout = std::chrono::milliseconds(2500);
+/// Another host's word on who is silent counts for this long.
+constexpr auto report_lifetime = std::chrono::milliseconds(1000);
 /// The timeout in a set of two, where the loss of one disk stops the service until the disk is
 /// replaced. It leaves time for several probes and a retransmitted packet, so that a short stall
 /// does not reduce the set to one disk.
@@ -35,13 +35,6 @@
 /// Maximum number of steps in one run of `change_set`: for example, proposing a joint set (the
 /// old and the new members), copying, and proposing the new set alone.
 constexpr int max_steps = 4;
-constexpr duration fence_timeout = std::chrono::milliseconds(1500);
-constexpr duration copy_timeout = std::chrono::milliseconds(1500);
-/// Pause before the members are asked again if too few could be copied from.
-constexpr auto copy_retry_interval = std::chrono::milliseconds(500);
-/// Pause between two pages, so that copying leaves most of half a core for serving turns.
-constexpr auto page_pause = std::chrono::milliseconds(5);
-
 /// A member that has been silent for this long is named in the log as one that the set waits for.
 constexpr auto reported_silence = std::chrono::milliseconds(1000);
 /// A joint set is logged from this age on.
@@ -76,7 +69,7 @@
 }
 
 std::size_t disk_host::state::skipped_candidates() {
-  set_view any_candidate = this->view();
+  set_view any_candidate = this->view(this->time_to_replacement());
   any_candidate.skipped_candidates = any_candidate.disks.size();
   const bool due = decide_set_change(any_candidate).step == set_step::propose;
   const net::steady_time now = steady::now();
@@ -89,10 +82,31 @@
   return static_cast<std::size_t>((now - this->due_since) / time_per_candidate);
 }
 
-set_view disk_host::state::view() const {
+duration disk_host::state::silence_of(const peer& other) const {
   const net::steady_time now = steady::now();
+  auto longest = std::chrono::duration_cast<duration>(now - other.received_at);
+  for (const auto& [name, witness] : this->peers) {
+    const auto age = std::chrono::duration_cast<duration>(now - witness.received_at);
+    if (other.answered || !witness.answered || age >= report_lifetime) {
+      continue;
+    }
+    for (const silent_disk& item : witness.silent) {
+      const bool same =
+          item.disk.get() == other.entry.disk && item.start == other.entry.start.get();
+      if (same) {
+        longest = std::max<duration>(longest, std::chrono::milliseconds(item.silent_ms) + age);
+      }
+    }
+  }
+  return longest;
+}
+
+duration disk_host::state::time_to_replacement() const {
   const bool of_two = this->set && this->set->members.size() == 2;
-  const auto wait = of_two ? failure_timeout_of_two : failure_timeout;
+  return of_two ? failure_timeout_of_two : failure_timeout;
+}
+
+set_view disk_host::state::view(duration wait) const {
   set_view view;
   view.self = this->ledger.identity();
   view.set = this->set;
@@ -100,7 +114,7 @@
   view.disks.push_back({view.self, true, this->is_retiring(this->self.name),
                         this->must_leave(this->self.name), this->copied});
   for (const auto& [name, other] : this->peers) {
-    view.disks.push_back({disk_id(other.entry.disk), now - other.received_at < wait,
+    view.disks.push_back({disk_id(other.entry.disk), this->silence_of(other) < wait,
                           this->is_retiring(name), this->must_leave(name), other.heard.copied});
   }
   return view;
@@ -154,6 +168,7 @@
 asio::awaitable<void> disk_host::state::run_membership_tasks(std::shared_ptr<state> self) {
   self->membership_running = true;
   co_await change_set(self);
+  co_await copy_ahead(self);
   co_await complete_retirement(self);
   self->membership_running = false;
 }
@@ -164,7 +179,7 @@
     co_return;
   }
   for (int step = 0; step < max_steps; ++step) {
-    set_view view = self->view();
+    set_view view = self->view(self->time_to_replacement());
     view.skipped_candidates = self->skipped_candidates();
     const set_decision decision = decide_set_change(view);
     if (decision.step == set_step::nothing) {
@@ -206,150 +221,6 @@
   co_return self->set&& * self->set == decision.proposed;
 }
 
-asio::awaitable<bool> disk_host::state::copy_from_members(std::shared_ptr<state> self) {
-  if (steady::now() < self->next_copy) {
-    co_return false;
-  }
-  const ledger_set joint = *self->set;
-  const std::size_t needed = read_quorum(joint.members);
-  // Start with this disk if it is a member: it needs no copying.
-  std::vector<disk_id> order = joint.members;
-  std::stable_partition(order.begin(), order.end(),
-                        [&](const disk_id& member) { return member == self->ledger.identity(); });
-  log(event::ledger_copy_started, {{"epoch", std::to_string(joint.epoch.get())}});
-  std::size_t sources = 0;
-  for (const disk_id& member : order) {
-    if (sources >= needed) {
-      break;
-    }
-    const bool good = co_await copy_old_records(self, joint, member);
-    sources += good ? 1 : 0;
-  }
-  const bool enough = sources >= needed;
-  if (enough) {
-    self->copied = joint.epoch;
-    self->ledger.set_copied(joint.epoch);
-  } else {
-    self->next_copy = steady::now() + copy_retry_interval;
-  }
-  log(event::ledger_copy_finished, {{"epoch", std::to_string(joint.epoch.get())},
-                                    {"sources", std::to_string(sources)},
-                                    {"enough", enough ? "yes" : "no"},
-                                    {"turns", std::to_string(self->ledger.held().turns())}});
-  co_return enough;
-}
-
-asio::awaitable<bool> disk_host::state::copy_old_records(std::shared_ptr<state> self,
-                                                         const ledger_set joint,
-                                                         const disk_id member) {
-  if (self->cursors[member].complete_below(joint.epoch)) {
-    co_return true;
-  }
-  const bool fenced = co_await fence_member(self, joint, member);
-  if (!fenced || member == self->ledger.identity()) {
-    co_return fenced;
-  }
-  const bool copied = co_await copy_from(self, member, joint.epoch);
-  co_return copied;
-}
-
-asio::awaitable<std::optional<std::string>> disk_host::state::send_request(
-    std::shared_ptr<state> self, disk_id where, ledger_method method, std::string payload,
-    duration timeout) {
-  struct outcome {
-    explicit outcome(asio::io_context& io) : signal(io) {}
-    std::optional<std::string> bytes;
-    net::async_signal signal;
-  };
-  const auto result = std::make_shared<outcome>(self->context);
-  if (where == self->ledger.identity()) {
-    self->ledger.serve(method, payload, [result](std::optional<std::string> bytes) {
-      result->bytes = std::move(bytes);
-      result->signal.wake();
-    });
-    co_await result->signal.wait();
-    co_return result->bytes;
-  }
-  std::shared_ptr<net::rpc_client> client;
-  for (const auto& [name, other] : self->peers) {
-    if (other.entry.disk == where.get()) {
-      client = other.client;
-    }
-  }
-  if (!client) {
-    co_return std::nullopt;
-  }
-  client->call(static_cast<std::uint16_t>(method), std::move(payload), timeout,
-               [result](net::rpc_failure why, std::string bytes) {
-                 if (why == net::rpc_failure::none) {
-                   result->bytes = std::move(bytes);
-                 }
-                 result->signal.wake();
-               });
-  co_await result->signal.wait();
-  co_return result->bytes;
-}
-
-asio::awaitable<bool> disk_host::state::fence_member(std::shared_ptr<state> self,
-                                                     const ledger_set joint, const disk_id member) {
-  const std::string fence_bytes = to_bytes(fence_request{joint});
-  const auto fenced =
-      co_await send_request(self, member, ledger_method::fence, fence_bytes, fence_timeout);
-  const auto member_state = fenced ? from_bytes<probe_response>(*fenced) : std::nullopt;
-  const bool good = member_state && member_state->disk == member;
-  if (good) {
-    self->cursors[member].on_fenced(joint.epoch);
-  }
-  co_return good;
-}
-
-asio::awaitable<bool> disk_host::state::copy_next_page(std::shared_ptr<state> self,
-                                                       const disk_id member, bool& pass_ended) {
-  const copy_cursor& before = self->cursors[member];
-  const std::string request = to_bytes(before.position()) + to_bytes(before.resumption());
-  const auto bytes =
-      co_await send_request(self, member, ledger_method::copy, request, copy_timeout);
-  const auto answer = bytes ? from_bytes_with_tail<copy_page, copy_progress>(*bytes) : std::nullopt;
-  if (!answer) {
-    co_return false;
-  }
-  const copy_page& page = answer->first;
-  const auto stored = std::make_shared<net::async_signal>(self->context);
-  const auto good = std::make_shared<bool>(false);
-  self->ledger.adopt(page.records, [stored, good](bool is_good) {
-    *good = is_good;
-    stored->wake();
-  });
-  co_await stored->wait();
-  if (!*good || (page.records.empty() && !page.last)) {
-    co_return false;
-  }
-  const auto cursor = self->cursors.find(member);
-  if (cursor == self->cursors.end()) {
-    co_return false;
-  }
-  pass_ended = cursor->second.on_page(page, answer->second);
-  co_return true;
-}
-
-asio::awaitable<bool> disk_host::state::copy_from(std::shared_ptr<state> self, const disk_id member,
-                                                  const set_epoch epoch) {
-  while (true) {
-    bool pass_ended = false;
-    const bool copied = co_await copy_next_page(self, member, pass_ended);
-    if (!copied) {
-      co_return false;
-    }
-    const bool enough =
-        epoch == set_epoch(0) ? pass_ended : self->cursors[member].complete_below(epoch);
-    if (enough) {
-      co_return true;
-    }
-    net::async_signal pause(self->context);
-    co_await pause.wait_until(steady::now() + page_pause);
-  }
-}
-
 asio::awaitable<void> disk_host::state::complete_retirement(std::shared_ptr<state> self) {
   const host_id& own = self->self.name;
   const auto known = self->retirements.find(own);
--- a/libs/disk/src/ledger_store.cc
+++ b/libs/disk/src/ledger_store.cc
@@ -207,7 +207,7 @@
       this->serve_copy(payload, answer);
       return;
     case ledger_method::probe:
-      answer(to_bytes(probe_response{this->id, this->copy.fence_epoch(), this->copied}));
+      answer(to_bytes(this->probe()));
       return;
     case ledger_method::quota:
       // Served by `quota_service`.
@@ -282,8 +282,7 @@
     this->append_fence();
   }
   this->when_durable([this, answer](bool good) {
-    const probe_response result{this->id, this->copy.fence_epoch(), this->copied};
-    answer(good ? std::optional(to_bytes(result)) : std::nullopt);
+    answer(good ? std::optional(to_bytes(this->probe())) : std::nullopt);
   });
 }
 
--- a/libs/limits/include/hawthornlane/limits/quota_lease.h
+++ b/libs/limits/include/hawthornlane/limits/quota_lease.h
@@ -13,7 +13,7 @@
 
 /// How long a confirmation by the store, or by a majority of the set, is valid. A member that has
 /// been silent for longer may be replaced.
-constexpr duration quota_lease_duration = std::chrono::milliseconds(3000);
+constexpr duration quota_lease_duration = std::chrono::milliseconds(2000);
 
 /// The last response of another disk to a probe.
 struct member_probe_result {
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
@@ -252,4 +252,28 @@
   }
 };
 
+/// A disk host that has not answered the sender for a while.
+struct silent_disk {
+  disk_id disk;
+  /// The process that the disk host has registered.
+  std::uint64_t start = 0;
+  std::uint32_t silent_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->disk, this->start, this->silent_ms);
+  }
+};
+
+/// Follows a `probe_response`: a host that has just started learns from it how long others have
+/// been silent. Hosts of older versions neither send nor read it.
+struct probe_report {
+  std::vector<silent_disk> silent;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->silent);
+  }
+};
+
 }  // namespace hawthornlane
--- a/scenarios/closing_fault.cc
+++ b/scenarios/closing_fault.cc
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <stdexcept>
+#include <vector>
 
 namespace hawthornlane::scenarios {
 using namespace std::chrono_literals;
@@ -61,18 +62,37 @@
       std::uniform_int_distribution<int>(min_ms, max_ms)(this->random));
 }
 
+std::size_t closing_fault::random_member() {
+  std::vector<std::size_t> members;
+  for (std::size_t number = 0; number < this->fleet.disks.size(); ++number) {
+    if (this->fleet.is_member(this->fleet.disks[number])) {
+      members.push_back(number);
+    }
+  }
+  return members.at(this->random_index(members.size()));
+}
+
+void closing_fault::report_late_set() {
+  if (this->set_was_late) {
+    this->promises.note(
+        fmt::format("the ledger set is not complete {} ms after the start of a replaced disk "
+                    "host's successor",
+                    catch_up.count()));
+  }
+}
+
 void closing_fault::prepare(net::steady_time now) {
   this->now_at = stage::waits_to_strike;
   this->stage_since = now;
   if (this->kind == closing_kind::wipe_after_replacement) {
-    this->replaced = this->random_index(this->fleet.disks.size());
+    this->replaced = this->random_member();
     soak_host& leaving = this->fleet.disks[this->replaced];
     const auto gap = this->random_duration(500, 1500);
     this->faults.record(
         fmt::format("{} is replaced, its successor starts {} ms later", leaving.name, gap.count()));
     this->fleet.replace(leaving, gap);
   } else if (this->kind == closing_kind::wipe_in_retirement) {
-    const soak_host& leaving = this->fleet.disks[this->random_index(this->fleet.disks.size())];
+    const soak_host& leaving = this->fleet.disks[this->random_member()];
     this->faults.record(leaving.name + " retires");
     this->fleet.retire(leaving);
   }
@@ -81,14 +101,15 @@
 bool closing_fault::may_strike(net::steady_time now) {
   if (this->kind == closing_kind::wipe_after_replacement) {
     const soak_host& successor = this->fleet.disks[this->replaced];
-    if (!successor.process || now < successor.started_at + catch_up) {
+    if (!successor.process) {
       return false;
     }
-    if (!this->fleet.ledger_set_is_stable()) {
-      this->promises.note("the ledger set is not complete " + std::to_string(catch_up.count()) +
-                          " ms after the start of a replaced disk host's successor");
+    if (!this->complete_after && this->fleet.ledger_set_is_stable()) {
+      this->complete_after =
+          std::chrono::duration_cast<std::chrono::milliseconds>(now - successor.started_at);
     }
-    return true;
+    this->set_was_late = !this->complete_after;
+    return now >= successor.started_at + catch_up;
   }
   if (this->kind == closing_kind::wipe_in_retirement) {
     return this->fleet.ledger_set_is_joint() || now >= this->stage_since + retirement_limit;
--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -147,6 +147,8 @@
       this->checker.note(
           fmt::format("{} of {} turns are served after the recovery time", served, sent));
     }
+    closing.report_late_set();
+    this->set_complete_after = closing.set_complete_after();
   }
 
   /// Runs everything until `done` or until a promise is broken; returns false at the limit.
@@ -176,6 +178,10 @@
     if (this->first_served_after) {
       fmt::print("; served {} ms after the return", this->first_served_after->count());
     }
+    if (this->set_complete_after) {
+      fmt::print("; set complete {} ms after the successor's start",
+                 this->set_complete_after->count());
+    }
     fmt::print("; {} faults; {}\n", this->faults.history().size(),
                this->checker.broken().empty() ? "promises kept" : "BROKEN");
     if (this->checker.broken().empty()) {
@@ -213,6 +219,7 @@
   net::steady_time calm_from{};
   /// From the return of all hosts after the closing fault to the next call that was served.
   std::optional<std::chrono::milliseconds> first_served_after;
+  std::optional<std::chrono::milliseconds> set_complete_after;
 };
 
 std::vector<std::uint64_t> seeds_of(std::map<std::string, docopt::value>& arguments) {
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -290,35 +290,32 @@
   return true;
 }
 
-std::set<std::string> soak_fleet::disk_identities() const {
-  std::set<std::string> identities;
-  for (const soak_host& disk : this->disks) {
-    std::ifstream file(disk.data_folder / "identity");
-    std::string identity;
-    file >> identity;
-    identities.insert(identity);
-  }
-  return identities;
+std::string soak_fleet::ledger_set_text() const {
+  return this->platform->spec_of("hawthornlane-hosts", "ledger-set");
+}
+
+bool soak_fleet::is_member(const soak_host& disk) const {
+  std::ifstream file(disk.data_folder / "identity");
+  std::string identity;
+  file >> identity;
+  return !identity.empty() && this->ledger_set_text().find(identity) != std::string::npos;
 }
 
 bool soak_fleet::ledger_set_is_joint() const {
-  const std::string set = this->platform->spec_of("hawthornlane-hosts", "ledger-set");
+  const std::string set = this->ledger_set_text();
   const std::size_t next = set.find("\"next\":[");
   return next != std::string::npos && set.at(set.find('[', next) + 1) != ']';
 }
 
 bool soak_fleet::ledger_set_is_stable() const {
-  constexpr std::size_t complete = 3;
-  const std::string set = this->platform->spec_of("hawthornlane-hosts", "ledger-set");
-  if (set.find("\"members\":[") == std::string::npos || this->ledger_set_is_joint()) {
+  constexpr std::ptrdiff_t complete = 3;
+  if (this->ledger_set_text().empty() || this->ledger_set_is_joint()) {
     return false;
   }
-  std::size_t present = 0;
-  for (const std::string& identity : this->disk_identities()) {
-    const bool is_member = !identity.empty() && set.find(identity) != std::string::npos;
-    present += is_member ? 1 : 0;
-  }
-  return present >= std::min(complete, this->disks.size());
+  const auto present =
+      std::count_if(this->disks.begin(), this->disks.end(),
+                    [this](const soak_host& disk) { return this->is_member(disk); });
+  return present >= std::min(complete, static_cast<std::ptrdiff_t>(this->disks.size()));
 }
 
 std::string soak_fleet::key_of(const std::string& account) { return account + "-key"; }
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -110,6 +109,8 @@
   /// the set is in progress.
   [[nodiscard]] bool ledger_set_is_stable() const;
   [[nodiscard]] bool ledger_set_is_joint() const;
+  /// True if the ledger set names the disk that the host has at present.
+  [[nodiscard]] bool is_member(const soak_host& disk) const;
   /// True if every host's process runs.
   [[nodiscard]] bool all_running();
 
@@ -147,7 +148,7 @@
   void remove_retired_disks();
   /// Stops a process for the rest of a period in which it has used up its processor time.
   void limit_processor(soak_host& host, bool begins_period);
-  [[nodiscard]] std::set<std::string> disk_identities() const;
+  [[nodiscard]] std::string ledger_set_text() const;
 
   boost::asio::io_context& context;
   net::deadline_sweeper sweeper;
