A joining disk that answers but cannot copy does not keep a set joint for ever

Cause: a joint set was taken back only if the joining disk was silent. One that answers probes but cannot copy (its links to the members are cut one way, its log fails) kept the set joint and without its third copy for as long as it answered.

Change: after 15 s a member that reaches a read quorum takes the change back, and that disk leaves the next attempt to others for 10 s. What it has copied stays, so a later attempt goes on there. Members that reach fewer do not decide: the joining disk may be the one that still copies.

Result: the new test failed before (a row: "ABD", overdue, expects a proposal) and passes; turn_ledger_test with its exhaustive search passes.

--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -186,6 +186,7 @@
   if (this->set && received->epoch <= this->set->epoch) {
     return;
   }
+  this->note_set_change(*received);
   this->set = received;
   this->set_since = this->set_confirmed_at;
   this->set_revision = object.revision;
--- a/libs/disk/src/disk_host_state.h
+++ b/libs/disk/src/disk_host_state.h
@@ -89,6 +89,8 @@
   /// Per member of the set, what has been copied from its disk.
   std::map<disk_id, copy_cursor> cursors;
   net::steady_time next_copy{};
+  /// This disk does not join before this time.
+  net::steady_time join_again_at{};
   net::steady_time next_copy_ahead{};
   std::map<std::string, std::uint64_t> counts;
 
@@ -115,6 +117,8 @@
 
   // Membership in the ledger set.
   [[nodiscard]] bool may_grant_quotas() const;
+  /// Notes if a change that should have added this disk was taken back because it took too long.
+  void note_set_change(const ledger_set& newer);
   [[nodiscard]] bool is_retiring(const host_id& name) const {
     return this->retirements.contains(name);
   }
--- a/libs/disk/src/disk_membership.cc
+++ b/libs/disk/src/disk_membership.cc
@@ -35,11 +35,21 @@
 /// Maximum number of steps in one run of `change_set`: for example, proposing a joint set (the
 /// old and the new members), copying, and proposing the new set alone.
 constexpr int max_steps = 4;
+/// A joint set is taken back after this time although the joining disk answers. Copying the
+/// largest log takes less.
+constexpr auto joint_time_limit = std::chrono::seconds(15);
+/// A disk whose change was taken back for that reason leaves the next attempt to others for this
+/// long.
+constexpr auto rejoin_delay = std::chrono::seconds(10);
 /// A member that has been silent for this long is named in the log as one that the set waits for.
 constexpr auto reported_silence = std::chrono::milliseconds(1000);
 /// A joint set is logged from this age on.
 constexpr auto reported_joint_time = std::chrono::milliseconds(1000);
 
+bool is_in(const std::vector<disk_id>& disks, const disk_id& disk) {
+  return std::find(disks.begin(), disks.end(), disk) != disks.end();
+}
+
 /// Converts to the clock of `discovery::scheduler_now`.
 timestamp timestamp_of(net::steady_time time) {
   return timestamp(std::chrono::duration_cast<duration>(time.time_since_epoch()));
@@ -47,6 +57,16 @@
 
 }  // namespace
 
+void disk_host::state::note_set_change(const ledger_set& newer) {
+  const disk_id& own = this->ledger.identity();
+  const bool was_joining =
+      this->set && is_in(this->set->next, own) && !is_in(this->set->members, own);
+  const bool too_late = steady::now() - this->set_since >= joint_time_limit;
+  if (was_joining && too_late && !is_in(newer.all(), own)) {
+    this->join_again_at = steady::now() + rejoin_delay;
+  }
+}
+
 bool disk_host::state::may_grant_quotas() const {
   if (!this->set) {
     return false;
@@ -110,6 +130,8 @@
   set_view view;
   view.self = this->ledger.identity();
   view.set = this->set;
+  view.joint_overdue =
+      this->set && this->set->joint() && steady::now() - this->set_since >= joint_time_limit;
   view.target_size = std::size_t{2} * this->settings.tolerated_losses + 1;
   view.disks.push_back({view.self, true, this->is_retiring(this->self.name),
                         this->must_leave(this->self.name), this->copied});
@@ -182,7 +204,10 @@
     set_view view = self->view(self->time_to_replacement());
     view.skipped_candidates = self->skipped_candidates();
     const set_decision decision = decide_set_change(view);
-    if (decision.step == set_step::nothing) {
+    const bool joins = decision.step == set_step::propose &&
+                       is_in(decision.proposed.next, view.self) &&
+                       !is_in(decision.proposed.members, view.self);
+    if (decision.step == set_step::nothing || (joins && steady::now() < self->join_again_at)) {
       break;
     }
     const bool succeeded = decision.step == set_step::propose ? co_await propose(self, decision)
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/set_change.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/set_change.h
@@ -37,6 +37,9 @@
   /// of their ids; the first that can does. This is the number of candidates that have had their
   /// time and have not made it, perhaps because they cannot reach the store.
   std::size_t skipped_candidates = 0;
+  /// The set has been joint for so long that a joining disk must be unable to copy, although it
+  /// answers. The change is then taken back, so that another disk can join.
+  bool joint_overdue = false;
   /// Disks that a set should have: twice the losses to tolerate at once, plus one.
   std::size_t target_size = 3;
 };
--- a/libs/turn_ledger/src/set_change.cc
+++ b/libs/turn_ledger/src/set_change.cc
@@ -113,10 +113,12 @@
   const bool copier_unreachable = std::any_of(
       copiers.begin(), copiers.end(),
       [&](const disk_id& disk) { return !has_copied(disk) && !is_reachable(view, disk); });
-  if (copier_unreachable && reaches_read_quorum(view, set) && may_act(view, set.members)) {
+  const bool may_abandon = copier_unreachable || view.joint_overdue;
+  if (may_abandon && reaches_read_quorum(view, set) && may_act(view, set.members)) {
     ledger_set proposed = next_epoch(set);
     proposed.next.clear();
-    return {set_step::propose, proposed, "a joining disk is gone"};
+    return {set_step::propose, proposed,
+            copier_unreachable ? "a joining disk is gone" : "a joining disk does not copy"};
   }
   return {};
 }
--- a/libs/turn_ledger/test/turn_ledger_test.cc
+++ b/libs/turn_ledger/test/turn_ledger_test.cc
@@ -365,6 +365,26 @@
   }
 }
 
+TEST_CASE("a joining disk that answers but never copies does not keep the set joint for ever") {
+  set_view view;
+  view.self = disk("A");
+  view.set = ledger_set{set_epoch(8), names("ABC"), names("ABD")};
+  const auto [disks, overdue, step] =
+      GENERATE(Catch::Generators::table<const char*, bool, set_step>(
+          {{"ABD", false, set_step::nothing},
+           {"ABD", true, set_step::propose},
+           // Too few old members are left to decide alone, and the joining disk may still copy.
+           {"AbD", true, set_step::nothing}}));
+  view.disks = disks_from(disks, set_epoch(8));
+  view.joint_overdue = overdue;
+  const set_decision decision = decide_set_change(view);
+  CHECK(decision.step == step);
+  if (step == set_step::propose) {
+    CHECK(text_of(decision.proposed.members) == "ABC");
+    CHECK(decision.proposed.next.empty());
+  }
+}
+
 TEST_CASE("a change is not lost when the first disk fails to make it") {
   set_view view;
   view.set = ledger_set{set_epoch(7), names("ABC"), {}};
