A disk host registers again after a late write of its earlier process

Cause: registration is an unconditional write, sent until it is confirmed once. The platform says that a write without an answer may be done seconds later: one of an earlier process may land after that of the present one, for example around a loss of power, and then names a disk that is gone at the address of one that is there. Nobody ever corrected it: front hosts got answers of another disk for ever.

Change: a disk host that reads its own entry as missing or of an earlier process registers again.

--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -61,8 +61,7 @@
       });
   this->serve_metrics();
   this->follow_store();
-  asio::co_spawn(this->context, discovery::keep_registered(this->context, this->store, this->self),
-                 asio::detached);
+  asio::co_spawn(this->context, register_self(this->shared_from_this()), asio::detached);
   this->sweeper.on_sweep([this] { this->on_sweep(); });
 }
 
@@ -201,8 +200,20 @@
                                   {"joint", received->joint() ? "yes" : "no"}});
 }
 
+asio::awaitable<void> disk_host::state::register_self(std::shared_ptr<state> self) {
+  self->registering = true;
+  co_await discovery::keep_registered(self->context, self->store, self->self);
+  self->registering = false;
+}
+
 void disk_host::state::refresh_peers() {
   const auto& listed = this->fleet.hosts().listed();
+  const auto own = listed.find(this->self.name);
+  // A write of an earlier process may reach the store after this one's.
+  const bool is_outdated = own == listed.end() || own->second.start < this->self.start;
+  if (is_outdated && !this->registering) {
+    asio::co_spawn(this->context, register_self(this->shared_from_this()), asio::detached);
+  }
   std::erase_if(this->peers, [&listed](const auto& item) { return !listed.contains(item.first); });
   for (const auto& [name, entry] : listed) {
     if (entry.role != host_role::disk || name == this->self.name) {
--- a/libs/disk/src/disk_host_state.h
+++ b/libs/disk/src/disk_host_state.h
@@ -82,6 +82,7 @@
   net::steady_time next_tick{};
   net::steady_time next_report{};
   bool membership_running = false;
+  bool registering = false;
   /// When a change of the set became due. Valid only while the set's epoch is `due_at_epoch`.
   net::steady_time due_since{};
   set_epoch due_at_epoch;
@@ -103,6 +104,7 @@
   void adopt_ledger_set(const platform_adapter::object_page& page);
   void adopt_ledger_set(const platform_adapter::stored_object& object);
   void refresh_peers();
+  static boost::asio::awaitable<void> register_self(std::shared_ptr<state> self);
   void on_sweep();
   void probe_peers();
   /// Logs what a change of the set, or the set itself, waits for; nothing if it waits for nothing.
--- a/scenarios/deployment_turns_test.cc
+++ b/scenarios/deployment_turns_test.cc
@@ -111,6 +111,26 @@
   store_turn(all, "t3", second);
 }
 
+TEST_CASE("a disk host registers again after a late write of its earlier process") {
+  deployment all({1, 3, 1, 1});
+  REQUIRE(is_up(all));
+  const std::string registered = all.store().spec_of("hawthornlane-hosts", "disk-0");
+  std::string late = registered;
+  const std::string field = "\"disk\":\"";
+  const std::size_t disk = late.find(field);
+  REQUIRE(disk != std::string::npos);
+  late.replace(disk + field.size(), 4, "late");
+  const std::size_t start = late.find("\"start\":");
+  REQUIRE(start != std::string::npos);
+  // Not the first digit, which must not become 0.
+  const std::size_t digit =
+      late.find_first_of("123456789", late.find_first_of("123456789", start) + 1);
+  late[digit] = static_cast<char>(late[digit] - 1);
+  all.store().put("hawthornlane-hosts", "disk-0", late);
+  CHECK(all.run_until(
+      [&] { return all.store().spec_of("hawthornlane-hosts", "disk-0") == registered; }));
+}
+
 TEST_CASE("a retiring disk host leaves the ledger set before it reports completion") {
   deployment all({1, 3, 1, 1});
   REQUIRE(is_up(all));
