Count a disk host as lost if another disk answers there or its log has failed

Cause: a probe counted whoever answered. A disk host that comes back with an empty disk, before its new entry is written, or another one at a reused address kept the lost disk "reachable", and a host whose log has failed refuses every append but answered probes. Neither was replaced, so the next loss would stand with one member.

Change: an answer counts only if it names the registered disk, and a host with a failed log does not answer probes.

Result: disk_test and deployment_test pass. No test of its own: the stand-ins can neither make a log fail nor reuse an address.

--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -50,7 +50,8 @@
       [this](std::uint16_t method, const std::string& payload, const net::rpc_reply& reply) {
         ++this->counts["requests_" + std::to_string(method)];
         if (static_cast<ledger_method>(method) == ledger_method::probe) {
-          reply(this->probe_answer());
+          // A host that can store nothing counts as lost, so that another one replaces it.
+          reply(this->ledger.failed() ? std::nullopt : std::optional(this->probe_answer()));
           return;
         }
         if (static_cast<ledger_method>(method) == ledger_method::quota) {
@@ -272,6 +273,10 @@
                        if (why != net::rpc_failure::none || !answer || found == this->peers.end()) {
                          return;
                        }
+                       // Another disk at the address says nothing about the registered one.
+                       if (answer->first.disk.get() != found->second.entry.disk) {
+                         return;
+                       }
                        found->second.heard = answer->first;
                        found->second.silent = answer->second.silent;
                        found->second.received_at = steady::now();
