Name a disk host that is only relayed to as silent, not as refusing

A suspected host now reads "no answer"; "refused" means the disk host itself. front_test is unchanged; the text has no test.

--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -27,7 +27,7 @@
   no_address,
   /// Neither a direct nor a relayed answer came in time.
   no_answer,
-  /// The host refused the request: its log failed, or the request was relayed in vain.
+  /// The disk host refused the request: its log failed, or its answer was unreadable.
   refused,
   /// Another disk answered at the address.
   other_disk,
@@ -110,6 +110,9 @@
   void ask(const disk_id& disk, const disk_request& what, net::rpc_done done);
   void ask_by_relay(const disk_id& disk, const disk_request& what, duration limit,
                     net::rpc_done done);
+  /// Why a request to a disk failed. A refusal by a host that relays says only that it does not
+  /// reach the disk either.
+  [[nodiscard]] disk_miss miss_of(const disk_id& disk, net::rpc_failure why) const;
   /// Records the outcome of a direct request.
   void note_outcome(const disk_id& disk, net::rpc_failure why);
   /// Drops links to disk hosts that are neither listed nor in the set.
--- a/libs/front/src/ledger_client.cc
+++ b/libs/front/src/ledger_client.cc
@@ -87,6 +87,14 @@
   std::erase_if(this->links, [&](const auto& item) { return !needed.contains(item.first); });
 }
 
+disk_miss ledger_client::miss_of(const disk_id& disk, net::rpc_failure why) const {
+  const auto found = this->links.find(disk);
+  if (found == this->links.end()) {
+    return disk_miss::no_address;
+  }
+  return is_no_answer(why) || found->second.suspected ? disk_miss::no_answer : disk_miss::refused;
+}
+
 void ledger_client::note_outcome(const disk_id& disk, net::rpc_failure why) {
   const auto found = this->links.find(disk);
   if (found == this->links.end()) {
--- a/libs/front/src/ledger_rounds.h
+++ b/libs/front/src/ledger_rounds.h
@@ -36,13 +36,6 @@
   [[nodiscard]] bool reached() const { return this->answered && !this->suspected; }
 };
 
-/// Why a request to a disk host whose address is known failed. An unreadable answer counts as a
-/// refusal.
-inline disk_miss miss_of(net::rpc_failure why) {
-  const bool answered = why == net::rpc_failure::none || why == net::rpc_failure::refused;
-  return answered ? disk_miss::refused : disk_miss::no_answer;
-}
-
 template <class Answer>
 void ledger_client::ask_each(const std::vector<disk_id>& disks, disk_request what,
                              const round_hooks<Answer>& hooks) {
@@ -52,7 +45,7 @@
       const bool good = why == net::rpc_failure::none;
       const auto answer = good ? from_bytes<Answer>(bytes) : std::nullopt;
       if (!answer) {
-        hooks.failed(disk, this->links.contains(disk) ? miss_of(why) : disk_miss::no_address);
+        hooks.failed(disk, this->miss_of(disk, why));
       } else if (answer->disk != disk) {
         hooks.failed(disk, disk_miss::other_disk);
       } else if (answer->stale) {
