--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/copy_cursor.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/copy_cursor.h
@@ -35,6 +35,8 @@
       return false;
     }
     if (begins) {
+      // The source has served its own changes from the first one if it does not know `process`.
+      this->since = same_process ? this->since : change_number(0);
       this->process = progress.source_process;
       this->pass_newest = progress.newest;
       this->pass_fence = this->fence;
