front_test: a stalled process does not make the test of held bodies miss the turn

Cause, in the test: it measured once, 100 ms after the start of a settlement that ends by itself after 150 ms. A process that stands still for longer finds both due, and the turn is over before the measurement.

Change: the largest of samples each 5 ms over a settlement of 1 s; both bounds are unchanged, and the upper one now holds for every sample.

--- a/libs/front/test/ledger_traffic_test.cc
+++ b/libs/front/test/ledger_traffic_test.cc
@@ -1,6 +1,9 @@
 // Traffic to the disk hosts and memory that turns use, if the links are slow or the disk hosts
 // report an outdated set.
+#include <algorithm>
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 
 #include "slow_disks.h"
 
@@ -111,11 +114,18 @@
   front.list_disks(places);
   const std::size_t before = bytes_in_use();
   bool kept = false;
-  front.begin_settle(kept_turn_request("t1"), whole_result(body), 150ms, kept);
+  front.begin_settle(kept_turn_request("t1"), whole_result(body), 1000ms, kept);
+  // The largest of many samples: a single one at a fixed time may come after the turn is over.
   std::size_t held = 0;
-  asio::steady_timer timer(front.context, 100ms);
-  timer.async_wait([&](const boost::system::error_code&) { held = bytes_in_use() - before; });
+  asio::steady_timer timer(front.context);
+  std::function<void()> sample = [&] {
+    held = std::max(held, std::max(bytes_in_use(), before) - before);
+    timer.expires_after(5ms);
+    timer.async_wait([&sample](const boost::system::error_code&) { sample(); });
+  };
+  asio::post(front.context, sample);
   front.run_all();
+  timer.cancel();
   CHECK_FALSE(kept);
   INFO("held " << held << " bytes");
   // Otherwise the measurement missed the turn.
