--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -54,7 +54,7 @@
 
 asio::awaitable<void> read_and_reset(asio::io_context& context, net::deadline_sweeper& sweeper,
                                      http::endpoint where, std::string bytes, std::string last,
-                                     std::shared_ptr<bool> done) {
+                                     std::shared_ptr<std::optional<std::string>> into) {
   net::timed_socket socket(context, sweeper);
   std::string answer;
   net::error_code error = co_await socket.connect(where, steady::now() + call_limit);
@@ -66,7 +66,7 @@
     error = co_await socket.read_more(answer, step, steady::now() + call_limit);
   }
   socket.close(true);
-  *done = true;
+  *into = std::move(answer);
 }
 
 asio::awaitable<void> exchange_bytes(asio::io_context& context, net::deadline_sweeper& sweeper,
@@ -200,14 +200,15 @@
   this->run_until([&done] { return *done; });
 }
 
-void deployment::reset_after(int front, const call_request& what, const std::string& text) {
-  const auto done = std::make_shared<bool>(false);
+std::string deployment::reset_after(int front, const call_request& what, const std::string& text) {
+  const auto received = std::make_shared<std::optional<std::string>>();
   asio::co_spawn(
       this->environment,
       read_and_reset(this->environment, this->sweeper, this->front_settings_of(front).callers_at,
-                     bytes_of(what), text, done),
+                     bytes_of(what), text, received),
       asio::detached);
-  this->run_until([&done] { return *done; });
+  this->run_until([&received] { return received->has_value(); });
+  return received->value_or("");
 }
 
 http::response deployment::get(const http::endpoint& where, const std::string& target) {
--- a/scenarios/deployment.h
+++ b/scenarios/deployment.h
@@ -54,8 +54,8 @@
   void disconnect_after(int front, const call_request& what, std::chrono::milliseconds delay);
 
   /// Starts a call and resets the connection once `text` was received; if `text` is empty,
-  /// once the request is sent.
-  void reset_after(int front, const call_request& what, const std::string& text);
+  /// once the request is sent. Returns what was received.
+  std::string reset_after(int front, const call_request& what, const std::string& text);
 
   [[nodiscard]] bool ready(int front);
   /// Response body of that front host's directory, which lists front host addresses.
--- a/scenarios/deployment_calls.h
+++ b/scenarios/deployment_calls.h
@@ -29,8 +29,8 @@
 }
 
 constexpr const char* three_events =
-    "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n";
-constexpr const char* three_data = "piece 1\npiece 2\npiece 3\n";
+    "id: 1\ndata: piece 1 of v1\n\nid: 2\ndata: piece 2 of v1\n\nid: 3\ndata: piece 3 of v1\n\n";
+constexpr const char* three_data = "piece 1 of v1\npiece 2 of v1\npiece 3 of v1\n";
 
 inline int runs_of(const deployment& all, const std::string& id) {
   int runs = 0;
--- a/scenarios/deployment_test.cc
+++ b/scenarios/deployment_test.cc
@@ -144,13 +144,14 @@
   const row rows[] = {{"the request is sent", "", 0},
                       {"the response head is received", "200 OK", 0},
                       {"inside the first event", "id: 1", 0},
-                      {"the first event is received", "piece 1\n\n", 1},
+                      {"the first event is received", "piece 1 of v1\n\n", 1},
                       {"inside the second event", "id: 2", 1},
-                      {"the second event is received", "piece 2\n\n", 2},
-                      {"the last event is received", "piece 3\n\n", 3},
+                      {"the second event is received", "piece 2 of v1\n\n", 2},
+                      {"the last event is received", "piece 3 of v1\n\n", 3},
                       {"everything is received", "\r\n0\r\n", 3}};
-  const std::vector<std::string> pieces = {"id: 1\ndata: piece 1\n\n", "id: 2\ndata: piece 2\n\n",
-                                           "id: 3\ndata: piece 3\n\n"};
+  const std::vector<std::string> pieces = {"id: 1\ndata: piece 1 of v1\n\n",
+                                           "id: 2\ndata: piece 2 of v1\n\n",
+                                           "id: 3\ndata: piece 3 of v1\n\n"};
   int number = 0;
   for (const row& item : rows) {
     for (const bool resumable : {true, false}) {
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -94,6 +94,10 @@
   [[nodiscard]] const std::string& instance() const;
   /// Sets the number of events of a streamed response and the time between two.
   void set_events(int events, std::chrono::milliseconds delay = {});
+  /// Sets the version of the server's software, which each event of a stream contains; "v1" at
+  /// first.
+  void set_version(std::string version);
+  [[nodiscard]] const std::string& version() const;
   /// Sets a delay before each request is read from a connection.
   void set_read_delay(std::chrono::milliseconds delay);
   [[nodiscard]] const std::vector<backend_arrival>& arrivals() const;
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -80,6 +80,7 @@
   asio::io_context& context;
   net::deadline_sweeper& sweeper;
   std::string instance;
+  std::string version = "v1";
   std::shared_ptr<behavior_script> script;
   tcp::acceptor acceptor;
   int events = 3;
@@ -96,8 +97,8 @@
     }
   }
 
-  static std::string event_bytes(int event) {
-    return fmt::format("id: {}\ndata: piece {}\n\n", event, event);
+  [[nodiscard]] std::string event_bytes(int event) const {
+    return fmt::format("id: {}\ndata: piece {} of {}\n\n", event, event, this->version);
   }
 
   /// The event after which the caller resumes the stream; 0 means from the start.
@@ -108,7 +109,7 @@
   std::string events_after(int last) const {
     std::string bytes;
     for (int event = last + 1; event <= this->events; ++event) {
-      bytes += event_bytes(event);
+      bytes += this->event_bytes(event);
     }
     return bytes;
   }
@@ -242,7 +243,7 @@
     bool open = co_await caller.start(200, headers);
     for (int event = last_event_of(request) + 1; open && event <= self->events; ++event) {
       const bool cut = behavior == backend_behavior::truncate && event == self->events;
-      const std::string bytes = event_bytes(event);
+      const std::string bytes = self->event_bytes(event);
       const std::string sent = cut ? bytes.substr(0, bytes.size() / 2) : bytes;
       open = co_await caller.write(sent);
       if (cut) {
@@ -284,6 +285,12 @@
   this->shared->event_interval = delay;
 }
 
+void scripted_backend::set_version(std::string version) {
+  this->shared->version = std::move(version);
+}
+
+const std::string& scripted_backend::version() const { return this->shared->version; }
+
 void scripted_backend::set_read_delay(std::chrono::milliseconds delay) {
   this->shared->read_delay = delay;
 }
@@ -315,9 +322,9 @@
 std::string scripted_backend::entry_at(const http::endpoint& where, const std::string& service,
                                        const std::string& zone, bool draining) const {
   return fmt::format(
-      R"({{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":4,"state":"{}",)"
+      R"({{"service":"{}","address":"{}","zone":"{}","version":"{}","slots":4,"state":"{}",)"
       R"("cold-remaining-ms":0,"seq":1}})",
-      service, http::to_string(where), zone, draining ? "draining" : "ready");
+      service, http::to_string(where), zone, this->version(), draining ? "draining" : "ready");
 }
 
 }  // namespace hawthornlane::stand_ins
