Fault soak: releases in three versions under faults, and callers that resume their streams

The soak could not see streams of two versions: all servers wrote the same, no caller used `Resumes`, and servers were replaced one at a time by equal ones. Releases now replace all model servers, one after the other with a drain, every 2 to 6 s and beside all other faults; callers read streams, leave them in the middle or lose them, and resume them at other hosts. The checker follows a stream over its attempts (events in order, one version), and compares the share of resumptions that go on in calm times, while two servers of their version serve, with that of new streams.

--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -115,6 +115,9 @@
     if (!this->run_until([&done] { return done; }, verify_limit)) {
       this->checker.note("the check after the faults did not finish in time");
     }
+    if (const auto broken = this->checker.of_streams().broken_share()) {
+      this->checker.note(*broken);
+    }
     this->report();
     return this->checker.broken().empty();
   }
@@ -175,6 +178,10 @@
       fmt::print("; {} hosts up to {} MB, {}% of the limit", kind, use.peak_kb / kb_per_mb,
                  use.peak_kb * percent / use.limit_kb);
     }
+    const attempt_share& resumed = this->checker.of_streams().resumed();
+    const attempt_share& begun = this->checker.of_streams().begun();
+    fmt::print("; calm: {} of {} resumptions go on, {} of {} streams begin", resumed.served,
+               resumed.sent, begun.served, begun.sent);
     if (this->first_served_after) {
       fmt::print("; served {} ms after the return", this->first_served_after->count());
     }
--- a/scenarios/promise_checker.cc
+++ b/scenarios/promise_checker.cc
@@ -9,8 +9,7 @@
 namespace hawthornlane::scenarios {
 namespace {
 
-/// Values of the stand-in model servers and of the test configuration.
-constexpr int events_per_turn = 3;
+/// Of the test configuration.
 constexpr int tokens_per_event = 10;
 /// A call that is cut off this soon after it was sent may have been on its way while the host
 /// closed the connection.
@@ -24,33 +23,8 @@
   return std::find(promises.begin(), promises.end(), status) != promises.end();
 }
 
-std::size_t events_in(const std::string& body) {
-  std::size_t events = 0;
-  for (std::size_t at = body.find("\n\n"); at != std::string::npos;
-       at = body.find("\n\n", at + 2)) {
-    ++events;
-  }
-  return events;
-}
-
 }  // namespace
 
-std::string events_of_turn() {
-  std::string events;
-  for (int event = 1; event <= events_per_turn; ++event) {
-    events += fmt::format("id: {}\ndata: piece {}\n\n", event, event);
-  }
-  return events;
-}
-
-std::string output_of_turn() {
-  std::string output;
-  for (int event = 1; event <= events_per_turn; ++event) {
-    output += fmt::format("piece {}\n", event);
-  }
-  return output;
-}
-
 void promise_checker::note(const std::string& what) { this->found.push_back(what); }
 
 void promise_checker::on_sent(const sent_call& call) { this->calls[call.request.id].sent = call; }
@@ -121,7 +95,7 @@
   if (result.status >= first_success && result.status < first_after_success) {
     this->check_success(call, result);
   }
-  const bool cut = result.status == 0 || !result.whole;
+  const bool cut = (result.status == 0 || !result.whole) && !result.left;
   if (calm && cut && (call.runs > 0 || result.took > crossing_slack)) {
     this->note(fmt::format("{} was cut off after {} ms with no fault active, run {} times", id,
                            result.took.count(), call.runs));
@@ -157,16 +131,17 @@
 }
 
 void promise_checker::check_stream(const known_call& call, const call_result& result) {
-  const std::string& id = call.sent.request.id;
-  const std::string expected = events_of_turn();
-  if (!expected.starts_with(result.body)) {
-    this->note(fmt::format("{} received events out of order", id));
-  }
-  if (result.whole && result.body != expected) {
-    this->note(fmt::format("the stream of {} ended early and looks complete", id));
+  const bool is_resumption = !call.sent.resumes.empty();
+  stream_part part;
+  part.stream = is_resumption ? call.sent.resumes : call.sent.request.id;
+  part.after = call.sent.last_event;
+  part.events = result.body;
+  part.whole = result.whole;
+  for (const std::string& broken : this->streams.on_part(part)) {
+    this->note(broken);
   }
   int& used = this->tokens[call.sent.program];
-  used += static_cast<int>(events_in(result.body)) * tokens_per_event;
+  used += events_in(result.body) * tokens_per_event;
   const int max_tokens_per_turn = events_per_turn * tokens_per_event;
   if (call.sent.budget != 0 && used > call.sent.budget + max_tokens_per_turn) {
     this->note(fmt::format("program {} received {} tokens, budget {}", call.sent.program, used,
--- a/scenarios/promise_checker.h
+++ b/scenarios/promise_checker.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "hawthornlane/stand_ins/scripted_backend.h"
+#include "stream_promises.h"
 #include "test_caller.h"
 
 namespace hawthornlane::scenarios {
@@ -37,6 +38,11 @@
   /// Continues a turn that was answered completely and is still stored.
   bool continues_turn = false;
   bool is_stream = false;
+  /// Takes up a stream: the attempt that brought its first event, and the last event received.
+  std::string resumes;
+  int last_event = 0;
+  /// The caller leaves after this number of events; 0: it does not.
+  int leave_after = 0;
   /// Every configuration that may be in force contains the call's route.
   bool route_is_certain = true;
 };
@@ -71,6 +77,8 @@
   /// Of each kind, the process that came closest to its limit.
   [[nodiscard]] const std::map<std::string, memory_use>& memory() const { return this->largest; }
   [[nodiscard]] int runs(const std::string& id) const;
+  [[nodiscard]] bool was_sent(const std::string& id) const { return this->calls.contains(id); }
+  [[nodiscard]] stream_promises& of_streams() { return this->streams; }
 
 private:
   struct known_call {
@@ -83,6 +91,7 @@
   void check_success(const known_call& call, const call_result& result);
   void check_stream(const known_call& call, const call_result& result);
 
+  stream_promises streams;
   std::map<std::string, known_call> calls;
   std::map<std::string, int> tokens;
   std::map<int, std::uint64_t> counts;
@@ -92,8 +101,4 @@
   std::vector<std::string> found;
 };
 
-/// Response of a stand-in model server to one turn, and the output that is stored of it.
-std::string events_of_turn();
-std::string output_of_turn();
-
 }  // namespace hawthornlane::scenarios
--- a/scenarios/promise_checker_test.cc
+++ b/scenarios/promise_checker_test.cc
@@ -56,6 +56,21 @@
   return result;
 }
 
+/// A stream whose first event comes from v1, and its resumption with what follows `from` bytes of
+/// the whole stream of `version`.
+void play_resumption(promise_checker& checker, const std::string& version, std::size_t from) {
+  sent_call first = turn_call();
+  first.continues_turn = false;
+  checker.on_sent(first);
+  checker.on_answer("r1", cut_short(answer(200, events_of_turn().substr(0, 27))), false);
+  sent_call second = first;
+  second.request.id = "r2";
+  second.resumes = "r1";
+  second.last_event = 1;
+  checker.on_sent(second);
+  checker.on_answer("r2", answer(200, events_of_turn(version).substr(from), "seal-r2"), false);
+}
+
 }  // namespace
 
 TEST_CASE("the checker reports broken promises and no others") {
@@ -111,12 +126,24 @@
       {"a stored turn that is unknown", ends(turn, 0, answer(404)), 1},
       {"a complete stream", ends(turn, 1, answer(200, events)), 0},
       {"a stream cut off while a fault is active",
-       ends(turn, 1, cut_short(answer(200, events.substr(0, 21)))), 0},
+       ends(turn, 1, cut_short(answer(200, events.substr(0, 27)))), 0},
       {"a stream cut off while no fault is active",
-       ends(turn, 1, cut_short(answer(200, events.substr(0, 21))), true), 1},
+       ends(turn, 1, cut_short(answer(200, events.substr(0, 27))), true), 1},
       {"a stream that ends early and looks complete",
-       ends(turn, 1, answer(200, events.substr(0, 21))), 1},
+       ends(turn, 1, answer(200, events.substr(0, 27))), 1},
       {"events out of order", ends(turn, 1, cut_short(answer(200, "id: 2"))), 1},
+      {"a stream of two versions",
+       ends(turn, 1, cut_short(answer(200, events_of_turn().substr(0, 27) +
+                                               events_of_turn("v2").substr(27)))),
+       1},
+      {"a resumption at the version that began its stream",
+       [](promise_checker& checker) { play_resumption(checker, "v1", 27); }, 0},
+      {"a resumption at another version",
+       [](promise_checker& checker) { play_resumption(checker, "v2", 27); }, 1},
+      {"a resumption that leaves an event out",
+       [](promise_checker& checker) { play_resumption(checker, "v1", 54); }, 1},
+      {"a resumption that repeats an event",
+       [](promise_checker& checker) { play_resumption(checker, "v1", 0); }, 1},
       {"a call that crossed the host's close", ends(once, 0, cut_short(answer(0), 50ms), true), 0},
       {"a call that ran and was cut off", ends(once, 1, cut_short(answer(0), 50ms), true), 1},
       {"more tokens than the budget and one turn",
@@ -162,3 +189,26 @@
   const std::map<std::string, memory_use> nearest{{"front", {70, 100}}, {"disk", {90, 300}}};
   CHECK(checker.memory() == nearest);
 }
+
+TEST_CASE("too few resumptions that go on are reported") {
+  struct row {
+    const char* what;
+    int sent;
+    int served;
+    bool broken;
+  };
+  const row rows[] = {{"eleven, none goes on", 11, 0, false},
+                      {"twelve, five go on", 12, 5, true},
+                      {"twelve, six go on", 12, 6, false}};
+  for (const row& item : rows) {
+    INFO(item.what);
+    stream_promises streams;
+    for (int number = 0; number < 10; ++number) {
+      streams.on_calm_attempt(false, true);
+    }
+    for (int number = 0; number < item.sent; ++number) {
+      streams.on_calm_attempt(true, number < item.served);
+    }
+    CHECK(streams.broken_share().has_value() == item.broken);
+  }
+}
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -107,6 +107,8 @@
       }
     } else if (kind < 7) {
       co_await this->run_budgeted(who);
+    } else if (kind < 9) {
+      co_await this->run_resumed(who);
     } else {
       co_await this->run_tools(who, 3);
     }
@@ -147,7 +149,7 @@
       co_return;
     }
     line.turn = sent.request.id;
-    line.history = sent.body_at_server + output_of_turn();
+    line.history = sent.body_at_server + output_of(result.body);
     line.ended = steady::now();
     this->lines.push_back(line);
     if (this->lines.size() > max_stored_turns) {
@@ -174,6 +176,58 @@
   }
 }
 
+/// Streams that break, or whose caller moves to another host in the middle, and their resumptions.
+asio::awaitable<void> soak_callers::run_resumed(caller& who) {
+  constexpr int ample_budget = 100'000;
+  constexpr int most_attempts = 5;
+  sent_call call;
+  call.program = this->fresh_id();
+  call.is_stream = true;
+  call.repeats = repetition::resumable;
+  std::string origin;
+  int received = 0;
+  for (int number = 0; number < most_attempts; ++number) {
+    call.request = turn_request_of("/resumed/x", this->fresh_id(), call.program, "", ample_budget);
+    call.body_at_server = call.request.body;
+    call.resumes = origin;
+    call.last_event = received;
+    if (received > 0) {
+      call.request.headers.push_back({"Last-Event-Id", std::to_string(received)});
+      call.request.headers.push_back({"Resumes", origin});
+    }
+    call.leave_after = who.chance(0.6) ? 1 + static_cast<int>(who.random_index(2)) : 0;
+    const call_result result = co_await this->attempt_stream(who, call);
+    const int brought = result.status == 200 ? events_in(result.body) : 0;
+    const bool ended = result.status == 200 && result.whole;
+    const bool refused = received > 0 && result.status == 503;
+    if (ended || refused) {
+      break;
+    }
+    origin = received == 0 && brought > 0 ? call.request.id : origin;
+    received += brought;
+    if (received == events_per_turn) {
+      break;
+    }
+    co_await pause(std::chrono::milliseconds(who.random_index(60)));
+  }
+}
+
+asio::awaitable<call_result> soak_callers::attempt_stream(caller& who, const sent_call& what) {
+  const auto version = this->promises.of_streams().version_of(what.resumes);
+  const auto serves = [this, &version] {
+    constexpr int enough_servers = 2;
+    return !version || this->fleet.ready_engines(*version) >= enough_servers;
+  };
+  const auto began = steady::now();
+  const bool served_before = serves();
+  const call_result result = co_await this->attempt(who, what);
+  const bool sent = this->promises.was_sent(what.request.id);
+  if (sent && served_before && serves() && this->calm(began)) {
+    this->promises.of_streams().on_calm_attempt(!what.resumes.empty(), result.status == 200);
+  }
+  co_return result;
+}
+
 asio::awaitable<void> soak_callers::run_tools(caller& who, int calls) {
   for (int number = 0; number < calls; ++number) {
     sent_call call;
@@ -272,7 +326,10 @@
   const auto until = began + call_limit + answer_slack;
   const net::error_code failed = co_await who.socket->write_all(bytes, until);
   if (!failed) {
-    co_await read_answer(*who.socket, who.buffer, until, result);
+    const auto has_enough = [wanted = what.leave_after](const std::string& body) {
+      return wanted > 0 && events_in(body) >= wanted;
+    };
+    co_await read_answer(*who.socket, who.buffer, until, result, has_enough);
   }
   const auto ended = steady::now();
   result.took = std::chrono::duration_cast<std::chrono::milliseconds>(ended - began);
--- a/scenarios/soak_callers.h
+++ b/scenarios/soak_callers.h
@@ -57,6 +57,9 @@
   boost::asio::awaitable<void> run_caller(std::uint64_t seed);
   boost::asio::awaitable<void> run_conversation(caller& who, conversation_state from, int turns);
   boost::asio::awaitable<void> run_budgeted(caller& who);
+  boost::asio::awaitable<void> run_resumed(caller& who);
+  /// Sends an attempt at a stream and counts it, if no fault is active.
+  boost::asio::awaitable<call_result> attempt_stream(caller& who, const sent_call& what);
   boost::asio::awaitable<void> run_tools(caller& who, int calls);
   boost::asio::awaitable<void> probe_configuration();
   /// Reports each front host that does not serve that version's route.
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -30,7 +30,11 @@
 }  // namespace
 
 soak_faults::soak_faults(soak_fleet& deployment, std::uint64_t seed)
-    : fleet(deployment), random(seed), began(steady::now()), growth_random(seed) {
+    : fleet(deployment),
+      random(seed),
+      began(steady::now()),
+      growth_random(seed),
+      release_random(seed) {
   const std::vector<fault_kind> groups[] = {this->process_faults(), this->link_faults(),
                                             this->environment_faults(),
                                             this->planned_maintenance()};
@@ -322,6 +326,15 @@
   if (this->fleet.grows()) {
     this->grow(now);
   }
+  if (now >= this->next_release) {
+    if (this->next_release != net::steady_time{}) {
+      this->fleet.begin_release();
+      ++this->begun["release of the model servers"];
+      this->note(now, "release of the model servers");
+    }
+    this->next_release = now + std::chrono::milliseconds(std::uniform_int_distribution<int>(
+                                   2000, 6000)(this->release_random));
+  }
   if (now >= this->period_ends) {
     this->maintenance_only = this->random_index(3) == 0;
     this->period_ends = now + this->random_duration(4000, 9000);
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -77,6 +77,9 @@
   std::mt19937_64 growth_random;
   net::steady_time next_growth{};
   int growth_step = 0;
+  /// Likewise for releases of the model servers.
+  std::mt19937_64 release_random;
+  net::steady_time next_release{};
   std::map<std::string, std::uint64_t> begun;
   std::vector<std::string> lines;
 };
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -38,6 +38,9 @@
 /// A host may use its share of a core in each period of this length, and is stopped for the rest of
 /// it, as by the kernel's bandwidth control.
 constexpr auto limit_period = std::chrono::milliseconds(100);
+/// Pause between the replacements of a release, and how long a replaced server drains.
+constexpr auto replacement_gap = std::chrono::milliseconds(400);
+constexpr auto drain_time = std::chrono::milliseconds(2500);
 constexpr auto limit_check_interval = std::chrono::milliseconds(5);
 /// Availability zones that hosts of a kind are spread over.
 constexpr int zones = 4;
@@ -172,6 +175,7 @@
 
 void soak_fleet::supervise_processes() {
   const net::steady_time now = steady::now();
+  this->step_release();
   if (now >= this->next_memory_check) {
     this->next_memory_check = now + memory_check_interval;
     this->check_memory();
@@ -371,7 +375,8 @@
     this->promises.on_arrival(name, arrival);
   });
   if (is_engine) {
-    made.server->set_events(3, std::chrono::milliseconds(8));
+    made.server->set_version(this->engine_version);
+    made.server->set_events(events_per_turn, std::chrono::milliseconds(8));
   }
   return made;
 }
@@ -387,6 +392,52 @@
       backend.server->entry_at(backend.proxy->where(), backend.service, "z0", draining));
 }
 
+void soak_fleet::begin_release() {
+  constexpr std::array versions{"v1", "v2", "v3"};
+  this->engine_version = versions.at(static_cast<std::size_t>(++this->releases) % versions.size());
+  this->to_replace.clear();
+  for (const soak_backend& backend : this->backends) {
+    if (backend.service == "models") {
+      this->to_replace.push_back(backend.server->instance());
+    }
+  }
+}
+
+void soak_fleet::step_release() {
+  const net::steady_time now = steady::now();
+  std::erase_if(this->draining, [this, now](const draining_backend& item) {
+    if (now >= item.remove_at) {
+      this->platform->remove("servers", item.instance);
+    }
+    return now >= item.remove_at;
+  });
+  if (this->to_replace.empty() || now < this->next_replacement) {
+    return;
+  }
+  this->next_replacement = now + replacement_gap;
+  const std::string instance = std::move(this->to_replace.back());
+  this->to_replace.pop_back();
+  for (soak_backend& backend : this->backends) {
+    if (backend.server->instance() != instance) {
+      continue;
+    }
+    soak_backend fresh = this->make_backend(backend.service);
+    this->list(fresh, false);
+    this->list(backend, true);
+    std::swap(backend, fresh);
+    this->draining.push_back({instance, now + drain_time});
+    this->removed_backends.push_back(std::move(fresh));
+    return;
+  }
+}
+
+int soak_fleet::ready_engines(const std::string& version) const {
+  const auto is_ready = [&version](const soak_backend& backend) {
+    return backend.service == "models" && backend.server->version() == version;
+  };
+  return static_cast<int>(std::count_if(this->backends.begin(), this->backends.end(), is_ready));
+}
+
 void soak_fleet::replace_backend(soak_backend& backend) {
   this->platform->remove("servers", backend.server->instance());
   soak_backend fresh = this->make_backend(backend.service);
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -126,6 +126,11 @@
   /// Removes a backend server as planned and adds another one in its place.
   void replace_backend(soak_backend& backend);
 
+  /// Begins to replace all model servers, one after the other, by servers of another version.
+  void begin_release();
+  /// Number of model servers of this version that are listed and not draining.
+  [[nodiscard]] int ready_engines(const std::string& version) const;
+
   std::vector<soak_host> fronts;
   std::vector<soak_host> disks;
   std::vector<soak_backend> backends;
@@ -146,6 +151,8 @@
   void check_memory(const soak_host& host);
   void supervise_process(soak_host& host);
   void remove_retired_disks();
+  /// Takes the steps of a release that are due.
+  void step_release();
   /// Stops a process for the rest of a period in which it has used up its processor time.
   void limit_processor(soak_host& host, bool begins_period);
   [[nodiscard]] std::string ledger_set_text() const;
@@ -155,6 +162,18 @@
   std::filesystem::path folder;
   promise_checker& promises;
   std::unique_ptr<stand_ins::object_platform> platform;
+  /// Version of the model servers that start now.
+  std::string engine_version = "v1";
+  int releases = 0;
+  /// Instances that the release under way still has to replace.
+  std::vector<std::string> to_replace;
+  net::steady_time next_replacement{};
+  /// A model server that drains, and when its entry is removed.
+  struct draining_backend {
+    std::string instance;
+    net::steady_time remove_at;
+  };
+  std::vector<draining_backend> draining;
   /// Removed servers, which may still have open connections from callers.
   std::vector<soak_backend> removed_backends;
   /// Hosts that were removed for good; faults may still use their proxies.
--- a/scenarios/test_caller.cc
+++ b/scenarios/test_caller.cc
@@ -76,7 +76,8 @@
 }
 
 asio::awaitable<void> read_answer(net::timed_socket& socket, std::string& buffer,
-                                  net::steady_time until, call_result& into) {
+                                  net::steady_time until, call_result& into,
+                                  std::function<bool(const std::string& body)> is_enough) {
   bhttp::response_parser<bhttp::string_body> parser;
   parser.eager(true);
   parser.body_limit(boost::none);
@@ -94,7 +95,8 @@
         co_return;
       }
     }
-    if (parser.is_done()) {
+    into.left = is_enough && !parser.is_done() && is_enough(parser.get().body());
+    if (parser.is_done() || into.left) {
       break;
     }
     const net::error_code error = co_await socket.read_more(buffer, step, until);
--- a/scenarios/test_caller.h
+++ b/scenarios/test_caller.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,8 @@
   bool whole = false;
   /// The received bytes are not valid HTTP.
   bool malformed = false;
+  /// The caller closed the connection before the end.
+  bool left = false;
   std::chrono::milliseconds took{};
 
   [[nodiscard]] std::optional<std::string> header(const std::string& name) const;
@@ -47,9 +50,11 @@
 /// Serializes a request.
 std::string bytes_of(const call_request& what);
 
-/// Reads one response, or what arrives of it; `buffer` keeps the bytes that follow.
-boost::asio::awaitable<void> read_answer(net::timed_socket& socket, std::string& buffer,
-                                         net::steady_time until, call_result& into);
+/// Reads one response, or what arrives of it; `buffer` keeps the bytes that follow. Stops early
+/// once `is_enough` returns true for the body so far; it may be empty.
+boost::asio::awaitable<void> read_answer(
+    net::timed_socket& socket, std::string& buffer, net::steady_time until, call_result& into,
+    std::function<bool(const std::string& body)> is_enough = {});
 
 /// A free port, from a range of this process.
 std::uint16_t free_port();
