A stream goes on only at the software version that began it

A caller's resumption was placed like any other call, and so was the resumption inside one answer. Nothing that outlives the choice of the first server knew its version.

The front host now stores the service and version that begin a stream with its reservation, before the first event leaves: in the admission's append while servers of one version may get new calls, else in a second append once the server is chosen. A resumption learns it from the disks' responses to its own reservation and goes only to listed servers of that version; it is refused at once, not run, if the version is not known (`stream_version_unknown`) or has no server left (`stream_version_gone`). The same holds inside an answer. The stored field follows the messages and records as a tail, which the build before neither sends nor reads.

Found in this change before it was committed: GCC 12 evaluates a condition of three `co_await` operands wrongly, so a refused call went on to the ledger.

--- a/libs/disk/include/hawthornlane/disk/ledger_store.h
+++ b/libs/disk/include/hawthornlane/disk/ledger_store.h
@@ -43,6 +43,9 @@
   /// Serves one request. Answers `nullopt` if it is not a valid ledger request, or if the
   /// change could not be written.
   void serve(ledger_method method, const std::string& payload, const reply& answer);
+  /// Records have been copied from a host that does not store origins. Until the streams of that
+  /// time have ended, this disk reports none.
+  void note_missing_origins();
   /// Applies records copied from another disk. Calls `done` when they are on disk or the
   /// write failed.
   void adopt(const std::vector<ledger_record>& records, std::function<void(bool good)> done);
@@ -95,6 +98,9 @@
   std::size_t append_record(const ledger_record& record);
   void serve_append(const std::string& payload, const reply& answer);
   void serve_collect(const std::string& payload, const reply& answer);
+  /// What follows the response to a request that asked for an attempt's origin.
+  [[nodiscard]] std::string report_bytes(const program_id& program,
+                                         const std::optional<request_id>& asked) const;
   void serve_chain(const std::string& payload, const reply& answer);
   void serve_fence(const std::string& payload, const reply& answer);
   void serve_copy(const std::string& payload, const reply& answer);
@@ -126,6 +132,7 @@
   /// Bytes that the last compaction, or the one in progress, has rewritten.
   std::uint64_t rewritten_bytes = 0;
   std::unique_ptr<turn_log> log;
+  std::chrono::steady_clock::time_point reports_origins_from{};
 };
 
 }  // namespace hawthornlane::disk
--- a/libs/disk/src/disk_copies.cc
+++ b/libs/disk/src/disk_copies.cc
@@ -159,11 +159,16 @@
   const std::string request = to_bytes(before.position()) + to_bytes(before.resumption());
   const auto bytes =
       co_await send_request(self, member, ledger_method::copy, request, copy_timeout);
-  const auto answer = bytes ? from_bytes_with_tail<copy_page, copy_progress>(*bytes) : std::nullopt;
+  auto answer =
+      bytes ? from_bytes_with_tails<copy_page, copy_progress, page_origins>(*bytes) : std::nullopt;
   if (!answer) {
     co_return false;
   }
-  const copy_page& page = answer->first;
+  copy_page& page = std::get<copy_page>(*answer);
+  add_origins(std::get<page_origins>(*answer), page);
+  if (!std::get<page_origins>(*answer).is_sent) {
+    self->ledger.note_missing_origins();
+  }
   const auto stored = std::make_shared<net::async_signal>(self->context);
   const auto good = std::make_shared<bool>(false);
   self->ledger.adopt(page.records, [stored, good](bool is_good) {
@@ -178,7 +183,7 @@
   if (cursor == self->cursors.end()) {
     co_return false;
   }
-  pass_ended = cursor->second.on_page(page, answer->second);
+  pass_ended = cursor->second.on_page(page, std::get<copy_progress>(*answer));
   co_return true;
 }
 
--- a/libs/disk/src/ledger_store.cc
+++ b/libs/disk/src/ledger_store.cc
@@ -34,6 +34,8 @@
 constexpr std::size_t rewrite_bytes_per_tick = std::size_t{256} * 1024;
 constexpr std::size_t copy_page_bytes = std::size_t{256} * 1024;
 constexpr std::size_t identity_size = 32;
+/// Upper bound of the time from a stream's first event to its last resumption.
+constexpr auto longest_stream = std::chrono::seconds(60);
 
 wall_ms wall_now() {
   return wall_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -116,8 +118,9 @@
     this->side_records.replay(payload);
     return;
   }
-  if (const auto record = from_bytes<ledger_record>(payload)) {
-    this->copy.apply(*record);
+  if (auto record = from_bytes_with_tail<ledger_record, std::optional<stream_origin>>(payload)) {
+    record->first.origin = std::move(record->second);
+    this->copy.apply(record->first);
   }
 }
 
@@ -149,6 +152,9 @@
 
 std::size_t ledger_store::append_record(const ledger_record& record) {
   std::string bytes = tagged(record_tag, to_bytes(record));
+  if (record.origin) {
+    bytes += to_bytes(record.origin);
+  }
   const std::size_t size = bytes.size();
   this->last_record = this->log->append(std::move(bytes));
   return size;
@@ -216,44 +222,64 @@
   answer(std::nullopt);
 }
 
+std::string ledger_store::report_bytes(const program_id& program,
+                                       const std::optional<request_id>& asked) const {
+  if (!asked) {
+    return {};
+  }
+  if (std::chrono::steady_clock::now() < this->reports_origins_from) {
+    return to_bytes(origin_report{});
+  }
+  return to_bytes(origin_report{true, this->copy.origin_of(program, *asked)});
+}
+
+void ledger_store::note_missing_origins() {
+  this->reports_origins_from = std::chrono::steady_clock::now() + longest_stream;
+}
+
 void ledger_store::serve_append(const std::string& payload, const reply& answer) {
-  const auto request = from_bytes<append_request>(payload);
-  if (!request) {
+  auto both = from_bytes_with_tail<append_request, origin_request>(payload);
+  if (!both) {
     answer(std::nullopt);
     return;
   }
+  auto& [request, origin] = *both;
+  request.record.origin = std::move(origin.origin);
   program_response result;
   result.disk = this->id;
-  if (!this->copy.accepts(request->epoch)) {
+  if (!this->copy.accepts(request.epoch)) {
     result.stale = true;
     result.newest = this->newest;
     answer(to_bytes(result));
     return;
   }
-  if (this->copy.apply(request->record)) {
-    this->append_record(request->record);
+  if (this->copy.apply(request.record)) {
+    this->append_record(request.record);
   }
-  result.reservations = this->copy.reservations_of(request->record.program);
-  this->when_durable([answer, bytes = to_bytes(result)](bool good) {
+  result.reservations = this->copy.reservations_of(request.record.program);
+  std::string bytes = to_bytes(result) + this->report_bytes(request.record.program, origin.asked);
+  this->when_durable([answer, bytes = std::move(bytes)](bool good) {
     answer(good ? std::optional(bytes) : std::nullopt);
   });
 }
 
 void ledger_store::serve_collect(const std::string& payload, const reply& answer) {
-  const auto request = from_bytes<collect_request>(payload);
-  if (!request) {
+  const auto both = from_bytes_with_tail<collect_request, origin_request>(payload);
+  if (!both) {
     answer(std::nullopt);
     return;
   }
+  const auto& [request, origin] = *both;
   program_response result;
   result.disk = this->id;
-  result.stale = !this->copy.accepts(request->epoch);
+  result.stale = !this->copy.accepts(request.epoch);
   if (result.stale) {
     result.newest = this->newest;
-  } else {
-    result.reservations = this->copy.reservations_of(request->program);
+    answer(to_bytes(result));
+    return;
   }
-  answer(to_bytes(result));
+  result.reservations = this->copy.reservations_of(request.program);
+  answer(to_bytes(result) + this->report_bytes(request.program, origin.asked));
 }
 
 void ledger_store::serve_chain(const std::string& payload, const reply& answer) {
@@ -296,7 +322,8 @@
   const bool same_process = resumption.source_process == this->process;
   const change_number since = same_process ? resumption.since : change_number(0);
   const copy_progress progress{this->process, this->copy.newest_change()};
-  answer(to_bytes(this->copy.page_after(request, copy_page_bytes, since)) + to_bytes(progress));
+  const copy_page page = this->copy.page_after(request, copy_page_bytes, since);
+  answer(to_bytes(page) + to_bytes(progress) + to_bytes(origins_of(page)));
 }
 
 void ledger_store::adopt(const std::vector<ledger_record>& records,
--- a/libs/disk/test/ledger_store_test.cc
+++ b/libs/disk/test/ledger_store_test.cc
@@ -11,42 +11,16 @@
 #include <set>
 
 #include "hawthornlane/net/message_bytes.h"
+#include "open_store.h"
 #include "scratch_folder.h"
 
 using namespace hawthornlane;
 using namespace hawthornlane::disk;
+using disk_tests::open_store;
 using test_support::scratch_folder;
 
 namespace {
 
-/// A ledger store and the event loop that delivers its responses.
-class open_store {
-public:
-  explicit open_store(const std::string& folder, std::uint64_t disk_bytes = 1 << 20,
-                      std::uint64_t segment_bytes = turn_log::usual_segment_bytes,
-                      side_journal journal = {})
-      : store(context, folder, disk_bytes, segment_bytes, std::move(journal)) {}
-
-  template <class Answer, class Request>
-  std::optional<Answer> ask(ledger_method method, const Request& request) {
-    std::optional<std::string> bytes;
-    bool answered = false;
-    this->store.serve(method, to_bytes(request), [&](std::optional<std::string> reply) {
-      bytes = std::move(reply);
-      answered = true;
-    });
-    while (!answered) {
-      // The log's thread posts its completions; until then the loop has no work.
-      this->context.restart();
-      this->context.poll();
-    }
-    return bytes ? from_bytes<Answer>(*bytes) : std::nullopt;
-  }
-
-  boost::asio::io_context context;
-  ledger_store store;
-};
-
 append_request append(std::uint64_t epoch, const std::string& id, std::size_t text = 10) {
   append_request request;
   request.epoch = set_epoch(epoch);
--- a/libs/errors/include/hawthornlane/errors/error_kind.h
+++ b/libs/errors/include/hawthornlane/errors/error_kind.h
@@ -43,6 +43,8 @@
   history_unavailable,
   no_listed_server,
   quota_unknown,
+  stream_version_unknown,
+  stream_version_gone,
   internal,
 };
 
--- a/libs/errors/src/error_kind.cc
+++ b/libs/errors/src/error_kind.cc
@@ -74,6 +74,10 @@
                  "no backend server of the service is registered"},
     error_answer{quota_unknown, "quota_unknown", 503, outcome::not_run, true,
                  "no disk host answers that keeps the client account's quota"},
+    error_answer{stream_version_unknown, "stream_version_unknown", 503, outcome::not_run, false,
+                 "the software version that began the stream is not known; begin it anew"},
+    error_answer{stream_version_gone, "stream_version_gone", 503, outcome::not_run, false,
+                 "no server of the software version that began the stream is left; begin it anew"},
     error_answer{internal, "internal", 500, outcome::may_have_run, false, "a fault in the host"},
 };
 
--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -37,6 +38,8 @@
   [[nodiscard]] std::size_t in_flight() const { return this->calls; }
   /// Rejects all further calls; used near the end of a planned stop.
   void reject_new_calls() { this->rejecting_calls = true; }
+  /// Sets how to find the age of this host's list of backend servers.
+  void set_view_age(std::function<duration()> hook) { this->view_age = std::move(hook); }
 
 private:
   struct call;
@@ -53,10 +56,35 @@
   static void scope_ids(call& one);
   /// Whether the key is still valid in the newest configuration; checked again after a wait.
   [[nodiscard]] bool still_authenticated(const call& one) const;
+  /// The steps below, up to the first one that refuses the call.
+  boost::asio::awaitable<bool> admit(call& one);
   /// Charges the call to its account's quota.
   boost::asio::awaitable<bool> admit_to_quota(call& one);
   /// Reserves the call's turn in the ledger, if its route stores turns or its program has a budget.
   boost::asio::awaitable<bool> admit_to_ledger(call& one);
+  /// `counted`: the call is charged to its program's budget, or its turn is stored.
+  turn_request turn_request_of(call& one, bool counted);
+
+  // Versions of streams (call_resumption.cc).
+  struct origin_state;
+  struct resumption_log;
+  [[nodiscard]] static bool takes_up_stream(const call& one);
+  /// Whether a call that the ledger need not count is admitted to it, so that its stream's origin
+  /// is stored or found.
+  [[nodiscard]] bool needs_origin_record(const call& one);
+  /// Finds the version at which a resumption has to go on.
+  boost::asio::awaitable<bool> admit_resumption(call& one);
+  [[nodiscard]] std::optional<software_version> only_possible_version(const call& one);
+  /// The version that the next server must have; nothing if the stream has not begun.
+  [[nodiscard]] static std::optional<software_version> required_version(const call& one);
+  /// Stores the origin of a stream that is about to begin at this server, if that is needed.
+  void store_origin(call& one, const backend_entry& server);
+  /// Waits until the server's first event may leave. Returns false if it must not.
+  boost::asio::awaitable<bool> may_first_event_leave(call& one);
+  /// Whether the server's process is still the one that this host knew when it sent the call.
+  [[nodiscard]] bool is_known_process(const call& one) const;
+  static void log_placed_resumption(const call& one, const backend_entry& server);
+  void log_refused_resumption(const call& one, const std::string& detail);
 
   // Placement.
   /// Runs one attempt at one server; returns true if the call should be tried at another one.
@@ -67,8 +95,6 @@
 
   // Dispatch to one server.
   boost::asio::awaitable<relay::attempt_outcome> try_server(call& one, const backend_entry& server);
-  /// Logs where a stream that broke goes on.
-  static void log_resumption(const call& one, const backend_entry& server);
   static relay::dispatch_terms terms_for(const call& one, const backend_entry& server);
   /// The outcome after checking the answer's signature and the end of the stream.
   static relay::attempt_outcome checked(call& one, relay::attempt_outcome outcome);
@@ -97,6 +123,7 @@
   net::steady_time started_at = std::chrono::steady_clock::now();
   std::size_t calls = 0;
   bool rejecting_calls = false;
+  std::function<duration()> view_age = [] { return duration::max(); };
 };
 
 }  // namespace hawthornlane::front
--- a/libs/front/include/hawthornlane/front/ledger_client.h
+++ b/libs/front/include/hawthornlane/front/ledger_client.h
@@ -53,6 +53,8 @@
   boost::asio::awaitable<turn_admission> admit(turn_request turn, net::steady_time until) override;
   boost::asio::awaitable<bool> settle(turn_request turn, turn_result result,
                                       net::steady_time until) override;
+  void store_origin(const turn_request& turn, const stream_origin& origin, net::steady_time until,
+                    std::function<void(bool stored)> done) override;
   void withdraw(const turn_request& turn) override;
 
   /// Relays a request to a disk host through another front host.
@@ -151,6 +153,8 @@
   /// Stores a record at a majority of the current set or a later one; returns false if `until`
   /// passes first. The record is not copied, since it may hold a whole turn.
   boost::asio::awaitable<bool> store_record(append_request& request, net::steady_time until);
+  boost::asio::awaitable<void> store_origin_record(append_request request, net::steady_time until,
+                                                   std::function<void(bool stored)> done);
   boost::asio::awaitable<void> store_withdrawal(append_request request);
   /// Whether a withdrawal for the turn's program is not yet stored by a majority.
   [[nodiscard]] bool is_withdrawing(const turn_request& turn) const;
--- a/libs/front/include/hawthornlane/front/turn_store.h
+++ b/libs/front/include/hawthornlane/front/turn_store.h
@@ -3,10 +3,12 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
 #include "hawthornlane/net/deadline_sweeper.h"
+#include "hawthornlane/turn_ledger/stream_origin.h"
 #include "hawthornlane/units/ids.h"
 #include "hawthornlane/units/quantities.h"
 
@@ -24,6 +26,10 @@
   bool kept = false;
   std::optional<request_id> previous;
   duration retention{};
+  /// What begins the stream, if it is known before a server is chosen.
+  std::optional<stream_origin> origin;
+  /// The attempt that began the stream which this one takes up.
+  std::optional<request_id> resumes;
 };
 
 /// Whether a turn may be sent.
@@ -41,6 +47,9 @@
   admission_kind kind = admission_kind::unavailable;
   /// Text of the earlier turns, to be put before the turn's own input.
   std::string history;
+  /// Origin of the stream that the turn takes up.
+  origin_outcome origin_found = origin_outcome::undecided;
+  std::optional<stream_origin> origin;
   std::string detail;
 };
 
@@ -70,6 +79,10 @@
   /// Stores the result; returns true once a majority of disk hosts has it on disk.
   virtual boost::asio::awaitable<bool> settle(turn_request turn, turn_result result,
                                               net::steady_time until) = 0;
+  /// Stores what begins an admitted turn's stream. `done` gets true once a majority of disk hosts
+  /// has it on disk; it may run after the turn has ended.
+  virtual void store_origin(const turn_request& turn, const stream_origin& origin,
+                            net::steady_time until, std::function<void(bool stored)> done) = 0;
   /// Releases the tokens of an admitted turn that has certainly not run.
   virtual void withdraw(const turn_request& turn) = 0;
 };
--- a/libs/front/src/call_admission.cc
+++ b/libs/front/src/call_admission.cc
@@ -11,6 +11,15 @@
 namespace asio = boost::asio;
 using steady = std::chrono::steady_clock;
 
+namespace {
+
+/// Ledger program of a stream that belongs to none. No caller can send a line feed in a header.
+program_id program_of_stream(const request_id& origin) {
+  return program_id("stream\n" + origin.get());
+}
+
+}  // namespace
+
 std::optional<failure> call_service::prepare(call& one) {
   if (auto malformed = this->decode(one)) {
     return malformed;
@@ -21,6 +30,7 @@
   if (auto unknown = authenticate(one)) {
     return unknown;
   }
+  one.is_resumption = takes_up_stream(one);
   one.service = route_table::choose_service(*one.taken, service_draw(one.terms));
   const duration longest = one.terms.deadline.value_or(one.taken->timeout);
   one.until = one.arrived + std::min(longest, one.taken->timeout);
@@ -35,6 +45,7 @@
   }
   one.terms = std::move(*terms);
   one.ledger_turn_id = one.terms.id;
+  one.resumes = one.terms.resumes;
   return std::nullopt;
 }
 
@@ -74,6 +85,9 @@
   const client_account holder =
       one.caller_account == nullptr ? client_account() : one.caller_account->name;
   one.ledger_turn_id = request_id(within_account(holder, one.terms.id.get()));
+  if (one.resumes) {
+    one.resumes = request_id(within_account(holder, one.resumes->get()));
+  }
   if (one.terms.program) {
     one.terms.program = program_id(within_account(holder, one.terms.program->get()));
   }
@@ -95,6 +109,19 @@
   return holder != nullptr && holder->name == one.caller_account->name;
 }
 
+// One `co_await` a statement: GCC 12 evaluates all operands of a condition with three of them.
+asio::awaitable<bool> call_service::admit(call& one) {
+  const bool has_quota = co_await this->admit_to_quota(one);
+  if (!has_quota) {
+    co_return false;
+  }
+  const bool is_recorded = co_await this->admit_to_ledger(one);
+  if (!is_recorded) {
+    co_return false;
+  }
+  co_return co_await this->admit_resumption(one);
+}
+
 asio::awaitable<bool> call_service::admit_to_quota(call& one) {
   if (one.caller_account == nullptr || !one.caller_account->limit.limits()) {
     co_return true;
@@ -129,19 +156,38 @@
   co_return false;
 }
 
-asio::awaitable<bool> call_service::admit_to_ledger(call& one) {
-  const bool counted = one.taken->kind == call_kind::stream && one.terms.program;
-  if (!counted || (!one.taken->keeps_turns && !one.terms.budget)) {
-    co_return true;
-  }
+turn_request call_service::turn_request_of(call& one, bool counted) {
   turn_request turn;
   turn.id = one.ledger_turn_id;
-  turn.program = *one.terms.program;
-  turn.max_output_tokens = one.terms.max_output;
-  turn.budget = one.terms.budget;
-  turn.kept = one.taken->keeps_turns;
-  turn.previous = one.terms.previous;
+  turn.program = one.terms.program.value_or(program_of_stream(one.resumes.value_or(turn.id)));
+  if (counted) {
+    turn.max_output_tokens = one.terms.max_output;
+    turn.budget = one.terms.budget;
+    turn.kept = one.taken->keeps_turns;
+    turn.previous = one.terms.previous;
+  }
   turn.retention = one.taken->retention;
+  if (one.is_resumption) {
+    turn.resumes = one.resumes;
+  } else if (one.origin) {
+    const auto only_version = this->placer.only_listed_version(one.service);
+    turn.origin = one.origin->writer.at_admission(one.service, only_version);
+  }
+  return turn;
+}
+
+asio::awaitable<bool> call_service::admit_to_ledger(call& one) {
+  const bool is_stream = one.taken->kind == call_kind::stream;
+  const bool counted =
+      is_stream && one.terms.program && (one.taken->keeps_turns || one.terms.budget.has_value());
+  if (is_stream && one.taken->resumable && !one.is_resumption) {
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    one.origin = std::make_shared<origin_state>(executor);
+  }
+  if (!counted && !this->needs_origin_record(one)) {
+    co_return true;
+  }
+  const turn_request turn = this->turn_request_of(one, counted);
   const net::steady_time began = steady::now();
   const turn_admission admission = co_await this->turns.admit(turn, one.until);
   one.ledger_ms = milliseconds_since(began);
@@ -152,6 +198,8 @@
     case admission_kind::admitted:
       one.turn = turn;
       one.history = admission.history;
+      one.origin_found = admission.origin_found;
+      one.stored_origin = admission.origin;
       co_return true;
     case admission_kind::over_budget:
       why.kind = error_kind::budget_exhausted;
@@ -160,6 +208,9 @@
       why.kind = error_kind::turn_unknown;
       break;
     case admission_kind::unavailable:
+      if (!counted) {
+        co_return true;
+      }
       why.kind = error_kind::history_unavailable;
       break;
   }
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -5,7 +5,6 @@
 
 #include "call_state.h"
 #include "hawthornlane/relay/framing.h"
-#include "hawthornlane/telemetry/log.h"
 
 namespace hawthornlane::front {
 namespace asio = boost::asio;
@@ -78,26 +77,16 @@
   return terms;
 }
 
-void call_service::log_resumption(const call& one, const backend_entry& server) {
-  const std::uint64_t before = one.last_event.value_or(one.terms.last_event.value_or(0));
-  log(event::resumption_decided, {{"request", one.terms.id.get()},
-                                  {"resumes", one.terms.resumes ? one.terms.resumes->get() : ""},
-                                  {"by", one.events > 0 ? "host" : "caller"},
-                                  {"last_event", std::to_string(before)},
-                                  {"origin_server", one.origin_server.get()},
-                                  {"origin_version", one.origin_version.get()},
-                                  {"decision", "placed"},
-                                  {"server", server.id.get()},
-                                  {"server_version", server.version.get()}});
-}
-
 asio::awaitable<attempt_outcome> call_service::try_server(call& one, const backend_entry& server) {
   ++one.tries;
-  if (one.events > 0 || one.terms.last_event) {
-    log_resumption(one, server);
+  if (one.events > 0 || one.is_resumption) {
+    log_placed_resumption(one, server);
+    this->metrics.count("resumptions_placed");
   }
   one.server = server.id;
   one.server_version = server.version;
+  one.server_start = server.start;
+  this->store_origin(one, server);
   one.events_before = one.events;
   one.splitter = {};
   one.handle = {};
@@ -161,6 +150,9 @@
   if (outcome == attempt_outcome::timed_out || one.possible_runs >= one.taken->max_attempts) {
     return false;
   }
+  if (one.events > 0 && one.origin_version.get().empty()) {
+    return false;
+  }
   return one.taken->kind == call_kind::idempotent || one.taken->resumable;
 }
 
@@ -179,7 +171,14 @@
 
 asio::awaitable<bool> call_service::stream_bytes(call& one, std::string_view bytes) {
   std::string out;
-  for (relay::stream_event& item : one.splitter.add(bytes)) {
+  std::vector<relay::stream_event> events = one.splitter.add(bytes);
+  if (one.events == one.events_before && !events.empty()) {
+    const bool may_leave = co_await this->may_first_event_leave(one);
+    if (!may_leave) {
+      co_return false;
+    }
+  }
+  for (relay::stream_event& item : events) {
     out += item.bytes;
     if (one.events == one.events_before) {
       this->placer.started(one.service, one.attempt_id);
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -69,7 +69,11 @@
                                            const std::string& id, duration wait) {
   const error_answer& row = answer_for(why.kind);
   std::vector<http::header> headers{{"Content-Type", "application/json"}};
-  if (row.retry_later) {
+  const bool may_begin_anew =
+      why.kind == error_kind::stream_version_unknown || why.kind == error_kind::stream_version_gone;
+  if (may_begin_anew) {
+    headers.push_back({"Retry-After", "0"});
+  } else if (row.retry_later) {
     const double part = static_cast<double>(hash_of(id) % 1000) / 1000;
     const bool long_wait =
         why.kind == error_kind::history_unavailable || why.kind == error_kind::not_ready ||
@@ -109,7 +113,8 @@
     co_await this->refuse(one.caller, *rejection, one.terms.id.get());
     co_return;
   }
-  if (!co_await this->admit_to_quota(one) || !co_await this->admit_to_ledger(one)) {
+  const bool is_admitted = co_await this->admit(one);
+  if (!is_admitted) {
     co_return;
   }
   bool again = true;
@@ -147,6 +152,10 @@
       why.kind = error_kind::backend_failed;
     } else if (!this->placer.has_listed_servers(one.service)) {
       why.kind = error_kind::no_listed_server;
+    } else if (one.resumed_version &&
+               !this->placer.lists_version(one.service, *one.resumed_version)) {
+      why.kind = error_kind::stream_version_gone;
+      why.detail = "the last server of version " + one.resumed_version->get() + " has left";
     }
     co_await this->give_up(one, why, acquired.retry_in);
     co_return false;
@@ -200,6 +209,7 @@
   request.wanted_by = now + one.terms.program_time_left.value_or(left);
   request.give_up_at = now + left - min_service_time;
   request.tried = one.tried;
+  request.version = required_version(one);
   acquired = co_await this->placer.acquire(one.service, request, one.wait);
   one.attempt_id = acquired.id;
   one.basis = acquired.basis;
--- a/libs/front/src/call_state.h
+++ b/libs/front/src/call_state.h
@@ -3,8 +3,10 @@
 
 #include <xxhash.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -49,6 +51,19 @@
 /// Name of an outcome in logs and metrics.
 std::string_view name_of(relay::attempt_outcome outcome);
 
+/// Storing what begins a call's stream. Shared with the writes, which may outlive the call.
+struct call_service::origin_state {
+  explicit origin_state(const boost::asio::any_io_executor& executor) : stored(executor) {}
+
+  origin_writer writer;
+  /// Number of the latest write, while it is under way; else 0.
+  std::uint32_t under_way = 0;
+  /// Number of writes besides the admission's.
+  std::uint32_t writes = 0;
+  /// Cancelled when the latest write has ended.
+  boost::asio::steady_timer stored;
+};
+
 /// State of one call in progress.
 struct call_service::call {
   call(relay::caller_connection& from, http::request what)
@@ -63,6 +78,12 @@
   const account* caller_account = nullptr;
   /// The call's id in the ledger, scoped to the account.
   request_id ledger_turn_id;
+  /// The caller takes up a stream that has begun; `resumes` is the ledger's id of the attempt that
+  /// began it, if the caller names it.
+  bool is_resumption = false;
+  std::optional<request_id> resumes;
+  /// The version that began that stream. Set once the resumption is admitted.
+  std::optional<software_version> resumed_version;
   /// The service chosen from the route's services.
   service_name service;
   net::steady_time arrived = std::chrono::steady_clock::now();
@@ -78,6 +99,11 @@
   /// The turn in the ledger, once admitted.
   std::optional<turn_request> turn;
   std::string history;
+  /// Origin of the stream that the call takes up, as the ledger has it.
+  origin_outcome origin_found = origin_outcome::undecided;
+  std::optional<stream_origin> stored_origin;
+  /// Of a stream that this call begins and that can be resumed.
+  std::shared_ptr<origin_state> origin;
   bool settled = false;
   // Streams only: what the caller has been sent.
   relay::event_splitter splitter;
@@ -91,6 +117,7 @@
   // For the log line.
   backend_server_id server;
   software_version server_version;
+  incarnation server_start;
   /// Of the stream's first event, once it has been relayed.
   backend_server_id origin_server;
   software_version origin_version;
--- a/libs/front/src/ledger_admission.cc
+++ b/libs/front/src/ledger_admission.cc
@@ -51,12 +51,14 @@
         check(at, {what.id, what.max_output_tokens, token_count(0), reservation_phase::open},
               what.budget),
         chain(at),
+        origin(at),
         signal(context) {}
 
   turn_request turn;
   ledger_set set;
   reservation_check check;
   chain_check chain;
+  origin_check origin;
   net::async_signal signal;
   bool needs_chain = false;
   /// The disks that were asked for the chain: a second one if the first does not send it in time,
@@ -103,10 +105,12 @@
   append_request request;
   request.epoch = state->set.epoch;
   request.record = record_of(state->turn, reservation_phase::open, token_count(0));
-  round_hooks<program_response> hooks;
-  hooks.answered = [state](const program_response& answer) {
+  const std::string tail = origin_tail(state->turn.origin, state->turn.resumes);
+  round_hooks<reported_response> hooks;
+  hooks.answered = [state](const reported_response& answer) {
     state->appended_at_disks.insert(answer.disk);
     state->check.on_append(answer);
+    state->origin.on_report(answer.disk, answer.report);
     state->signal.wake();
   };
   hooks.failed = [state](const disk_id& disk, disk_miss why) {
@@ -116,15 +120,18 @@
   };
   hooks.stale = [state](const disk_id&) { state->note_stale(); };
   this->ask_each(state->set.all(),
-                 make_request(ledger_method::append, to_bytes(request), append_timeout), hooks);
+                 make_request(ledger_method::append, to_bytes(request) + tail, append_timeout),
+                 hooks);
 }
 
 void ledger_client::send_collects(const std::shared_ptr<admission_state>& state) {
   state->collecting = true;
   const collect_request request{state->set.epoch, state->turn.program};
-  round_hooks<program_response> hooks;
-  hooks.answered = [state](const program_response& answer) {
+  const std::string tail = origin_tail(std::nullopt, state->turn.resumes);
+  round_hooks<reported_response> hooks;
+  hooks.answered = [state](const reported_response& answer) {
     state->check.on_collect(answer);
+    state->origin.on_report(answer.disk, answer.report);
     state->signal.wake();
   };
   hooks.failed = [state](const disk_id& disk, disk_miss why) {
@@ -134,7 +141,8 @@
   };
   hooks.stale = [state](const disk_id&) { state->note_stale(); };
   this->ask_each(state->set.all(),
-                 make_request(ledger_method::collect, to_bytes(request), read_timeout), hooks);
+                 make_request(ledger_method::collect, to_bytes(request) + tail, read_timeout),
+                 hooks);
 }
 
 void ledger_client::send_chain_reads(const std::shared_ptr<admission_state>& state,
@@ -246,6 +254,8 @@
     return;
   }
   result.kind = admission_kind::admitted;
+  result.origin_found = state.origin.outcome();
+  result.origin = state.origin.origin();
   if (!state.needs_chain) {
     return;
   }
--- a/libs/front/src/ledger_rounds.h
+++ b/libs/front/src/ledger_rounds.h
@@ -36,6 +36,35 @@
   [[nodiscard]] bool reached() const { return this->answered && !this->suspected; }
 };
 
+/// A disk's reservations of a program and, if the request asked for it, an attempt's origin.
+struct reported_response : program_response {
+  origin_report report;
+};
+
+template <class Answer>
+std::optional<Answer> answer_from(const std::string& bytes) {
+  return from_bytes<Answer>(bytes);
+}
+
+template <>
+inline std::optional<reported_response> answer_from(const std::string& bytes) {
+  auto both = from_bytes_with_tail<program_response, origin_report>(bytes);
+  if (!both) {
+    return std::nullopt;
+  }
+  reported_response answer;
+  static_cast<program_response&>(answer) = std::move(both->first);
+  answer.report = std::move(both->second);
+  return answer;
+}
+
+/// The bytes that follow an append or a collect; empty if it does not concern an origin.
+inline std::string origin_tail(const std::optional<stream_origin>& origin,
+                               const std::optional<request_id>& asked) {
+  const origin_request tail{origin, asked};
+  return tail.empty() ? std::string() : to_bytes(tail);
+}
+
 template <class Answer>
 void ledger_client::ask_each(const std::vector<disk_id>& disks, disk_request what,
                              const round_hooks<Answer>& hooks) {
@@ -43,7 +72,7 @@
   for (const disk_id& disk : disks) {
     this->ask(disk, what, [this, disk, hooks](net::rpc_failure why, const std::string& bytes) {
       const bool good = why == net::rpc_failure::none;
-      const auto answer = good ? from_bytes<Answer>(bytes) : std::nullopt;
+      const auto answer = good ? answer_from<Answer>(bytes) : std::nullopt;
       if (!answer) {
         hooks.failed(disk, this->miss_of(disk, why));
       } else if (answer->disk != disk) {
--- a/libs/front/src/ledger_settlement.cc
+++ b/libs/front/src/ledger_settlement.cc
@@ -54,6 +54,8 @@
   net::async_signal signal;
   /// A disk has refused this set since the last attempt.
   bool stale = false;
+  /// If set, a disk counts only if it confirms that it has stored this origin.
+  std::optional<stream_origin> confirms;
 
   void failed(const disk_id& disk) {
     this->round.failed(disk);
@@ -67,15 +69,24 @@
 std::shared_ptr<ledger_client::settle_state> ledger_client::begin_settlement(
     append_request& request) {
   request.epoch = this->set->epoch;
-  return std::make_shared<settle_state>(
+  const ledger_record& record = request.record;
+  const auto asked = record.origin ? std::optional(record.state.id) : std::nullopt;
+  std::string bytes = to_bytes(request) + origin_tail(record.origin, asked);
+  auto state = std::make_shared<settle_state>(
       this->context, *this->set,
-      make_request(ledger_method::append, to_bytes(request), append_timeout));
+      make_request(ledger_method::append, std::move(bytes), append_timeout));
+  state->confirms = record.origin;
+  return state;
 }
 
 void ledger_client::send_settlement(const std::shared_ptr<settle_state>& state,
                                     const std::vector<disk_id>& disks) {
-  round_hooks<program_response> hooks;
-  hooks.answered = [state](const program_response& answer) {
+  round_hooks<reported_response> hooks;
+  hooks.answered = [state](const reported_response& answer) {
+    if (state->confirms && answer.report.origin != state->confirms) {
+      state->failed(answer.disk);
+      return;
+    }
     state->round.answered(answer.disk);
     state->signal.wake();
   };
@@ -129,6 +140,23 @@
   co_return kept;
 }
 
+void ledger_client::store_origin(const turn_request& turn, const stream_origin& origin,
+                                 net::steady_time until, std::function<void(bool stored)> done) {
+  append_request request;
+  request.record = record_of(turn, reservation_phase::open, token_count(0));
+  request.record.origin = origin;
+  asio::co_spawn(this->context,
+                 this->store_origin_record(std::move(request), until, std::move(done)),
+                 asio::detached);
+}
+
+asio::awaitable<void> ledger_client::store_origin_record(append_request request,
+                                                         net::steady_time until,
+                                                         std::function<void(bool stored)> done) {
+  const bool stored = co_await this->store_record(request, until);
+  done(stored);
+}
+
 void ledger_client::withdraw(const turn_request& turn) {
   if (!this->set) {
     return;
--- a/libs/net/include/hawthornlane/net/message_bytes.h
+++ b/libs/net/include/hawthornlane/net/message_bytes.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace hawthornlane {
@@ -35,23 +36,40 @@
   }
 }
 
-/// Reads a message followed by an optional tail. Hosts of older versions neither write nor read
-/// the tail. If it is absent, the returned tail has its default values. Returns nothing if the
-/// message is incomplete, or if the tail is present but incomplete.
-template <class Message, class Tail>
-std::optional<std::pair<Message, Tail>> from_bytes_with_tail(const std::string& bytes) {
+/// Reads a message followed by optional tails. Hosts of older versions neither write nor read the
+/// tails. Those that are absent have their default values. Returns nothing if the message is
+/// incomplete, or if a tail is present but incomplete.
+template <class Message, class... Tails>
+std::optional<std::tuple<Message, Tails...>> from_bytes_with_tails(const std::string& bytes) {
   try {
     std::istringstream in(bytes);
     cereal::BinaryInputArchive archive(in);
-    std::pair<Message, Tail> both;
-    archive(both.first);
-    if (in.peek() != std::istringstream::traits_type::eof()) {
-      archive(both.second);
-    }
-    return both;
+    std::tuple<Message, Tails...> parts;
+    const auto read_tail = [&in, &archive](auto& tail) {
+      if (in.peek() != std::istringstream::traits_type::eof()) {
+        archive(tail);
+      }
+    };
+    std::apply(
+        [&archive, &read_tail](Message& message, Tails&... tails) {
+          archive(message);
+          (read_tail(tails), ...);
+        },
+        parts);
+    return parts;
   } catch (const std::exception&) {
     return std::nullopt;
   }
 }
 
+/// The same with one tail.
+template <class Message, class Tail>
+std::optional<std::pair<Message, Tail>> from_bytes_with_tail(const std::string& bytes) {
+  auto parts = from_bytes_with_tails<Message, Tail>(bytes);
+  if (!parts) {
+    return std::nullopt;
+  }
+  return std::pair(std::move(std::get<0>(*parts)), std::move(std::get<1>(*parts)));
+}
+
 }  // namespace hawthornlane
--- a/libs/placement/include/hawthornlane/placement/server_pool.h
+++ b/libs/placement/include/hawthornlane/placement/server_pool.h
@@ -46,6 +46,8 @@
   timestamp give_up_at;
   /// Servers that have already refused or failed this call.
   std::set<backend_server_id> tried;
+  /// Set for a call that takes up a stream: only servers of this version may get it.
+  std::optional<software_version> version;
 };
 
 /// The inputs of a server choice, for the log.
@@ -97,6 +99,11 @@
   /// If set, a call whose server is full waits in the place queue of the host that holds the
   /// server's directory entry.
   bool claims_places = false;
+  /// While servers of several versions are listed, a call that begins a stream counts this part of
+  /// the slots as taken at the last `last_servers` servers of a version, which only streams that
+  /// began at this version can use instead.
+  double resumption_share = 0.25;
+  std::uint32_t last_servers = 2;
   /// If set, servers' speeds are estimated from the times of calls and used in the choice.
   bool learns_speed = false;
   choice_rules choice;
@@ -172,7 +179,8 @@
   std::vector<placement> set_in_flight_limit(std::optional<std::uint32_t> limit, timestamp now);
   /// Removes a call from the queue.
   void cancel(placement_id id);
-  /// Removes the calls whose `give_up_at` has passed from the queue, and returns them.
+  /// Removes from the queue the calls whose `give_up_at` has passed, and those that take up a
+  /// stream of a version of which no server is listed any more. Returns them.
   std::vector<placement_id> expire(timestamp now);
   /// Updates server health with the times of pending late calls, and places queued calls, since an
   /// exclusion may have ended.
@@ -189,6 +197,10 @@
   /// be confused with the places that limit this host's calls.
   [[nodiscard]] double healthy_places(timestamp now) const;
   [[nodiscard]] std::vector<backend_server_id> listed() const;
+  /// The versions of the listed servers, with the number of servers.
+  [[nodiscard]] const std::map<software_version, std::uint32_t>& listed_versions() const {
+    return this->versions;
+  }
 
 private:
   /// Version of this pool's state for a server; a new one begins when the server is first listed
@@ -313,6 +325,13 @@
   /// Adds the servers that have cached the call's session to `chosen`.
   void add_holders(const placement_request& request, timestamp now,
                    std::vector<weighted_server>& chosen) const;
+  /// False if the server has failed the call, or cannot take up the call's stream.
+  [[nodiscard]] static bool suits(const server_state& server, const placement_request& request);
+  /// True if no listed server suits the call.
+  [[nodiscard]] bool is_hopeless(const placement_request& request) const;
+  /// Slots that a call which begins a stream leaves to resumptions.
+  [[nodiscard]] double reserved_slots(const server_state& server,
+                                      const placement_request& request) const;
   [[nodiscard]] bool is_candidate(const server_state& server, const placement_request& request,
                                   timestamp now) const;
   [[nodiscard]] placement_basis basis_of(const server_state& server,
@@ -349,6 +368,8 @@
   // Indexes of `servers`, whose entries have stable addresses. Without them each call would visit
   // 2,200 servers several times, which takes 2.5 ms.
   std::vector<listed_server> listed_servers;
+  /// Number of the listed servers of each version.
+  std::map<software_version, std::uint32_t> versions;
   std::unordered_map<server_key, server_state*> by_key;
   /// Invariant: the sum of `remote_calls` of all servers.
   double total_remote_calls = 0;
--- a/libs/placement/src/server_pool.cc
+++ b/libs/placement/src/server_pool.cc
@@ -30,13 +30,15 @@
 server_pool::queue_key server_pool::key_of(const placement_request& request, timestamp now) {
   // Sessions in progress come before new ones, and calls past their soft deadline come after calls
   // that can still meet it.
-  return {request.priority, !request.begun, request.wanted_by <= now, request.wanted_by,
-          request.id};
+  const bool is_begun = request.begun || request.version;
+  return {request.priority, !is_begun, request.wanted_by <= now, request.wanted_by, request.id};
 }
 
 server_pool::server_state* server_pool::choose(const placement_request& request, timestamp now) {
-  // A call that a server has refused or failed is exempt, so that its retry is not delayed.
-  if (this->window && this->calls_in_flight >= *this->window && request.tried.empty()) {
+  // A call that a server has refused or failed is exempt, so that its retry is not delayed; so is
+  // one that takes up a stream, whose earlier part would be lost.
+  const bool is_exempt = !request.tried.empty() || request.version;
+  if (this->window && this->calls_in_flight >= *this->window && !is_exempt) {
     return nullptr;
   }
   if (this->calls_at_listed_servers >= this->places) {
@@ -73,7 +75,8 @@
   for (auto item = this->queue.begin(); item != this->queue.end();) {
     server_state* server = this->choose(item->second, now);
     if (server == nullptr) {
-      if (item->second.tried.empty()) {
+      // Calls with fewer servers to choose from do not hold up the others.
+      if (item->second.tried.empty() && !item->second.version) {
         break;
       }
       ++item;
@@ -118,6 +121,7 @@
 
 void server_pool::index_servers() {
   this->listed_servers.clear();
+  this->versions.clear();
   this->by_key.clear();
   this->total_remote_calls = 0;
   this->places = 0;
@@ -128,6 +132,7 @@
     if (!server.listed) {
       continue;
     }
+    ++this->versions[server.entry.version];
     this->places += this->limit_of(server);
     this->calls_at_listed_servers += server.in_flight;
     listed_server item;
@@ -178,13 +183,9 @@
     this->place(request, *server, now, placed);
     return submit_outcome::placed;
   }
-  const auto& listed = this->listed_servers;
-  const bool untried = std::any_of(listed.begin(), listed.end(), [&](const listed_server& item) {
-    return !request.tried.contains(item.server->entry.id);
-  });
   const double limit = this->rules.queue_factor * static_cast<double>(this->places);
   const bool no_room = static_cast<double>(this->queue.size()) >= limit;
-  if (!untried || no_room || request.give_up_at <= now) {
+  if (this->is_hopeless(request) || no_room || request.give_up_at <= now) {
     return submit_outcome::refused;
   }
   const queue_key key = key_of(request, now);
@@ -193,6 +194,18 @@
   return submit_outcome::queued;
 }
 
+bool server_pool::suits(const server_state& server, const placement_request& request) {
+  const bool is_of_version = !request.version || server.entry.version == *request.version;
+  return is_of_version && !request.tried.contains(server.entry.id);
+}
+
+bool server_pool::is_hopeless(const placement_request& request) const {
+  const auto& listed = this->listed_servers;
+  return std::none_of(listed.begin(), listed.end(), [&request](const listed_server& item) {
+    return suits(*item.server, request);
+  });
+}
+
 void server_pool::record_elapsed(const running_call& call, bool lower_bound, timestamp now) {
   const duration took = std::chrono::duration_cast<duration>(now - call.sent_at);
   const time_sample sample = this->baselines.compare(call.kind, took, lower_bound);
@@ -281,7 +294,9 @@
 std::vector<placement_id> server_pool::expire(timestamp now) {
   std::vector<placement_id> expired;
   for (auto item = this->queue.begin(); item != this->queue.end();) {
-    if (item->second.give_up_at > now) {
+    const placement_request& request = item->second;
+    const bool is_lost = request.version && this->is_hopeless(request);
+    if (request.give_up_at > now && !is_lost) {
       ++item;
       continue;
     }
--- a/libs/placement/src/server_pool_choice.cc
+++ b/libs/placement/src/server_pool_choice.cc
@@ -51,12 +51,23 @@
   return best == nullptr ? nullptr : &this->servers.at(best->entry.id);
 }
 
+double server_pool::reserved_slots(const server_state& server,
+                                   const placement_request& request) const {
+  if (request.version || this->versions.size() < 2) {
+    return 0;
+  }
+  const auto of_version = this->versions.find(server.entry.version);
+  const bool is_last =
+      of_version != this->versions.end() && of_version->second <= this->rules.last_servers;
+  return is_last ? this->rules.resumption_share * server.entry.slots : 0;
+}
+
 server_estimate server_pool::estimate_server(const server_state& server,
                                              const placement_request& request,
                                              timestamp now) const {
   server_estimate estimated;
   estimated.slots = server.entry.slots;
-  estimated.calls = this->calls_at(server, now);
+  estimated.calls = this->calls_at(server, now) + this->reserved_slots(server, request);
   const token_count uncached = this->caches.uncached(request.prompt, server.entry.id);
   estimated.missing_tokens = static_cast<double>(uncached.get());
   estimated.same_zone = server.entry.zone == this->zone;
@@ -78,7 +89,7 @@
   std::uint64_t preferred_weight = 0;
   std::uint64_t least_rank = 0;
   for (const auto& [server, name_hash, rank, same_zone] : this->listed_servers) {
-    if (!this->may_take(*server, scope, now) || request.tried.contains(server->entry.id)) {
+    if (!this->may_take(*server, scope, now) || !suits(*server, request)) {
       continue;
     }
     // The server of an affinity key is in this zone if the zone has any server. Callers stay in
@@ -115,7 +126,7 @@
 
 bool server_pool::is_candidate(const server_state& server, const placement_request& request,
                                timestamp now) const {
-  return server.listed && !server.health.excluded(now) && !request.tried.contains(server.entry.id);
+  return server.listed && !server.health.excluded(now) && suits(server, request);
 }
 
 void server_pool::add_holders(const placement_request& request, timestamp now,
--- a/libs/placement/src/server_pool_claims.cc
+++ b/libs/placement/src/server_pool_claims.cc
@@ -22,8 +22,10 @@
 
 std::vector<place_target> server_pool::claim_targets(const placement_request& request,
                                                      timestamp now) const {
-  // A call that a server has refused or failed makes no claim, so that its retry is not delayed.
-  if (!this->rules.claims_places || request.prompt.empty() || !request.tried.empty()) {
+  // A call that a server has refused or failed makes no claim, so that its retry is not delayed;
+  // nor does one that takes up a stream.
+  const bool is_retry = !request.tried.empty() || request.version;
+  if (!this->rules.claims_places || request.prompt.empty() || is_retry) {
     return {};
   }
   struct candidate {
--- a/libs/placement/src/server_pool_speed.cc
+++ b/libs/placement/src/server_pool_speed.cc
@@ -108,7 +108,7 @@
   speed_weighted_choice<listed_server> second_of_all(call_key << 1U);
   for (const listed_server& item : this->listed_servers) {
     const server_state& server = *item.server;
-    if (!this->may_take(server, scope, now) || request.tried.contains(server.entry.id)) {
+    if (!this->may_take(server, scope, now) || !suits(server, request)) {
       continue;
     }
     if (request.affinity != 0) {
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
@@ -55,6 +55,37 @@
   }
 };
 
+/// What began a stream: all of its events come from servers of this version. Written by the host of
+/// the attempt that begins the stream.
+struct stream_origin {
+  service_name service;
+  /// Empty: not known, or two hosts have written different ones.
+  software_version version;
+  /// Number of the write for this attempt, from 1; a later write replaces an earlier one.
+  std::uint32_t write = 0;
+  /// For the log: the server that the attempt was sent to; empty if it was written before.
+  backend_server_id server;
+
+  [[nodiscard]] bool is_known() const { return !this->version.get().empty(); }
+  friend bool operator==(const stream_origin&, const stream_origin&) = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->service, this->version, this->write, this->server);
+  }
+};
+
+/// Merges two states of an attempt's origin; the order does not matter.
+inline stream_origin newest_of(const std::optional<stream_origin>& known,
+                               const stream_origin& other) {
+  if (!known || known->write < other.write) {
+    return other;
+  }
+  if (known->write > other.write || *known == other) {
+    return *known;
+  }
+  return {service_name(), software_version(), other.write, backend_server_id()};
+}
+
 /// One complete turn. Immutable.
 struct stored_turn {
   request_id id;
@@ -78,6 +109,9 @@
   std::optional<stored_turn> turn;
   /// The record may be dropped after this time.
   wall_ms expires_at;
+  /// Of a stream that can be resumed. Not part of `serialize`: hosts of older versions neither send
+  /// nor store it.
+  std::optional<stream_origin> origin;
 
   friend bool operator==(const ledger_record&, const ledger_record&) = default;
   template <class Archive>
@@ -115,6 +149,33 @@
   }
 };
 
+/// Follows an `append_request` or a `collect_request`. Hosts of older versions neither send nor
+/// read it.
+struct origin_request {
+  /// Belongs to the record that is to be appended.
+  std::optional<stream_origin> origin;
+  /// An attempt of the same program whose origin the sender asks for.
+  std::optional<request_id> asked;
+
+  [[nodiscard]] bool empty() const { return !this->origin && !this->asked; }
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->origin, this->asked);
+  }
+};
+
+/// Follows a `program_response` if the request asked for an origin.
+struct origin_report {
+  /// False if the disk's host is of an older version, which does not store origins.
+  bool keeps_origins = false;
+  std::optional<stream_origin> origin;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->keeps_origins, this->origin);
+  }
+};
+
 struct collect_request {
   set_epoch epoch;
   program_id program;
@@ -240,6 +301,48 @@
   }
 };
 
+/// Follows a `copy_progress`: the origins of the page's records. Hosts of older versions neither
+/// send nor read it.
+struct page_origins {
+  struct item {
+    /// Position of the record in the page, from 0.
+    std::uint32_t record = 0;
+    stream_origin origin;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(this->record, this->origin);
+    }
+  };
+  /// False if the source is of an older version.
+  bool is_sent = false;
+  std::vector<item> items;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->is_sent, this->items);
+  }
+};
+
+inline page_origins origins_of(const copy_page& page) {
+  page_origins origins;
+  origins.is_sent = true;
+  for (std::size_t number = 0; number < page.records.size(); ++number) {
+    if (const auto& origin = page.records[number].origin) {
+      origins.items.push_back({static_cast<std::uint32_t>(number), *origin});
+    }
+  }
+  return origins;
+}
+
+inline void add_origins(const page_origins& origins, copy_page& page) {
+  for (const page_origins::item& item : origins.items) {
+    if (item.record < page.records.size()) {
+      page.records[item.record].origin = item.origin;
+    }
+  }
+}
+
 struct probe_response {
   disk_id disk;
   set_epoch fence;
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_replica.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_replica.h
@@ -26,6 +26,9 @@
   /// Merges a record. True if it changed anything and has to be made durable.
   bool apply(const ledger_record& record);
   [[nodiscard]] std::vector<reservation> reservations_of(const program_id& program) const;
+  /// The origin of the stream that this attempt of the program began; nothing if none is stored.
+  [[nodiscard]] std::optional<stream_origin> origin_of(const program_id& program,
+                                                       const request_id& attempt) const;
   /// Returns the chain that ends with `last`; `known` and `turns` as in `chain_response`.
   [[nodiscard]] chain_response chain_of(const request_id& last) const;
   /// Returns the records after a position, up to about `bytes` of text. Programs that have not
--- a/libs/turn_ledger/src/ledger_replica.cc
+++ b/libs/turn_ledger/src/ledger_replica.cc
@@ -29,6 +29,10 @@
       stored.turn = record.turn;
       changed = true;
     }
+    if (record.origin && newest_of(stored.origin, *record.origin) != stored.origin) {
+      stored.origin = newest_of(stored.origin, *record.origin);
+      changed = true;
+    }
   }
   if (changed || extends) {
     this->note_change(program);
@@ -76,6 +80,16 @@
   return all;
 }
 
+std::optional<stream_origin> ledger_replica::origin_of(const program_id& program,
+                                                       const request_id& attempt) const {
+  const auto found = this->by_program.find(program);
+  if (found == this->by_program.end()) {
+    return std::nullopt;
+  }
+  const auto record = found->second.records.find(attempt);
+  return record == found->second.records.end() ? std::nullopt : record->second.origin;
+}
+
 const stored_turn* ledger_replica::turn_of(const request_id& id) const {
   const auto link = this->turn_locations.find(id);
   if (link == this->turn_locations.end()) {
--- a/scenarios/deployment_test.cc
+++ b/scenarios/deployment_test.cc
@@ -165,6 +165,7 @@
             call_request call = turn(path, id, program);
             if (resumable && item.events > 0) {
               call.headers.push_back({"Last-Event-Id", std::to_string(item.events)});
+              call.headers.push_back({"Resumes", name});
             }
             return call;
           });
