--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -718,6 +718,7 @@
     pid_t pid = -1;
     int callers = 0;
     int ready = 0;
+    int metrics = 0;
   };
 
   void start_all() {
@@ -770,6 +771,20 @@
   bool is_ready(host& which) {
     return call(which.ready, "GET", "/ready", {}, "", 1000).status == 200;
   }
+  /// A value of the host's metrics page; -1 if it has none of that name.
+  long metric(host& which, const std::string& name) {
+    std::istringstream page(call(which.metrics, "GET", "/", {}, "", 1000).body);
+    std::string key;
+    double value = 0;
+    std::string line;
+    while (std::getline(page, line)) {
+      std::istringstream parts(line);
+      if (parts >> key >> value && key == name) {
+        return static_cast<long>(value);
+      }
+    }
+    return -1;
+  }
   /// Waits until every front host says that it is ready.
   bool wait_ready(int limit_ms) {
     const auto until = clock::now() + milliseconds(limit_ms);
@@ -815,6 +830,7 @@
     made->settings = this->folder + "/" + made->name + ".ini";
     made->callers = free_port();
     made->ready = free_port();
+    made->metrics = free_port();
     const std::string data = this->folder + "/" + made->name;
     std::filesystem::create_directories(data);
     const std::map<std::string, std::string> fields{
@@ -829,7 +845,7 @@
         {"listen.directory", "127.0.0.1:" + std::to_string(free_port())},
         {"bounds.grace-s", "8"},
         {"port-range.0", std::to_string(free_port())},
-        {"port-range.1", std::to_string(free_port())},
+        {"port-range.1", std::to_string(made->metrics)},
         {"contracts", "base,drain,config,cost,recover,agent,stream,engine,platform"},
         {"fault-tolerance.machines", "1"},
         {"data-dir", data},
