--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -15,6 +15,10 @@
 constexpr int calm_ms = 8000;
 constexpr int leaving_servers = 14;
 constexpr int leaving_gap_ms = 800;
+/// The mean time that a parts-batch request takes, and as many callers as keep the servers busy
+/// to about half of their slots.
+constexpr int work_ms = 208;
+constexpr std::size_t clients_at_once = 48;
 
 struct departure {
   std::string server;
@@ -33,6 +37,7 @@
   std::vector<std::unique_ptr<backend>> servers;
   const auto add_server = [&](const std::string& id, const std::string& service) {
     servers.push_back(std::make_unique<backend>(id, service, runs));
+    servers.back()->work_ms = work_ms;
     platform.put("servers", id, servers.back()->entry());
     return servers.back().get();
   };
@@ -86,7 +91,7 @@
   std::mutex mutex;
   std::map<std::string, std::string> answers;
   std::vector<std::thread> clients;
-  for (std::size_t number = 0; number < 24; ++number) {
+  for (std::size_t number = 0; number < clients_at_once; ++number) {
     const std::string front = others[number % others.size()];
     const int port = all.named(front).callers;
     clients.emplace_back([&, number, port, front] {
