--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -27,6 +27,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -211,15 +212,21 @@
   return at;
 }
 
-/// A port that no process listens on.
+/// A port that no process listens on, below the range from which the system takes the ports of
+/// outgoing channels, so that none of these can take it before the process starts.
 inline int free_port() {
-  const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in at = loopback(0);
-  ::bind(probe, reinterpret_cast<sockaddr*>(&at), sizeof at);
-  socklen_t size = sizeof at;
-  ::getsockname(probe, reinterpret_cast<sockaddr*>(&at), &size);
-  ::close(probe);
-  return ntohs(at.sin_port);
+  static std::set<int> given;
+  static std::mt19937 random{std::random_device{}()};
+  while (true) {
+    const int port = std::uniform_int_distribution<int>(15000, 31000)(random);
+    const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in at = loopback(port);
+    const bool is_free = ::bind(probe, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+    ::close(probe);
+    if (is_free && given.insert(port).second) {
+      return port;
+    }
+  }
 }
 
 inline std::unique_ptr<channel> connect_to(int port) {
