--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -697,8 +697,9 @@
 public:
   deployment(record_file& to, store& platform, int fronts, int disks, int memory_mb = 110)
       : record(to), platform_port(platform.port()), memory(memory_mb) {
-    char name[] = "/tmp/hawthornlane-review-XXXXXX";
-    this->folder = ::mkdtemp(name);
+    std::string name =
+        (std::filesystem::temp_directory_path() / "hawthornlane-review-XXXXXX").string();
+    this->folder = ::mkdtemp(name.data());
     for (int number = 0; number < fronts; ++number) {
       this->hosts.push_back(this->make_host("front", number));
     }
