Log each attempt that a server did not answer whole, with the state of its process

Logs could not tell whether a server had ended under a call or had just broken one answer, and attempts of one request under several ids had nothing in common. attempt_failed (703) names the request's content as a hash, the start and entry of the server, and whether something still listens at its address, which costs one connection for each broken attempt. call_ended names the content too.

No decision depends on any of it.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -103,6 +103,8 @@
   /// Reports the attempt's outcome to the placer, for the server's health and speed.
   void report_outcome(const call& one, const acquired_server& acquired,
                       relay::attempt_outcome outcome);
+  /// Logs an attempt that was not answered whole, with what is known of the server's process.
+  boost::asio::awaitable<void> log_failed_attempt(const call& one, const backend_entry& server);
   [[nodiscard]] bool may_try_again(const call& one, relay::attempt_outcome outcome) const;
 
   // Settlement.
--- a/libs/front/src/call_admission.cc
+++ b/libs/front/src/call_admission.cc
@@ -31,6 +31,9 @@
     return unknown;
   }
   one.is_resumption = takes_up_stream(one);
+  const client_account holder =
+      one.caller_account == nullptr ? client_account() : one.caller_account->name;
+  one.fingerprint = fingerprint_of(one.request, one.terms, holder);
   one.service = route_table::choose_service(*one.taken, service_draw(one.terms));
   const duration longest = one.terms.deadline.value_or(one.taken->timeout);
   one.until = one.arrived + std::min(longest, one.taken->timeout);
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -163,6 +163,9 @@
   const attempt_outcome outcome = co_await this->try_server(one, *acquired.server);
   this->report_outcome(one, acquired, outcome);
   one.outcome = name_of(outcome);
+  if (outcome == attempt_outcome::broken || outcome == attempt_outcome::timed_out) {
+    co_await this->log_failed_attempt(one, *acquired.server);
+  }
   if (outcome == attempt_outcome::whole) {
     co_await this->finish_whole(one);
     co_return false;
--- a/libs/front/src/call_settlement.cc
+++ b/libs/front/src/call_settlement.cc
@@ -102,6 +102,7 @@
   log(event::call_ended, {{"request", one.terms.id.get()},
                           {"program", one.terms.program ? one.terms.program->get() : ""},
                           {"account", one.caller_account ? one.caller_account->name.get() : ""},
+                          {"content", one.fingerprint ? text_of(*one.fingerprint) : ""},
                           {"route", one.taken->name.get()},
                           {"version", std::to_string(one.table->version().get())},
                           {"server", one.server.get()},
--- a/libs/front/src/call_state.h
+++ b/libs/front/src/call_state.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <utility>
 
+#include "hawthornlane/front/call_fingerprint.h"
 #include "hawthornlane/front/call_service.h"
 #include "hawthornlane/relay/event_splitter.h"
 
@@ -48,8 +49,9 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
 }
 
-/// Name of an outcome in logs and metrics.
+/// Names in logs and metrics.
 std::string_view name_of(relay::attempt_outcome outcome);
+std::string_view name_of(relay::listening_state state);
 
 /// Storing what begins a call's stream. Shared with the writes, which may outlive the call.
 struct call_service::origin_state {
@@ -84,6 +86,8 @@
   std::optional<request_id> resumes;
   /// The version that began that stream. Set once the resumption is admitted.
   std::optional<software_version> resumed_version;
+  /// Nothing if the call cannot be told apart from others.
+  std::optional<request_fingerprint> fingerprint;
   /// The service chosen from the route's services.
   service_name service;
   net::steady_time arrived = std::chrono::steady_clock::now();
--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -76,6 +76,15 @@
   bool abandoned = false;
 };
 
+/// Whether something listens at a server's address.
+enum class listening_state : std::uint8_t {
+  listening,
+  /// Connections are refused: the process has ended.
+  refused,
+  /// No answer: the process has ended with its machine, or the server cannot be reached.
+  silent,
+};
+
 /// Counters for metrics and for the decision log.
 struct pool_counters {
   std::uint64_t opened = 0;
@@ -100,6 +109,8 @@
   boost::asio::awaitable<attempt_outcome> run(const backend_request& request,
                                               const stream_sink& sink, attempt_handle& handle,
                                               backend_response& answer, std::string& detail);
+  /// Opens a connection to a server and closes it again.
+  boost::asio::awaitable<listening_state> check_listening(http::endpoint where);
   /// Closes idle connections that are too old, and those to servers that are no longer listed.
   void close_idle(const std::function<bool(const http::endpoint&)>& still_listed);
 
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -23,6 +23,8 @@
 /// Round trips to servers take about a millisecond. A lost first packet is retransmitted after
 /// one second; trying another server is faster.
 constexpr auto connect_timeout = std::chrono::milliseconds(400);
+/// Limit for a check whether a server listens; callers wait for its result.
+constexpr auto listening_timeout = std::chrono::milliseconds(150);
 /// Idle connections kept per server. One host's share of a server's calls rarely needs more.
 constexpr std::size_t max_idle_connections = 16;
 /// How long an idle connection may be reused if the server sends no Keep-Alive header. Such
@@ -220,6 +222,19 @@
   co_return connection;
 }
 
+asio::awaitable<listening_state> backend_pool::check_listening(http::endpoint where) {
+  net::timed_socket socket(this->context, this->sweeper);
+  ++this->counts.opened;
+  const error_code error =
+      co_await socket.connect(where, std::chrono::steady_clock::now() + listening_timeout);
+  socket.close(true);
+  if (!error) {
+    co_return listening_state::listening;
+  }
+  const bool is_refused = error == asio::error::connection_refused;
+  co_return is_refused ? listening_state::refused : listening_state::silent;
+}
+
 asio::awaitable<attempt_outcome> backend_pool::run(const backend_request& request,
                                                    const stream_sink& sink, attempt_handle& handle,
                                                    backend_response& answer, std::string& detail) {
--- a/libs/telemetry/include/hawthornlane/telemetry/log.h
+++ b/libs/telemetry/include/hawthornlane/telemetry/log.h
@@ -46,6 +46,7 @@
   call_refused = 700,
   call_ended = 701,
   resumption_decided = 702,
+  attempt_failed = 703,
   configuration_in_force = 800,
   backend_listed = 810,
   backend_draining = 811,
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -77,6 +77,10 @@
         resumption_decided, "resumption_decided", info,
         "whether and where a broken stream goes on was decided; the line has the server and "
         "version that began it, as far as known, and those of the next server"},
+    event_entry{
+        attempt_failed, "attempt_failed", warning,
+        "a backend server did not answer an attempt whole; the line names the request's content, the "
+        "start of the server's process, and whether something still listens at its address"},
     event_entry{configuration_in_force, "configuration_in_force", info,
                 "this host now follows a version of the configuration"},
     event_entry{backend_listed, "backend_listed", info, "a backend server may get calls"},
