--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -104,15 +104,10 @@
   const http::endpoint any{loopback, 0};
   this->platform = std::make_unique<stand_ins::object_platform>(this->environment, any);
   for (int number = 0; number < size.engines; ++number) {
-    this->engines.push_back(std::make_unique<stand_ins::scripted_backend>(
-        this->environment, this->sweeper, any, fmt::format("engine-{}", number),
-        this->engine_behaviors));
-    this->list_backend(*this->engines.back(), "models");
+    this->add_backend("models");
   }
   for (int number = 0; number < size.apps; ++number) {
-    this->apps.push_back(std::make_unique<stand_ins::scripted_backend>(
-        this->environment, this->sweeper, any, fmt::format("app-{}", number), this->app_behaviors));
-    this->list_backend(*this->apps.back(), "apps");
+    this->add_backend("apps");
   }
   this->configure(1);
   this->disks.resize(static_cast<std::size_t>(size.disks));
@@ -322,6 +317,17 @@
   this->platform->put("config", "main", text);
 }
 
+stand_ins::scripted_backend& deployment::add_backend(const std::string& service) {
+  const bool is_engine = service == "models";
+  auto& group = is_engine ? this->engines : this->apps;
+  group.push_back(std::make_unique<stand_ins::scripted_backend>(
+      this->environment, this->sweeper, http::endpoint{loopback, 0},
+      fmt::format("{}-{}", is_engine ? "engine" : "app", group.size()),
+      is_engine ? this->engine_behaviors : this->app_behaviors));
+  this->list_backend(*group.back(), service);
+  return *group.back();
+}
+
 void deployment::list_backend(stand_ins::scripted_backend& server, const std::string& service,
                               bool draining) {
   const std::string entry = server.entry(service, "z0", draining);
--- a/scenarios/deployment.h
+++ b/scenarios/deployment.h
@@ -74,6 +74,8 @@
   void configure(int version, const std::string& replace = "", const std::string& by = "");
   void list_backend(stand_ins::scripted_backend& server, const std::string& service,
                     bool draining = false);
+  /// Starts and lists one more server of "models" or "apps".
+  stand_ins::scripted_backend& add_backend(const std::string& service);
   /// Lists the server as restarted under the same id; `born` in Unix milliseconds.
   void restart_backend(stand_ins::scripted_backend& server, const std::string& service,
                        std::uint64_t born);
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -3,10 +3,12 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -79,7 +81,15 @@
   bool ran = false;
 };
 
-/// Serves until destroyed. To be used only on the thread that runs the io_context.
+/// How a request ends the process of its server.
+struct fatal_effect {
+  /// Time from the arrival of the request to the end of the process.
+  std::chrono::milliseconds delay{0};
+  /// If set, a stream's process ends after it has sent this many events, and not after `delay`.
+  int after_events = 0;
+};
+
+/// Serves until destroyed or ended. To be used only on the thread that runs the io_context.
 class scripted_backend {
 public:
   scripted_backend(boost::asio::io_context& context, net::deadline_sweeper& sweeper,
@@ -107,6 +117,14 @@
   [[nodiscard]] int cancelled() const;
   /// Sets a hook that is called with every request that arrives.
   void on_arrival(std::function<void(const backend_arrival&)> hook);
+  /// Sets which requests end the process, like a crash: it stops listening and resets all of its
+  /// connections.
+  void set_fatal_requests(std::function<std::optional<fatal_effect>(const http::request&)> choose);
+  /// Ends the process like a crash.
+  void end();
+  [[nodiscard]] bool ended() const;
+  /// Sets a hook that is called once the process has ended; it may create other servers.
+  void on_end(std::function<void()> hook);
   /// The JSON object by which the server registers itself in the platform's store.
   [[nodiscard]] std::string entry(const std::string& service, const std::string& zone,
                                   bool draining = false) const;
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -6,9 +6,11 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <set>
 
 #include "hawthornlane/http/listening.h"
 #include "hawthornlane/net/timed_socket.h"
@@ -96,6 +98,30 @@
   std::vector<backend_arrival> arrivals;
   int cancelled = 0;
   std::function<void(const backend_arrival&)> arrival_hook;
+  std::function<std::optional<fatal_effect>(const http::request&)> fatal_effect_of;
+  std::function<void()> end_hook;
+  std::set<net::timed_socket*> connections;
+  http::endpoint address;
+  bool ended = false;
+
+  void end() {
+    if (this->ended) {
+      return;
+    }
+    this->ended = true;
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    for (net::timed_socket* connection : this->connections) {
+      connection->close(true);
+    }
+    if (this->end_hook) {
+      asio::post(this->context, this->end_hook);
+    }
+  }
+
+  [[nodiscard]] std::optional<fatal_effect> effect_of(const http::request& request) const {
+    return this->fatal_effect_of ? this->fatal_effect_of(request) : std::nullopt;
+  }
 
   void record(const http::request& request, bool ran) {
     this->arrivals.push_back({request, ran});
@@ -132,18 +158,20 @@
   static asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket accepted) {
     net::timed_socket socket(std::move(accepted), self->sweeper);
     relay::caller_connection caller(socket);
-    while (caller.usable()) {
+    self->connections.insert(&socket);
+    while (caller.usable() && !self->ended) {
       http::request request;
       failure reason;
       if (self->read_delay.count() > 0) {
         co_await delay(self->read_delay);
       }
       const auto outcome = co_await caller.read(server_limits(), request, reason);
-      if (outcome != relay::read_outcome::request) {
+      if (outcome != relay::read_outcome::request || self->ended) {
         break;
       }
       co_await handle(self, caller, request);
     }
+    self->connections.erase(&socket);
     socket.close();
   }
 
@@ -159,6 +187,12 @@
     }
     const backend_behavior behavior = self->script->take();
     self->record(request, refusal_status(behavior) == 0);
+    const auto effect = self->effect_of(request);
+    if (effect && effect->after_events == 0) {
+      co_await delay(effect->delay);
+      self->end();
+      co_return;
+    }
     switch (behavior) {
       case backend_behavior::shed:
       case backend_behavior::shed_as_too_many:
@@ -247,12 +281,17 @@
                                       const http::request& request,
                                       std::vector<http::header> headers,
                                       backend_behavior behavior) {
+    const auto effect = self->effect_of(request);
     bool open = co_await caller.start(200, headers);
     for (int event = last_event_of(request) + 1; open && event <= self->events; ++event) {
       const bool cut = behavior == backend_behavior::truncate && event == self->events;
       const std::string bytes = self->event_bytes(event);
       const std::string sent = cut ? bytes.substr(0, bytes.size() / 2) : bytes;
       open = co_await caller.write(sent);
+      if (effect && event >= effect->after_events) {
+        self->end();
+        co_return;
+      }
       if (cut) {
         caller.abort_connection();
         co_return;
@@ -271,6 +310,8 @@
                                    std::shared_ptr<behavior_script> script)
     : shared(std::make_shared<state>(context, sweeper, std::move(instance), std::move(script))) {
   http::listen_on(this->shared->acceptor, listen_at);
+  const auto at = this->shared->acceptor.local_endpoint();
+  this->shared->address = {at.address().to_string(), at.port()};
   const auto take = [self = this->shared](tcp::socket socket) {
     asio::co_spawn(self->context, state::serve(self, std::move(socket)), asio::detached);
   };
@@ -282,9 +323,19 @@
   this->shared->acceptor.close(ignored);
 }
 
-http::endpoint scripted_backend::where() const {
-  const auto at = this->shared->acceptor.local_endpoint();
-  return {at.address().to_string(), at.port()};
+http::endpoint scripted_backend::where() const { return this->shared->address; }
+
+void scripted_backend::set_fatal_requests(
+    std::function<std::optional<fatal_effect>(const http::request&)> choose) {
+  this->shared->fatal_effect_of = std::move(choose);
+}
+
+void scripted_backend::end() { this->shared->end(); }
+
+bool scripted_backend::ended() const { return this->shared->ended; }
+
+void scripted_backend::on_end(std::function<void()> hook) {
+  this->shared->end_hook = std::move(hook);
 }
 
 void scripted_backend::set_events(int events, std::chrono::milliseconds delay) {
