--- a/libs/errors/include/hawthornlane/errors/error_kind.h
+++ b/libs/errors/include/hawthornlane/errors/error_kind.h
@@ -45,6 +45,7 @@
   quota_unknown,
   stream_version_unknown,
   stream_version_gone,
+  request_crashes_servers,
   internal,
 };
 
--- a/libs/errors/src/error_kind.cc
+++ b/libs/errors/src/error_kind.cc
@@ -78,6 +78,8 @@
                  "the software version that began the stream is not known; begin it anew"},
     error_answer{stream_version_gone, "stream_version_gone", 503, outcome::not_run, false,
                  "no server of the software version that began the stream is left; begin it anew"},
+    error_answer{request_crashes_servers, "request_crashes_servers", 400, outcome::may_have_run,
+                 false, "several backend servers have crashed under this request"},
     error_answer{internal, "internal", 500, outcome::may_have_run, false, "a fault in the host"},
 };
 
--- a/libs/errors/test/error_kind_test.cc
+++ b/libs/errors/test/error_kind_test.cc
@@ -24,7 +24,8 @@
     const bool after_dispatch =
         row.kind == error_kind::may_have_run || row.kind == error_kind::ran_not_kept ||
         row.kind == error_kind::turn_in_progress || row.kind == error_kind::backend_failed ||
-        row.kind == error_kind::deadline_exceeded || row.kind == error_kind::internal;
+        row.kind == error_kind::deadline_exceeded ||
+        row.kind == error_kind::request_crashes_servers || row.kind == error_kind::internal;
     INFO("kind " << row.name);
     CHECK((row.outcome == run_outcome::may_have_run || row.outcome == run_outcome::ran_not_kept) ==
           after_dispatch);
--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -11,6 +11,7 @@
 #include "hawthornlane/errors/error_kind.h"
 #include "hawthornlane/front/call_metrics.h"
 #include "hawthornlane/front/call_placer.h"
+#include "hawthornlane/front/crash_tracker.h"
 #include "hawthornlane/front/quota_gate.h"
 #include "hawthornlane/front/turn_store.h"
 #include "hawthornlane/relay/backend_pool.h"
@@ -23,7 +24,7 @@
 public:
   call_service(discovery::fleet_state& fleet, call_placer& placer, relay::backend_pool& backends,
                const relay::call_codec& codec, quota_gate& quotas, turn_store& turns,
-               call_metrics& metrics);
+               crash_tracker& crashes, call_metrics& metrics);
   call_service(const call_service&) = delete;
   call_service& operator=(const call_service&) = delete;
   ~call_service() = default;
@@ -90,6 +91,16 @@
   /// Runs one attempt at one server; returns true if the call should be tried at another one.
   boost::asio::awaitable<bool> run_attempt(call& one);
   boost::asio::awaitable<acquired_server> acquire(call& one);
+  /// Ends a call for which no server was found.
+  boost::asio::awaitable<void> give_up_unplaced(call& one, const acquired_server& acquired);
+
+  // Requests under which servers have crashed.
+  [[nodiscard]] crash_standing standing_of(const call& one) const;
+  /// Whether the call may be sent to its server now. Returns false if it has been answered.
+  boost::asio::awaitable<bool> admit_suspected(call& one, const acquired_server& acquired);
+  /// Reports the end of an attempt to the crash tracker.
+  boost::asio::awaitable<void> track_crash(call& one, const backend_entry& server,
+                                           relay::attempt_outcome outcome);
   /// Whether this host knows that the program of this prompt has been served before.
   bool continues_program(const service_name& service, const std::vector<prompt_piece>& prompt);
 
@@ -103,8 +114,6 @@
   /// Reports the attempt's outcome to the placer, for the server's health and speed.
   void report_outcome(const call& one, const acquired_server& acquired,
                       relay::attempt_outcome outcome);
-  /// Logs an attempt that was not answered whole, with what is known of the server's process.
-  boost::asio::awaitable<void> log_failed_attempt(const call& one, const backend_entry& server);
   [[nodiscard]] bool may_try_again(const call& one, relay::attempt_outcome outcome) const;
 
   // Settlement.
@@ -121,6 +130,7 @@
   const relay::call_codec& codec;
   quota_gate& quotas;
   turn_store& turns;
+  crash_tracker& crashes;
   call_metrics& metrics;
   net::steady_time started_at = std::chrono::steady_clock::now();
   std::size_t calls = 0;
--- /dev/null
+++ b/libs/front/include/hawthornlane/front/crash_tracker.h
@@ -0,0 +1,151 @@
+// Keeps a request from crashing one backend server after the other, over all front hosts.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "hawthornlane/fleet/fleet_view.h"
+#include "hawthornlane/front/call_metrics.h"
+#include "hawthornlane/front/crash_messages.h"
+#include "hawthornlane/front/turn_store.h"
+#include "hawthornlane/limits/answered_requests.h"
+#include "hawthornlane/net/rpc.h"
+#include "hawthornlane/relay/backend_pool.h"
+
+namespace hawthornlane::front {
+
+/// Callbacks into the rest of the host.
+struct crash_hooks {
+  /// Names of the live front hosts.
+  std::function<std::vector<host_id>()> hosts;
+  std::function<void(const host_id&, const std::string& payload, net::rpc_done)> send;
+  std::function<boost::asio::awaitable<relay::listening_state>(http::endpoint)> check_listening;
+  /// The server's entry as listed now; null if there is none.
+  std::function<const backend_entry*(const backend_server_id&)> entry_of;
+  /// The disks of the ledger; nothing if they are not known yet.
+  std::function<std::optional<ledger_set>()> disks;
+  /// Reads a page of a disk's records (`copy_request`).
+  std::function<void(const disk_id&, std::string payload, net::rpc_done)> read_disk;
+};
+
+/// Whether a suspected request may run.
+enum class run_permission : std::uint8_t {
+  granted,
+  /// It has crashed too many servers.
+  blocked,
+  /// Other runs of it may still crash servers, or too few disk hosts answer.
+  not_now,
+};
+
+/// One run of a suspected request.
+struct suspected_run {
+  turn_request reservation;
+  /// Servers that had crashed under the request before the run.
+  std::vector<server_process_key> crashed_before;
+};
+
+/// A request under which a server has crashed is suspected: all hosts and the ledger know it before
+/// its caller is answered. From then on each run is reserved in the ledger, which grants as many as
+/// servers may still crash. The request is blocked after `crash_table::max_crashes` crashes, and no
+/// longer suspected once a later run is answered whole. Not thread-safe.
+class crash_tracker {
+public:
+  crash_tracker(boost::asio::io_context& context, turn_store& ledger, call_metrics& metrics,
+                crash_hooks hooks);
+  crash_tracker(const crash_tracker&) = delete;
+  crash_tracker& operator=(const crash_tracker&) = delete;
+  ~crash_tracker() = default;
+
+  [[nodiscard]] crash_standing standing(const request_fingerprint& request) const {
+    return this->table.standing(request);
+  }
+  /// Asks for permission to run a suspected request. Sets `run` if it is granted.
+  boost::asio::awaitable<run_permission> begin_run(request_fingerprint request,
+                                                   std::optional<suspected_run>& run,
+                                                   net::steady_time until);
+  /// Call this when a server has not answered a run whole, before its caller is answered. `run` is
+  /// set if the request was suspected.
+  boost::asio::awaitable<void> run_failed(request_fingerprint request, backend_entry server,
+                                          std::optional<suspected_run> run, request_id attempt);
+  /// Call this when a server has answered a run whole.
+  void run_answered(const request_fingerprint& request, const software_version& version,
+                    const std::optional<suspected_run>& run);
+  /// The run was not sent.
+  void run_withdrawn(const std::optional<suspected_run>& run);
+
+  /// Serves a report of another front host; `nullopt` if it is malformed.
+  std::optional<std::string> serve(const std::string& payload);
+  /// Checksum of what this host knows, for its probes.
+  [[nodiscard]] std::uint64_t checksum() const { return this->table.checksum(); }
+  /// Call this with the checksum in each probe of another front host. If it differs, both tell each
+  /// other what they know, so that a host learns of crashes although no other one reaches it.
+  void compare(const host_id& other, std::uint64_t checksum);
+  /// Call this regularly.
+  void tick(net::steady_time now);
+  /// False while this host, which has just started, may not know of all crashes.
+  [[nodiscard]] bool informed() const { return this->is_informed; }
+
+  /// The suspected and blocked requests, one a line, for operators.
+  [[nodiscard]] std::string describe() const;
+  /// Clears all crashes under a request; false if there are none.
+  bool lift(const request_fingerprint& request);
+  /// Number of requests with this standing.
+  [[nodiscard]] std::size_t count(crash_standing standing) const {
+    return this->table.count(standing);
+  }
+
+private:
+  struct publication;
+  /// A server that does not answer, until it is known whether it has crashed.
+  struct unconfirmed_crash {
+    request_fingerprint request;
+    backend_entry server;
+    net::steady_time until;
+  };
+
+  boost::asio::awaitable<void> record(crash_report report);
+  /// Tells the other front hosts; calls `done` when all have answered or failed to.
+  void publish(const std::vector<crash_report>& reports, std::function<void()> done);
+  void send(const host_id& to, const crash_message& message);
+  void handle_answer(const host_id& from, net::rpc_failure why, const std::string& bytes);
+  boost::asio::awaitable<void> store(turn_request crash, std::shared_ptr<publication> state);
+  void clear(const request_fingerprint& request, const std::vector<server_process_key>& servers);
+  void apply(const crash_report& report);
+  /// Clears the crashes under requests that this host has seen answered by the same version.
+  void clear_answered(const crash_report& report);
+  void resolve_unconfirmed(net::steady_time now);
+  void update_other_hosts();
+  void read_ledger();
+  void read_disk(const std::shared_ptr<std::set<disk_id>>& complete, const ledger_set& set,
+                 const disk_id& disk, const copy_request& from);
+
+  boost::asio::io_context& context;
+  turn_store& ledger;
+  call_metrics& metrics;
+  crash_hooks hooks;
+  crash_table table;
+  answered_requests answered;
+  std::list<unconfirmed_crash> unconfirmed;
+  /// Live hosts that have all reports of this host.
+  std::set<host_id> up_to_date;
+  net::steady_time started_at;
+  net::steady_time next_ledger_read{};
+  net::steady_time next_update{};
+  net::steady_time next_comparison{};
+  duration comparison_interval{};
+  bool is_informed = false;
+  std::uint64_t runs = 0;
+  /// Expires with this object; answers may arrive later.
+  std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
+};
+
+}  // namespace hawthornlane::front
--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -50,7 +50,9 @@
   /// Withdraws a claim (`place_grant`).
   withdraw = 11,
   /// Grants a place to a waiting claim (`place_grant`).
-  grant = 12
+  grant = 12,
+  /// Reports crashes of backend servers under requests (`crash_message`).
+  crashes = 13
 };
 
 /// Demand of one front host for one service.
@@ -107,6 +109,9 @@
   gossip_digest digest;
   /// Hosts that the sender suspects because they do not answer its probes.
   std::vector<host_key> suspected;
+  /// Checksum of the crashes under requests that the sender knows; 0: none. Not part of
+  /// `serialize`: hosts of older versions neither send nor read it.
+  std::uint64_t crash_checksum = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -114,6 +119,8 @@
   }
 };
 
+std::string bytes_of(const probe_message& message);
+
 /// `nullopt` when the bytes are malformed. Hosts with the first message format send only the
 /// digest and ignore what follows it.
 std::optional<probe_message> probe_message_from(const std::string& bytes);
--- a/libs/front/include/hawthornlane/front/host_report.h
+++ b/libs/front/include/hawthornlane/front/host_report.h
@@ -8,6 +8,7 @@
 
 #include "hawthornlane/discovery/registration.h"
 #include "hawthornlane/front/call_service.h"
+#include "hawthornlane/front/crash_tracker.h"
 #include "hawthornlane/front/peer_gossip.h"
 #include "hawthornlane/front/peer_traffic.h"
 
@@ -22,6 +23,7 @@
   const relay::backend_pool& backends;
   const call_service& calls;
   const peer_gossip& gossip;
+  const crash_tracker& crashes;
   const peer_traffic& traffic;
   /// Number of open connections of callers.
   std::function<std::size_t()> connections;
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -33,6 +33,11 @@
   std::function<gossip_digest()> self;
   /// Whether the send queue to other hosts has room for one more copy.
   std::function<bool()> may_send_copy = [] { return true; };
+  /// Checksum of the crashes under requests that this host knows.
+  std::function<std::uint64_t()> crash_checksum = [] { return 0; };
+  /// A peer has sent its checksum.
+  std::function<void(const host_id&, std::uint64_t checksum)> on_crash_checksum =
+      [](const host_id&, std::uint64_t) {};
   /// Counts the bytes of this host's requests to its peers.
   peer_traffic traffic;
 };
--- a/libs/front/include/hawthornlane/front/peer_traffic.h
+++ b/libs/front/include/hawthornlane/front/peer_traffic.h
@@ -13,11 +13,11 @@
 namespace hawthornlane::front {
 
 /// Purpose of a message between hosts.
-enum class traffic_kind : std::uint8_t { probes, copies, directory, relays, disks };
+enum class traffic_kind : std::uint8_t { probes, copies, directory, relays, disks, crashes };
 
-constexpr std::array all_traffic_kinds{traffic_kind::probes, traffic_kind::copies,
+constexpr std::array all_traffic_kinds{traffic_kind::probes,    traffic_kind::copies,
                                        traffic_kind::directory, traffic_kind::relays,
-                                       traffic_kind::disks};
+                                       traffic_kind::disks,     traffic_kind::crashes};
 
 std::string_view name_of(traffic_kind kind);
 /// Kind of a message between front hosts; unknown methods count as probes.
--- a/libs/front/src/call_admission.cc
+++ b/libs/front/src/call_admission.cc
@@ -35,6 +35,9 @@
       one.caller_account == nullptr ? client_account() : one.caller_account->name;
   one.fingerprint = fingerprint_of(one.request, one.terms, holder);
   one.service = route_table::choose_service(*one.taken, service_draw(one.terms));
+  if (this->standing_of(one) == crash_standing::blocked) {
+    return failure{error_kind::request_crashes_servers, text_of(*one.fingerprint)};
+  }
   const duration longest = one.terms.deadline.value_or(one.taken->timeout);
   one.until = one.arrived + std::min(longest, one.taken->timeout);
   return std::nullopt;
@@ -57,6 +60,9 @@
   if (!one.table) {
     return failure{error_kind::not_ready, "no configuration has been received yet"};
   }
+  if (!this->crashes.informed()) {
+    return failure{error_kind::not_ready, "crashes under requests have not been read yet"};
+  }
   if (this->rejecting_calls) {
     return failure{error_kind::host_leaving, "the host is stopping"};
   }
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -5,7 +5,6 @@
 
 #include "call_state.h"
 #include "hawthornlane/relay/framing.h"
-#include "hawthornlane/telemetry/log.h"
 
 namespace hawthornlane::front {
 namespace asio = boost::asio;
@@ -37,18 +36,6 @@
 
 }  // namespace
 
-std::string_view name_of(relay::listening_state state) {
-  switch (state) {
-    case relay::listening_state::listening:
-      return "yes";
-    case relay::listening_state::refused:
-      return "no";
-    case relay::listening_state::silent:
-      return "no_answer";
-  }
-  return "";
-}
-
 std::string_view name_of(attempt_outcome outcome) {
   switch (outcome) {
     case attempt_outcome::whole:
@@ -100,6 +87,7 @@
   one.server_version = server.version;
   one.server_start = server.start;
   this->store_origin(one, server);
+  one.sent_at = steady::now();
   one.events_before = one.events;
   one.splitter = {};
   one.handle = {};
@@ -152,25 +140,6 @@
   return outcome;
 }
 
-asio::awaitable<void> call_service::log_failed_attempt(const call& one,
-                                                       const backend_entry& server) {
-  const relay::listening_state state = co_await this->backends.check_listening(server.address);
-  const auto& listed = this->fleet.backends().listed();
-  const auto entry = listed.find(server.id);
-  const bool is_listed = entry != listed.end() && entry->second.start == server.start;
-  log(event::attempt_failed,
-      {{"request", one.terms.id.get()},
-       {"content", one.fingerprint ? text_of(*one.fingerprint) : ""},
-       {"route", one.taken->name.get()},
-       {"server", server.id.get()},
-       {"server_start", std::to_string(server.start.get())},
-       {"server_entry", !is_listed ? "gone" : (entry->second.draining ? "draining" : "ready")},
-       {"listens", std::string(name_of(state))},
-       {"outcome", one.outcome},
-       {"events", std::to_string(one.events)},
-       {"detail", one.detail}});
-}
-
 bool call_service::may_try_again(const call& one, attempt_outcome outcome) const {
   const bool time_left = steady::now() + min_service_time < one.until;
   if (!time_left || one.tries >= max_tries || one.caller.gone()) {
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -56,13 +56,14 @@
 call_service::call_service(discovery::fleet_state& state, call_placer& places,
                            relay::backend_pool& pool, const relay::call_codec& call_format,
                            quota_gate& quota_checks, turn_store& turn_storage,
-                           call_metrics& counters)
+                           crash_tracker& tracker, call_metrics& counters)
     : fleet(state),
       placer(places),
       backends(pool),
       codec(call_format),
       quotas(quota_checks),
       turns(turn_storage),
+      crashes(tracker),
       metrics(counters) {}
 
 asio::awaitable<void> call_service::refuse(relay::caller_connection& caller, const failure& why,
@@ -142,30 +143,17 @@
     co_return false;
   }
   if (!acquired.server) {
-    failure why{error_kind::no_backend_server,
-                one.detail.empty() ? "no server can serve it before its deadline" : one.detail};
-    if (acquired.retry_in > duration{}) {
-      why.detail = fmt::format("a place is expected in {} ms", acquired.retry_in.count() / 1000);
-    }
-    if (one.possible_runs > 0) {
-      // An earlier attempt may have run, so the answer must not say that the call was not run.
-      why.kind = error_kind::backend_failed;
-    } else if (!this->placer.has_listed_servers(one.service)) {
-      why.kind = error_kind::no_listed_server;
-    } else if (one.resumed_version &&
-               !this->placer.lists_version(one.service, *one.resumed_version)) {
-      why.kind = error_kind::stream_version_gone;
-      why.detail = "the last server of version " + one.resumed_version->get() + " has left";
-    }
-    co_await this->give_up(one, why, acquired.retry_in);
+    co_await this->give_up_unplaced(one, acquired);
+    co_return false;
+  }
+  const bool may_run = co_await this->admit_suspected(one, acquired);
+  if (!may_run) {
     co_return false;
   }
   const attempt_outcome outcome = co_await this->try_server(one, *acquired.server);
   this->report_outcome(one, acquired, outcome);
   one.outcome = name_of(outcome);
-  if (outcome == attempt_outcome::broken || outcome == attempt_outcome::timed_out) {
-    co_await this->log_failed_attempt(one, *acquired.server);
-  }
+  co_await this->track_crash(one, *acquired.server, outcome);
   if (outcome == attempt_outcome::whole) {
     co_await this->finish_whole(one);
     co_return false;
@@ -179,7 +167,9 @@
     co_return true;
   }
   failure why{error_kind::backend_failed, one.detail};
-  if (one.possible_runs == 0) {
+  if (this->standing_of(one) == crash_standing::blocked) {
+    why.kind = error_kind::request_crashes_servers;
+  } else if (one.possible_runs == 0) {
     why.kind = error_kind::no_backend_server;
   } else if (outcome == attempt_outcome::timed_out) {
     why.kind = error_kind::deadline_exceeded;
@@ -188,6 +178,25 @@
   co_return false;
 }
 
+asio::awaitable<void> call_service::give_up_unplaced(call& one, const acquired_server& acquired) {
+  failure why{error_kind::no_backend_server,
+              one.detail.empty() ? "no server can serve it before its deadline" : one.detail};
+  if (acquired.retry_in > duration{}) {
+    why.detail = fmt::format("a place is expected in {} ms", acquired.retry_in.count() / 1000);
+  }
+  if (one.possible_runs > 0) {
+    // An earlier attempt may have run, so the answer must not say that the call was not run.
+    why.kind = error_kind::backend_failed;
+  } else if (!this->placer.has_listed_servers(one.service)) {
+    why.kind = error_kind::no_listed_server;
+  } else if (one.resumed_version &&
+             !this->placer.lists_version(one.service, *one.resumed_version)) {
+    why.kind = error_kind::stream_version_gone;
+    why.detail = "the last server of version " + one.resumed_version->get() + " has left";
+  }
+  co_await this->give_up(one, why, acquired.retry_in);
+}
+
 asio::awaitable<acquired_server> call_service::acquire(call& one) {
   acquired_server acquired;
   if (one.caller.gone()) {
@@ -212,6 +221,11 @@
   request.wanted_by = now + one.terms.program_time_left.value_or(left);
   request.give_up_at = now + left - min_service_time;
   request.tried = one.tried;
+  if (this->standing_of(one) == crash_standing::suspected) {
+    // The least busy server: the fewest other calls are lost if this one crashes it.
+    request.affinity = 0;
+    request.prompt.clear();
+  }
   request.version = required_version(one);
   acquired = co_await this->placer.acquire(one.service, request, one.wait);
   one.attempt_id = acquired.id;
--- a/libs/front/src/call_state.h
+++ b/libs/front/src/call_state.h
@@ -49,9 +49,8 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
 }
 
-/// Names in logs and metrics.
+/// Name of an outcome in logs and metrics.
 std::string_view name_of(relay::attempt_outcome outcome);
-std::string_view name_of(relay::listening_state state);
 
 /// Storing what begins a call's stream. Shared with the writes, which may outlive the call.
 struct call_service::origin_state {
@@ -109,6 +108,10 @@
   /// Of a stream that this call begins and that can be resumed.
   std::shared_ptr<origin_state> origin;
   bool settled = false;
+  /// Set while an attempt at a suspected request is in progress.
+  std::optional<suspected_run> run;
+  /// When the current attempt was sent.
+  net::steady_time sent_at;
   // Streams only: what the caller has been sent.
   relay::event_splitter splitter;
   std::optional<std::uint64_t> last_event;
--- /dev/null
+++ b/libs/front/src/crash_tracker.cc
@@ -0,0 +1,432 @@
+// Keeps a request from crashing one backend server after the other, over all front hosts.
+#include "hawthornlane/front/crash_tracker.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "hawthornlane/discovery/fleet_state.h"
+#include "hawthornlane/net/async_signal.h"
+#include "hawthornlane/telemetry/log.h"
+
+namespace hawthornlane::front {
+namespace asio = boost::asio;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+/// How long the caller of a failed run waits until the other hosts and the ledger know of the
+/// crash.
+constexpr auto publication_time = std::chrono::milliseconds(250);
+/// How long a crash is offered to the ledger while too few disk hosts answer.
+constexpr auto storage_time = std::chrono::seconds(20);
+constexpr auto permission_time = std::chrono::milliseconds(400);
+/// The store drops the entry of a crashed server after three reports of 1.2 s that are missing. One
+/// that is still listed after this time was out of reach only.
+constexpr auto confirmation_time = std::chrono::seconds(6);
+/// Interval of attempts to bring other hosts up to date.
+constexpr auto update_interval = std::chrono::milliseconds(400);
+/// Intervals of exchanges with hosts whose checksums differ. It grows while they bring nothing new:
+/// hosts forget crashes at slightly different times.
+constexpr duration min_comparison_interval = std::chrono::milliseconds(50);
+constexpr duration max_comparison_interval = std::chrono::seconds(10);
+constexpr auto ledger_read_interval = std::chrono::milliseconds(100);
+/// A host that has just started serves after this time even if it could not read the ledger.
+constexpr auto max_uninformed_time = std::chrono::seconds(2);
+
+server_process_key key_of(const backend_entry& server) {
+  const std::string& id = server.id.get();
+  return server_process_key(XXH64(id.data(), id.size(), server.start.get()));
+}
+
+wall_ms wall_now() {
+  return wall_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count());
+}
+
+std::string_view name_of(relay::listening_state state) {
+  switch (state) {
+    case relay::listening_state::listening:
+      return "yes";
+    case relay::listening_state::refused:
+      return "no";
+    case relay::listening_state::silent:
+      return "no_answer";
+  }
+  return "";
+}
+
+std::string_view name_of(crash_standing standing) {
+  switch (standing) {
+    case crash_standing::unsuspected:
+      return "unsuspected";
+    case crash_standing::suspected:
+      return "suspected";
+    case crash_standing::blocked:
+      return "blocked";
+  }
+  return "";
+}
+
+}  // namespace
+
+/// What has to end before the caller of a failed run is answered. Shared with the answer callbacks,
+/// which may run later.
+struct crash_tracker::publication {
+  explicit publication(asio::io_context& context) : signal(context) {}
+  net::async_signal signal;
+  int pending = 0;
+
+  void ended() {
+    if (--this->pending == 0) {
+      this->signal.wake();
+    }
+  }
+};
+
+crash_tracker::crash_tracker(asio::io_context& io, turn_store& turns, call_metrics& counters,
+                             crash_hooks callbacks)
+    : context(io),
+      ledger(turns),
+      metrics(counters),
+      hooks(std::move(callbacks)),
+      started_at(steady::now()) {}
+
+asio::awaitable<run_permission> crash_tracker::begin_run(request_fingerprint request,
+                                                         std::optional<suspected_run>& run,
+                                                         net::steady_time until) {
+  suspected_run wanted;
+  wanted.crashed_before = this->table.crashed_under(request);
+  const auto now = steady::now().time_since_epoch().count();
+  wanted.reservation = run_reservation_of(request, fmt::format("{:x}-{:x}", now, ++this->runs));
+  const net::steady_time limit = std::min(until, steady::now() + permission_time);
+  const turn_admission admission = co_await this->ledger.admit(wanted.reservation, limit);
+  if (admission.kind == admission_kind::admitted) {
+    // The request may have been blocked meanwhile.
+    if (this->standing(request) != crash_standing::blocked) {
+      this->metrics.count("suspected_runs");
+      run = std::move(wanted);
+      co_return run_permission::granted;
+    }
+    this->ledger.withdraw(wanted.reservation);
+  }
+  this->metrics.count("suspected_runs_refused");
+  co_return this->standing(request) == crash_standing::blocked ? run_permission::blocked
+                                                               : run_permission::not_now;
+}
+
+asio::awaitable<void> crash_tracker::run_failed(request_fingerprint request, backend_entry server,
+                                                std::optional<suspected_run> run,
+                                                request_id attempt) {
+  const relay::listening_state state = co_await this->hooks.check_listening(server.address);
+  const backend_entry* entry = this->hooks.entry_of(server.id);
+  const bool is_listed = entry != nullptr && entry->start == server.start;
+  log(event::attempt_failed,
+      {{"request", attempt.get()},
+       {"content", text_of(request)},
+       {"server", server.id.get()},
+       {"server_start", std::to_string(server.start.get())},
+       {"server_entry", !is_listed ? "gone" : (entry->draining ? "draining" : "ready")},
+       {"listens", std::string(name_of(state))}});
+  const timestamp now = discovery::scheduler_now();
+  const bool is_known_good = this->answered.contains(request, server.version, now);
+  if (state != relay::listening_state::listening && !is_known_good) {
+    const bool is_certain = state == relay::listening_state::refused || !is_listed;
+    crash_report report;
+    report.request = request;
+    report.version = server.version;
+    report.crashes = {
+        {key_of(server), is_certain ? crash_state::confirmed : crash_state::unconfirmed}};
+    if (!is_certain) {
+      this->unconfirmed.push_back({request, server, steady::now() + confirmation_time});
+    }
+    log(event::backend_crashed, {{"request", attempt.get()},
+                                 {"content", text_of(request)},
+                                 {"server", server.id.get()},
+                                 {"server_start", std::to_string(server.start.get())},
+                                 {"confirmed", is_certain ? "yes" : "no"},
+                                 {"alone", run ? "yes" : "no"}});
+    co_await this->record(std::move(report));
+  }
+  this->run_withdrawn(run);
+}
+
+asio::awaitable<void> crash_tracker::record(crash_report report) {
+  this->table.merge(report, discovery::scheduler_now());
+  this->metrics.count("crashes_recorded");
+  if (this->standing(report.request) == crash_standing::blocked) {
+    this->metrics.count("requests_blocked");
+    log(event::request_blocked,
+        {{"content", text_of(report.request)},
+         {"crashes", std::to_string(this->table.crashed_under(report.request).size())}});
+  }
+  const auto state = std::make_shared<publication>(this->context);
+  state->pending = 2;
+  asio::co_spawn(this->context,
+                 this->store(crash_record_of(report.request, report.crashes.front().server), state),
+                 asio::detached);
+  this->publish({report}, [state] { state->ended(); });
+  co_await state->signal.wait_until(steady::now() + publication_time);
+}
+
+asio::awaitable<void> crash_tracker::store(turn_request crash, std::shared_ptr<publication> state) {
+  turn_result result;
+  result.used = crash.max_output_tokens;
+  const std::weak_ptr<bool> alive = this->lifetime;
+  const bool stored = co_await this->ledger.settle(crash, result, steady::now() + storage_time);
+  if (!alive.expired() && !stored) {
+    this->metrics.count("crashes_not_stored");
+  }
+  state->ended();
+}
+
+void crash_tracker::publish(const std::vector<crash_report>& reports, std::function<void()> done) {
+  const std::vector<host_id> hosts = this->hooks.hosts();
+  if (hosts.empty()) {
+    done();
+    return;
+  }
+  const std::string payload = to_bytes(crash_message{reports, false});
+  const auto missing = std::make_shared<std::size_t>(hosts.size());
+  for (const host_id& host : hosts) {
+    this->hooks.send(host, payload,
+                     [this, alive = std::weak_ptr(this->lifetime), host, missing, done](
+                         net::rpc_failure why, const std::string& bytes) {
+                       if (!alive.expired()) {
+                         this->handle_answer(host, why, bytes);
+                       }
+                       if (--*missing == 0) {
+                         done();
+                       }
+                     });
+  }
+}
+
+void crash_tracker::handle_answer(const host_id& from, net::rpc_failure why,
+                                  const std::string& bytes) {
+  if (why != net::rpc_failure::none) {
+    this->up_to_date.erase(from);
+    return;
+  }
+  const auto message = from_bytes<crash_message>(bytes);
+  if (!message) {
+    return;
+  }
+  for (const crash_report& report : message->reports) {
+    this->apply(report);
+  }
+}
+
+void crash_tracker::apply(const crash_report& report) {
+  const std::vector<server_process_key> before = this->table.crashed_under(report.request);
+  if (!this->table.merge(report, discovery::scheduler_now())) {
+    return;
+  }
+  // What another host has cleared is also cleared in the ledger, whoever recorded it.
+  for (const crash_mark& mark : report.crashes) {
+    const bool counted = std::find(before.begin(), before.end(), mark.server) != before.end();
+    if (counted && mark.state == crash_state::cleared) {
+      this->ledger.withdraw(crash_record_of(report.request, mark.server));
+    }
+  }
+  this->clear_answered(report);
+}
+
+void crash_tracker::clear_answered(const crash_report& report) {
+  const timestamp now = discovery::scheduler_now();
+  if (this->answered.contains(report.request, report.version, now)) {
+    this->clear(report.request, this->table.crashed_under(report.request));
+  }
+}
+
+void crash_tracker::clear(const request_fingerprint& request,
+                          const std::vector<server_process_key>& servers) {
+  crash_report report = this->table.report_of(request, discovery::scheduler_now());
+  report.crashes.clear();
+  for (const server_process_key server : servers) {
+    report.crashes.push_back({server, crash_state::cleared});
+    this->ledger.withdraw(crash_record_of(request, server));
+  }
+  if (this->table.merge(report, discovery::scheduler_now())) {
+    this->metrics.count("crashes_cleared", servers.size());
+    this->publish({report}, [] {});
+  }
+}
+
+void crash_tracker::run_answered(const request_fingerprint& request,
+                                 const software_version& version,
+                                 const std::optional<suspected_run>& run) {
+  this->answered.add(request, version, discovery::scheduler_now());
+  if (!run) {
+    return;
+  }
+  this->run_withdrawn(run);
+  // A crash that was recorded during this run is not cleared by it.
+  this->clear(request, run->crashed_before);
+}
+
+void crash_tracker::run_withdrawn(const std::optional<suspected_run>& run) {
+  if (run) {
+    this->ledger.withdraw(run->reservation);
+  }
+}
+
+std::optional<std::string> crash_tracker::serve(const std::string& payload) {
+  const auto message = from_bytes<crash_message>(payload);
+  if (!message) {
+    return std::nullopt;
+  }
+  crash_message answer;
+  for (const crash_report& report : message->reports) {
+    this->apply(report);
+    if (!message->wants_all) {
+      answer.reports.push_back(this->table.report_of(report.request, discovery::scheduler_now()));
+    }
+  }
+  if (message->wants_all) {
+    answer.reports = this->table.reports(discovery::scheduler_now());
+  }
+  return to_bytes(answer);
+}
+
+void crash_tracker::compare(const host_id& other, std::uint64_t checksum) {
+  const net::steady_time now = steady::now();
+  if (checksum == this->table.checksum()) {
+    this->comparison_interval = min_comparison_interval;
+    return;
+  }
+  if (now < this->next_comparison) {
+    return;
+  }
+  this->comparison_interval =
+      std::clamp(this->comparison_interval * 2, min_comparison_interval, max_comparison_interval);
+  this->next_comparison = now + this->comparison_interval;
+  this->send(other, {this->table.reports(discovery::scheduler_now()), true});
+}
+
+void crash_tracker::send(const host_id& to, const crash_message& message) {
+  this->hooks.send(to, to_bytes(message),
+                   [this, alive = std::weak_ptr(this->lifetime), to](net::rpc_failure why,
+                                                                     const std::string& bytes) {
+                     if (!alive.expired()) {
+                       this->handle_answer(to, why, bytes);
+                     }
+                   });
+}
+
+void crash_tracker::tick(net::steady_time now) {
+  if (!this->is_informed && now >= this->next_ledger_read) {
+    this->next_ledger_read = now + ledger_read_interval;
+    this->is_informed = now - this->started_at >= max_uninformed_time;
+    this->read_ledger();
+  }
+  this->resolve_unconfirmed(now);
+  if (now >= this->next_update) {
+    this->next_update = now + update_interval;
+    this->table.expire(discovery::scheduler_now());
+    this->update_other_hosts();
+  }
+}
+
+void crash_tracker::resolve_unconfirmed(net::steady_time now) {
+  for (auto item = this->unconfirmed.begin(); item != this->unconfirmed.end();) {
+    const backend_entry* entry = this->hooks.entry_of(item->server.id);
+    const bool has_ended = entry == nullptr || entry->start != item->server.start;
+    if (!has_ended && now < item->until) {
+      ++item;
+      continue;
+    }
+    if (has_ended) {
+      crash_report report = this->table.report_of(item->request, discovery::scheduler_now());
+      report.crashes = {{key_of(item->server), crash_state::confirmed}};
+      this->table.merge(report, discovery::scheduler_now());
+      this->publish({report}, [] {});
+    } else {
+      this->clear(item->request, {key_of(item->server)});
+    }
+    item = this->unconfirmed.erase(item);
+  }
+}
+
+void crash_tracker::update_other_hosts() {
+  const std::vector<host_id> hosts = this->hooks.hosts();
+  const std::set<host_id> live(hosts.begin(), hosts.end());
+  std::erase_if(this->up_to_date, [&live](const host_id& host) { return !live.contains(host); });
+  if (this->table.size() == 0) {
+    this->up_to_date = live;
+    return;
+  }
+  for (const host_id& host : hosts) {
+    if (this->up_to_date.insert(host).second) {
+      this->send(host, {this->table.reports(discovery::scheduler_now()), false});
+    }
+  }
+}
+
+void crash_tracker::read_ledger() {
+  const std::optional<ledger_set> set = this->hooks.disks();
+  if (!set) {
+    return;
+  }
+  const auto complete = std::make_shared<std::set<disk_id>>();
+  for (const disk_id& disk : set->all()) {
+    this->read_disk(complete, *set, disk, {first_crash_program(), request_id()});
+  }
+}
+
+void crash_tracker::read_disk(const std::shared_ptr<std::set<disk_id>>& complete,
+                              const ledger_set& set, const disk_id& disk,
+                              const copy_request& from) {
+  const auto take_page = [this, alive = std::weak_ptr(this->lifetime), complete, set, disk](
+                             net::rpc_failure why, const std::string& bytes) {
+    const auto page = from_bytes<copy_page>(bytes);
+    if (alive.expired() || why != net::rpc_failure::none || !page) {
+      return;
+    }
+    for (const ledger_record& record : page->records) {
+      if (const auto report = crash_report_from(record, wall_now())) {
+        this->table.merge(*report, discovery::scheduler_now());
+      }
+    }
+    if (!page->last && !page->records.empty()) {
+      const ledger_record& last = page->records.back();
+      this->read_disk(complete, set, disk, {last.program, last.state.id});
+      return;
+    }
+    complete->insert(disk);
+    this->is_informed = this->is_informed || set.has_majority(*complete);
+  };
+  this->hooks.read_disk(disk, to_bytes(from), take_page);
+}
+
+std::string crash_tracker::describe() const {
+  std::string text;
+  for (const crash_report& report : this->table.reports(discovery::scheduler_now())) {
+    const crash_standing standing = this->standing(report.request);
+    if (standing == crash_standing::unsuspected) {
+      continue;
+    }
+    text += fmt::format("{} {} crashes {} age_s {} version {}\n", text_of(report.request),
+                        name_of(standing), this->table.crashed_under(report.request).size(),
+                        std::chrono::duration_cast<std::chrono::seconds>(report.age).count(),
+                        report.version.get());
+  }
+  return text;
+}
+
+bool crash_tracker::lift(const request_fingerprint& request) {
+  const std::vector<server_process_key> servers = this->table.crashed_under(request);
+  if (servers.empty()) {
+    return false;
+  }
+  log(event::request_unblocked, {{"content", text_of(request)}});
+  this->clear(request, servers);
+  return true;
+}
+
+}  // namespace hawthornlane::front
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -10,7 +10,9 @@
 #include "configuration_copy.h"
 #include "hawthornlane/discovery/registration.h"
 #include "hawthornlane/front/address_choice.h"
+#include "hawthornlane/front/blocked_request_pages.h"
 #include "hawthornlane/front/call_service.h"
+#include "hawthornlane/front/crash_tracker.h"
 #include "hawthornlane/front/host_report.h"
 #include "hawthornlane/front/ledger_client.h"
 #include "hawthornlane/front/peer_gossip.h"
@@ -72,7 +74,8 @@
         ledger(io, sweeper, fleet, settings.zone, settings.memory_mb * cache_bytes_per_mb),
         placer(io, settings.host, settings.zone, fleet, metrics, rules_for(settings)),
         quotas(io, make_quota_hooks()),
-        calls(fleet, placer, backends, codec, quotas, ledger, metrics),
+        crashes(io, ledger, metrics, make_crash_hooks()),
+        calls(fleet, placer, backends, codec, quotas, ledger, crashes, metrics),
         gossip(io, sweeper, fleet, read_schedule, make_gossip_hooks()),
         exchange(io, settings.host, make_exchange_hooks()),
         places(io, settings.host, exchange.entries(), metrics, make_place_hooks()),
@@ -99,6 +102,7 @@
   ledger_client ledger;
   call_placer placer;
   quota_client quotas;
+  crash_tracker crashes;
   call_service calls;
   peer_gossip gossip;
   directory_exchange exchange;
@@ -125,6 +129,7 @@
             .backends = this->backends,
             .calls = this->calls,
             .gossip = this->gossip,
+            .crashes = this->crashes,
             .traffic = this->traffic,
             .connections = [this] { return this->connections; },
             .peer_bytes_waiting = [this] { return this->peers->queued_bytes(); },
@@ -137,6 +142,10 @@
     hooks.self = [this] { return this->digest(); };
     hooks.decode_configuration = unpack_configuration;
     hooks.ledger = [this] { return this->ledger.current(); };
+    hooks.crash_checksum = [this] { return this->crashes.checksum(); };
+    hooks.on_crash_checksum = [this](const host_id& from, std::uint64_t checksum) {
+      this->crashes.compare(from, checksum);
+    };
     hooks.may_send_copy = [this] {
       const std::size_t max_bytes = this->settings.memory_mb * bytes_per_mb / peer_answers_share;
       return this->peers->queued_bytes() < max_bytes;
@@ -162,6 +171,29 @@
     return hooks;
   }
 
+  crash_hooks make_crash_hooks() {
+    crash_hooks hooks;
+    hooks.hosts = [this] { return this->gossip.live_hosts(); };
+    hooks.send = [this](const host_id& to, const std::string& payload, net::rpc_done done) {
+      this->gossip.send(to, gossip_method::crashes, payload, std::move(done));
+    };
+    hooks.check_listening = [this](http::endpoint where) {
+      return this->backends.check_listening(std::move(where));
+    };
+    hooks.entry_of = [this](const backend_server_id& id) {
+      const auto& listed = this->fleet.backends().listed();
+      const auto found = listed.find(id);
+      return found == listed.end() ? nullptr : &found->second;
+    };
+    hooks.disks = [this] { return this->ledger.current(); };
+    hooks.read_disk = [this](const disk_id& disk, std::string payload, net::rpc_done done) {
+      constexpr duration timeout = std::chrono::milliseconds(400);
+      this->ledger.ask_disk(disk, ledger_method::copy, std::move(payload), timeout,
+                            std::move(done));
+    };
+    return hooks;
+  }
+
   directory_hooks make_exchange_hooks() {
     directory_hooks hooks;
     hooks.hosts = [this] { return this->gossip.live_hosts(); };
@@ -225,7 +257,7 @@
   bool ready() const {
     // Without the set of disks no turn can be served; other hosts may have it.
     return !this->leaving && this->fleet.table() && this->ledger.current() &&
-           !this->fleet.backends().listed().empty();
+           this->crashes.informed() && !this->fleet.backends().listed().empty();
   }
 
   void start() {
@@ -266,6 +298,10 @@
             reply(this->exchange.serve(payload));
             return;
           }
+          if (method == gossip_method::crashes) {
+            reply(this->crashes.serve(payload));
+            return;
+          }
           if (this->claims_places(method)) {
             reply(this->places.serve(method, payload));
             return;
@@ -279,7 +315,10 @@
     });
     this->serve_auxiliary(this->settings.directory_at,
                           [this](const http::request& ask) { return this->addresses(ask); });
-    this->serve_auxiliary(this->settings.metrics_at, [this](const http::request&) {
+    this->serve_auxiliary(this->settings.metrics_at, [this](const http::request& ask) {
+      if (auto page = blocked_request_page(ask, this->crashes)) {
+        return std::move(*page);
+      }
       http::response answer;
       answer.content_type = "text/plain";
       answer.body = this->report.metrics_text();
@@ -362,6 +401,7 @@
     this->ledger.tick();
     flush_log();
     const net::steady_time now = steady::now();
+    this->crashes.tick(now);
     if (now >= this->next_demand_update) {
       this->next_demand_update = now + demand_update_interval;
       this->placer.apply_demand(this->gossip.demand_of_others());
--- a/libs/front/src/gossip_messages.cc
+++ b/libs/front/src/gossip_messages.cc
@@ -9,9 +9,15 @@
   return host_key(XXH32(host.get().data(), host.get().size(), 0));
 }
 
+std::string bytes_of(const probe_message& message) {
+  const std::string tail = message.crash_checksum == 0 ? "" : to_bytes(message.crash_checksum);
+  return to_bytes(message) + tail;
+}
+
 std::optional<probe_message> probe_message_from(const std::string& bytes) {
-  if (auto whole = from_bytes<probe_message>(bytes)) {
-    return whole;
+  if (auto whole = from_bytes_with_tail<probe_message, std::uint64_t>(bytes)) {
+    whole->first.crash_checksum = whole->second;
+    return std::move(whole->first);
   }
   auto digest = from_bytes<gossip_digest>(bytes);
   if (!digest) {
--- a/libs/front/src/host_report.cc
+++ b/libs/front/src/host_report.cc
@@ -36,6 +36,8 @@
   this->set("backend_foreign_answers", this->from.backends.counters().mismatched_responses);
   this->set("backend_unnamed_refusals", this->from.backends.counters().unidentified_refusals);
   this->set("calls_under_way", this->from.calls.in_flight());
+  this->set("suspected_requests", this->from.crashes.count(crash_standing::suspected));
+  this->set("blocked_requests", this->from.crashes.count(crash_standing::blocked));
   this->set_memory_metrics();
   this->set_traffic_metrics();
   return this->from.metrics.text();
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -30,7 +30,7 @@
 constexpr duration recent_read_age = std::chrono::milliseconds(50);
 constexpr duration copy_timeout = copy_send_limiter::confirmation_timeout;
 
-/// Phase within the probe interval at which a pair starts to probe, spread evenly over pairs.
+/// Phase within the probe interval at which a pair starts to probe.
 double phase_of(const host_id& host, const host_id& other) {
   constexpr std::uint64_t steps = 1 << 16;
   const std::uint64_t step = rendezvous_weight(host.get(), host_key_of(other).get()) % steps;
@@ -212,7 +212,9 @@
 const std::string& peer_gossip::probe_bytes() {
   const timestamp now = discovery::scheduler_now();
   if (this->encoder.is_stale()) {
-    this->encoder.update({this->hooks.self(), this->limits.select_to_name(this->suspected())}, now);
+    this->encoder.update({this->hooks.self(), this->limits.select_to_name(this->suspected()),
+                          this->hooks.crash_checksum()},
+                         now);
   }
   return this->encoder.encoded(now);
 }
@@ -252,6 +254,7 @@
   other.last_digest = digest;
   other.watch.record_message(now);
   this->handle_suspicions(other.entry.name, message.suspected);
+  this->hooks.on_crash_checksum(other.entry.name, message.crash_checksum);
   if (!other.reachable) {
     other.reachable = true;
     log(event::host_reachable, {{"peer", other.entry.name.get()}});
@@ -348,7 +351,6 @@
 }
 
 std::size_t peer_gossip::rank() const {
-  // Called at each pass of the event loop: building a digest only for the own name is too slow.
   const host_id& own = this->fetches.owner();
   std::size_t before = 0;
   for (const auto& [name, other] : this->peers) {
@@ -433,8 +435,8 @@
     case gossip_method::claim:
     case gossip_method::withdraw:
     case gossip_method::grant:
-      // Served elsewhere: by the ledger client, which answers asynchronously, by the placement
-      // directory, and by the place exchange.
+    case gossip_method::crashes:
+      // Served elsewhere, see `front_host`.
       return std::nullopt;
   }
   return std::nullopt;
--- a/libs/front/src/peer_traffic.cc
+++ b/libs/front/src/peer_traffic.cc
@@ -19,6 +19,8 @@
       return "relays";
     case traffic_kind::disks:
       return "disks";
+    case traffic_kind::crashes:
+      return "crashes";
   }
   return "";
 }
@@ -34,6 +36,8 @@
     case gossip_method::grant:
     case gossip_method::withdraw:
       return traffic_kind::directory;
+    case gossip_method::crashes:
+      return traffic_kind::crashes;
     case gossip_method::copy:
     case gossip_method::copy_taken:
       return traffic_kind::copies;
--- a/libs/front/src/probe_encoder.cc
+++ b/libs/front/src/probe_encoder.cc
@@ -8,9 +8,10 @@
 
 void probe_encoder::update(const probe_message& message, timestamp now) {
   const gossip_digest& digest = message.digest;
-  this->bytes = to_bytes(message);
-  // The age is the last field before the demand and the suspected hosts, which vary in size.
-  const std::size_t after = to_bytes(digest.demand).size() + to_bytes(message.suspected).size();
+  this->bytes = bytes_of(message);
+  // The age is the last field before the demand and what follows the digest, which vary in size.
+  const std::size_t after =
+      to_bytes(digest.demand).size() + this->bytes.size() - to_bytes(digest).size();
   this->age_offset = this->bytes.size() - after - sizeof(std::int64_t);
   this->read_at = now - digest.store_read_age;
   this->has_read = !digest.store_read_by.get().empty();
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -25,6 +25,10 @@
 constexpr auto connect_timeout = std::chrono::milliseconds(400);
 /// Limit for a check whether a server listens; callers wait for its result.
 constexpr auto listening_timeout = std::chrono::milliseconds(150);
+/// A process that ends closes its connections one after the other. One that still accepts a
+/// connection resets it within this time if it is ending; so does one that has too many.
+constexpr auto process_end_time = std::chrono::milliseconds(10);
+constexpr int max_listening_checks = 3;
 /// Idle connections kept per server. One host's share of a server's calls rarely needs more.
 constexpr std::size_t max_idle_connections = 16;
 /// How long an idle connection may be reused if the server sends no Keep-Alive header. Such
@@ -223,11 +227,23 @@
 }
 
 asio::awaitable<listening_state> backend_pool::check_listening(http::endpoint where) {
-  net::timed_socket socket(this->context, this->sweeper);
-  ++this->counts.opened;
-  const error_code error =
-      co_await socket.connect(where, std::chrono::steady_clock::now() + listening_timeout);
-  socket.close(true);
+  const net::steady_time until = std::chrono::steady_clock::now() + listening_timeout;
+  error_code error;
+  for (int attempt = 0; attempt < max_listening_checks && !error; ++attempt) {
+    net::timed_socket socket(this->context, this->sweeper);
+    ++this->counts.opened;
+    error = co_await socket.connect(where, until);
+    if (error) {
+      break;
+    }
+    std::string nothing;
+    const error_code closed =
+        co_await socket.read_more(nothing, 1, std::chrono::steady_clock::now() + process_end_time);
+    socket.close(true);
+    if (closed == asio::error::timed_out) {
+      break;
+    }
+  }
   if (!error) {
     co_return listening_state::listening;
   }
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -79,8 +79,14 @@
         "version that began it, as far as known, and those of the next server"},
     event_entry{
         attempt_failed, "attempt_failed", warning,
-        "a backend server did not answer an attempt whole; the line names the request's content, the "
+        "a backend server did not answer an attempt whole; the line names the request's content, "
+        "the "
         "start of the server's process, and whether something still listens at its address"},
+    event_entry{request_blocked, "request_blocked", warning,
+                "too many backend servers have crashed under a request, named by the hash of its "
+                "content; it is refused from now on"},
+    event_entry{request_unblocked, "request_unblocked", info,
+                "an operator has lifted the block of a request"},
     event_entry{configuration_in_force, "configuration_in_force", info,
                 "this host now follows a version of the configuration"},
     event_entry{backend_listed, "backend_listed", info, "a backend server may get calls"},
@@ -107,6 +113,9 @@
                 "gets fewer calls"},
     event_entry{host_reachable, "host_reachable", info, "another host answers"},
     event_entry{host_silent, "host_silent", warning, "another host does not answer"},
+    event_entry{backend_crashed, "backend_crashed", warning,
+                "a backend server's process has ended under a request; the line says whether that "
+                "is certain, and whether the request was suspected before and ran alone"},
     event_entry{settings_reread, "settings_reread", info, "the settings file was read again"},
     event_entry{lines_dropped, "lines_dropped", warning,
                 "the reader of the log was too slow; the line has the number of lines dropped"},
--- a/programs/client/commands.h
+++ b/programs/client/commands.h
@@ -25,6 +25,9 @@
 int list(connection& hosts, const std::string& what, output options);
 int program_show(connection& hosts, const std::string& program, output options);
 int drain(connection& hosts, output options);
+/// `hosts` are metrics addresses of front hosts.
+int list_blocked(connection& hosts);
+int unblock(connection& hosts, const std::string& content);
 
 /// Shows from the hosts' log files what happened to a request. Contacts no host. "-" is
 /// standard input.
--- a/programs/client/main.cc
+++ b/programs/client/main.cc
@@ -27,6 +27,8 @@
   hawthornlane [options] programs
   hawthornlane [options] program show ID
   hawthornlane [options] drain
+  hawthornlane [options] blocked
+  hawthornlane [options] unblock CONTENT
   hawthornlane [options] call FILE
   hawthornlane explain ID LOG...
   hawthornlane --help
@@ -43,6 +45,10 @@
   --json               Print JSON instead of tables.
   --help               Show this help.
 
+`blocked` lists the requests under which backend servers have crashed, and `unblock`
+lets one run again; CONTENT is its hash in that list and in the logs. For both,
+--hosts takes the metrics addresses of front hosts.
+
 `explain` shows from the hosts' log files (LOG; "-" is standard input) what happened
 to a request, or to all requests of a program, and the state known to the hosts at
 that time. `drain` starts a planned stop of the first host that can be reached. The
@@ -104,6 +110,12 @@
   if (chosen("program")) {
     return cli::program_show(hosts, text("ID"), options);
   }
+  if (chosen("blocked")) {
+    return cli::list_blocked(hosts);
+  }
+  if (chosen("unblock")) {
+    return cli::unblock(hosts, text("CONTENT"));
+  }
   if (chosen("drain")) {
     return cli::drain(hosts, options);
   }
--- a/scenarios/fatal_requests.cc
+++ b/scenarios/fatal_requests.cc
@@ -44,7 +44,7 @@
         const bool ends = is_marked(request) && (!this->may_end || this->may_end(server));
         return ends ? std::optional(this->effect) : std::nullopt;
       });
-  server.on_end([this, &server, service] {
+  server.on_end([this, &server, service](const std::optional<http::request>&) {
     ++this->counts.ends;
     const net::steady_time now = steady::now();
     this->successors.push_back(
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -123,8 +123,9 @@
   /// Ends the process like a crash.
   void end();
   [[nodiscard]] bool ended() const;
-  /// Sets a hook that is called once the process has ended; it may create other servers.
-  void on_end(std::function<void()> hook);
+  /// Sets a hook that is called when the process ends, before its connections are reset, with the
+  /// request that has ended it, if one has.
+  void on_end(std::function<void(const std::optional<http::request>& cause)> hook);
   /// The JSON object by which the server registers itself in the platform's store.
   [[nodiscard]] std::string entry(const std::string& service, const std::string& zone,
                                   bool draining = false) const;
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -99,24 +98,24 @@
   int cancelled = 0;
   std::function<void(const backend_arrival&)> arrival_hook;
   std::function<std::optional<fatal_effect>(const http::request&)> fatal_effect_of;
-  std::function<void()> end_hook;
+  std::function<void(const std::optional<http::request>& cause)> end_hook;
   std::set<net::timed_socket*> connections;
   http::endpoint address;
   bool ended = false;
 
-  void end() {
+  void end(const std::optional<http::request>& cause = std::nullopt) {
     if (this->ended) {
       return;
     }
     this->ended = true;
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
+    if (this->end_hook) {
+      this->end_hook(cause);
+    }
     for (net::timed_socket* connection : this->connections) {
       connection->close(true);
     }
-    if (this->end_hook) {
-      asio::post(this->context, this->end_hook);
-    }
   }
 
   [[nodiscard]] std::optional<fatal_effect> effect_of(const http::request& request) const {
@@ -190,7 +189,7 @@
     const auto effect = self->effect_of(request);
     if (effect && effect->after_events == 0) {
       co_await delay(effect->delay);
-      self->end();
+      self->end(request);
       co_return;
     }
     switch (behavior) {
@@ -289,7 +288,7 @@
       const std::string sent = cut ? bytes.substr(0, bytes.size() / 2) : bytes;
       open = co_await caller.write(sent);
       if (effect && event >= effect->after_events) {
-        self->end();
+        self->end(request);
         co_return;
       }
       if (cut) {
@@ -334,7 +333,7 @@
 
 bool scripted_backend::ended() const { return this->shared->ended; }
 
-void scripted_backend::on_end(std::function<void()> hook) {
+void scripted_backend::on_end(std::function<void(const std::optional<http::request>& cause)> hook) {
   this->shared->end_hook = std::move(hook);
 }
 
