Fault soak: requests that end servers, beside all other faults

The soak's servers ended by time only, never by what they are sent. Now callers send a request that ends its server, at once or after 5 or 30 ms, again and again under new ids at other front hosts, beside all other faults. Checked from what servers receive: none arrives after three have ended under it, and no other call is answered 400.

Child processes inherited the sockets of proxies and servers, so ended servers seemed to listen and their connections stayed open; they are closed now.

--- a/scenarios/child_process.cc
+++ b/scenarios/child_process.cc
@@ -27,6 +27,8 @@
   ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output_file.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, file_mode);
   ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A copy of a proxy's or a server's socket would keep its port and its connections open.
+  ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error =
       ::posix_spawn(&this->id, words.front(), &actions, nullptr, words.data(), environ);
   ::posix_spawn_file_actions_destroy(&actions);
--- a/scenarios/fault_proxy.cc
+++ b/scenarios/fault_proxy.cc
@@ -63,6 +63,7 @@
   asio::io_context& context;
   tcp::endpoint target;
   tcp::acceptor acceptor;
+  http::endpoint address;
   link_fault fault;
   /// Bytes per second back from the target; 0: no limit.
   std::uint64_t rate = 0;
@@ -152,6 +153,8 @@
 fault_proxy::fault_proxy(asio::io_context& context, const http::endpoint& target)
     : shared(std::make_shared<state>(context, target)) {
   http::listen_on(this->shared->acceptor, {target.address, 0});
+  const auto at = this->shared->acceptor.local_endpoint();
+  this->shared->address = {at.address().to_string(), at.port()};
   const auto take = [self = this->shared](tcp::socket socket) {
     const auto link = std::make_shared<proxied_connection>(std::move(socket));
     asio::co_spawn(self->context, state::forward_connection(self, link), asio::detached);
@@ -159,16 +162,15 @@
   asio::co_spawn(context, http::accept_until_closed(this->shared->acceptor, take), asio::detached);
 }
 
-fault_proxy::~fault_proxy() {
+fault_proxy::~fault_proxy() { this->close(); }
+
+void fault_proxy::close() {
   error_code ignored;
   this->shared->acceptor.close(ignored);
   this->reset_connections();
 }
 
-http::endpoint fault_proxy::where() const {
-  const auto at = this->shared->acceptor.local_endpoint();
-  return {at.address().to_string(), at.port()};
-}
+http::endpoint fault_proxy::where() const { return this->shared->address; }
 
 void fault_proxy::set_fault(const link_fault& fault) { this->shared->fault = fault; }
 
--- a/scenarios/fault_proxy.h
+++ b/scenarios/fault_proxy.h
@@ -39,6 +39,8 @@
   void limit_rate(std::uint64_t bytes_per_second);
   /// Resets every open connection on both sides.
   void reset_connections();
+  /// Ends like a crashed process: refuses new connections and resets all others.
+  void close();
   /// Open connections stay open but deliver nothing any more; new ones work.
   void silence_connections();
 
--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -86,7 +86,13 @@
             [this](net::steady_time then) {
               return then >= this->calm_from && this->faults.calm_since(then);
             },
-            seed) {}
+            seed) {
+    this->faults.on_fatal_request(
+        [this](std::uint64_t number) { this->callers.start_fatal_request(number); });
+    this->fleet.on_server_end([this](const std::string& server) {
+      this->faults.record(fmt::format("{} ends under a request", server));
+    });
+  }
 
   /// Returns true if every promise was kept.
   bool play() {
@@ -182,6 +188,8 @@
     const attempt_share& begun = this->checker.of_streams().begun();
     fmt::print("; calm: {} of {} resumptions go on, {} of {} streams begin", resumed.served,
                resumed.sent, begun.served, begun.sent);
+    fmt::print("; {} servers ended, {} requests that end servers were stopped",
+               this->checker.servers_ended(), this->checker.fatal_requests_stopped());
     if (this->first_served_after) {
       fmt::print("; served {} ms after the return", this->first_served_after->count());
     }
--- a/scenarios/promise_checker.cc
+++ b/scenarios/promise_checker.cc
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds crossing_slack{200};
 /// Maximum number of servers at which an idempotent call or a resumable stream may run.
 constexpr int max_runs = 2;
+/// Servers that may end under one request.
+constexpr int max_ends = 3;
 
 /// Statuses that promise that the request has not run and never will.
 bool promises_not_run(int status) {
@@ -25,6 +27,31 @@
 
 }  // namespace
 
+std::string fatal_request_in(const std::string& body) {
+  const std::size_t begin = body.find(fatal_mark);
+  if (begin == std::string::npos) {
+    return "";
+  }
+  return body.substr(begin, body.find(';', begin) - begin);
+}
+
+void promise_checker::on_server_end(const std::string& fatal_request) {
+  ++this->ends[fatal_request];
+}
+
+int promise_checker::fatal_requests_stopped() const {
+  return static_cast<int>(std::count_if(this->ends.begin(), this->ends.end(),
+                                        [](const auto& item) { return item.second >= max_ends; }));
+}
+
+int promise_checker::servers_ended() const {
+  int sum = 0;
+  for (const auto& [request, count] : this->ends) {
+    sum += count;
+  }
+  return sum;
+}
+
 void promise_checker::note(const std::string& what) { this->found.push_back(what); }
 
 void promise_checker::on_sent(const sent_call& call) { this->calls[call.request.id].sent = call; }
@@ -53,6 +80,11 @@
     this->note(
         fmt::format("{} ran {} {} times, at most {} allowed", server, id, call.runs, maximum));
   }
+  const std::string fatal_request = fatal_request_in(arrival.request.body);
+  if (!fatal_request.empty() && this->ends[fatal_request] >= max_ends) {
+    this->note(fmt::format("{} received {} after {} servers had ended under '{}'", server, id,
+                           this->ends[fatal_request], fatal_request));
+  }
   if (call.refused != 0) {
     this->note(fmt::format("{} ran {} after the call was answered {}", server, id, call.refused));
   }
@@ -87,6 +119,10 @@
       this->note(fmt::format("{} was answered {} although it has run", id, result.status));
     }
   }
+  constexpr int bad_request = 400;
+  if (result.status == bad_request && !call.sent.is_fatal) {
+    this->note(fmt::format("{} was answered 400", id));
+  }
   const bool must_be_known =
       call.sent.continues_turn || (!call.sent.is_stream && call.sent.route_is_certain);
   if (result.status == not_found && must_be_known) {
--- a/scenarios/promise_checker.h
+++ b/scenarios/promise_checker.h
@@ -14,6 +14,13 @@
 
 namespace hawthornlane::scenarios {
 
+/// Begins the body of a request that ends the servers that run it. The rest of the body up to the
+/// next semicolon names the request.
+inline constexpr const char* fatal_mark = "fatal-request-";
+
+/// The name of a fatal request in a body that a server received; empty if there is none.
+std::string fatal_request_in(const std::string& body);
+
 /// How often a call may run.
 enum class repetition : std::uint8_t {
   /// Runs at most once.
@@ -45,6 +52,8 @@
   int leave_after = 0;
   /// Every configuration that may be in force contains the call's route.
   bool route_is_certain = true;
+  /// The request ends the servers that run it.
+  bool is_fatal = false;
 };
 
 inline constexpr std::uint64_t kb_per_mb = 1024;
@@ -63,6 +72,8 @@
   void on_sent(const sent_call& call);
   /// Records a request that reached a server.
   void on_arrival(const std::string& server, const stand_ins::backend_arrival& arrival);
+  /// Records that a server has ended under a fatal request.
+  void on_server_end(const std::string& fatal_request);
   /// Records the response to a call, complete or not. `calm`: the call ended before its
   /// deadline, and no fault but planned maintenance was active during it or in the 3 s before it.
   void on_answer(const std::string& id, const call_result& result, bool calm);
@@ -76,6 +87,9 @@
   [[nodiscard]] const std::map<int, std::uint64_t>& statuses() const { return this->counts; }
   /// Of each kind, the process that came closest to its limit.
   [[nodiscard]] const std::map<std::string, memory_use>& memory() const { return this->largest; }
+  /// Fatal requests under which as many servers have ended as may, and all servers ended.
+  [[nodiscard]] int fatal_requests_stopped() const;
+  [[nodiscard]] int servers_ended() const;
   [[nodiscard]] int runs(const std::string& id) const;
   [[nodiscard]] bool was_sent(const std::string& id) const { return this->calls.contains(id); }
   [[nodiscard]] stream_promises& of_streams() { return this->streams; }
@@ -93,6 +107,8 @@
 
   stream_promises streams;
   std::map<std::string, known_call> calls;
+  /// Servers that have ended under each fatal request.
+  std::map<std::string, int> ends;
   std::map<std::string, int> tokens;
   std::map<int, std::uint64_t> counts;
   std::map<std::string, memory_use> largest;
--- /dev/null
+++ b/scenarios/soak_caller.h
@@ -0,0 +1,49 @@
+// A caller of a fault soak, shared by the sources of soak_callers.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "soak_callers.h"
+
+namespace hawthornlane::scenarios {
+
+inline boost::asio::awaitable<void> pause(std::chrono::milliseconds time) {
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, time);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+/// One caller with the connection that it reuses.
+struct soak_callers::caller {
+  caller(boost::asio::io_context& io, net::deadline_sweeper& alarms, std::uint64_t seed)
+      : context(io), sweeper(alarms), random(seed) {}
+
+  boost::asio::io_context& context;
+  net::deadline_sweeper& sweeper;
+  std::mt19937_64 random;
+  std::unique_ptr<net::timed_socket> socket;
+  std::string buffer;
+  std::vector<std::string> addresses;
+  net::steady_time addresses_until{};
+  /// Last address that failed; not used for the next connection if there is another.
+  std::string failed;
+  std::string connected_to;
+
+  std::size_t random_index(std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->random);
+  }
+  bool chance(double share) { return std::bernoulli_distribution(share)(this->random); }
+  void drop(bool hard) {
+    if (this->socket) {
+      this->socket->close(hard);
+      this->socket = nullptr;
+    }
+    this->buffer.clear();
+  }
+};
+
+}  // namespace hawthornlane::scenarios
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -1,6 +1,8 @@
 // Simulated agent programs that call a deployment during a fault soak.
 #include "soak_callers.h"
 
+#include "soak_caller.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -35,42 +37,8 @@
 /// One caller in this many pauses between turns.
 constexpr int callers_per_paused_one = 2;
 
-asio::awaitable<void> pause(std::chrono::milliseconds time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, time);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
 }  // namespace
 
-/// One caller with the connection that it reuses.
-struct soak_callers::caller {
-  caller(asio::io_context& io, net::deadline_sweeper& alarms, std::uint64_t seed)
-      : context(io), sweeper(alarms), random(seed) {}
-
-  asio::io_context& context;
-  net::deadline_sweeper& sweeper;
-  std::mt19937_64 random;
-  std::unique_ptr<net::timed_socket> socket;
-  std::string buffer;
-  std::vector<std::string> addresses;
-  net::steady_time addresses_until{};
-  /// Last address that failed; not used for the next connection if there is another.
-  std::string failed;
-  std::string connected_to;
-
-  std::size_t random_index(std::size_t count) {
-    return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->random);
-  }
-  bool chance(double share) { return std::bernoulli_distribution(share)(this->random); }
-  void drop(bool hard) {
-    if (this->socket) {
-      this->socket->close(hard);
-      this->socket = nullptr;
-    }
-    this->buffer.clear();
-  }
-};
-
 soak_callers::soak_callers(asio::io_context& io, soak_fleet& deployment, promise_checker& checker,
                            std::function<bool(net::steady_time)> is_calm, std::uint64_t seed)
     : context(io),
@@ -366,8 +334,9 @@
     co_return result;
   }
   sent_call sent = what;
-  // All calls of a program belong to one account.
-  const std::string& name = sent.program.empty() ? sent.request.id : sent.program;
+  // All calls of a program, and all attempts at a fatal request, belong to one account.
+  const std::string& unit = sent.is_fatal ? sent.request.body : sent.request.id;
+  const std::string& name = sent.program.empty() ? unit : sent.program;
   sent.account = soak_accounts[std::hash<std::string>()(name) % soak_accounts.size()];
   sent.request.headers.push_back({"Authorization", "Bearer " + soak_fleet::key_of(sent.account)});
   sent.request.headers.push_back({"X-Deadline-Ms", std::to_string(call_limit.count())});
--- a/scenarios/soak_callers.h
+++ b/scenarios/soak_callers.h
@@ -47,6 +47,10 @@
   [[nodiscard]] const turn_counts& turns() const { return this->counts; }
   [[nodiscard]] bool idle() const { return this->active_tasks == 0; }
 
+  /// Starts a caller that sends one request, which ends its servers, again and again under new ids
+  /// and at other front hosts.
+  void start_fatal_request(std::uint64_t seed);
+
   /// After all faults: checks that every host serves and that stored turns can be
   /// continued, then sets `done`.
   boost::asio::awaitable<void> verify(bool& done);
@@ -66,6 +70,7 @@
   boost::asio::awaitable<void> run_resumed(caller& who);
   /// Sends an attempt at a stream and counts it, if no fault is active.
   boost::asio::awaitable<call_result> attempt_stream(caller& who, const sent_call& what);
+  boost::asio::awaitable<void> run_fatal(std::uint64_t seed);
   boost::asio::awaitable<void> run_tools(caller& who, int calls);
   boost::asio::awaitable<void> probe_configuration();
   /// Reports each front host that does not serve that version's route.
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -35,7 +35,8 @@
       began(steady::now()),
       growth_random(seed),
       release_random(seed),
-      disk_random(seed) {
+      disk_random(seed),
+      fatal_random(seed) {
   const std::vector<fault_kind> groups[] = {this->process_faults(), this->link_faults(),
                                             this->environment_faults(),
                                             this->planned_maintenance()};
@@ -324,6 +325,21 @@
   ++this->begun["disk hosts leave in turn"];
 }
 
+void soak_faults::send_fatal_requests(net::steady_time now) {
+  if (now < this->next_fatal) {
+    return;
+  }
+  const bool first = this->next_fatal == net::steady_time{};
+  this->next_fatal = now + std::chrono::milliseconds(
+                               std::uniform_int_distribution<int>(1500, 4000)(this->fatal_random));
+  if (first || this->maintenance_only) {
+    return;
+  }
+  ++this->begun["requests that end servers"];
+  this->note(now, "a request that ends servers");
+  this->start_fatal_request(this->fatal_random());
+}
+
 void soak_faults::start_fault(net::steady_time now) {
   std::vector<const fault_kind*> choice;
   for (const fault_kind& kind : this->kinds) {
@@ -377,6 +393,7 @@
                                    2000, 6000)(this->release_random));
   }
   this->take_disks_in_turn(now);
+  this->send_fatal_requests(now);
   if (now >= this->period_ends) {
     this->maintenance_only = this->random_index(3) == 0;
     this->period_ends = now + this->random_duration(4000, 9000);
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -18,6 +18,10 @@
 public:
   soak_faults(soak_fleet& fleet, std::uint64_t seed);
 
+  /// Sets how to start a caller whose request ends servers.
+  void on_fatal_request(std::function<void(std::uint64_t seed)> start) {
+    this->start_fatal_request = std::move(start);
+  }
   /// Ends and starts what is due at `now`.
   void tick(net::steady_time now);
   /// Adds a fault from elsewhere to the history; it counts as active now.
@@ -59,6 +63,8 @@
   void grow(net::steady_time now);
   /// Lets disk hosts leave and return in turn: stopped, frozen or cut off.
   void take_disks_in_turn(net::steady_time now);
+  /// Starts callers whose requests end servers.
+  void send_fatal_requests(net::steady_time now);
   void note(net::steady_time now, const std::string& what);
   undo set_behaviors(const std::shared_ptr<stand_ins::behavior_script>& behaviors);
   undo pause_process(soak_host& host);
@@ -88,6 +94,10 @@
   std::mt19937_64 disk_random;
   net::steady_time next_disk{};
   std::size_t disks_taken = 0;
+  /// Likewise for requests that end servers.
+  std::mt19937_64 fatal_random;
+  net::steady_time next_fatal{};
+  std::function<void(std::uint64_t seed)> start_fatal_request = [](std::uint64_t) {};
   std::map<std::string, std::uint64_t> begun;
   std::vector<std::string> lines;
 };
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstring>
 #include <fstream>
 
 namespace hawthornlane::scenarios {
@@ -41,6 +42,9 @@
 /// Pause between the replacements of a release, and how long a replaced server drains.
 constexpr auto replacement_gap = std::chrono::milliseconds(400);
 constexpr auto drain_time = std::chrono::milliseconds(2500);
+/// From the end of a server to its successor's start, and until the store drops its entry.
+constexpr auto server_restart_time = std::chrono::milliseconds(400);
+constexpr auto entry_lifetime = std::chrono::milliseconds(3600);
 constexpr auto limit_check_interval = std::chrono::milliseconds(5);
 /// Availability zones that hosts of a kind are spread over.
 constexpr int zones = 4;
@@ -176,6 +180,7 @@
 void soak_fleet::supervise_processes() {
   const net::steady_time now = steady::now();
   this->step_release();
+  this->replace_ended();
   if (now >= this->next_memory_check) {
     this->next_memory_check = now + memory_check_interval;
     this->check_memory();
@@ -374,6 +379,7 @@
   made.server->on_arrival([this, name](const stand_ins::backend_arrival& arrival) {
     this->promises.on_arrival(name, arrival);
   });
+  this->make_mortal(*made.server, made.proxy);
   if (is_engine) {
     made.server->set_version(this->engine_version);
     made.server->set_events(events_per_turn, std::chrono::milliseconds(8));
@@ -381,6 +387,48 @@
   return made;
 }
 
+void soak_fleet::make_mortal(stand_ins::scripted_backend& server,
+                             const std::shared_ptr<fault_proxy>& proxy) {
+  server.set_fatal_requests(
+      [this](const http::request& request) -> std::optional<stand_ins::fatal_effect> {
+        const std::string name = fatal_request_in(request.body);
+        if (name.empty()) {
+          return std::nullopt;
+        }
+        const int delay = std::stoi(name.substr(name.find('-', std::strlen(fatal_mark)) + 1));
+        return stand_ins::fatal_effect{std::chrono::milliseconds(delay), 0};
+      });
+  server.on_end([this, &server, proxy](const std::optional<http::request>& cause) {
+    proxy->close();
+    const std::string name = server.instance();
+    this->promises.on_server_end(cause ? fatal_request_in(cause->body) : "");
+    const net::steady_time now = steady::now();
+    this->ended_backends.push_back({name, now + server_restart_time});
+    this->draining.push_back({name, now + entry_lifetime});
+    this->server_end_hook(name);
+  });
+}
+
+void soak_fleet::replace_ended() {
+  const net::steady_time now = steady::now();
+  std::erase_if(this->ended_backends, [this, now](const ended_backend& item) {
+    if (now < item.replace_at) {
+      return false;
+    }
+    for (soak_backend& backend : this->backends) {
+      if (backend.server->instance() != item.instance) {
+        continue;
+      }
+      soak_backend fresh = this->make_backend(backend.service);
+      this->list(fresh, false);
+      std::swap(backend, fresh);
+      this->removed_backends.push_back(std::move(fresh));
+      break;
+    }
+    return true;
+  });
+}
+
 void soak_fleet::add_backend(const std::string& service) {
   this->backends.push_back(this->make_backend(service));
   this->list(this->backends.back(), false);
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -126,6 +126,10 @@
   /// Removes a backend server as planned and adds another one in its place.
   void replace_backend(soak_backend& backend);
 
+  /// Sets a hook that is called when a server has ended under a request.
+  void on_server_end(std::function<void(const std::string& server)> hook) {
+    this->server_end_hook = std::move(hook);
+  }
   /// Begins to replace all model servers, one after the other, by servers of another version.
   void begin_release();
   /// Number of model servers of this version that are listed and not draining.
@@ -151,6 +155,10 @@
   void check_memory(const soak_host& host);
   void supervise_process(soak_host& host);
   void remove_retired_disks();
+  /// Makes some requests end the server like a crash.
+  void make_mortal(stand_ins::scripted_backend& server, const std::shared_ptr<fault_proxy>& proxy);
+  /// Starts the successors of ended servers that are due.
+  void replace_ended();
   /// Takes the steps of a release that are due.
   void step_release();
   /// Stops a process for the rest of a period in which it has used up its processor time.
@@ -174,6 +182,13 @@
     net::steady_time remove_at;
   };
   std::vector<draining_backend> draining;
+  /// A server that has ended, and when its successor starts.
+  struct ended_backend {
+    std::string instance;
+    net::steady_time replace_at;
+  };
+  std::vector<ended_backend> ended_backends;
+  std::function<void(const std::string& server)> server_end_hook = [](const std::string&) {};
   /// Removed servers, which may still have open connections from callers.
   std::vector<soak_backend> removed_backends;
   /// Hosts that were removed for good; faults may still use their proxies.
