--- a/libs/front/include/hawthornlane/front/probe_schedule.h
+++ b/libs/front/include/hawthornlane/front/probe_schedule.h
@@ -1,6 +1,7 @@
 // Decides which of two front hosts sends the next probe. No I/O, clock or randomness.
 #pragma once
 
+#include "hawthornlane/units/ids.h"
 #include "hawthornlane/units/quantities.h"
 
 namespace hawthornlane::front {
@@ -23,4 +24,8 @@
 [[nodiscard]] bool is_probe_due(const probe_times& times, bool goes_first, duration probe_interval,
                                 timestamp now);
 
+/// Phase within the probe interval, from 0 to 1, at which a pair of hosts starts to probe, spread
+/// evenly over pairs.
+[[nodiscard]] double probe_phase(const host_id& host, const host_id& other);
+
 }  // namespace hawthornlane::front
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "hawthornlane/front/peer_failure_detector.h"
+#include "hawthornlane/front/probe_schedule.h"
 #include "hawthornlane/front/relay_choice.h"
-#include "hawthornlane/placement/rendezvous.h"
 #include "hawthornlane/telemetry/log.h"
 
 namespace hawthornlane::front {
@@ -30,13 +30,6 @@
 constexpr duration recent_read_age = std::chrono::milliseconds(50);
 constexpr duration copy_timeout = copy_send_limiter::confirmation_timeout;
 
-/// Phase within the probe interval at which a pair starts to probe.
-double phase_of(const host_id& host, const host_id& other) {
-  constexpr std::uint64_t steps = 1 << 16;
-  const std::uint64_t step = rendezvous_weight(host.get(), host_key_of(other).get()) % steps;
-  return static_cast<double>(step) / steps;
-}
-
 }  // namespace
 
 /// Another front host, as this host sees it.
@@ -44,7 +37,7 @@
   peer(host_entry what, const host_id& watched_by, timestamp now)
       : entry(std::move(what)),
         key(host_key_of(this->entry.name)),
-        watch(now, phase_of(watched_by, this->entry.name)) {}
+        watch(now, probe_phase(watched_by, this->entry.name)) {}
 
   host_entry entry;
   host_key key;
@@ -351,6 +344,7 @@
 }
 
 std::size_t peer_gossip::rank() const {
+  // Called at each pass of the event loop: building a digest only for the own name is too slow.
   const host_id& own = this->fetches.owner();
   std::size_t before = 0;
   for (const auto& [name, other] : this->peers) {
@@ -436,7 +430,8 @@
     case gossip_method::withdraw:
     case gossip_method::grant:
     case gossip_method::crashes:
-      // Served elsewhere, see `front_host`.
+      // Served elsewhere: by the ledger client, which answers asynchronously, by the placement
+      // directory, by the place exchange, and by the crash tracker.
       return std::nullopt;
   }
   return std::nullopt;
--- a/libs/front/src/probe_schedule.cc
+++ b/libs/front/src/probe_schedule.cc
@@ -1,6 +1,11 @@
 // Decides which of two front hosts sends the next probe.
 #include "hawthornlane/front/probe_schedule.h"
 
+#include <cstdint>
+
+#include "hawthornlane/front/gossip_messages.h"
+#include "hawthornlane/placement/rendezvous.h"
+
 namespace hawthornlane::front {
 namespace {
 
@@ -21,6 +26,12 @@
 
 }  // namespace
 
+double probe_phase(const host_id& host, const host_id& other) {
+  constexpr std::uint64_t steps = 1 << 16;
+  const std::uint64_t step = rendezvous_weight(host.get(), host_key_of(other).get()) % steps;
+  return static_cast<double>(step) / steps;
+}
+
 bool is_probe_due(const probe_times& times, bool goes_first, duration probe_interval,
                   timestamp now) {
   if (now - times.last_sent < probe_interval / retry_divisor) {
