Clear a crash under a content that many hosts know at one host only

Cause: each host that had seen a content answered cleared a reported crash for all: it told all others and withdrew the crash in the ledger, and so did each host that heard of it. With n hosts a crash under a popular content cost about n*n messages and n appends at the disks.

Change: a host that is told of a crash answers that it is cleared; the host that has reported it tells the others and withdraws it. Comparisons of checksums back off unless they bring something new.

--- a/libs/front/include/hawthornlane/front/crash_tracker.h
+++ b/libs/front/include/hawthornlane/front/crash_tracker.h
@@ -116,12 +116,17 @@
   /// Tells the other front hosts; calls `done` when all have answered or failed to.
   void publish(const std::vector<crash_report>& reports, std::function<void()> done);
   void send(const host_id& to, const crash_message& message);
-  void handle_answer(const host_id& from, net::rpc_failure why, const std::string& bytes);
+  /// Returns the reports that were new.
+  std::vector<crash_report> handle_answer(const host_id& from, net::rpc_failure why,
+                                          const std::string& bytes);
   boost::asio::awaitable<void> store(turn_request crash, std::shared_ptr<publication> state);
   void clear(const request_fingerprint& request, const std::vector<server_process_key>& servers);
-  void apply(const crash_report& report);
-  /// Clears the crashes under requests that this host has seen answered by the same version.
-  void clear_answered(const crash_report& report);
+  /// Clears, on all hosts and in the ledger, what the answers to a report of this host have
+  /// cleared. Only the host that has published a crash does this.
+  void clear_cleared(const std::vector<crash_report>& news);
+  /// Merges a report of another host; returns what this host knows of the request. The crashes are
+  /// cleared if a server of the same version has answered the request here.
+  crash_report merged(const crash_report& report);
   void resolve_unconfirmed(net::steady_time now);
   void update_other_hosts();
   void read_ledger();
--- a/libs/front/src/crash_tracker.cc
+++ b/libs/front/src/crash_tracker.cc
@@ -198,7 +198,7 @@
                      [this, alive = std::weak_ptr(this->lifetime), host, missing, done](
                          net::rpc_failure why, const std::string& bytes) {
                        if (!alive.expired()) {
-                         this->handle_answer(host, why, bytes);
+                         this->clear_cleared(this->handle_answer(host, why, bytes));
                        }
                        if (--*missing == 0) {
                          done();
@@ -207,41 +207,50 @@
   }
 }
 
-void crash_tracker::handle_answer(const host_id& from, net::rpc_failure why,
-                                  const std::string& bytes) {
+std::vector<crash_report> crash_tracker::handle_answer(const host_id& from, net::rpc_failure why,
+                                                       const std::string& bytes) {
+  std::vector<crash_report> news;
   if (why != net::rpc_failure::none) {
     this->up_to_date.erase(from);
-    return;
+    return news;
   }
   const auto message = from_bytes<crash_message>(bytes);
   if (!message) {
-    return;
+    return news;
   }
   for (const crash_report& report : message->reports) {
-    this->apply(report);
+    if (this->table.merge(report, discovery::scheduler_now())) {
+      news.push_back(report);
+    }
   }
+  return news;
 }
 
-void crash_tracker::apply(const crash_report& report) {
-  const std::vector<server_process_key> before = this->table.crashed_under(report.request);
-  if (!this->table.merge(report, discovery::scheduler_now())) {
-    return;
-  }
-  // What another host has cleared is also cleared in the ledger, whoever recorded it.
-  for (const crash_mark& mark : report.crashes) {
-    const bool counted = std::find(before.begin(), before.end(), mark.server) != before.end();
-    if (counted && mark.state == crash_state::cleared) {
-      this->ledger.withdraw(crash_record_of(report.request, mark.server));
+void crash_tracker::clear_cleared(const std::vector<crash_report>& news) {
+  for (const crash_report& report : news) {
+    std::vector<server_process_key> servers;
+    for (const crash_mark& mark : report.crashes) {
+      if (mark.state == crash_state::cleared) {
+        servers.push_back(mark.server);
+      }
+    }
+    if (!servers.empty()) {
+      this->clear(report.request, servers);
     }
   }
-  this->clear_answered(report);
 }
 
-void crash_tracker::clear_answered(const crash_report& report) {
+crash_report crash_tracker::merged(const crash_report& report) {
   const timestamp now = discovery::scheduler_now();
+  this->table.merge(report, now);
+  crash_report known = this->table.report_of(report.request, now);
   if (this->answered.contains(report.request, report.version, now)) {
-    this->clear(report.request, this->table.crashed_under(report.request));
+    for (crash_mark& mark : known.crashes) {
+      mark.state = crash_state::cleared;
+    }
+    this->table.merge(known, now);
   }
+  return known;
 }
 
 void crash_tracker::clear(const request_fingerprint& request,
@@ -252,10 +261,9 @@
     report.crashes.push_back({server, crash_state::cleared});
     this->ledger.withdraw(crash_record_of(request, server));
   }
-  if (this->table.merge(report, discovery::scheduler_now())) {
-    this->metrics.count("crashes_cleared", servers.size());
-    this->publish({report}, [] {});
-  }
+  this->table.merge(report, discovery::scheduler_now());
+  this->metrics.count("crashes_cleared", servers.size());
+  this->publish({report}, [] {});
 }
 
 void crash_tracker::run_answered(const request_fingerprint& request,
@@ -267,7 +275,9 @@
   }
   this->run_withdrawn(run);
   // A crash that was recorded during this run is not cleared by it.
-  this->clear(request, run->crashed_before);
+  if (!run->crashed_before.empty()) {
+    this->clear(request, run->crashed_before);
+  }
 }
 
 void crash_tracker::run_withdrawn(const std::optional<suspected_run>& run) {
@@ -283,9 +293,9 @@
   }
   crash_message answer;
   for (const crash_report& report : message->reports) {
-    this->apply(report);
+    const crash_report known = this->merged(report);
     if (!message->wants_all) {
-      answer.reports.push_back(this->table.report_of(report.request, discovery::scheduler_now()));
+      answer.reports.push_back(known);
     }
   }
   if (message->wants_all) {
@@ -296,12 +306,11 @@
 
 void crash_tracker::compare(const host_id& other, std::uint64_t checksum) {
   const net::steady_time now = steady::now();
-  if (checksum == this->table.checksum()) {
-    this->comparison_interval = min_comparison_interval;
+  if (checksum == this->table.checksum() || now < this->next_comparison) {
     return;
   }
-  if (now < this->next_comparison) {
-    return;
+  if (now - this->next_comparison > max_comparison_interval) {
+    this->comparison_interval = {};
   }
   this->comparison_interval =
       std::clamp(this->comparison_interval * 2, min_comparison_interval, max_comparison_interval);
@@ -313,8 +322,8 @@
   this->hooks.send(to, to_bytes(message),
                    [this, alive = std::weak_ptr(this->lifetime), to](net::rpc_failure why,
                                                                      const std::string& bytes) {
-                     if (!alive.expired()) {
-                       this->handle_answer(to, why, bytes);
+                     if (!alive.expired() && !this->handle_answer(to, why, bytes).empty()) {
+                       this->comparison_interval = {};
                      }
                    });
 }
--- a/libs/front/test/crash_simulation.h
+++ b/libs/front/test/crash_simulation.h
@@ -20,6 +20,7 @@
 /// What the disks of the ledger hold; always consistent, since the ledger has its own tests.
 struct simulated_ledger {
   std::map<program_id, std::map<request_id, ledger_record>> programs;
+  int withdrawals = 0;
 
   void apply(const turn_request& turn, reservation_phase phase, token_count used) {
     constexpr std::int64_t never = std::int64_t{1} << 60;
@@ -27,6 +28,7 @@
     record.program = turn.program;
     record.state = {turn.id, turn.max_output_tokens, used, phase};
     record.expires_at = wall_ms(never);
+    this->withdrawals += phase == reservation_phase::withdrawn ? 1 : 0;
     auto& known = this->programs[turn.program].try_emplace(turn.id, record).first->second;
     if (phase > known.state.phase) {
       known = record;
@@ -171,6 +173,9 @@
     this->context.poll_one();
   }
   [[nodiscard]] std::size_t random_index(std::size_t count) { return this->random() % count; }
+  /// Messages between hosts, and withdrawals at the ledger, so far.
+  [[nodiscard]] int messages() const { return this->messages_sent; }
+  [[nodiscard]] int withdrawals() const { return this->ledger.withdrawals; }
   [[nodiscard]] crash_tracker& tracker(int number) { return *this->hosts.at(number)->tracker; }
 
 private:
@@ -215,6 +220,7 @@
       return live;
     };
     hooks.send = [this, number](const host_id& to, const std::string& payload, net::rpc_done done) {
+      ++this->messages_sent;
       boost::asio::post(this->context, [this, number, to, payload, done] {
         int other = 0;
         while (name_of(other) != to) {
@@ -308,6 +314,7 @@
   /// All servers ever: the store drops entries of crashed ones much later.
   std::map<backend_server_id, backend_entry> listed;
   int servers_made = 0;
+  int messages_sent = 0;
   net::steady_time now = std::chrono::steady_clock::now();
 };
 
--- a/libs/front/test/crash_tracker_test.cc
+++ b/libs/front/test/crash_tracker_test.cc
@@ -163,6 +163,20 @@
   }
 }
 
+TEST_CASE("a crash under a content that all hosts know costs two messages to each other host") {
+  crash_simulation all(host_count, server_count, 1);
+  simulated_request poll = request_of(1, false);
+  for (int host = 1; host < host_count; ++host) {
+    REQUIRE(all.attempt(host, poll) == simulated_answer::served);
+  }
+  const int messages = all.messages();
+  poll.ends_servers = true;
+  CHECK(all.attempt(0, poll) == simulated_answer::failed);
+  CHECK(all.messages() - messages <= 2 * (host_count - 1));
+  CHECK(all.withdrawals() == 1);
+  CHECK(all.tracker(0).standing(poll.content) == crash_standing::unsuspected);
+}
+
 TEST_CASE("an operator's lift holds on all hosts and after a restart of all") {
   crash_simulation all(host_count, server_count, 1);
   simulated_request fatal = request_of(1, true);
