--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -400,7 +400,7 @@
       });
   server.on_end([this, &server, proxy](const std::optional<http::request>& cause) {
     proxy->close();
-    const std::string name = server.instance();
+    const std::string& name = server.instance();
     this->promises.on_server_end(cause ? fatal_request_in(cause->body) : "");
     const net::steady_time now = steady::now();
     this->ended_backends.push_back({name, now + server_restart_time});
