--- a/review/5/case.cc
+++ b/review/5/case.cpp
@@ -1,6 +1,6 @@
 // A front host gets SIGTERM while callers still use its address. Requests that they send 3.5 s
 // later are taken, and wait and run for longer than the host goes on.
-#include "rig.h"
+#include "rig.hpp"
 
 using namespace rig;
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,6 +13,6 @@
   common="$common $object"
 done
 for number in 4 5 6; do
-  [ -f "review/$number/case.cc" ] || continue
-  ${CXX:-g++} $flags "review/$number/case.cc" $common -o "$out/case-$number" -lboost_json -lboost_url -lfmt -lpthread
+  [ -f "review/$number/case.cpp" ] || continue
+  ${CXX:-g++} $flags "review/$number/case.cpp" $common -o "$out/case-$number" -lboost_json -lboost_url -lfmt -lpthread
 done
