Answer every call before a stopping front host exits

Cause: shutdown_policy compared the time since SIGTERM with constants. Nothing compared a call's possible end with the end of the process, neither when it was taken nor when it left the queue, and calls in flight at the exit were dropped without an answer.

Change: a call is sent to a server during a stop only if its time limit ends before the process does, or if the longest recent time of its route, by half more, still fits; otherwise it gets 503, in the queue too. Servers are told a limit no later than that. 0.4 s before the kill all remaining calls are answered, 503 or 504. Connections are then closed by a FIN and read until the callers have closed. When the estimate fails the caller still gets a true answer.

The soak should have found this and could not: its servers answered at once, its callers left stopping hosts, and calm periods were too short.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "hawthornlane/discovery/fleet_state.h"
@@ -13,6 +14,8 @@
 #include "hawthornlane/front/call_placer.h"
 #include "hawthornlane/front/crash_tracker.h"
 #include "hawthornlane/front/quota_gate.h"
+#include "hawthornlane/front/recent_call_times.h"
+#include "hawthornlane/front/shutdown_policy.h"
 #include "hawthornlane/front/turn_store.h"
 #include "hawthornlane/relay/backend_pool.h"
 #include "hawthornlane/relay/caller_connection.h"
@@ -36,9 +39,11 @@
   boost::asio::awaitable<void> refuse(relay::caller_connection& caller, const failure& why,
                                       const std::string& id, duration wait = {});
   /// Number of calls that have been read and not answered.
-  [[nodiscard]] std::size_t in_flight() const { return this->calls; }
-  /// Rejects all further calls; used near the end of a planned stop.
-  void reject_new_calls() { this->rejecting_calls = true; }
+  [[nodiscard]] std::size_t in_flight() const { return this->active.size(); }
+  /// Begins a planned stop: from now on only calls that can end before the process are accepted.
+  void begin_stop(const shutdown_policy& rules);
+  /// Answers the calls that can no longer end in time. Call this regularly during a stop.
+  void continue_stop();
   /// Sets how to find the age of this host's list of backend servers.
   void set_view_age(std::function<duration()> hook) { this->view_age = std::move(hook); }
 
@@ -104,6 +109,24 @@
   /// Whether this host knows that the program of this prompt has been served before.
   bool continues_program(const service_name& service, const std::vector<prompt_piece>& prompt);
 
+  // Planned stop (call_shutdown.cc).
+  struct planned_stop {
+    shutdown_policy rules;
+    net::steady_time began;
+
+    [[nodiscard]] duration elapsed() const {
+      return std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - this->began);
+    }
+  };
+  /// Whether a call that is sent to a server now ends before the process does, as far as is known.
+  [[nodiscard]] bool can_finish(const call& one);
+  [[nodiscard]] duration expected_time(const call& one);
+  /// Refuses the call if it cannot end in time; otherwise limits its time.
+  std::optional<failure> admit_during_stop(call& one);
+  /// Ends the call's wait or its attempt; the call is then answered by `give_up_for_stop`.
+  static void end_for_stop(call& one);
+  boost::asio::awaitable<void> give_up_for_stop(call& one);
+
   // Dispatch to one server.
   boost::asio::awaitable<relay::attempt_outcome> try_server(call& one, const backend_entry& server);
   static relay::dispatch_terms terms_for(const call& one, const backend_entry& server);
@@ -133,8 +156,10 @@
   crash_tracker& crashes;
   call_metrics& metrics;
   net::steady_time started_at = std::chrono::steady_clock::now();
-  std::size_t calls = 0;
-  bool rejecting_calls = false;
+  /// Calls that have been read and not answered.
+  std::set<call*> active;
+  recent_call_times call_times;
+  std::optional<planned_stop> stop;
   std::function<duration()> view_age = [] { return duration::max(); };
 };
 
--- a/libs/front/src/call_admission.cc
+++ b/libs/front/src/call_admission.cc
@@ -39,8 +39,9 @@
     return failure{error_kind::request_crashes_servers, text_of(*one.fingerprint)};
   }
   const duration longest = one.terms.deadline.value_or(one.taken->timeout);
-  one.until = one.arrived + std::min(longest, one.taken->timeout);
-  return std::nullopt;
+  one.time_limit = one.arrived + std::min(longest, one.taken->timeout);
+  one.until = one.time_limit;
+  return this->admit_during_stop(one);
 }
 
 std::optional<failure> call_service::decode(call& one) {
@@ -63,7 +64,7 @@
   if (!this->crashes.informed()) {
     return failure{error_kind::not_ready, "crashes under requests have not been read yet"};
   }
-  if (this->rejecting_calls) {
+  if (this->stop && this->stop->rules.rejects_calls(this->stop->elapsed())) {
     return failure{error_kind::host_leaving, "the host is stopping"};
   }
   one.taken = one.table->find(one.terms.host_name, one.request.path);
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -120,7 +120,7 @@
 }
 
 attempt_outcome call_service::checked(call& one, attempt_outcome outcome) {
-  if (outcome == attempt_outcome::abandoned && !one.caller.gone()) {
+  if (outcome == attempt_outcome::abandoned && !one.caller.gone() && !one.ended_by_stop) {
     return attempt_outcome::broken;
   }
   const bool is_success = one.answer.status >= 200 && one.answer.status < 300;
@@ -142,7 +142,7 @@
 
 bool call_service::may_try_again(const call& one, attempt_outcome outcome) const {
   const bool time_left = steady::now() + min_service_time < one.until;
-  if (!time_left || one.tries >= max_tries || one.caller.gone()) {
+  if (!time_left || one.tries >= max_tries || one.caller.gone() || one.ended_by_stop) {
     return false;
   }
   if (outcome == attempt_outcome::not_sent || outcome == attempt_outcome::not_run) {
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -96,7 +96,7 @@
 
 asio::awaitable<void> call_service::serve(relay::caller_connection& caller, http::request request) {
   call one(caller, std::move(request));
-  ++this->calls;
+  this->active.insert(&one);
   caller.connection().watch_for_close([this, &one] {
     one.caller.mark_disconnected();
     one.handle.abandon();
@@ -105,7 +105,7 @@
   });
   co_await this->run(one);
   caller.connection().stop_watching();
-  --this->calls;
+  this->active.erase(&one);
 }
 
 asio::awaitable<void> call_service::run(call& one) {
@@ -137,11 +137,18 @@
     co_await this->give_up(one, why);
     co_return false;
   }
-  if (acquired.caller_left) {
+  if (acquired.caller_left && one.caller.gone()) {
     one.outcome = "caller_left";
     co_await this->settle_incomplete(one);
     co_return false;
   }
+  if (one.ended_by_stop || !this->can_finish(one)) {
+    if (acquired.server) {
+      this->placer.finished(one.service, acquired.id, server_outcome::caller_left);
+    }
+    co_await this->give_up_for_stop(one);
+    co_return false;
+  }
   if (!acquired.server) {
     co_await this->give_up_unplaced(one, acquired);
     co_return false;
@@ -153,6 +160,13 @@
   const attempt_outcome outcome = co_await this->try_server(one, *acquired.server);
   this->report_outcome(one, acquired, outcome);
   one.outcome = name_of(outcome);
+  if (outcome == attempt_outcome::whole || outcome == attempt_outcome::timed_out) {
+    const duration took = std::chrono::duration_cast<duration>(steady::now() - one.sent_at);
+    this->call_times.record(one.taken->name, took, discovery::scheduler_now());
+  }
+  if (one.ended_by_stop && outcome == attempt_outcome::abandoned) {
+    co_await this->give_up_for_stop(one);
+  }
   co_await this->track_crash(one, *acquired.server, outcome);
   if (outcome == attempt_outcome::whole) {
     co_await this->finish_whole(one);
@@ -227,7 +241,9 @@
     request.prompt.clear();
   }
   request.version = required_version(one);
+  one.is_placing = true;
   acquired = co_await this->placer.acquire(one.service, request, one.wait);
+  one.is_placing = false;
   one.attempt_id = acquired.id;
   one.basis = acquired.basis;
   one.queued_ms += acquired.waited.count() / 1000;
--- a/libs/front/src/call_state.h
+++ b/libs/front/src/call_state.h
@@ -90,7 +90,14 @@
   /// The service chosen from the route's services.
   service_name service;
   net::steady_time arrived = std::chrono::steady_clock::now();
+  /// End of the time that the caller and the route allow, and of the time that the call is given,
+  /// which a planned stop of the host shortens.
+  net::steady_time time_limit;
   net::steady_time until;
+  /// A planned stop has ended the call's wait or its attempt.
+  bool ended_by_stop = false;
+  /// The call waits for a server.
+  bool is_placing = false;
   std::set<backend_server_id> tried;
   /// Number of attempts that a server may have started to run.
   std::uint32_t possible_runs = 0;
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -119,6 +119,10 @@
   net::steady_time next_demand_update{};
   net::steady_time next_load_report{};
   std::size_t connections = 0;
+  /// Callers' connections on which requests are read.
+  std::set<relay::caller_connection*> callers;
+  /// In a planned stop: no more connections are accepted, and those without a call are closed.
+  bool closing = false;
   host_report report;
 
   report_sources make_report_sources() {
@@ -357,7 +361,8 @@
     net::timed_socket socket(std::move(accepted), self->sweeper);
     relay::caller_connection caller(socket);
     ++self->connections;
-    while (true) {
+    self->callers.insert(&caller);
+    while (!self->closing) {
       const caller_limits limits =
           self->fleet.table() ? self->fleet.table()->source().limits : caller_limits{};
       http::request request;
@@ -379,18 +384,28 @@
         break;
       }
     }
+    self->callers.erase(&caller);
     if (!caller.gone()) {
       // Closing with unread bytes would send a reset, which discards the answer.
       socket.shutdown_send();
-      std::string rest;
-      constexpr std::size_t max_drained_bytes = std::size_t{64} * 1024;
-      co_await socket.read_more(rest, max_drained_bytes,
-                                steady::now() + std::chrono::milliseconds(300));
+      co_await drain(socket);
     }
     socket.close();
     --self->connections;
   }
 
+  /// Reads and drops what the caller still sends, until it closes the connection.
+  static asio::awaitable<void> drain(net::timed_socket& socket) {
+    constexpr std::size_t read_size = std::size_t{16} * 1024;
+    constexpr auto drain_time = std::chrono::milliseconds(250);
+    const net::steady_time until = steady::now() + drain_time;
+    net::error_code error;
+    while (!error && steady::now() < until) {
+      std::string dropped;
+      error = co_await socket.read_more(dropped, read_size, until);
+    }
+  }
+
   void on_sweep() {
     this->placer.tick();
     if (this->settings.claims_places) {
@@ -436,19 +451,32 @@
     }
     this->leaving = true;
     this->stop_began = steady::now();
+    this->calls.begin_stop({this->settings.grace, this->settings.address_time});
     log(event::stopping, {{"calls", std::to_string(this->calls.in_flight())},
                           {"connections", std::to_string(this->connections)}});
     this->gossip.broadcast_state();
   }
 
+  /// Accepts no more connections and closes those without a call.
+  void close_to_callers() {
+    this->closing = true;
+    net::error_code ignored;
+    this->acceptor.close(ignored);
+    for (relay::caller_connection* caller : this->callers) {
+      caller->stop_reading();
+    }
+  }
+
   void continue_stop(net::steady_time now) {
     const duration elapsed = std::chrono::duration_cast<duration>(now - this->stop_began);
     const shutdown_policy stop{this->settings.grace, this->settings.address_time};
-    if (stop.rejects_calls(elapsed)) {
-      this->calls.reject_new_calls();
+    this->calls.continue_stop();
+    if (!this->closing && stop.may_close(elapsed, this->calls.in_flight())) {
+      this->close_to_callers();
     }
-    if (stop.may_exit(elapsed, this->calls.in_flight())) {
-      log(event::stopped, {{"calls", std::to_string(this->calls.in_flight())}});
+    if (this->closing && stop.may_exit(elapsed, this->connections)) {
+      log(event::stopped, {{"calls", std::to_string(this->calls.in_flight())},
+                           {"connections", std::to_string(this->connections)}});
       flush_log();
       this->stopped();
     }
--- a/libs/net/include/hawthornlane/net/timed_socket.h
+++ b/libs/net/include/hawthornlane/net/timed_socket.h
@@ -34,6 +34,8 @@
   /// Reads at most `max_bytes` bytes and appends them to `buffer`.
   boost::asio::awaitable<error_code> read_more(std::string& buffer, std::size_t max_bytes,
                                                steady_time until);
+  /// Ends the pending read as if its deadline had passed.
+  void cancel_read() { this->read_alarm.on_expired(); }
   boost::asio::awaitable<error_code> write_all(std::string_view bytes, steady_time until);
   /// Writes in slices, each with its own timeout, so that a large batch on a slow link does
   /// not time out while it makes progress. `sent` is called with the size of each written
--- a/libs/relay/include/hawthornlane/relay/caller_connection.h
+++ b/libs/relay/include/hawthornlane/relay/caller_connection.h
@@ -42,6 +42,9 @@
   boost::asio::awaitable<bool> start(int status, const std::vector<http::header>& headers);
   boost::asio::awaitable<bool> write(std::string_view piece);
   boost::asio::awaitable<bool> finish();
+  /// Ends a wait for a request, because the host stops. A request that has arrived in part is
+  /// refused.
+  void stop_reading();
   /// Resets the connection, so that an incomplete response cannot look complete.
   void abort_connection();
 
@@ -62,6 +65,10 @@
                                                  failure& reason);
   boost::asio::awaitable<read_outcome> read_body(const caller_limits& limits, request_parser& from,
                                                  failure& reason);
+  /// Reads more of a request. Fails with `timed_out` if reading has been stopped.
+  boost::asio::awaitable<net::error_code> read_more(std::size_t max_bytes, net::steady_time until);
+  /// Why a request that is incomplete at its time limit is refused.
+  [[nodiscard]] failure incomplete_request(const char* detail) const;
   boost::asio::awaitable<bool> send(std::string_view bytes);
   [[nodiscard]] std::string head_bytes(int status, const std::vector<http::header>& headers) const;
 
@@ -70,6 +77,8 @@
   bool keep_alive = true;
   bool is_gone = false;
   bool has_started = false;
+  bool is_reading = false;
+  bool reading_stopped = false;
   /// Whether responses may use chunked encoding; false for HTTP/1.0, which does not support it.
   bool may_use_chunked_encoding = true;
 };
--- a/libs/relay/src/caller_connection.cc
+++ b/libs/relay/src/caller_connection.cc
@@ -68,6 +68,31 @@
   parser_type parser;
 };
 
+asio::awaitable<error_code> caller_connection::read_more(std::size_t max_bytes,
+                                                         net::steady_time until) {
+  if (this->reading_stopped) {
+    co_return asio::error::timed_out;
+  }
+  this->is_reading = true;
+  const error_code error = co_await this->socket.read_more(this->buffer, max_bytes, until);
+  this->is_reading = false;
+  co_return error;
+}
+
+void caller_connection::stop_reading() {
+  this->reading_stopped = true;
+  if (this->is_reading) {
+    this->socket.cancel_read();
+  }
+}
+
+failure caller_connection::incomplete_request(const char* detail) const {
+  if (this->reading_stopped) {
+    return {error_kind::host_leaving, "the host stops before the request has arrived"};
+  }
+  return {error_kind::request_timeout, detail};
+}
+
 asio::awaitable<read_outcome> caller_connection::read_head(const caller_limits& limits,
                                                            std::size_t& length, failure& reason) {
   const net::steady_time idle_until = after(limits.idle_timeout);
@@ -77,11 +102,10 @@
     if (begun && head_until == net::never) {
       head_until = after(limits.header_timeout);
     }
-    const error_code error = co_await this->socket.read_more(
-        this->buffer, std::min(read_size, limits.header_bytes + header_overrun),
-        begun ? head_until : idle_until);
+    const error_code error = co_await this->read_more(
+        std::min(read_size, limits.header_bytes + header_overrun), begun ? head_until : idle_until);
     if (error == asio::error::timed_out && begun) {
-      reason = {error_kind::request_timeout, "the request head did not arrive in time"};
+      reason = this->incomplete_request("the request head did not arrive in time");
       co_return read_outcome::refused;
     }
     if (error) {
@@ -112,9 +136,9 @@
     co_return read_outcome::closed;
   }
   while (!error_found && !from.parser.is_done()) {
-    const error_code error = co_await this->socket.read_more(this->buffer, read_size, until);
+    const error_code error = co_await this->read_more(read_size, until);
     if (error == asio::error::timed_out) {
-      reason = {error_kind::request_timeout, "the request body did not arrive in time"};
+      reason = this->incomplete_request("the request body did not arrive in time");
       co_return read_outcome::refused;
     }
     if (error) {
--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -168,6 +168,18 @@
   return result;
 }
 
+std::shared_ptr<std::optional<call_result>> deployment::begin_partial_call(int front,
+                                                                           const call_request& what,
+                                                                           std::size_t length) {
+  auto result = std::make_shared<std::optional<call_result>>();
+  asio::co_spawn(
+      this->environment,
+      make_call(this->environment, this->sweeper, this->front_settings_of(front).callers_at,
+                bytes_of(what).substr(0, length), result),
+      asio::detached);
+  return result;
+}
+
 call_result deployment::call(int front, const call_request& what) {
   const auto result = this->begin_call(front, what);
   this->run_until([&result] { return result->has_value(); });
--- a/scenarios/deployment.h
+++ b/scenarios/deployment.h
@@ -48,6 +48,10 @@
   call_result call(int front, const call_request& what);
   /// Starts a call and returns at once; the result is set when the call ends.
   std::shared_ptr<std::optional<call_result>> begin_call(int front, const call_request& what);
+  /// The same, but sends only the first `length` bytes of the request.
+  std::shared_ptr<std::optional<call_result>> begin_partial_call(int front,
+                                                                 const call_request& what,
+                                                                 std::size_t length);
   /// Sends raw bytes and returns everything received until the connection closes.
   std::string send_raw(int front, const std::string& bytes);
   /// Starts a call and closes the connection after `delay`.
--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -42,6 +42,8 @@
   --callers N       Callers at once [default: 16].
   --contended       Configure hosts for callers that may ask for more than the servers
                     can serve.
+  --planned         Only planned maintenance, in series and overlapping: stops, signals and
+                    changes; no call may be cut off.
   --closing KIND    The last fault, after the others, while callers go on: none, power, wipe,
                     wipe-after-replacement, wipe-in-retirement or random [default: none].
   --front-share X   Processor time of each front host, as a share of one core; 0: no limit
@@ -68,6 +70,7 @@
   std::chrono::seconds fault_duration{};
   fleet_size size;
   std::string closing;
+  bool planned_only = false;
   int callers = 0;
 };
 
@@ -80,7 +83,7 @@
         folder(fs::temp_directory_path() /
                fmt::format("hawthornlane-soak-{}-{}", ::getpid(), seed)),
         fleet(context, with.programs, folder, with.size, checker),
-        faults(fleet, seed),
+        faults(fleet, seed, with.planned_only),
         callers(
             context, fleet, checker,
             [this](net::steady_time then) {
@@ -276,6 +279,7 @@
       std::chrono::milliseconds(std::stoi(arguments.at("--sync-ms").asString()));
   options.closing = arguments.at("--closing").asString();
   options.callers = std::stoi(arguments.at("--callers").asString());
+  options.planned_only = arguments.at("--planned").asBool();
   options.size.contended = arguments.at("--contended").asBool();
   int failed = 0;
   int passed = 0;
--- a/scenarios/promise_checker.h
+++ b/scenarios/promise_checker.h
@@ -21,6 +21,10 @@
 /// The name of a fatal request in a body that a server received; empty if there is none.
 std::string fatal_request_in(const std::string& body);
 
+/// Begins the body of a request for a server of the service "batches"; the time follows that the
+/// server works on it, ms.
+inline constexpr const char* work_mark = "work-";
+
 /// How often a call may run.
 enum class repetition : std::uint8_t {
   /// Runs at most once.
@@ -54,6 +58,8 @@
   bool route_is_certain = true;
   /// The request ends the servers that run it.
   bool is_fatal = false;
+  /// Sent as `X-Deadline-Ms`.
+  std::chrono::milliseconds time_limit = std::chrono::seconds(3);
 };
 
 inline constexpr std::uint64_t kb_per_mb = 1024;
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -18,8 +18,16 @@
 
 namespace {
 
-/// Deadline of a call, sent as `X-Deadline-Ms`.
+/// Longest wait for a host of which a caller has no response yet.
 constexpr auto call_limit = 3000ms;
+/// Of a call of a batch caller; longer than the grace period less the time in which calls are
+/// rejected, so that a call may end after the process of a stopping host.
+constexpr auto batch_limit = 6000ms;
+/// Work of a server on such a call, up to the longest one of the deployments.
+constexpr int min_batch_ms = 300;
+constexpr int max_batch_ms = 1500;
+/// Number of batch callers. With `batch_servers` of the fleet they keep a queue of seconds.
+constexpr int batch_callers = 24;
 /// How long a caller waits for the response after its deadline. The routes' own timeouts, at most
 /// 3 s, do not exceed the deadline.
 constexpr auto answer_slack = 500ms;
@@ -63,6 +71,10 @@
     ++this->active_tasks;
     asio::co_spawn(this->context, this->run_paused_caller(this->random()), asio::detached);
   }
+  for (int number = 0; number < batch_callers; ++number) {
+    ++this->active_tasks;
+    asio::co_spawn(this->context, this->run_batch_caller(this->random()), asio::detached);
+  }
 }
 
 asio::awaitable<void> soak_callers::run_caller(std::uint64_t seed) {
@@ -181,6 +193,31 @@
   --this->active_tasks;
 }
 
+asio::awaitable<void> soak_callers::run_batch_caller(std::uint64_t seed) {
+  std::vector<std::unique_ptr<caller>> connections;
+  for (const soak_host& host : this->fleet.fronts) {
+    connections.push_back(std::make_unique<caller>(this->context, this->sweeper, seed++));
+    connections.back()->addresses = {http::to_string(host.callers->where())};
+    connections.back()->addresses_until = net::never;
+  }
+  caller& choice = *connections.front();
+  while (!this->stopping) {
+    for (const auto& idle : connections) {
+      co_await this->connect(*idle);
+    }
+    sent_call call;
+    call.request.path = "/batch/x";
+    call.request.id = this->fresh_id();
+    const auto work = static_cast<int>(choice.random_index(max_batch_ms - min_batch_ms));
+    call.request.body = fmt::format("{}{};", work_mark, min_batch_ms + work);
+    call.body_at_server = call.request.body;
+    call.time_limit = batch_limit;
+    co_await this->attempt(*connections[choice.random_index(connections.size())], call);
+    co_await pause(std::chrono::milliseconds(choice.random_index(200)));
+  }
+  --this->active_tasks;
+}
+
 asio::awaitable<void> soak_callers::run_budgeted(caller& who) {
   const std::string program = this->fresh_id();
   constexpr int turns = 6;
@@ -339,14 +376,14 @@
   const std::string& name = sent.program.empty() ? unit : sent.program;
   sent.account = soak_accounts[std::hash<std::string>()(name) % soak_accounts.size()];
   sent.request.headers.push_back({"Authorization", "Bearer " + soak_fleet::key_of(sent.account)});
-  sent.request.headers.push_back({"X-Deadline-Ms", std::to_string(call_limit.count())});
+  sent.request.headers.push_back({"X-Deadline-Ms", std::to_string(sent.time_limit.count())});
   if (this->fleet.is_contended() && !sent.program.empty()) {
     sent.request.headers.push_back({"X-Prompt-Prefix", "shared:500,line-" + sent.program + ":200"});
   }
   const auto began = steady::now();
   this->promises.on_sent(sent);
   const std::string bytes = bytes_of(sent.request);
-  const auto until = began + call_limit + answer_slack;
+  const auto until = began + sent.time_limit + answer_slack;
   const net::error_code failed = co_await who.socket->write_all(bytes, until);
   if (!failed) {
     const auto has_enough = [wanted = what.leave_after](const std::string& body) {
@@ -359,7 +396,7 @@
   if (!who.buffer.empty() && result.whole) {
     this->promises.note(fmt::format("unexpected bytes after the response to {}", sent.request.id));
   }
-  const bool timed_out = ended >= began + call_limit;
+  const bool timed_out = ended >= began + sent.time_limit;
   this->promises.on_answer(sent.request.id, result, this->calm(began) && !timed_out);
   if (!result.whole) {
     who.failed = who.connected_to;
--- a/scenarios/soak_callers.h
+++ b/scenarios/soak_callers.h
@@ -62,6 +62,9 @@
   /// Runs conversations that pause between turns and go on at another front host each time. What
   /// one host has cached does not help them; disk hosts may have left and returned meanwhile.
   boost::asio::awaitable<void> run_paused_caller(std::uint64_t seed);
+  /// Sends calls that take long over a connection to each front host, which stays open as long as
+  /// the host's process keeps it.
+  boost::asio::awaitable<void> run_batch_caller(std::uint64_t seed);
   /// Sends the next turn of a conversation until it is answered; false if it never is. Notes a
   /// broken promise if no fault was active.
   boost::asio::awaitable<bool> continue_paused(caller& who, conversation_state& line);
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -29,9 +29,10 @@
 
 }  // namespace
 
-soak_faults::soak_faults(soak_fleet& deployment, std::uint64_t seed)
+soak_faults::soak_faults(soak_fleet& deployment, std::uint64_t seed, bool only_planned)
     : fleet(deployment),
       random(seed),
+      planned_only(only_planned),
       began(steady::now()),
       growth_random(seed),
       release_random(seed),
@@ -300,7 +301,8 @@
   }
   soak_host& disk = this->fleet.disks[this->disks_taken++ % this->fleet.disks.size()];
   const auto away = between(400, 2200);
-  switch (std::uniform_int_distribution<int>(0, 2)(this->disk_random)) {
+  const int kind = std::uniform_int_distribution<int>(0, 2)(this->disk_random);
+  switch (this->planned_only ? 0 : kind) {
     case 0:
       this->fleet.stop(disk, away);
       this->note(now, fmt::format("stop {} in turn ({} ms)", disk.name, away.count()));
@@ -332,7 +334,7 @@
   const bool first = this->next_fatal == net::steady_time{};
   this->next_fatal = now + std::chrono::milliseconds(
                                std::uniform_int_distribution<int>(1500, 4000)(this->fatal_random));
-  if (first || this->maintenance_only) {
+  if (first || this->planned_only || this->maintenance_only) {
     return;
   }
   ++this->begun["requests that end servers"];
@@ -395,7 +397,8 @@
   this->take_disks_in_turn(now);
   this->send_fatal_requests(now);
   if (now >= this->period_ends) {
-    this->maintenance_only = this->random_index(3) == 0;
+    const bool no_faults = this->random_index(3) == 0;
+    this->maintenance_only = this->planned_only || no_faults;
     this->period_ends = now + this->random_duration(4000, 9000);
   }
   const auto drawn = std::count_if(this->active.begin(), this->active.end(),
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -16,7 +16,8 @@
 /// Planned maintenance runs among the faults, and alone in periods without faults.
 class soak_faults {
 public:
-  soak_faults(soak_fleet& fleet, std::uint64_t seed);
+  /// `planned_only`: there is planned maintenance, in series and overlapping, but no fault.
+  soak_faults(soak_fleet& fleet, std::uint64_t seed, bool planned_only = false);
 
   /// Sets how to start a caller whose request ends servers.
   void on_fatal_request(std::function<void(std::uint64_t seed)> start) {
@@ -78,6 +79,7 @@
   std::vector<active_fault> active;
   net::steady_time next{};
   net::steady_time period_ends{};
+  bool planned_only;
   bool maintenance_only = false;
   net::steady_time began;
   net::steady_time fault_active_until{};
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -46,11 +46,20 @@
 constexpr auto server_restart_time = std::chrono::milliseconds(400);
 constexpr auto entry_lifetime = std::chrono::milliseconds(3600);
 constexpr auto limit_check_interval = std::chrono::milliseconds(5);
+/// Grace period of front hosts; what still runs then is killed.
+constexpr auto grace = std::chrono::seconds(8);
+/// Servers of the service "batches", and the calls that each works on at once.
+constexpr int batch_servers_started = 2;
+constexpr int batch_slots = 4;
 /// Availability zones that hosts of a kind are spread over.
 constexpr int zones = 4;
 
 http::endpoint fresh_endpoint() { return {loopback, free_port()}; }
 
+std::chrono::milliseconds work_time_of(const http::request& request) {
+  return std::chrono::milliseconds(std::stoi(request.body.substr(std::strlen(work_mark))));
+}
+
 /// Appends a torn write to the newest segment, as a power loss before a sync leaves it.
 void tear_last_segment(const fs::path& folder) {
   fs::path newest;
@@ -89,6 +98,10 @@
   for (int number = 0; number < size.apps; ++number) {
     this->add_backend("apps");
   }
+  for (int number = 0; number < batch_servers_started; ++number) {
+    this->batch_servers.push_back(this->make_backend("batches"));
+    this->list(this->batch_servers.back(), false);
+  }
   this->configure();
   for (int number = 0; number < size.disks; ++number) {
     this->disks.push_back(this->make_disk());
@@ -141,9 +154,9 @@
   std::ofstream file(host.command.back(), std::ios::app);
   file << fmt::format(
       "\n[callers]\nlisten = {}\nready_listen = {}\ndirectory_listen = {}\n"
-      "address_time = 1 s\ngrace = 8 s\n",
+      "address_time = 1 s\ngrace = {} s\n",
       http::to_string(host.callers_at), http::to_string(host.ready_at),
-      http::to_string(host.directory_at));
+      http::to_string(host.directory_at), grace.count());
   file << (this->contended ? "\n[scheduling]\nterms = pressure\nclaim_places = yes\n" : "");
   file.close();
   this->fronts.push_back(std::move(host));
@@ -153,6 +166,7 @@
 void soak_fleet::start(soak_host& host) {
   ++host.incarnation;
   host.end_expected = false;
+  host.kill_at = net::never;
   host.started_at = steady::now();
   host.used_before = std::chrono::nanoseconds(0);
   host.process =
@@ -213,6 +227,9 @@
   }
   const auto status = host.process->status();
   if (!status) {
+    if (steady::now() >= host.kill_at) {
+      host.process->kill();
+    }
     return;
   }
   if (!host.end_expected) {
@@ -248,6 +265,7 @@
 void soak_fleet::stop(soak_host& host, std::chrono::milliseconds down) {
   host.end_expected = true;
   host.restart_at = steady::now() + down;
+  host.kill_at = std::min(host.kill_at, steady::now() + grace);
   host.process->signal(SIGTERM);
 }
 
@@ -346,8 +364,15 @@
       fmt::format(R"({{"name":"probe-{0}","host":"a.example","path-prefix":"/v{0}/","kind":"safe",)"
                   R"("timeout-ms":1500,"service":"apps","max-attempts":2,"priority":2}},)",
                   this->newest);
+  constexpr std::string_view batch_route =
+      R"({"name":"batch","host":"a.example","path-prefix":"/batch/","kind":"unsafe",)"
+      R"("timeout-ms":6000,"target-latency-ms":800,"service":"batches","max-attempts":1,)"
+      R"("priority":2},)";
   constexpr std::string_view routes = "\"routes\":[";
-  text.insert(text.find(routes) + routes.size(), route + this->extra_routes);
+  text.insert(text.find(routes) + routes.size(),
+              route + std::string(batch_route) + this->extra_routes);
+  constexpr std::string_view services = "\"services\":[";
+  text.insert(text.find(services) + services.size(), R"({"name":"batches","max-conns":100},)");
   text.insert(text.find("\"limits\":"), accounts_text());
   this->platform->put("config", "main", text);
   return this->newest;
@@ -373,12 +398,18 @@
   made.server = std::make_unique<stand_ins::scripted_backend>(
       this->context, this->sweeper, http::endpoint{loopback, 0},
       fmt::format("{}-{}", service, this->backends_made++),
-      is_engine ? this->engine_behaviors : this->app_behaviors);
+      service == "batches" ? std::make_shared<stand_ins::behavior_script>()
+      : is_engine          ? this->engine_behaviors
+                           : this->app_behaviors);
   made.proxy = std::make_shared<fault_proxy>(this->context, made.server->where());
   const std::string name = made.server->instance();
   made.server->on_arrival([this, name](const stand_ins::backend_arrival& arrival) {
     this->promises.on_arrival(name, arrival);
   });
+  if (service == "batches") {
+    made.server->set_work(batch_slots, work_time_of);
+    return made;
+  }
   this->make_mortal(*made.server, made.proxy);
   if (is_engine) {
     made.server->set_version(this->engine_version);
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -65,6 +65,8 @@
   net::steady_time restart_at{};
   /// When its newest process was started.
   net::steady_time started_at{};
+  /// A process that has been asked to stop is killed at this time.
+  net::steady_time kill_at = net::never;
   /// Processor time of the process at the start of the current period of its limit.
   std::chrono::nanoseconds used_before{0};
 };
@@ -138,6 +140,8 @@
   std::vector<soak_host> fronts;
   std::vector<soak_host> disks;
   std::vector<soak_backend> backends;
+  /// Servers that work for a while on each call; no fault affects them.
+  std::vector<soak_backend> batch_servers;
   std::shared_ptr<stand_ins::behavior_script> engine_behaviors =
       std::make_shared<stand_ins::behavior_script>();
   std::shared_ptr<stand_ins::behavior_script> app_behaviors =
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -108,6 +108,10 @@
   /// first.
   void set_version(std::string version);
   [[nodiscard]] const std::string& version() const;
+  /// Sets how many requests the server processes at once, in order of arrival, and how long it
+  /// works on each. It stops at the request's `X-Deadline-Ms`, as a server of the platform does.
+  /// Without a call of this, requests are answered at once.
+  void set_work(int slots, std::function<std::chrono::milliseconds(const http::request&)> time_of);
   /// Sets a delay before each request is read from a connection.
   void set_read_delay(std::chrono::milliseconds delay);
   [[nodiscard]] const std::vector<backend_arrival>& arrivals() const;
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <deque>
 #include <set>
 
 #include "hawthornlane/http/listening.h"
@@ -37,6 +38,8 @@
 }
 
 constexpr int misdirected = 421;
+constexpr int overloaded = 503;
+constexpr int deadline_passed = 504;
 
 /// The status of a behavior that fails with an error response; 0 for all others.
 int failure_status(backend_behavior behavior) {
@@ -94,6 +97,11 @@
   int events = 3;
   std::chrono::milliseconds event_interval{0};
   std::chrono::milliseconds read_delay{0};
+  int slots = 0;
+  int busy = 0;
+  std::function<std::chrono::milliseconds(const http::request&)> work_time_of;
+  /// Requests that wait for a slot, the oldest first.
+  std::deque<asio::steady_timer*> queue;
   std::vector<backend_arrival> arrivals;
   int cancelled = 0;
   std::function<void(const backend_arrival&)> arrival_hook;
@@ -154,6 +162,67 @@
     return headers;
   }
 
+  /// Time at which the server stops work on the request.
+  static net::steady_time deadline_of(const http::request& request) {
+    const auto limit = request.find_header("X-Deadline-Ms");
+    return limit ? std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoll(*limit))
+                 : net::never;
+  }
+
+  /// Waits for a free slot until `until`; returns false if there was none.
+  asio::awaitable<bool> take_slot(net::steady_time until) {
+    if (this->busy < this->slots) {
+      ++this->busy;
+      co_return true;
+    }
+    asio::steady_timer turn(this->context, until);
+    this->queue.push_back(&turn);
+    boost::system::error_code ended;
+    co_await turn.async_wait(asio::redirect_error(asio::use_awaitable, ended));
+    const bool has_slot = ended.failed();
+    if (!has_slot) {
+      std::erase(this->queue, &turn);
+    }
+    co_return has_slot;
+  }
+
+  /// Passes the slot to the oldest request that waits.
+  void release_slot() {
+    while (!this->queue.empty()) {
+      asio::steady_timer* next = this->queue.front();
+      this->queue.pop_front();
+      if (next->cancel() > 0) {
+        return;
+      }
+    }
+    --this->busy;
+  }
+
+  /// Waits for a slot and works. Returns false if the deadline has passed and the request has been
+  /// answered.
+  static asio::awaitable<bool> work(std::shared_ptr<state> self, relay::caller_connection& caller,
+                                    const http::request& request, const std::string& id) {
+    const net::steady_time until = deadline_of(request);
+    const bool has_slot = co_await self->take_slot(until);
+    self->record(request, has_slot);
+    if (!has_slot) {
+      auto headers = self->headers_for(id, false);
+      headers.push_back({"X-Not-Executed", "1"});
+      co_await caller.respond(overloaded, headers, "");
+      co_return false;
+    }
+    const net::steady_time done = std::chrono::steady_clock::now() + self->work_time_of(request);
+    asio::steady_timer timer(self->context, std::min(done, until));
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    self->release_slot();
+    if (done > until) {
+      const auto headers = self->headers_for(id, true);
+      co_await caller.respond(deadline_passed, headers, "failed");
+    }
+    co_return done <= until;
+  }
+
   static asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket accepted) {
     net::timed_socket socket(std::move(accepted), self->sweeper);
     relay::caller_connection caller(socket);
@@ -185,7 +254,15 @@
       co_return;
     }
     const backend_behavior behavior = self->script->take();
-    self->record(request, refusal_status(behavior) == 0);
+    const bool runs = refusal_status(behavior) == 0;
+    if (runs && self->work_time_of) {
+      const bool in_time = co_await work(self, caller, request, id);
+      if (!in_time) {
+        co_return;
+      }
+    } else {
+      self->record(request, runs);
+    }
     const auto effect = self->effect_of(request);
     if (effect && effect->after_events == 0) {
       co_await delay(effect->delay);
@@ -348,6 +425,12 @@
 
 const std::string& scripted_backend::version() const { return this->shared->version; }
 
+void scripted_backend::set_work(
+    int slots, std::function<std::chrono::milliseconds(const http::request&)> time_of) {
+  this->shared->slots = slots;
+  this->shared->work_time_of = std::move(time_of);
+}
+
 void scripted_backend::set_read_delay(std::chrono::milliseconds delay) {
   this->shared->read_delay = delay;
 }
