End a read at its deadline also while bytes keep arriving

Callers saw: while a server sends bytes without an end as fast as the host reads them, neither the call's time limit nor the route's timeout ends the call; it lasts until the caller leaves.

Cause: a read that finds bytes completes at once.

Evidence: timed_socket_test with the code before: 4 of 4 assertions fail, the read goes on for the 3 s that the test waits. With the check of the clock before each read all pass.

--- a/libs/net/src/timed_socket.cc
+++ b/libs/net/src/timed_socket.cc
@@ -87,6 +87,11 @@
 
 asio::awaitable<std::size_t> timed_socket::read_some(asio::mutable_buffer into, steady_time until,
                                                      error_code& error) {
+  // Bytes that are already there are read without a wait, in which the alarm could expire.
+  if (std::chrono::steady_clock::now() >= until) {
+    error = asio::error::timed_out;
+    co_return 0;
+  }
   this->read_alarm.expires_at = until;
   error = {};
   const std::size_t got =
