Limit what is kept of a response that does not end

Other elements without an end keep the host's processor busy until the call's time limit, and other calls wait.

Cause: the parser limits the head and the body only. Lines before chunks, fields after the last one, one event of a stream, the sum of several bodies and the number of a stream's events had no limit, and a length of 10^11 was reserved.

A response that breaks one is broken: 502, no second attempt of what may not be repeated, connection reset, failure counted against the server. Partial events are not searched again from the start. The line before a chunk of a caller's request is limited as well.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -134,6 +134,8 @@
   static relay::attempt_outcome checked(call& one, relay::attempt_outcome outcome);
   boost::asio::awaitable<bool> stream_head(call& one, const relay::backend_response& head);
   boost::asio::awaitable<bool> stream_bytes(call& one, std::string_view bytes);
+  /// Limit of the events of the call's stream.
+  [[nodiscard]] static std::int64_t max_events(const call& one);
   /// Reports the attempt's outcome to the placer, for the server's health and speed.
   void report_outcome(const call& one, const acquired_server& acquired,
                       relay::attempt_outcome outcome);
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 
 #include "call_state.h"
 #include "hawthornlane/relay/framing.h"
@@ -16,6 +17,11 @@
 /// Attempts per call. Each costs a few milliseconds, and after this many refusals the whole
 /// service is full.
 constexpr int max_tries = 6;
+/// Limit of one event of a stream.
+constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+/// A stream may have twice the events that its tokens take, and this many in any case: the limit
+/// only has to end a stream that would not end by itself.
+constexpr std::int64_t min_event_limit = 1000;
 
 server_outcome health_of(attempt_outcome outcome) {
   switch (outcome) {
@@ -157,6 +163,18 @@
   return one.taken->kind == call_kind::idempotent || one.taken->resumable;
 }
 
+std::int64_t call_service::max_events(const call& one) {
+  const std::int64_t tokens = one.terms.max_output.get();
+  if (tokens <= 0) {
+    return std::numeric_limits<std::int64_t>::max();
+  }
+  const service* pool = one.table->find_service(one.service);
+  const std::int64_t each = pool != nullptr && pool->engine
+                                ? std::max<std::int64_t>(pool->engine->tokens_per_event.get(), 1)
+                                : 1;
+  return std::max(min_event_limit, 2 * (tokens / each));
+}
+
 asio::awaitable<bool> call_service::stream_head(call& one, const relay::backend_response& head) {
   if (one.caller.started()) {
     co_return true;
@@ -173,6 +191,15 @@
 asio::awaitable<bool> call_service::stream_bytes(call& one, std::string_view bytes) {
   std::string out;
   std::vector<relay::stream_event> events = one.splitter.add(bytes);
+  if (one.splitter.pending_bytes() > max_event_bytes) {
+    one.detail = "an event of the stream is too large";
+    co_return false;
+  }
+  const auto count = static_cast<std::int64_t>(events.size());
+  if (one.events + count > max_events(one)) {
+    one.detail = "the stream has more events than the tokens that it may generate";
+    co_return false;
+  }
   if (one.events == one.events_before && !events.empty()) {
     const bool may_leave = co_await this->may_first_event_leave(one);
     if (!may_leave) {
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -43,6 +43,8 @@
 /// Divisor of the memory: limit of everything queued for other hosts, including relayed answers of
 /// disk hosts.
 constexpr std::size_t peer_queue_share = 8;
+/// Divisor of the memory: limit of the responses of backend servers that are in memory at once.
+constexpr std::size_t response_share = 8;
 /// Pending connections of callers during a burst; the callers' kernels retry further ones.
 constexpr int accept_backlog = 1024;
 /// Interval at which scarce places are divided among hosts; a call at a model server takes 0.2 s.
@@ -274,6 +276,7 @@
       this->gossip.refresh_hosts();
       this->ledger.refresh_hosts();
     });
+    this->backends.limit_buffered_bytes(this->settings.memory_mb * bytes_per_mb / response_share);
     this->ledger.set_traffic(this->traffic);
     this->calls.set_view_age([this] { return this->view_age(); });
     this->ledger.set_relay(
--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "hawthornlane/net/byte_budget.h"
 #include "hawthornlane/net/timed_socket.h"
 #include "hawthornlane/relay/call_terms.h"
 
@@ -39,6 +40,8 @@
   std::vector<http::header> headers;
   std::string body;
   response_terms terms;
+  /// What the body takes of the memory for responses.
+  net::byte_share memory;
 };
 
 /// Receives a streamed response. Returning false ends the transfer.
@@ -114,6 +117,10 @@
   /// Closes idle connections that are too old, and those to servers that are no longer listed.
   void close_idle(const std::function<bool(const http::endpoint&)>& still_listed);
 
+  /// Limits the responses that are in memory at once; an attempt whose response does not fit is
+  /// broken.
+  void limit_buffered_bytes(std::size_t max_bytes);
+
   [[nodiscard]] const pool_counters& counters() const { return this->counts; }
 
 private:
@@ -141,6 +148,7 @@
   net::deadline_sweeper& sweeper;
   const call_codec& codec;
   std::map<http::endpoint, std::vector<connection_ptr>> idle;
+  std::shared_ptr<net::byte_budget> buffered;
   pool_counters counts;
 };
 
--- a/libs/relay/include/hawthornlane/relay/event_splitter.h
+++ b/libs/relay/include/hawthornlane/relay/event_splitter.h
@@ -25,9 +25,13 @@
   std::vector<stream_event> add(std::string_view bytes);
   /// True when no partial event is buffered, so the stream may end here.
   [[nodiscard]] bool at_event_boundary() const { return this->buffer.empty(); }
+  /// Size of the partial event that is buffered.
+  [[nodiscard]] std::size_t pending_bytes() const { return this->buffer.size(); }
 
 private:
   std::string buffer;
+  /// Begin of the last line in `buffer`; no event ends before it.
+  std::size_t last_line = 0;
 };
 
 }  // namespace hawthornlane::relay
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -41,8 +41,14 @@
 constexpr double keep_alive_share = 0.6;
 /// Responses to other calls that are skipped before the connection is closed.
 constexpr int max_mismatched_responses = 3;
-/// Largest response that is buffered, bytes.
+/// Limit of a response's body, and of all bytes of a response with its framing.
 constexpr std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t max_framed_bytes = 2 * max_response_bytes;
+constexpr std::uint32_t max_head_bytes = 64 * 1024;
+/// Limit of the line before a chunk, and of the fields after the last one.
+constexpr std::size_t max_chunk_framing_bytes = std::size_t{16} * 1024;
+/// Limit of all responses in memory, unless another one is set.
+constexpr std::size_t default_buffered_bytes = std::size_t{64} * 1024 * 1024;
 constexpr int first_failure_status = 300;
 /// Statuses that tell a caller that the call has not run and will not run. If a server sends one
 /// without stating that it did not run the call, the attempt counts as broken.
@@ -106,11 +112,12 @@
 /// Parses one response from a connection's bytes.
 struct backend_response_parser {
   bhttp::response_parser<bhttp::string_body> parser;
+  std::size_t framed_bytes = 0;
 
   explicit backend_response_parser(bool no_body) {
     this->parser.eager(true);
-    this->parser.header_limit(64 * 1024);
-    this->parser.body_limit(boost::none);
+    this->parser.header_limit(max_head_bytes);
+    this->parser.body_limit(max_response_bytes);
     this->parser.skip(no_body);
   }
 
@@ -120,17 +127,23 @@
       error_code error;
       const std::size_t taken = this->parser.put(asio::buffer(buffer), error);
       buffer.erase(0, taken);
-      if (error == bhttp::error::need_more) {
-        return {};
-      }
-      if (error) {
+      this->framed_bytes += taken;
+      if (error && error != bhttp::error::need_more) {
         return error;
       }
-      if (taken == 0) {
-        return {};
+      if (error || taken == 0) {
+        break;
       }
     }
-    return {};
+    return this->check_size(buffer);
+  }
+
+  /// The parser limits heads and bodies, but not the framing of a body in chunks.
+  [[nodiscard]] error_code check_size(const std::string& buffer) const {
+    const bool in_chunks = this->parser.is_header_done() && !this->parser.is_done();
+    const bool too_large = in_chunks && (buffer.size() > max_chunk_framing_bytes ||
+                                         this->framed_bytes > max_framed_bytes);
+    return too_large ? make_error_code(bhttp::error::body_limit) : error_code();
   }
 
   std::string take_body() {
@@ -157,10 +170,15 @@
 
 backend_pool::backend_pool(asio::io_context& io, net::deadline_sweeper& sweep,
                            const call_codec& with)
-    : context(io), sweeper(sweep), codec(with) {}
+    : context(io),
+      sweeper(sweep),
+      codec(with),
+      buffered(std::make_shared<net::byte_budget>(default_buffered_bytes)) {}
 
 backend_pool::~backend_pool() = default;
 
+void backend_pool::limit_buffered_bytes(std::size_t max_bytes) { this->buffered->limit(max_bytes); }
+
 backend_pool::connection_ptr backend_pool::take_idle(const backend_request& request) {
   const auto found = this->idle.find(request.where);
   if (found == this->idle.end()) {
@@ -341,6 +359,7 @@
     co_return attempt_outcome::abandoned;
   }
   std::string whole;
+  net::byte_share share(this->buffered);
   while (true) {
     const std::string piece = from.take_body();
     if (is_stream && !piece.empty() && !co_await sink.on_bytes(piece)) {
@@ -352,8 +371,8 @@
     if (from.parser.is_done()) {
       break;
     }
-    if (whole.size() > max_response_bytes) {
-      detail = "the response is too large";
+    if (!share.grow_to(whole.capacity())) {
+      detail = "the responses in memory are too large";
       co_return attempt_outcome::broken;
     }
     error_code error =
@@ -373,6 +392,7 @@
     }
   }
   answer.body = std::move(whole);
+  answer.memory = std::move(share);
   const auto idle_time = keep_alive_time(answer.headers);
   const net::steady_time now = std::chrono::steady_clock::now();
   connection.usable_until = now + max_idle_time;
--- a/libs/relay/src/caller_connection.cc
+++ b/libs/relay/src/caller_connection.cc
@@ -21,6 +21,8 @@
 constexpr int body_time_factor = 2;
 /// Bytes read beyond the header limit, so that exceeding it is detected and reported as such.
 constexpr std::size_t header_overrun = 1;
+/// Limit of the line before a chunk of a body, and of the fields after the last one.
+constexpr std::size_t max_chunk_framing_bytes = std::size_t{16} * 1024;
 
 using parser_type = bhttp::request_parser<bhttp::string_body>;
 
@@ -35,14 +37,15 @@
     error_code error;
     const std::size_t taken = parser.put(asio::buffer(buffer), error);
     buffer.erase(0, taken);
-    if (error == bhttp::error::need_more) {
-      return {};
+    if (error && error != bhttp::error::need_more) {
+      return error;
     }
     if (error || taken == 0) {
-      return error;
+      break;
     }
   }
-  return {};
+  const bool too_large = !parser.is_done() && buffer.size() > max_chunk_framing_bytes;
+  return too_large ? make_error_code(bhttp::error::body_limit) : error_code();
 }
 
 failure failure_from(const error_code& error) {
@@ -205,8 +208,14 @@
     bytes += fmt::format("Content-Length: {}\r\n", body.size());
   }
   bytes += "\r\n";
-  bytes += body;
   this->has_started = true;
+  // A large body is not copied.
+  constexpr std::size_t max_copied_bytes = std::size_t{64} * 1024;
+  if (body.size() > max_copied_bytes) {
+    const bool head_sent = co_await this->send(bytes);
+    co_return head_sent&& co_await this->send(body);
+  }
+  bytes += body;
   co_return co_await this->send(bytes);
 }
 
--- a/libs/relay/src/event_splitter.cc
+++ b/libs/relay/src/event_splitter.cc
@@ -7,9 +7,9 @@
 namespace {
 
 /// Length of the first event in `bytes` including the empty line; nothing while the
-/// event is incomplete. Lines end with LF or CR LF.
-std::optional<std::size_t> event_length(std::string_view bytes) {
-  std::size_t line_start = 0;
+/// event is incomplete. Lines end with LF or CR LF. `line_start`: begin of a line before which no
+/// event ends; then of the last line that was seen.
+std::optional<std::size_t> event_length(std::string_view bytes, std::size_t& line_start) {
   while (true) {
     const std::size_t line_end = bytes.find('\n', line_start);
     if (line_end == std::string_view::npos) {
@@ -69,9 +69,11 @@
   this->buffer += bytes;
   std::vector<stream_event> whole;
   std::size_t taken = 0;
-  while (const auto length = event_length(std::string_view(this->buffer).substr(taken))) {
+  while (const auto length =
+             event_length(std::string_view(this->buffer).substr(taken), this->last_line)) {
     whole.push_back(read_event(std::string_view(this->buffer).substr(taken, *length)));
     taken += *length;
+    this->last_line = 0;
   }
   this->buffer.erase(0, taken);
   return whole;
--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -44,6 +44,8 @@
                     can serve.
   --planned         Only planned maintenance, in series and overlapping: stops, signals and
                     changes; no call may be cut off.
+  --endless         The same, while servers send responses without an end; all calls end
+                    within their time limits.
   --closing KIND    The last fault, after the others, while callers go on: none, power, wipe,
                     wipe-after-replacement, wipe-in-retirement or random [default: none].
   --front-share X   Processor time of each front host, as a share of one core; 0: no limit
@@ -70,7 +72,7 @@
   std::chrono::seconds fault_duration{};
   fleet_size size;
   std::string closing;
-  bool planned_only = false;
+  fault_choice faults = fault_choice::all;
   int callers = 0;
 };
 
@@ -83,12 +85,15 @@
         folder(fs::temp_directory_path() /
                fmt::format("hawthornlane-soak-{}-{}", ::getpid(), seed)),
         fleet(context, with.programs, folder, with.size, checker),
-        faults(fleet, seed, with.planned_only),
+        faults(fleet, seed, with.faults),
         callers(
             context, fleet, checker,
             [this](net::steady_time then) {
               return then >= this->calm_from && this->faults.calm_since(then);
             },
+            [this](net::steady_time then) {
+              return then >= this->calm_from && this->faults.only_endless_since(then);
+            },
             seed) {
     this->faults.on_fatal_request(
         [this](std::uint64_t number) { this->callers.start_fatal_request(number); });
@@ -279,7 +284,11 @@
       std::chrono::milliseconds(std::stoi(arguments.at("--sync-ms").asString()));
   options.closing = arguments.at("--closing").asString();
   options.callers = std::stoi(arguments.at("--callers").asString());
-  options.planned_only = arguments.at("--planned").asBool();
+  if (arguments.at("--endless").asBool()) {
+    options.faults = fault_choice::endless;
+  } else if (arguments.at("--planned").asBool()) {
+    options.faults = fault_choice::planned;
+  }
   options.size.contended = arguments.at("--contended").asBool();
   int failed = 0;
   int passed = 0;
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -48,11 +48,13 @@
 }  // namespace
 
 soak_callers::soak_callers(asio::io_context& io, soak_fleet& deployment, promise_checker& checker,
-                           std::function<bool(net::steady_time)> is_calm, std::uint64_t seed)
+                           std::function<bool(net::steady_time)> is_calm,
+                           std::function<bool(net::steady_time)> is_in_time, std::uint64_t seed)
     : context(io),
       fleet(deployment),
       promises(checker),
       calm(std::move(is_calm)),
+      in_time(std::move(is_in_time)),
       sweeper(io),
       random(seed) {}
 
@@ -398,6 +400,11 @@
   }
   const bool timed_out = ended >= began + sent.time_limit;
   this->promises.on_answer(sent.request.id, result, this->calm(began) && !timed_out);
+  const bool is_late = !result.whole && !result.left && ended >= until;
+  if (is_late && this->in_time(began)) {
+    this->promises.note(fmt::format("{} had no whole answer {} ms after it was sent",
+                                    sent.request.id, result.took.count()));
+  }
   if (!result.whole) {
     who.failed = who.connected_to;
     who.drop(true);
--- a/scenarios/soak_callers.h
+++ b/scenarios/soak_callers.h
@@ -34,9 +34,11 @@
 class soak_callers {
 public:
   /// `is_calm` returns true if no fault but planned maintenance has been active since 3 s
-  /// before that time.
+  /// before that time, `is_in_time` if none but that and responses without an end: calls are then
+  /// answered within their time limits.
   soak_callers(boost::asio::io_context& context, soak_fleet& fleet, promise_checker& checker,
-               std::function<bool(net::steady_time)> is_calm, std::uint64_t seed);
+               std::function<bool(net::steady_time)> is_calm,
+               std::function<bool(net::steady_time)> is_in_time, std::uint64_t seed);
   soak_callers(const soak_callers&) = delete;
   soak_callers& operator=(const soak_callers&) = delete;
   ~soak_callers();
@@ -90,6 +92,7 @@
   soak_fleet& fleet;
   promise_checker& promises;
   std::function<bool(net::steady_time)> calm;
+  std::function<bool(net::steady_time)> in_time;
   net::deadline_sweeper sweeper;
   http::client directory;
   std::mt19937_64 random;
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -29,15 +29,16 @@
 
 }  // namespace
 
-soak_faults::soak_faults(soak_fleet& deployment, std::uint64_t seed, bool only_planned)
+soak_faults::soak_faults(soak_fleet& deployment, std::uint64_t seed, fault_choice faults)
     : fleet(deployment),
       random(seed),
-      planned_only(only_planned),
+      choice(faults),
       began(steady::now()),
       growth_random(seed),
       release_random(seed),
       disk_random(seed),
-      fatal_random(seed) {
+      fatal_random(seed),
+      endless_random(seed) {
   const std::vector<fault_kind> groups[] = {this->process_faults(), this->link_faults(),
                                             this->environment_faults(),
                                             this->planned_maintenance()};
@@ -302,14 +303,14 @@
   soak_host& disk = this->fleet.disks[this->disks_taken++ % this->fleet.disks.size()];
   const auto away = between(400, 2200);
   const int kind = std::uniform_int_distribution<int>(0, 2)(this->disk_random);
-  switch (this->planned_only ? 0 : kind) {
+  switch (this->choice == fault_choice::all ? kind : 0) {
     case 0:
       this->fleet.stop(disk, away);
       this->note(now, fmt::format("stop {} in turn ({} ms)", disk.name, away.count()));
       break;
     case 1:
       this->active.push_back(
-          {"freeze in turn", false, now + away, this->pause_process(disk), true});
+          {"freeze in turn", false, now + away, this->pause_process(disk), true, false});
       this->note(now, fmt::format("freeze {} in turn ({} ms)", disk.name, away.count()));
       break;
     default: {
@@ -319,7 +320,7 @@
       cut.hold_back = true;
       link.set_fault(cut);
       this->active.push_back(
-          {"cut in turn", false, now + away, [&link] { link.set_fault({}); }, true});
+          {"cut in turn", false, now + away, [&link] { link.set_fault({}); }, true, false});
       this->note(now, fmt::format("cut off {} in turn ({} ms)", disk.name, away.count()));
       break;
     }
@@ -327,6 +328,38 @@
   ++this->begun["disk hosts leave in turn"];
 }
 
+void soak_faults::send_endless_responses(net::steady_time now) {
+  if (now < this->next_endless) {
+    return;
+  }
+  const auto between = [this](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(this->endless_random);
+  };
+  const bool first = this->next_endless == net::steady_time{};
+  const bool often = this->choice == fault_choice::endless;
+  this->next_endless =
+      now + std::chrono::milliseconds(often ? between(200, 800) : between(1500, 5000));
+  const auto& parts = stand_ins::all_endless_parts;
+  stand_ins::endless_response what;
+  what.part = parts.at(static_cast<std::size_t>(between(0, static_cast<int>(parts.size()) - 1)));
+  what.is_quick = between(0, 2) > 0;
+  const auto number = static_cast<std::size_t>(between(0, 1000)) % this->fleet.backends.size();
+  const auto lasts = std::chrono::milliseconds(often ? between(1000, 4000) : between(300, 1500));
+  if (first || (this->maintenance_only && !often)) {
+    return;
+  }
+  const std::string instance = this->fleet.backends[number].server->instance();
+  const auto set = [this, instance](std::optional<stand_ins::endless_response> response) {
+    this->fleet.set_endless_response(instance, response);
+  };
+  set(what);
+  ++this->begun["responses without an end"];
+  this->note(now, fmt::format("{} sends {} without an end, {} ({} ms)", instance,
+                              name_of(what.part), what.is_quick ? "quick" : "slow", lasts.count()));
+  this->active.push_back(
+      {"endless responses", false, now + lasts, [set] { set(std::nullopt); }, true, true});
+}
+
 void soak_faults::send_fatal_requests(net::steady_time now) {
   if (now < this->next_fatal) {
     return;
@@ -334,7 +367,7 @@
   const bool first = this->next_fatal == net::steady_time{};
   this->next_fatal = now + std::chrono::milliseconds(
                                std::uniform_int_distribution<int>(1500, 4000)(this->fatal_random));
-  if (first || this->planned_only || this->maintenance_only) {
+  if (first || this->choice != fault_choice::all || this->maintenance_only) {
     return;
   }
   ++this->begun["requests that end servers"];
@@ -358,7 +391,8 @@
       kind.planned ? std::chrono::milliseconds(grace) : this->random_duration(200, 5000);
   this->note(now, fmt::format("{} ({} ms)", kind.name, fault_duration.count()));
   ++this->begun[kind.name];
-  this->active.push_back({kind.name, kind.planned, now + fault_duration, kind.begin(), false});
+  this->active.push_back(
+      {kind.name, kind.planned, now + fault_duration, kind.begin(), false, false});
 }
 
 void soak_faults::end_expired(net::steady_time now) {
@@ -379,6 +413,12 @@
   if (fault_active) {
     this->fault_active_until = now;
   }
+  const bool other_active =
+      std::any_of(this->active.begin(), this->active.end(),
+                  [](const active_fault& item) { return !item.planned && !item.is_endless; });
+  if (other_active) {
+    this->other_fault_until = now;
+  }
   if (this->ended) {
     return;
   }
@@ -396,9 +436,10 @@
   }
   this->take_disks_in_turn(now);
   this->send_fatal_requests(now);
+  this->send_endless_responses(now);
   if (now >= this->period_ends) {
     const bool no_faults = this->random_index(3) == 0;
-    this->maintenance_only = this->planned_only || no_faults;
+    this->maintenance_only = this->choice != fault_choice::all || no_faults;
     this->period_ends = now + this->random_duration(4000, 9000);
   }
   const auto drawn = std::count_if(this->active.begin(), this->active.end(),
@@ -412,6 +453,7 @@
 void soak_faults::record(const std::string& what) {
   this->note(steady::now(), what);
   this->fault_active_until = steady::now();
+  this->other_fault_until = steady::now();
 }
 
 void soak_faults::end_all() {
@@ -421,6 +463,14 @@
   }
   this->active.clear();
   this->fault_active_until = steady::now();
+  this->other_fault_until = steady::now();
+}
+
+bool soak_faults::only_endless_since(net::steady_time then) const {
+  const bool other_active =
+      std::any_of(this->active.begin(), this->active.end(),
+                  [](const active_fault& item) { return !item.planned && !item.is_endless; });
+  return !other_active && this->other_fault_until + reconnect_time < then;
 }
 
 bool soak_faults::calm_since(net::steady_time then) const {
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -12,12 +12,20 @@
 
 namespace hawthornlane::scenarios {
 
+/// Which faults a soak plays.
+enum class fault_choice : std::uint8_t {
+  all,
+  /// Planned maintenance, in series and overlapping.
+  planned,
+  /// The same, while a server sends responses without an end at nearly all times.
+  endless,
+};
+
 /// Starts and ends faults in an order that the seed determines. Several may be active at once.
 /// Planned maintenance runs among the faults, and alone in periods without faults.
 class soak_faults {
 public:
-  /// `planned_only`: there is planned maintenance, in series and overlapping, but no fault.
-  soak_faults(soak_fleet& fleet, std::uint64_t seed, bool planned_only = false);
+  soak_faults(soak_fleet& fleet, std::uint64_t seed, fault_choice choice = fault_choice::all);
 
   /// Sets how to start a caller whose request ends servers.
   void on_fatal_request(std::function<void(std::uint64_t seed)> start) {
@@ -31,6 +39,8 @@
   void end_all();
   /// True if no fault has been active since 3 s before `then`; planned maintenance does not count.
   [[nodiscard]] bool calm_since(net::steady_time then) const;
+  /// The same, but responses without an end do not count either.
+  [[nodiscard]] bool only_endless_since(net::steady_time then) const;
   [[nodiscard]] const std::map<std::string, std::uint64_t>& counts() const { return this->begun; }
   /// One line per fault, to trace a seed.
   [[nodiscard]] const std::vector<std::string>& history() const { return this->lines; }
@@ -48,8 +58,9 @@
     bool planned;
     net::steady_time until;
     undo end;
-    /// Not drawn at random: a disk host that is away in its turn.
+    /// Not drawn at random: a disk host that is away in its turn, or an endless response.
     bool in_turn = false;
+    bool is_endless = false;
   };
 
   [[nodiscard]] std::vector<fault_kind> process_faults();
@@ -64,6 +75,8 @@
   void grow(net::steady_time now);
   /// Lets disk hosts leave and return in turn: stopped, frozen or cut off.
   void take_disks_in_turn(net::steady_time now);
+  /// Lets a server send responses without an end for a while.
+  void send_endless_responses(net::steady_time now);
   /// Starts callers whose requests end servers.
   void send_fatal_requests(net::steady_time now);
   void note(net::steady_time now, const std::string& what);
@@ -79,10 +92,12 @@
   std::vector<active_fault> active;
   net::steady_time next{};
   net::steady_time period_ends{};
-  bool planned_only;
+  fault_choice choice;
   bool maintenance_only = false;
   net::steady_time began;
   net::steady_time fault_active_until{};
+  /// Of the faults other than endless responses.
+  net::steady_time other_fault_until{};
   bool ended = false;
   /// The growth of the configuration is independent of the faults. It has its own random source,
   /// so that it does not change the faults of a seed.
@@ -99,6 +114,9 @@
   /// Likewise for requests that end servers.
   std::mt19937_64 fatal_random;
   net::steady_time next_fatal{};
+  /// Likewise for responses without an end.
+  std::mt19937_64 endless_random;
+  net::steady_time next_endless{};
   std::function<void(std::uint64_t seed)> start_fatal_request = [](std::uint64_t) {};
   std::map<std::string, std::uint64_t> begun;
   std::vector<std::string> lines;
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -517,6 +517,18 @@
   return static_cast<int>(std::count_if(this->backends.begin(), this->backends.end(), is_ready));
 }
 
+void soak_fleet::set_endless_response(const std::string& instance,
+                                      std::optional<stand_ins::endless_response> response) {
+  for (auto* group : {&this->backends, &this->removed_backends}) {
+    for (soak_backend& backend : *group) {
+      if (backend.server->instance() == instance) {
+        backend.server->set_endless_responses(
+            [response](const http::request&) { return response; });
+      }
+    }
+  }
+}
+
 void soak_fleet::replace_backend(soak_backend& backend) {
   this->platform->remove("servers", backend.server->instance());
   soak_backend fresh = this->make_backend(backend.service);
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -128,6 +128,9 @@
   /// Removes a backend server as planned and adds another one in its place.
   void replace_backend(soak_backend& backend);
 
+  /// Lets this server, if it still runs, give each request this response, or its usual one.
+  void set_endless_response(const std::string& instance,
+                            std::optional<stand_ins::endless_response> response);
   /// Sets a hook that is called when a server has ended under a request.
   void on_server_end(std::function<void(const std::string& server)> hook) {
     this->server_end_hook = std::move(hook);
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -14,6 +14,7 @@
 
 #include "hawthornlane/http/message.h"
 #include "hawthornlane/net/deadline_sweeper.h"
+#include "hawthornlane/stand_ins/endless_response.h"
 
 namespace hawthornlane::stand_ins {
 
@@ -124,6 +125,9 @@
   /// Sets which requests end the process, like a crash: it stops listening and resets all of its
   /// connections.
   void set_fatal_requests(std::function<std::optional<fatal_effect>(const http::request&)> choose);
+  /// Sets which requests run and get a response without an end.
+  void set_endless_responses(
+      std::function<std::optional<endless_response>(const http::request&)> choose);
   /// Ends the process like a crash.
   void end();
   [[nodiscard]] bool ended() const;
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -106,6 +106,7 @@
   int cancelled = 0;
   std::function<void(const backend_arrival&)> arrival_hook;
   std::function<std::optional<fatal_effect>(const http::request&)> fatal_effect_of;
+  std::function<std::optional<endless_response>(const http::request&)> endless_response_to;
   std::function<void(const std::optional<http::request>& cause)> end_hook;
   std::set<net::timed_socket*> connections;
   http::endpoint address;
@@ -253,6 +254,13 @@
       co_await caller.respond(misdirected, headers, "");
       co_return;
     }
+    const auto endless =
+        self->endless_response_to ? self->endless_response_to(request) : std::nullopt;
+    if (endless) {
+      self->record(request, true);
+      co_await respond_endlessly(self, caller, request, id, *endless);
+      co_return;
+    }
     const backend_behavior behavior = self->script->take();
     const bool runs = refusal_status(behavior) == 0;
     if (runs && self->work_time_of) {
@@ -326,6 +334,22 @@
     }
   }
 
+  static asio::awaitable<void> respond_endlessly(std::shared_ptr<state> self,
+                                                 relay::caller_connection& caller,
+                                                 const http::request& request, const std::string id,
+                                                 endless_response what) {
+    std::string headers;
+    for (const http::header& item : self->headers_for(id, true)) {
+      headers += fmt::format("{}: {}\r\n", item.name, item.value);
+    }
+    if (request.find_header("X-Token-Count")) {
+      headers += "Content-Type: text/event-stream\r\n";
+    }
+    const net::steady_time until = std::chrono::steady_clock::now() + long_delay;
+    co_await send_endless_response(caller.connection(), what, headers, until);
+    caller.abort_connection();
+  }
+
   static asio::awaitable<void> answer(std::shared_ptr<state> self, relay::caller_connection& caller,
                                       const http::request& request, const std::string id,
                                       backend_behavior behavior) {
@@ -406,6 +430,11 @@
   this->shared->fatal_effect_of = std::move(choose);
 }
 
+void scripted_backend::set_endless_responses(
+    std::function<std::optional<endless_response>(const http::request&)> choose) {
+  this->shared->endless_response_to = std::move(choose);
+}
+
 void scripted_backend::end() { this->shared->end(); }
 
 bool scripted_backend::ended() const { return this->shared->ended; }
