Limit the time, the framing and the errors of a fetched response

Seen in a run of endless_client_test with the client before: 14 of 104 cases of a response without an end (26 elements, quick and slow, status 200 and 500) keep more than 32 MB or go on for seconds: bodies as long as parts come, lines before chunks and fields after the last one of any size, errors of up to 64 MB. The client reads the store's answers at every host, and servers' answers in hawthornlaned.

Cause: the limits were for connecting, for the head and for each part; the body's limit doesn't count framing, and an error's body went past the sink.

--- a/libs/engine/src/backend_client.cc
+++ b/libs/engine/src/backend_client.cc
@@ -12,6 +12,9 @@
 
 constexpr duration release_timeout = std::chrono::seconds(2);
 constexpr int first_error_status = 400;
+/// Limits of one line of a stream, and of the text of an answer.
+constexpr std::size_t max_line_bytes = std::size_t{256} * 1024;
+constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
 
 duration elapsed_since(std::chrono::steady_clock::time_point start) {
   return std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - start);
@@ -33,7 +36,7 @@
       end = this->pending.find('\n', begin);
     }
     this->pending.erase(0, begin);
-    return true;
+    return this->pending.size() <= max_line_bytes && this->result.answer.size() <= max_answer_bytes;
   }
 
   [[nodiscard]] bool done() const { return this->finished; }
--- a/libs/http/include/hawthornlane/http/client.h
+++ b/libs/http/include/hawthornlane/http/client.h
@@ -28,18 +28,21 @@
 /// Sends requests. Safe for concurrent use from coroutines on any executor.
 class client {
 public:
-  client();
+  static constexpr std::size_t default_max_response_bytes = std::size_t{64} * 1024 * 1024;
+
+  /// `max_response_bytes`: a response with a longer body fails.
+  explicit client(std::size_t max_response_bytes = default_max_response_bytes);
   client(const client&) = delete;
   client& operator=(const client&) = delete;
   ~client();
 
   /// Sends one request and reads the whole response. `limit` is applied to connecting, to the
-  /// response's head and to each part of its body.
+  /// response's head and to each part of its body; the whole body may take four times as long.
   boost::asio::awaitable<std::optional<response>> fetch(endpoint where, request what,
                                                         duration limit, fetch_failure& reason);
   /// Sends one request and passes the body to `sink` as it arrives. `idle_timeout` limits the
-  /// time between two parts. The returned response has an empty body, except when its
-  /// status is an error: then it contains the body, and `sink` is not called.
+  /// time between two parts. The returned response has an empty body, except when its status is an
+  /// error: then it contains the body, of 64 KB at most, and `sink` is not called.
   boost::asio::awaitable<std::optional<response>> fetch_stream(endpoint where, request what,
                                                                duration idle_timeout,
                                                                body_sink sink,
@@ -47,6 +50,13 @@
 
 private:
   struct pool;
+
+  boost::asio::awaitable<std::optional<response>> exchange(endpoint where, request what,
+                                                           duration idle_timeout,
+                                                           std::optional<duration> body_limit,
+                                                           body_sink sink, fetch_failure& reason);
+
+  std::size_t max_response_bytes;
   std::shared_ptr<pool> idle;
 };
 
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -26,7 +26,12 @@
 
 constexpr std::size_t max_idle_per_endpoint = 32;
 constexpr std::size_t read_size = std::size_t{16} * 1024;
-constexpr std::uint64_t max_response_bytes = std::uint64_t{64} * 1024 * 1024;
+/// Limit of the body of an error response.
+constexpr std::size_t max_error_bytes = std::size_t{64} * 1024;
+/// Limit of what is buffered of a response's head, or of the framing of a body in chunks.
+constexpr std::size_t max_buffered_bytes = std::size_t{128} * 1024;
+/// The whole body of a response may take this multiple of the limit of its parts.
+constexpr int body_time_factor = 4;
 
 std::chrono::steady_clock::duration steady(duration time) {
   return std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
@@ -100,6 +105,15 @@
   std::optional<response> head;
 };
 
+/// Limits of one response.
+struct response_limits {
+  std::size_t body_bytes = 0;
+  /// Between two parts.
+  duration idle_time{};
+  /// From the head to the end of the body.
+  std::optional<duration> body_time;
+};
+
 /// Enables TCP keepalive probes, so that a long wait for a response ends soon if the peer or the
 /// network path is lost without a TCP close.
 void enable_keepalive(tcp::socket& socket) {
@@ -135,14 +149,22 @@
 
 /// Passes the body to `sink`, or stores it in `head.body` when the status is an error.
 asio::awaitable<bool> read_body(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                body_parser& parser, duration idle_timeout, const body_sink& sink,
-                                response& head, fetch_failure& reason) {
+                                body_parser& parser, const response_limits& limits,
+                                const body_sink& sink, response& head, fetch_failure& reason) {
+  using clock = std::chrono::steady_clock;
   const bool is_error = head.status >= first_error_status;
+  const auto until =
+      limits.body_time ? clock::now() + steady(*limits.body_time) : clock::time_point::max();
   std::array<char, read_size> chunk{};
   while (!parser.is_done()) {
     parser.get().body().data = chunk.data();
     parser.get().body().size = chunk.size();
-    stream.expires_after(steady(idle_timeout));
+    const auto now = clock::now();
+    if (now >= until) {
+      reason = {progress::partial_response, "the body did not end in time"};
+      co_return false;
+    }
+    stream.expires_at(std::min(until, now + steady(limits.idle_time)));
     error_code error;
     co_await bhttp::async_read_some(stream, buffer, parser,
                                     asio::redirect_error(asio::use_awaitable, error));
@@ -153,6 +175,10 @@
     const std::string_view part(chunk.data(), chunk.size() - parser.get().body().size);
     if (is_error) {
       head.body += part;
+      if (head.body.size() > max_error_bytes) {
+        reason = {progress::partial_response, "the body of the error response is too large"};
+        co_return false;
+      }
       continue;
     }
     if (!part.empty() && !sink(part)) {
@@ -165,18 +191,19 @@
 
 /// Must run on the connection's own strand, to avoid races with the stream's timer.
 asio::awaitable<void> run(attempt& one, const endpoint& where, const string_request& message,
-                          duration idle_timeout, const body_sink& sink, fetch_failure& reason) {
+                          const response_limits& limits, const body_sink& sink,
+                          fetch_failure& reason) {
   if (!one.reused) {
-    const bool connected = co_await connect(*one.stream, where, idle_timeout, reason);
+    const bool connected = co_await connect(*one.stream, where, limits.idle_time, reason);
     if (!connected) {
       co_return;
     }
   }
   error_code error;
   body_parser parser;
-  parser.body_limit(max_response_bytes);
-  beast::flat_buffer buffer;
-  one.stream->expires_after(steady(idle_timeout));
+  parser.body_limit(limits.body_bytes);
+  beast::flat_buffer buffer(max_buffered_bytes);
+  one.stream->expires_after(steady(limits.idle_time));
   co_await bhttp::async_write(*one.stream, message,
                               asio::redirect_error(asio::use_awaitable, error));
   if (!error) {
@@ -189,8 +216,7 @@
     co_return;
   }
   response head = to_response(parser.get());
-  const bool whole =
-      co_await read_body(*one.stream, buffer, parser, idle_timeout, sink, head, reason);
+  const bool whole = co_await read_body(*one.stream, buffer, parser, limits, sink, head, reason);
   if (!whole) {
     co_return;
   }
@@ -200,19 +226,19 @@
 
 }  // namespace
 
-client::client() : idle(std::make_shared<pool>()) {}
+client::client(std::size_t max_bytes)
+    : max_response_bytes(max_bytes), idle(std::make_shared<pool>()) {}
 client::~client() = default;
 
 asio::awaitable<std::optional<response>> client::fetch(endpoint where, request what, duration limit,
                                                        fetch_failure& reason) {
   std::string body;
-  auto head = co_await this->fetch_stream(
-      where, std::move(what), limit,
-      [&body](std::string_view part) {
-        body += part;
-        return body.size() <= max_response_bytes;
-      },
-      reason);
+  const auto append = [&body](std::string_view part) {
+    body += part;
+    return true;
+  };
+  auto head = co_await this->exchange(where, std::move(what), limit, limit * body_time_factor,
+                                      append, reason);
   if (head && head->body.empty()) {
     head->body = std::move(body);
   }
@@ -222,6 +248,15 @@
 asio::awaitable<std::optional<response>> client::fetch_stream(endpoint where, request what,
                                                               duration idle_timeout, body_sink sink,
                                                               fetch_failure& reason) {
+  co_return co_await this->exchange(where, std::move(what), idle_timeout, std::nullopt,
+                                    std::move(sink), reason);
+}
+
+asio::awaitable<std::optional<response>> client::exchange(endpoint where, request what,
+                                                          duration idle_timeout,
+                                                          std::optional<duration> body_limit,
+                                                          body_sink sink, fetch_failure& reason) {
+  const response_limits limits{this->max_response_bytes, idle_timeout, body_limit};
   const auto executor = co_await asio::this_coro::executor;
   const string_request message = to_beast_request(where, what);
   // The server may have closed a pooled connection, and a failed write does not tell whether the
@@ -235,7 +270,7 @@
       one.stream = std::make_unique<beast::tcp_stream>(asio::make_strand(executor));
     }
     const auto strand = one.stream->get_executor();
-    co_await asio::co_spawn(strand, run(one, where, message, idle_timeout, sink, reason),
+    co_await asio::co_spawn(strand, run(one, where, message, limits, sink, reason),
                             asio::use_awaitable);
     if (one.try_again) {
       continue;
