Let a set of three go on without a member that none replaces

Cause: in a set of two a spare joins as the third member, also when it comes in place of one of the two. Once that machine has stopped, the set of three has a dead member and no rule changes it: only a set of two is reduced, and a lost member is let go only for a spare.

Evidence: set_change_search_test now plays planned replacements, the successor first; without the fix 86 of 504 checks fail ("the loss of a disk stops the set d11(gone) d12 d13"), with it none.

Change: with one member silent for 3.5 s, no spare, and both others answering, the set goes on as these two, which bears a loss. All other transitions are unchanged.

--- a/libs/disk/src/disk_membership.cc
+++ b/libs/disk/src/disk_membership.cc
@@ -30,6 +30,9 @@
 /// does not reduce the set to one disk.
 constexpr auto failure_timeout_of_two = std::chrono::milliseconds(1000);
 static_assert(quota_lease_duration < failure_timeout);
+/// After this time the set goes on without a silent disk that none can replace. A host that was
+/// removed as planned does not return.
+constexpr duration abandonment_timeout = std::chrono::milliseconds(3500);
 /// Disk hosts start within 0.3 s of each other; the first set is formed after this wait.
 constexpr auto first_set_wait = std::chrono::milliseconds(1500);
 /// The disks try one after the other to make a due change of the set. Each has this long, which
@@ -137,12 +140,13 @@
       this->set && this->set->joint() && steady::now() - this->set_since >= joint_time_limit;
   view.target_size = std::size_t{2} * this->settings.tolerated_losses + 1;
   view.disks.push_back({view.self, true, this->is_retiring(this->self.name),
-                        this->must_leave(this->self.name), this->copied, true});
+                        this->must_leave(this->self.name), this->copied, true, false});
   for (const auto& [name, other] : this->peers) {
     const duration silence = this->silence_of(other);
     view.disks.push_back({disk_id(other.entry.disk), silence < wait, this->is_retiring(name),
                           this->must_leave(name), other.heard.copied,
-                          other.answered && silence < max_answer_age});
+                          other.answered && silence < max_answer_age,
+                          silence >= abandonment_timeout});
   }
   return view;
 }
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/set_change.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/set_change.h
@@ -26,6 +26,8 @@
   /// False if it is silent. A reachable disk that is silent may be lost, but not for long enough to
   /// be replaced.
   bool answers = true;
+  /// It has been silent for so long that the set should go on without it if no disk can replace it.
+  bool abandoned = false;
 };
 
 /// Everything that a disk host's decision depends on.
--- a/libs/turn_ledger/src/set_change.cc
+++ b/libs/turn_ledger/src/set_change.cc
@@ -219,6 +219,18 @@
     const bool grows = proposed.next.size() > set.members.size();
     return {set_step::propose, proposed, grows ? "too few disks" : "replacement"};
   }
+  const disk_view* lost_view = lost.empty() ? nullptr : find(view, lost.front());
+  const bool is_abandoned = lost.size() == 1 && (lost_view == nullptr || lost_view->abandoned);
+  // No disk replaces the lost one. A set of two bears a further loss, which this one does not.
+  if (is_abandoned && set.members.size() == min_members + 1) {
+    const std::vector<disk_id> remaining = without(set.members, lost.front());
+    if (!bears_a_loss(view, remaining) || !may_act(view, remaining)) {
+      return {};
+    }
+    ledger_set proposed = next_epoch(set);
+    proposed.next = remaining;
+    return {set_step::propose, proposed, "loss without a successor"};
+  }
   const bool may_shrink = lost.empty() && set.members.size() > min_members;
   // A retiring disk stays a member until it must leave: a smaller set would tolerate no loss in the
   // meantime.
--- a/libs/turn_ledger/test/set_change_search_test.cc
+++ b/libs/turn_ledger/test/set_change_search_test.cc
@@ -15,6 +15,7 @@
 /// Times in steps of 0.1 s, as a disk host uses them.
 constexpr int failure_timeout = 25;
 constexpr int failure_timeout_of_two = 10;
+constexpr int abandonment_timeout = 35;
 constexpr int max_answer_age = 8;
 constexpr int time_per_candidate = 10;
 constexpr int copy_time = 6;
@@ -31,6 +32,8 @@
   int silent_since = 0;
   int back_at = 0;
   int down_until = 0;
+  /// Its planned successor has been started; this machine is removed then.
+  int removed_at = 0;
   int copying = 0;
   set_epoch copied;
 };
@@ -60,6 +63,7 @@
   int checks = 0;
   int retirements = 0;
   int replacements = 0;
+  int planned_replacements = 0;
 
 private:
   int pick(int below) { return std::uniform_int_distribution<int>(0, below - 1)(this->random); }
@@ -97,13 +101,21 @@
       this->add_machine();
       this->whole_from = this->now + catch_up_time;
     }
+    for (auto& [name, host] : this->machines) {
+      if (!host.gone && host.removed_at > 0 && this->now >= host.removed_at) {
+        host.gone = true;
+        host.up = false;
+        host.silent_since = this->now;
+        this->whole_from = std::max(this->whole_from, this->now + catch_up_time);
+      }
+    }
     const bool may_lose =
         this->is_whole() && this->pending_machine == 0 && this->count_present() >= 2;
     constexpr int mean_gap = 30;
     if (this->pick(mean_gap) != 0) {
       return;
     }
-    const int what = this->pick(4);
+    const int what = this->pick(5);
     auto at = this->machines.begin();
     std::advance(at, this->pick(static_cast<int>(this->machines.size())));
     machine& host = at->second;
@@ -129,6 +141,12 @@
       ++this->retirements;
     } else if (what == 3 && this->count_present() < 5 && this->pending_machine == 0) {
       this->add_machine();
+    } else if (what == 4 && may_lose && !host.retiring && host.removed_at == 0 &&
+               this->count_present() < 5) {
+      // The successor first, then the planned stop of the machine, which does not return.
+      host.removed_at = this->now + catch_up_time;
+      this->add_machine();
+      ++this->planned_replacements;
     }
   }
 
@@ -141,8 +159,8 @@
     for (const auto& [name, host] : this->machines) {
       const int silence = host.up ? 0 : this->now - host.silent_since;
       const bool due = host.retiring && this->now - host.retiring_since >= host.time_limit / 2;
-      view.disks.push_back(
-          {name, silence < timeout, host.retiring, due, host.copied, silence < max_answer_age});
+      view.disks.push_back({name, silence < timeout, host.retiring, due, host.copied,
+                            silence < max_answer_age, silence >= abandonment_timeout});
     }
     view.skipped_candidates =
         static_cast<std::size_t>(std::max(0, this->now - this->changed_at) / time_per_candidate);
@@ -218,6 +236,7 @@
   int checks = 0;
   int retirements = 0;
   int replacements = 0;
+  int planned_replacements = 0;
   for (unsigned seed = 1; seed <= 500; ++seed) {
     INFO("seed " << seed);
     history played(seed);
@@ -226,8 +245,10 @@
     checks += played.checks;
     retirements += played.retirements;
     replacements += played.replacements;
+    planned_replacements += played.planned_replacements;
   }
   CHECK(checks > 10000);
   CHECK(retirements > 500);
   CHECK(replacements > 500);
+  CHECK(planned_replacements > 100);
 }
