Judge a request on an open connection by the limits in force when it arrives

Cause: a front host copied the limits before it waited for the next request.

Evidence: the new test of deployment_test without the fix: 413 where 200 is due. The limits are now read once the first bytes of a request have arrived, and the test passes.

--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -365,9 +365,10 @@
     relay::caller_connection caller(socket);
     ++self->connections;
     self->callers.insert(&caller);
+    const std::function<caller_limits()> limits = [self] {
+      return self->fleet.table() ? self->fleet.table()->source().limits : caller_limits{};
+    };
     while (!self->closing) {
-      const caller_limits limits =
-          self->fleet.table() ? self->fleet.table()->source().limits : caller_limits{};
       http::request request;
       failure reason;
       const relay::read_outcome outcome = co_await caller.read(limits, request, reason);
--- a/libs/relay/include/hawthornlane/relay/caller_connection.h
+++ b/libs/relay/include/hawthornlane/relay/caller_connection.h
@@ -31,9 +31,10 @@
   explicit caller_connection(net::timed_socket& connected) : socket(connected) {}
 
   /// Waits for the next request. Further data that has arrived is buffered for the next
-  /// `read`, so callers may pipeline requests.
-  boost::asio::awaitable<read_outcome> read(const caller_limits& limits, http::request& into,
-                                            failure& reason);
+  /// `read`, so callers may pipeline requests. A request has the limits that are in force when its
+  /// first bytes have arrived.
+  boost::asio::awaitable<read_outcome> read(const std::function<caller_limits()>& limits_in_force,
+                                            http::request& into, failure& reason);
 
   /// Writes a complete response. All writers return false once the caller has disconnected.
   boost::asio::awaitable<bool> respond(int status, const std::vector<http::header>& headers,
@@ -60,6 +61,9 @@
 
 private:
   struct request_parser;
+  /// Waits for the first bytes of a request; returns false if the caller has left or is idle for
+  /// too long.
+  boost::asio::awaitable<bool> wait_for_request(const caller_limits& limits);
   /// Reads until the head is complete and validates it. `length` is its size, bytes.
   boost::asio::awaitable<read_outcome> read_head(const caller_limits& limits, std::size_t& length,
                                                  failure& reason);
--- a/libs/relay/src/caller_connection.cc
+++ b/libs/relay/src/caller_connection.cc
@@ -96,18 +96,22 @@
   return {error_kind::request_timeout, detail};
 }
 
+asio::awaitable<bool> caller_connection::wait_for_request(const caller_limits& limits) {
+  if (!this->buffer.empty()) {
+    co_return true;
+  }
+  const error_code error = co_await this->read_more(
+      std::min(read_size, limits.header_bytes + header_overrun), after(limits.idle_timeout));
+  co_return !error;
+}
+
 asio::awaitable<read_outcome> caller_connection::read_head(const caller_limits& limits,
                                                            std::size_t& length, failure& reason) {
-  const net::steady_time idle_until = after(limits.idle_timeout);
-  net::steady_time head_until = net::never;
+  const net::steady_time head_until = after(limits.header_timeout);
   while (!head_length(this->buffer) && this->buffer.size() <= limits.header_bytes) {
-    const bool begun = !this->buffer.empty();
-    if (begun && head_until == net::never) {
-      head_until = after(limits.header_timeout);
-    }
     const error_code error = co_await this->read_more(
-        std::min(read_size, limits.header_bytes + header_overrun), begun ? head_until : idle_until);
-    if (error == asio::error::timed_out && begun) {
+        std::min(read_size, limits.header_bytes + header_overrun), head_until);
+    if (error == asio::error::timed_out) {
       reason = this->incomplete_request("the request head did not arrive in time");
       co_return read_outcome::refused;
     }
@@ -156,9 +160,14 @@
   co_return read_outcome::request;
 }
 
-asio::awaitable<read_outcome> caller_connection::read(const caller_limits& limits,
-                                                      http::request& into, failure& reason) {
+asio::awaitable<read_outcome> caller_connection::read(
+    const std::function<caller_limits()>& limits_in_force, http::request& into, failure& reason) {
   this->has_started = false;
+  const bool has_begun = co_await this->wait_for_request(limits_in_force());
+  if (!has_begun) {
+    co_return read_outcome::closed;
+  }
+  const caller_limits limits = limits_in_force();
   std::size_t length = 0;
   read_outcome outcome = co_await this->read_head(limits, length, reason);
   if (outcome != read_outcome::request) {
--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -37,6 +37,26 @@
   *into = std::move(result);
 }
 
+asio::awaitable<void> make_calls(asio::io_context& context, net::deadline_sweeper& sweeper,
+                                 http::endpoint where, std::vector<call_request> calls,
+                                 std::chrono::milliseconds pause_between,
+                                 std::shared_ptr<std::vector<call_result>> into) {
+  net::timed_socket socket(context, sweeper);
+  std::string buffer;
+  net::error_code error = co_await socket.connect(where, steady::now() + call_limit);
+  for (const call_request& what : calls) {
+    call_result result;
+    const std::string bytes = bytes_of(what);
+    if (!error) {
+      error = co_await socket.write_all(bytes, steady::now() + call_limit);
+    }
+    co_await read_answer(socket, buffer, steady::now() + call_limit, result);
+    into->push_back(std::move(result));
+    net::async_signal pause(context);
+    co_await pause.wait_until(steady::now() + pause_between);
+  }
+}
+
 asio::awaitable<void> call_and_disconnect(asio::io_context& context, net::deadline_sweeper& sweeper,
                                           http::endpoint where, std::string bytes,
                                           std::chrono::milliseconds delay,
@@ -186,6 +206,16 @@
   return result->value_or(call_result{});
 }
 
+std::shared_ptr<std::vector<call_result>> deployment::begin_calls(
+    int front, const std::vector<call_request>& calls, std::chrono::milliseconds pause) {
+  auto results = std::make_shared<std::vector<call_result>>();
+  asio::co_spawn(this->environment,
+                 make_calls(this->environment, this->sweeper,
+                            this->front_settings_of(front).callers_at, calls, pause, results),
+                 asio::detached);
+  return results;
+}
+
 std::string deployment::send_raw(int front, const std::string& bytes) {
   const auto result = std::make_shared<std::optional<std::string>>();
   asio::co_spawn(this->environment,
--- a/scenarios/deployment.h
+++ b/scenarios/deployment.h
@@ -52,6 +52,11 @@
   std::shared_ptr<std::optional<call_result>> begin_partial_call(int front,
                                                                  const call_request& what,
                                                                  std::size_t length);
+  /// Sends calls one after the other on one connection, with a pause between two. The results are
+  /// added as they arrive.
+  std::shared_ptr<std::vector<call_result>> begin_calls(int front,
+                                                        const std::vector<call_request>& calls,
+                                                        std::chrono::milliseconds pause);
   /// Sends raw bytes and returns everything received until the connection closes.
   std::string send_raw(int front, const std::string& bytes);
   /// Starts a call and closes the connection after `delay`.
--- a/scenarios/deployment_test.cc
+++ b/scenarios/deployment_test.cc
@@ -400,3 +400,18 @@
   // Both hosts reach the disk hosts directly, so nothing is relayed.
   CHECK(all.metric(0, "peer_bytes_sent_relays") == 0);
 }
+
+TEST_CASE("a request on an idle connection has the limits of the newest configuration") {
+  deployment all({1, 3, 1, 1});
+  REQUIRE(is_up(all));
+  constexpr std::size_t large = 20'000;
+  call_request first = plain("/once/x", "first");
+  call_request second = plain("/once/x", "second");
+  second.body = std::string(large, 'b');
+  const auto results = all.begin_calls(0, {first, second}, 2500ms);
+  REQUIRE(all.run_until([&results] { return results->size() == 1; }));
+  all.configure(2, R"("max-body-bytes":10000)", R"("max-body-bytes":1000000)");
+  REQUIRE(all.run_until([&results] { return results->size() == 2; }));
+  CHECK(results->front().status == 200);
+  CHECK(results->back().status == 200);
+}
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -234,7 +234,7 @@
       if (self->read_delay.count() > 0) {
         co_await delay(self->read_delay);
       }
-      const auto outcome = co_await caller.read(server_limits(), request, reason);
+      const auto outcome = co_await caller.read(server_limits, request, reason);
       if (outcome != relay::read_outcome::request || self->ended) {
         break;
       }
