--- a/scenarios/endless_response_test.cc
+++ b/scenarios/endless_response_test.cc
@@ -121,6 +121,7 @@
       reset_peak();
       const std::uint64_t before = memory_kb("VmRSS");
       std::vector<std::shared_ptr<std::optional<call_result>>> calls;
+      calls.reserve(calls_at_once);
       const std::string name = fmt::format("{}-{}", shape.path, name_of(part));
       for (int number = 0; number < calls_at_once; ++number) {
         calls.push_back(
