--- a/libs/net/test/timed_socket_test.cc
+++ b/libs/net/test/timed_socket_test.cc
@@ -13,14 +13,27 @@
 using tcp = asio::ip::tcp;
 using steady = std::chrono::steady_clock;
 
+namespace {
+
+/// Two connected sockets.
+struct socket_pair {
+  explicit socket_pair(asio::io_context& context) : near(context), far(context) {
+    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    this->near.connect(acceptor.local_endpoint());
+    this->far = acceptor.accept();
+  }
+  tcp::socket near;
+  tcp::socket far;
+};
+
+}  // namespace
+
 TEST_CASE("a read that always finds bytes ends at its deadline") {
   asio::io_context context;
   net::deadline_sweeper sweeper(context);
-  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-  tcp::socket client(context);
-  client.connect(acceptor.local_endpoint());
-  net::timed_socket writer(acceptor.accept(), sweeper);
-  net::timed_socket reader(std::move(client), sweeper);
+  socket_pair sockets(context);
+  net::timed_socket writer(std::move(sockets.far), sweeper);
+  net::timed_socket reader(std::move(sockets.near), sweeper);
   const auto until = steady::now() + 100ms;
   const auto write = [](net::timed_socket& socket) -> asio::awaitable<void> {
     const std::string block(std::size_t{64} * 1024, 'a');
@@ -51,12 +64,9 @@
 TEST_CASE("a read whose deadline has passed takes no bytes") {
   asio::io_context context;
   net::deadline_sweeper sweeper(context);
-  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-  tcp::socket client(context);
-  client.connect(acceptor.local_endpoint());
-  tcp::socket peer = acceptor.accept();
-  peer.send(asio::buffer("bytes", 5));
-  net::timed_socket reader(std::move(client), sweeper);
+  socket_pair sockets(context);
+  sockets.far.send(asio::buffer("bytes", 5));
+  net::timed_socket reader(std::move(sockets.near), sweeper);
   net::error_code ended;
   std::string taken;
   const auto read = [&]() -> asio::awaitable<void> {
--- a/scenarios/endless_client_test.cc
+++ b/scenarios/endless_client_test.cc
@@ -8,10 +8,10 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
-#include <fstream>
 
 #include "hawthornlane/http/client.h"
 #include "hawthornlane/stand_ins/endless_response.h"
+#include "process_memory.h"
 #include "test_caller.h"
 
 using namespace hawthornlane;
@@ -61,15 +61,10 @@
   into.done = true;
 }
 
-std::uint64_t memory_kb(const std::string& name) {
-  std::ifstream file("/proc/self/status");
-  std::string line;
-  while (std::getline(file, line)) {
-    if (line.starts_with(name)) {
-      return std::stoull(line.substr(line.find_first_of("0123456789")));
-    }
-  }
-  return 0;
+/// Whether a complete response precedes the part that does not end.
+bool begins_with_response(endless_part part) {
+  return part == endless_part::after_response || part == endless_part::other_responses ||
+         part == endless_part::interim_responses;
 }
 
 }  // namespace
@@ -79,8 +74,7 @@
     for (const bool is_quick : {true, false}) {
       for (const endless_part part : stand_ins::all_endless_parts) {
         INFO(name_of(part) << (is_quick ? ", quick, " : ", slow, ") << status);
-        std::ofstream("/proc/self/clear_refs") << "5";
-        const std::uint64_t before = memory_kb("VmRSS");
+        const memory_growth growth;
         asio::io_context context;
         net::deadline_sweeper sweeper(context);
         tcp::acceptor acceptor(context, {asio::ip::make_address(loopback), 0});
@@ -96,13 +90,10 @@
         }
         CHECK(result.done);
         CHECK(result.took <= total_limit);
-        const bool ends = part == endless_part::after_response ||
-                          (status == 200 && part == endless_part::other_responses);
-        if (!ends && part != endless_part::other_responses &&
-            part != endless_part::interim_responses) {
+        if (!begins_with_response(part)) {
           CHECK_FALSE(result.response);
         }
-        CHECK(memory_kb("VmHWM") - std::min(before, memory_kb("VmHWM")) < max_growth_kb);
+        CHECK(growth.peak_kb() < max_growth_kb);
       }
     }
   }
--- a/scenarios/endless_response_test.cc
+++ b/scenarios/endless_response_test.cc
@@ -3,9 +3,9 @@
 #include <fmt/format.h>
 
 #include <catch2/catch.hpp>
-#include <fstream>
 
 #include "deployment_calls.h"
+#include "process_memory.h"
 
 using namespace hawthornlane;
 using namespace hawthornlane::scenarios;
@@ -66,26 +66,12 @@
   }
 }
 
-/// Resident memory of this process, KB: now, or at most since `reset_peak`.
-std::uint64_t memory_kb(const std::string& name) {
-  std::ifstream file("/proc/self/status");
-  std::string line;
-  while (std::getline(file, line)) {
-    if (line.starts_with(name)) {
-      return std::stoull(line.substr(line.find_first_of("0123456789")));
-    }
-  }
-  return 0;
-}
-
-void reset_peak() { std::ofstream("/proc/self/clear_refs") << "5"; }
-
 void check_answer(const call_shape& shape, endless_part part, const call_result& result) {
   constexpr int refused = 503;
-  const bool has_no_end = part == endless_part::after_response && !shape.is_turn;
+  const bool is_served = part == endless_part::after_response && !shape.is_turn;
   CHECK(result.took <= shape.time_limit + answer_slack);
   CHECK(result.status != refused);
-  CHECK((result.status == 200 && result.whole) == has_no_end);
+  CHECK((result.status == 200 && result.whole) == is_served);
   if (!shape.is_turn) {
     CHECK(result.whole);
   }
@@ -125,8 +111,7 @@
   for (const call_shape& shape : shapes) {
     for (const endless_part part : stand_ins::all_endless_parts) {
       INFO(shape.path << ", " << name_of(part));
-      reset_peak();
-      const std::uint64_t before = memory_kb("VmRSS");
+      const memory_growth growth;
       std::vector<std::shared_ptr<std::optional<call_result>>> calls;
       calls.reserve(calls_at_once);
       const std::string name = fmt::format("{}-{}", shape.path, name_of(part));
@@ -146,7 +131,7 @@
           CHECK(runs_of(all, id) <= 2);
         }
       }
-      CHECK(memory_kb("VmHWM") - std::min(before, memory_kb("VmHWM")) < max_growth_kb);
+      CHECK(growth.peak_kb() < max_growth_kb);
       // Most of the servers that were excluded for these responses are used again.
       all.run_for(400ms);
     }
--- a/scenarios/planned_stop_test.cc
+++ b/scenarios/planned_stop_test.cc
@@ -29,15 +29,16 @@
   all.run_for(1500ms);
 }
 
-/// Waits for the end of the process and of all calls; checks that each has a complete answer, and
-/// that those which promise "not run" have not run.
+/// Number of calls that ended in each way.
 struct stop_outcome {
   int served = 0;
   int refused = 0;
+  /// No answer, or a part of one.
   int unanswered = 0;
   int refused_and_run = 0;
 };
 
+/// Waits for the end of the process, which has to come in its grace period, and of all calls.
 stop_outcome outcome_of(deployment& all, const std::map<std::string, pending_call>& calls,
                         std::chrono::steady_clock::time_point stop_began) {
   const auto left = std::chrono::duration_cast<milliseconds>(stop_began + grace -
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -20,17 +20,11 @@
 
 /// Longest wait for a host of which a caller has no response yet.
 constexpr auto call_limit = 3000ms;
-/// Of a call of a batch caller; longer than the grace period less the time in which calls are
-/// rejected, so that a call may end after the process of a stopping host.
-constexpr auto batch_limit = 6000ms;
-/// Work of a server on such a call, up to the longest one of the deployments.
-constexpr int min_batch_ms = 300;
-constexpr int max_batch_ms = 1500;
+/// How long a caller waits for the response after its deadline, which the routes' own timeouts do
+/// not exceed.
+constexpr auto answer_slack = 500ms;
 /// Number of batch callers. With `batch_servers` of the fleet they keep a queue of seconds.
 constexpr int batch_callers = 24;
-/// How long a caller waits for the response after its deadline. The routes' own timeouts, at most
-/// 3 s, do not exceed the deadline.
-constexpr auto answer_slack = 500ms;
 constexpr auto connect_limit = 1000ms;
 /// Callers reuse a directory response for the hosts' configured `address_time`.
 constexpr auto address_time = 1000ms;
@@ -195,31 +189,6 @@
   --this->active_tasks;
 }
 
-asio::awaitable<void> soak_callers::run_batch_caller(std::uint64_t seed) {
-  std::vector<std::unique_ptr<caller>> connections;
-  for (const soak_host& host : this->fleet.fronts) {
-    connections.push_back(std::make_unique<caller>(this->context, this->sweeper, seed++));
-    connections.back()->addresses = {http::to_string(host.callers->where())};
-    connections.back()->addresses_until = net::never;
-  }
-  caller& choice = *connections.front();
-  while (!this->stopping) {
-    for (const auto& idle : connections) {
-      co_await this->connect(*idle);
-    }
-    sent_call call;
-    call.request.path = "/batch/x";
-    call.request.id = this->fresh_id();
-    const auto work = static_cast<int>(choice.random_index(max_batch_ms - min_batch_ms));
-    call.request.body = fmt::format("{}{};", work_mark, min_batch_ms + work);
-    call.body_at_server = call.request.body;
-    call.time_limit = batch_limit;
-    co_await this->attempt(*connections[choice.random_index(connections.size())], call);
-    co_await pause(std::chrono::milliseconds(choice.random_index(200)));
-  }
-  --this->active_tasks;
-}
-
 asio::awaitable<void> soak_callers::run_budgeted(caller& who) {
   const std::string program = this->fresh_id();
   constexpr int turns = 6;
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -39,27 +39,16 @@
 /// A host may use its share of a core in each period of this length, and is stopped for the rest of
 /// it, as by the kernel's bandwidth control.
 constexpr auto limit_period = std::chrono::milliseconds(100);
-/// Pause between the replacements of a release, and how long a replaced server drains.
-constexpr auto replacement_gap = std::chrono::milliseconds(400);
-constexpr auto drain_time = std::chrono::milliseconds(2500);
-/// From the end of a server to its successor's start, and until the store drops its entry.
-constexpr auto server_restart_time = std::chrono::milliseconds(400);
-constexpr auto entry_lifetime = std::chrono::milliseconds(3600);
 constexpr auto limit_check_interval = std::chrono::milliseconds(5);
 /// Grace period of front hosts; what still runs then is killed.
 constexpr auto grace = std::chrono::seconds(8);
-/// Servers of the service "batches", and the calls that each works on at once.
+/// Servers of the service "batches".
 constexpr int batch_servers_started = 2;
-constexpr int batch_slots = 4;
 /// Availability zones that hosts of a kind are spread over.
 constexpr int zones = 4;
 
 http::endpoint fresh_endpoint() { return {loopback, free_port()}; }
 
-std::chrono::milliseconds work_time_of(const http::request& request) {
-  return std::chrono::milliseconds(std::stoi(request.body.substr(std::strlen(work_mark))));
-}
-
 /// Appends a torn write to the newest segment, as a power loss before a sync leaves it.
 void tear_last_segment(const fs::path& folder) {
   fs::path newest;
@@ -391,150 +380,4 @@
   this->configure();
 }
 
-soak_backend soak_fleet::make_backend(const std::string& service) {
-  soak_backend made;
-  made.service = service;
-  const bool is_engine = service == "models";
-  made.server = std::make_unique<stand_ins::scripted_backend>(
-      this->context, this->sweeper, http::endpoint{loopback, 0},
-      fmt::format("{}-{}", service, this->backends_made++),
-      service == "batches" ? std::make_shared<stand_ins::behavior_script>()
-      : is_engine          ? this->engine_behaviors
-                           : this->app_behaviors);
-  made.proxy = std::make_shared<fault_proxy>(this->context, made.server->where());
-  const std::string name = made.server->instance();
-  made.server->on_arrival([this, name](const stand_ins::backend_arrival& arrival) {
-    this->promises.on_arrival(name, arrival);
-  });
-  if (service == "batches") {
-    made.server->set_work(batch_slots, work_time_of);
-    return made;
-  }
-  this->make_mortal(*made.server, made.proxy);
-  if (is_engine) {
-    made.server->set_version(this->engine_version);
-    made.server->set_events(events_per_turn, std::chrono::milliseconds(8));
-  }
-  return made;
-}
-
-void soak_fleet::make_mortal(stand_ins::scripted_backend& server,
-                             const std::shared_ptr<fault_proxy>& proxy) {
-  server.set_fatal_requests(
-      [this](const http::request& request) -> std::optional<stand_ins::fatal_effect> {
-        const std::string name = fatal_request_in(request.body);
-        if (name.empty()) {
-          return std::nullopt;
-        }
-        const int delay = std::stoi(name.substr(name.find('-', std::strlen(fatal_mark)) + 1));
-        return stand_ins::fatal_effect{std::chrono::milliseconds(delay), 0};
-      });
-  server.on_end([this, &server, proxy](const std::optional<http::request>& cause) {
-    proxy->close();
-    const std::string& name = server.instance();
-    this->promises.on_server_end(cause ? fatal_request_in(cause->body) : "");
-    const net::steady_time now = steady::now();
-    this->ended_backends.push_back({name, now + server_restart_time});
-    this->draining.push_back({name, now + entry_lifetime});
-    this->server_end_hook(name);
-  });
-}
-
-void soak_fleet::replace_ended() {
-  const net::steady_time now = steady::now();
-  std::erase_if(this->ended_backends, [this, now](const ended_backend& item) {
-    if (now < item.replace_at) {
-      return false;
-    }
-    for (soak_backend& backend : this->backends) {
-      if (backend.server->instance() != item.instance) {
-        continue;
-      }
-      soak_backend fresh = this->make_backend(backend.service);
-      this->list(fresh, false);
-      std::swap(backend, fresh);
-      this->removed_backends.push_back(std::move(fresh));
-      break;
-    }
-    return true;
-  });
-}
-
-void soak_fleet::add_backend(const std::string& service) {
-  this->backends.push_back(this->make_backend(service));
-  this->list(this->backends.back(), false);
-}
-
-void soak_fleet::list(const soak_backend& backend, bool draining) {
-  this->platform->put(
-      "servers", backend.server->instance(),
-      backend.server->entry_at(backend.proxy->where(), backend.service, "z0", draining));
-}
-
-void soak_fleet::begin_release() {
-  constexpr std::array versions{"v1", "v2", "v3"};
-  this->engine_version = versions.at(static_cast<std::size_t>(++this->releases) % versions.size());
-  this->to_replace.clear();
-  for (const soak_backend& backend : this->backends) {
-    if (backend.service == "models") {
-      this->to_replace.push_back(backend.server->instance());
-    }
-  }
-}
-
-void soak_fleet::step_release() {
-  const net::steady_time now = steady::now();
-  std::erase_if(this->draining, [this, now](const draining_backend& item) {
-    if (now >= item.remove_at) {
-      this->platform->remove("servers", item.instance);
-    }
-    return now >= item.remove_at;
-  });
-  if (this->to_replace.empty() || now < this->next_replacement) {
-    return;
-  }
-  this->next_replacement = now + replacement_gap;
-  const std::string instance = std::move(this->to_replace.back());
-  this->to_replace.pop_back();
-  for (soak_backend& backend : this->backends) {
-    if (backend.server->instance() != instance) {
-      continue;
-    }
-    soak_backend fresh = this->make_backend(backend.service);
-    this->list(fresh, false);
-    this->list(backend, true);
-    std::swap(backend, fresh);
-    this->draining.push_back({instance, now + drain_time});
-    this->removed_backends.push_back(std::move(fresh));
-    return;
-  }
-}
-
-int soak_fleet::ready_engines(const std::string& version) const {
-  const auto is_ready = [&version](const soak_backend& backend) {
-    return backend.service == "models" && backend.server->version() == version;
-  };
-  return static_cast<int>(std::count_if(this->backends.begin(), this->backends.end(), is_ready));
-}
-
-void soak_fleet::set_endless_response(const std::string& instance,
-                                      std::optional<stand_ins::endless_response> response) {
-  for (auto* group : {&this->backends, &this->removed_backends}) {
-    for (soak_backend& backend : *group) {
-      if (backend.server->instance() == instance) {
-        backend.server->set_endless_responses(
-            [response](const http::request&) { return response; });
-      }
-    }
-  }
-}
-
-void soak_fleet::replace_backend(soak_backend& backend) {
-  this->platform->remove("servers", backend.server->instance());
-  soak_backend fresh = this->make_backend(backend.service);
-  std::swap(backend, fresh);
-  this->removed_backends.push_back(std::move(fresh));
-  this->list(backend, false);
-}
-
 }  // namespace hawthornlane::scenarios
--- a/stand_ins/include/hawthornlane/stand_ins/endless_response.h
+++ b/stand_ins/include/hawthornlane/stand_ins/endless_response.h
@@ -41,20 +41,16 @@
   after_response,
 };
 
-inline constexpr std::array all_endless_parts{
-    endless_part::not_http,         endless_part::empty_lines,
-    endless_part::version,          endless_part::status,
-    endless_part::reason,           endless_part::header_name,
-    endless_part::header_value,     endless_part::header_lines,
-    endless_part::folded_header,    endless_part::interim_responses,
-    endless_part::other_responses,  endless_part::chunk_size,
-    endless_part::chunk_extension,  endless_part::extensions_of_small_chunks,
-    endless_part::small_chunks,     endless_part::chunk_data,
-    endless_part::trailer_value,    endless_part::trailer_lines,
-    endless_part::huge_length,      endless_part::body_with_length,
-    endless_part::body_until_close, endless_part::event,
-    endless_part::events,           endless_part::event_comments,
-    endless_part::event_line_ends,  endless_part::after_response};
+inline constexpr std::size_t endless_part_count =
+    static_cast<std::size_t>(endless_part::after_response) + 1;
+
+inline constexpr auto all_endless_parts = [] {
+  std::array<endless_part, endless_part_count> parts{};
+  for (std::size_t number = 0; number < parts.size(); ++number) {
+    parts.at(number) = static_cast<endless_part>(number);
+  }
+  return parts;
+}();
 
 std::string_view name_of(endless_part part);
 
