Failing test: a configuration is missed while the store answers late

Callers get the old routes for as long as the store takes longer than 1.5 s for each response, although it answers every read.

--- a/scenarios/store_outage_test.cc
+++ b/scenarios/store_outage_test.cc
@@ -112,3 +112,28 @@
   }
   CHECK(failed == 0);
 }
+
+// Hosts used to drop each response of the store that took longer than 1.5 s, and learned nothing.
+TEST_CASE("no host misses a configuration while the store takes seconds for each response") {
+  // From the store's confirmation, while the store is slow (`config-apply-ms`, `stretch-max-ms`).
+  constexpr auto apply_time = 2000ms;
+  constexpr auto stretch_time = 5000ms;
+  constexpr int fronts = 3;
+  const auto delay = GENERATE(1000ms, 2000ms, 3000ms);
+  INFO("a response takes " << delay.count() << " ms");
+  deployment all({fronts, 3, 1, 1});
+  REQUIRE(is_up(all));
+  REQUIRE(all.run_until([&all] { return all.ready(1) && all.ready(2); }));
+  all.store().set_response_delay(delay);
+  all.run_for(delay);
+  for (int version = 5; version <= 6; ++version) {
+    const std::string path = "/changed-" + std::to_string(version) + "/";
+    all.configure(version, "/safe/", path);
+    all.run_for(apply_time + stretch_time);
+    for (int front = 0; front < fronts; ++front) {
+      const std::string id = std::to_string(version) + "-" + std::to_string(front);
+      CHECK(all.call(front, plain(path + "x", "new-" + id)).status == 200);
+      CHECK(all.call(front, plain("/safe/x", "old-" + id)).status == 404);
+    }
+  }
+}
--- a/stand_ins/include/hawthornlane/stand_ins/object_platform.h
+++ b/stand_ins/include/hawthornlane/stand_ins/object_platform.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -32,6 +33,8 @@
 
   [[nodiscard]] http::endpoint where() const;
   void set_behavior(store_behavior behavior);
+  /// Sets the time from a request to its response; the request is executed at once.
+  void set_response_delay(std::chrono::milliseconds delay);
   /// While true, watches get no events. Setting it to false discards the history, so that watches
   /// get status 410 and must list again.
   void set_stalled_watches(bool stalled);
--- a/stand_ins/src/object_platform.cc
+++ b/stand_ins/src/object_platform.cc
@@ -70,6 +70,7 @@
   /// Revision at which the history begins; watches from an earlier one get status 410.
   std::uint64_t history_start = 0;
   store_behavior behavior = store_behavior::serving;
+  std::chrono::milliseconds response_delay{0};
   bool stalled = false;
   std::uint64_t calls = 0;
 
@@ -252,6 +253,9 @@
     if (self->behavior == store_behavior::dropping_responses && ask.method != "GET") {
       co_await delay(long_delay);
     }
+    if (self->response_delay.count() > 0) {
+      co_await delay(self->response_delay);
+    }
     co_await reply.respond(std::move(made));
   };
   const auto make_error_response = [](error_kind, std::string_view) { return plain(unavailable); };
@@ -265,6 +269,10 @@
 
 void object_platform::set_behavior(store_behavior behavior) { this->shared->behavior = behavior; }
 
+void object_platform::set_response_delay(std::chrono::milliseconds delay) {
+  this->shared->response_delay = delay;
+}
+
 void object_platform::set_stalled_watches(bool stalled) {
   this->shared->stalled = stalled;
   if (!stalled) {
