Use the store's configuration however late the response comes

Callers were served by old routes for as long as the store took longer than 1.5 s for each response. Each read was given up after that time and the next one began anew, so no host learned anything although the store answered every call; the list of servers waited behind the configuration's read.

A read of the configuration now goes on for 6 s while later checks start theirs, and its revision decides whether it is used. After 1.5 s the check goes on to the list of servers and counts as failed for the times of outages, as before, so removals of servers are deferred in the same cases. With a store that answers within 1.5 s the calls and their order are the same.

Fault soak: after the faults a change is written while the store takes 0.5, 2 or 3 s for each response.

--- a/libs/front/src/store_reader.cc
+++ b/libs/front/src/store_reader.cc
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <optional>
 #include <utility>
 
 #include "configuration_copy.h"
+#include "hawthornlane/net/async_signal.h"
 #include "hawthornlane/telemetry/log.h"
 
 namespace hawthornlane::front {
@@ -22,6 +24,14 @@
 constexpr auto host_check_interval = std::chrono::seconds(3);
 /// Interval of reads by a host that lacks the addresses of others.
 constexpr auto host_read_interval = std::chrono::milliseconds(300);
+/// A check of the store does not wait longer for the configuration.
+constexpr auto prompt_response_time = std::chrono::milliseconds(1500);
+/// A read of the configuration that has no response after this time is given up.
+constexpr duration configuration_timeout = std::chrono::seconds(6);
+/// Reads of the configuration in flight: one starts with each check until the first is given up.
+/// Each response has up to 1 MB.
+constexpr std::size_t max_configuration_reads =
+    configuration_timeout / store_read_schedule::read_interval + 1;
 /// If no host has read the store for this long, each host reads for itself. A failed reader is
 /// replaced by another host long before.
 constexpr duration reader_timeout = std::chrono::seconds(2);
@@ -32,6 +42,15 @@
 
 }  // namespace
 
+struct store_reader::configuration_read {
+  explicit configuration_read(asio::io_context& context) : ended(context) {}
+  net::async_signal ended;
+  std::optional<platform_adapter::store_outcome> outcome;
+  failure reason;
+  /// The check that started it does not wait any longer.
+  bool is_late = false;
+};
+
 store_reader::store_reader(store_reader_parts given_parts) : parts(std::move(given_parts)) {
   this->parts.read_schedule.on_outage_changed([this](const store_read_schedule::outage& outage) {
     if (outage.removals_final_at == store_read_schedule::unknown) {
@@ -74,22 +93,24 @@
       {{"away_ms", milliseconds_text(now - this->store_lost_at)}, {"detail", detail}});
 }
 
-void store_reader::apply_configuration(const object_page& page) {
+bool store_reader::apply_configuration(const object_page& page) {
   store_revision newest;
   for (const auto& item : page.items) {
     newest = std::max(newest, item.object.revision);
   }
   // Decoding 1 MB takes about 0.1 s on an eighth of a core, and it is read every 0.85 s.
   if (newest <= this->configuration_at && page.faults.empty()) {
-    return;
+    return false;
   }
-  this->configuration_at = newest;
+  this->configuration_at = std::max(newest, this->configuration_at);
+  bool is_newer = false;
   for (const auto& candidate : discovery::configurations_of(page, this->parts.faults)) {
     if (this->parts.fleet.is_newer(candidate.config)) {
-      this->parts.fleet.offer_configuration(candidate.config, pack_configuration(candidate.text),
-                                            "store");
+      is_newer |= this->parts.fleet.offer_configuration(
+          candidate.config, pack_configuration(candidate.text), "store");
     }
   }
+  return is_newer;
 }
 
 bool store_reader::reads_for_all() const {
@@ -98,8 +119,44 @@
          this->parts.read_schedule.age(discovery::scheduler_now()) > reader_timeout;
 }
 
-asio::awaitable<void> store_reader::check_store(
-    [[maybe_unused]] std::shared_ptr<const void> owner) {
+asio::awaitable<void> store_reader::read_configuration(
+    std::shared_ptr<configuration_read> read, [[maybe_unused]] std::shared_ptr<const void> owner) {
+  ++this->configuration_reads;
+  object_page page;
+  const auto outcome = co_await this->parts.store.list(object_kind::configuration, page,
+                                                       read->reason, configuration_timeout);
+  --this->configuration_reads;
+  const bool is_newer =
+      outcome == platform_adapter::store_outcome::done && this->apply_configuration(page);
+  if (is_newer && read->is_late) {
+    this->parts.gossip.broadcast_state();
+  }
+  read->outcome = outcome;
+  read->ended.wake();
+}
+
+asio::awaitable<bool> store_reader::check_configuration(std::shared_ptr<const void> owner) {
+  const bool is_slow = this->configuration_reads > 0;
+  if (this->configuration_reads >= max_configuration_reads) {
+    co_return true;
+  }
+  const auto read = std::make_shared<configuration_read>(this->parts.context);
+  asio::co_spawn(this->parts.context, this->read_configuration(read, owner), asio::detached);
+  if (!is_slow) {
+    co_await read->ended.wait_until(steady::now() + prompt_response_time);
+  }
+  if (!read->outcome) {
+    read->is_late = true;
+    this->record_store_state(false, "the configuration is late");
+    this->parts.read_schedule.record_failure(discovery::scheduler_now());
+    co_return true;
+  }
+  const bool good = *read->outcome == platform_adapter::store_outcome::done;
+  this->record_store_state(good, read->reason.detail);
+  co_return good;
+}
+
+asio::awaitable<void> store_reader::check_store(std::shared_ptr<const void> owner) {
   this->checking = true;
   const timestamp began = discovery::scheduler_now();
   this->parts.read_schedule.began(began);
@@ -110,10 +167,8 @@
     this->record_store_state(good, reason.detail);
     return good;
   };
-  bool good =
-      record_outcome(co_await this->parts.store.list(object_kind::configuration, page, reason));
+  bool good = co_await this->check_configuration(owner);
   if (good) {
-    this->apply_configuration(page);
     good =
         record_outcome(co_await this->parts.store.list(object_kind::backend_servers, page, reason));
   }
--- a/libs/front/src/store_reader.h
+++ b/libs/front/src/store_reader.h
@@ -34,8 +34,17 @@
   void tick(net::steady_time now, const std::shared_ptr<const void>& owner);
 
 private:
+  /// A read of the configuration; shared with whoever waits for it.
+  struct configuration_read;
+
   /// Reads the store for all hosts and broadcasts the result.
   boost::asio::awaitable<void> check_store(std::shared_ptr<const void> owner);
+  /// Reads the configuration. Its response is used however late it comes: revisions order them.
+  boost::asio::awaitable<void> read_configuration(std::shared_ptr<configuration_read> read,
+                                                  std::shared_ptr<const void> owner);
+  /// Starts a read of the configuration and waits for it, unless earlier ones are late, too. False
+  /// if the store refuses.
+  boost::asio::awaitable<bool> check_configuration(std::shared_ptr<const void> owner);
   /// Reads the host registry. A new host needs it to get the other state from its peers, and a new
   /// disk host cannot be contacted before its address is known.
   boost::asio::awaitable<void> read_hosts(std::shared_ptr<const void> owner);
@@ -45,10 +54,13 @@
   [[nodiscard]] bool reads_for_all() const;
   /// Records whether the store answers, and logs changes.
   void record_store_state(bool reachable, const std::string& detail);
-  void apply_configuration(const platform_adapter::object_page& page);
+  /// True if the page contains a configuration that is newer than this host's.
+  bool apply_configuration(const platform_adapter::object_page& page);
 
   store_reader_parts parts;
   bool checking = false;
+  /// Invariant: at most `max_configuration_reads`.
+  std::size_t configuration_reads = 0;
   bool reading_hosts = false;
   net::steady_time next_host_read{};
   net::steady_time next_host_check{};
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -439,6 +439,17 @@
   }
 }
 
+asio::awaitable<void> soak_callers::verify_with_slow_store(caller& who) {
+  constexpr std::array response_times{500ms, 2000ms, 3000ms};
+  constexpr auto in_force_within = 7s;
+  stand_ins::object_platform& store = this->fleet.store();
+  store.set_response_delay(response_times.at(who.random_index(response_times.size())));
+  const int version = this->fleet.configure();
+  co_await pause(in_force_within);
+  co_await this->verify_in_force(who, version, "7 s after it was written to a slow store");
+  store.set_response_delay({});
+}
+
 asio::awaitable<void> soak_callers::verify(bool& done) {
   caller who(this->context, this->sweeper, this->random());
   co_await this->verify_in_force(who, this->fleet.version(),
@@ -475,6 +486,7 @@
           fmt::format("stored turn {} is lost: status {}", line.turn, result.status));
     }
   }
+  co_await this->verify_with_slow_store(who);
   done = true;
 }
 
--- a/scenarios/soak_callers.h
+++ b/scenarios/soak_callers.h
@@ -80,6 +80,8 @@
   boost::asio::awaitable<void> probe_configuration();
   /// Reports each front host that does not serve that version's route.
   boost::asio::awaitable<void> verify_in_force(caller& who, int version, const char* when);
+  /// A change that is written while the store takes seconds for each response is not missed.
+  boost::asio::awaitable<void> verify_with_slow_store(caller& who);
   /// Sends a call until it succeeds, at most `tries` times.
   boost::asio::awaitable<call_result> call(caller& who, sent_call what, int tries);
   boost::asio::awaitable<call_result> attempt(caller& who, const sent_call& what);
