Failing tests: servers end under a request and are not counted

A server whose port closes 20, 60 or 200 ms after its connections counts as alive, and a request that ends every second or third server that runs it is cleared by each whole answer.

--- a/scenarios/fatal_request_test.cc
+++ b/scenarios/fatal_request_test.cc
@@ -107,6 +107,40 @@
   CHECK(others.failures().empty());
 }
 
+TEST_CASE("a server whose port closes after its connections counts as ended") {
+  const std::chrono::milliseconds port_delay = GENERATE(20ms, 60ms, 200ms);
+  const char* path = GENERATE("/safe/x", "/once/x", "/kept/x", "/resumed/x");
+  const std::chrono::milliseconds pause = GENERATE(0ms, 100ms);
+  INFO(path << ", port closes " << port_delay.count() << " ms later, pause " << pause.count());
+  deployment all({fronts, 3, 8, 8});
+  REQUIRE(all_ready(all));
+  fatal_requests fatal(all, {10ms, 0, port_delay});
+  call_result last;
+  for (int attempt = 0; attempt < attempts; ++attempt) {
+    last = fatal.attempt(attempt % fronts, fatal_call(path, fmt::format("f{}", attempt)), pause);
+  }
+  CHECK(fatal.late_arrivals() == 0);
+  CHECK(fatal.ends() <= max_ends);
+  CHECK(last.status == 400);
+}
+
+TEST_CASE("a request that ends only some of the servers that run it is stopped after three ends") {
+  const char* path = GENERATE("/safe/x", "/once/x");
+  const int runs_per_end = GENERATE(2, 3);
+  INFO(path << ", ends one of " << runs_per_end << " servers");
+  deployment all({fronts, 3, 2, 12});
+  REQUIRE(all_ready(all));
+  fatal_requests fatal(all, {10ms, 0});
+  fatal.limit_to(
+      [runs = 0, runs_per_end](const auto&) mutable { return ++runs % runs_per_end == 0; });
+  const int last_attempt = 8 * runs_per_end;
+  for (int attempt = 0; attempt < last_attempt; ++attempt) {
+    fatal.attempt(attempt % fronts, fatal_call(path, fmt::format("f{}", attempt)), 50ms);
+  }
+  CHECK(fatal.late_arrivals() == 0);
+  CHECK(fatal.ends() <= max_ends);
+}
+
 TEST_CASE("front hosts that restart do not send a request that has ended three servers") {
   const disruption what = GENERATE(disruption::restart_answering_host,
                                    disruption::restart_all_hosts, disruption::cut_power_of_all);
--- a/scenarios/fatal_requests.cc
+++ b/scenarios/fatal_requests.cc
@@ -58,6 +58,21 @@
 
 void fatal_requests::crash(stand_ins::scripted_backend& server) { server.end(); }
 
+call_result fatal_requests::attempt(int front, const call_request& what,
+                                    std::chrono::milliseconds pause) {
+  const auto result = this->fleet.begin_call(front, what);
+  this->fleet.run_until([&] {
+    this->step();
+    return result->has_value();
+  });
+  const auto until = steady::now() + pause;
+  this->fleet.run_until([&] {
+    this->step();
+    return steady::now() >= until;
+  });
+  return result->value();
+}
+
 void fatal_requests::step() {
   const net::steady_time now = steady::now();
   std::vector<std::string> due;
--- a/scenarios/fatal_requests.h
+++ b/scenarios/fatal_requests.h
@@ -33,6 +33,8 @@
   [[nodiscard]] int arrivals() const { return this->counts.arrivals; }
   [[nodiscard]] int ends() const { return this->counts.ends; }
   [[nodiscard]] int late_arrivals() const { return this->counts.late; }
+  /// Makes a call at that front host, and waits for `pause` after its answer.
+  call_result attempt(int front, const call_request& what, std::chrono::milliseconds pause);
   /// Starts the servers that are due.
   void step();
   /// Only servers for which this returns true end.
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -88,6 +88,9 @@
   std::chrono::milliseconds delay{0};
   /// If set, a stream's process ends after it has sent this many events, and not after `delay`.
   int after_events = 0;
+  /// From the end of the process's connections to the end of its port. Connections that it accepts
+  /// in between get no response and last until the port closes.
+  std::chrono::milliseconds port_delay{0};
 };
 
 /// Serves until destroyed or ended. To be used only on the thread that runs the io_context.
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -112,13 +112,29 @@
   http::endpoint address;
   bool ended = false;
 
-  void end(const std::optional<http::request>& cause = std::nullopt) {
+  void close_port() {
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+  }
+
+  static asio::awaitable<void> close_port_after(std::shared_ptr<state> self,
+                                                std::chrono::milliseconds time) {
+    co_await delay(time);
+    self->close_port();
+  }
+
+  void end(const std::optional<http::request>& cause = std::nullopt,
+           std::chrono::milliseconds port_delay = {}) {
     if (this->ended) {
       return;
     }
     this->ended = true;
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    if (port_delay.count() > 0) {
+      asio::co_spawn(this->context, close_port_after(this->shared_from_this(), port_delay),
+                     asio::detached);
+    } else {
+      this->close_port();
+    }
     if (this->end_hook) {
       this->end_hook(cause);
     }
@@ -227,6 +243,10 @@
   static asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket accepted) {
     net::timed_socket socket(std::move(accepted), self->sweeper);
     relay::caller_connection caller(socket);
+    constexpr auto ending_interval = std::chrono::milliseconds(2);
+    while (self->ended && self->acceptor.is_open()) {
+      co_await delay(ending_interval);
+    }
     self->connections.insert(&socket);
     while (caller.usable() && !self->ended) {
       http::request request;
@@ -274,7 +294,7 @@
     const auto effect = self->effect_of(request);
     if (effect && effect->after_events == 0) {
       co_await delay(effect->delay);
-      self->end(request);
+      self->end(request, effect->port_delay);
       co_return;
     }
     switch (behavior) {
@@ -389,7 +409,7 @@
       const std::string sent = cut ? bytes.substr(0, bytes.size() / 2) : bytes;
       open = co_await caller.write(sent);
       if (effect && event >= effect->after_events) {
-        self->end(request);
+        self->end(request, effect->port_delay);
         co_return;
       }
       if (cut) {
