Count a server that closes its port after its connections as ended

Callers that sent a request again and again ended 4 to 12 servers under it where 3 may end: the server's port was looked at once, for 10 ms, so one that closes it later counted as alive for good, and nothing was recorded.

A server that cuts a connection off before its response is now watched: 50 ms before the call goes to another server, 250 ms before its caller is answered, 1 s more afterwards. A suspected run keeps its reservation as long, so ends that are not known yet are within the budget of the content. Broken responses over a connection that lasts are checked as before. A later end, or more attempts than one within these times, can still exceed three.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -103,6 +103,8 @@
   [[nodiscard]] crash_standing standing_of(const call& one) const;
   /// Whether the call may be sent to its server now. Returns false if it has been answered.
   boost::asio::awaitable<bool> admit_suspected(call& one, const acquired_server& acquired);
+  /// How long a server that has cut off an attempt is watched before the call goes on.
+  [[nodiscard]] duration watch_time_after(const call& one, relay::attempt_outcome outcome) const;
   /// Reports the end of an attempt to the crash tracker.
   boost::asio::awaitable<void> track_crash(call& one, const backend_entry& server,
                                            relay::attempt_outcome outcome);
--- a/libs/front/include/hawthornlane/front/crash_tracker.h
+++ b/libs/front/include/hawthornlane/front/crash_tracker.h
@@ -28,7 +28,9 @@
   /// Names of the live front hosts.
   std::function<std::vector<host_id>()> hosts;
   std::function<void(const host_id&, const std::string& payload, net::rpc_done)> send;
-  std::function<boost::asio::awaitable<relay::listening_state>(http::endpoint)> check_listening;
+  /// Watches a server's port for up to that time.
+  std::function<boost::asio::awaitable<relay::listening_state>(http::endpoint, duration)>
+      check_listening;
   /// The server's entry as listed now; null if there is none.
   std::function<const backend_entry*(const backend_server_id&)> entry_of;
   /// The disks of the ledger; nothing if they are not known yet.
@@ -53,6 +55,17 @@
   std::vector<server_process_key> crashed_before;
 };
 
+/// A run that a server has not answered whole.
+struct failed_run {
+  request_fingerprint request;
+  backend_entry server;
+  /// Set if the request was suspected.
+  std::optional<suspected_run> run;
+  request_id attempt;
+  /// The server's connection ended before its response: its process may be ending.
+  bool is_cut_off = false;
+};
+
 /// A request under which a server has crashed is suspected: all hosts and the ledger know it before
 /// its caller is answered. From then on each run is reserved in the ledger, which grants as many as
 /// servers may still crash. The request is blocked after `crash_table::max_crashes` crashes, and no
@@ -72,10 +85,10 @@
   boost::asio::awaitable<run_permission> begin_run(request_fingerprint request,
                                                    std::optional<suspected_run>& run,
                                                    net::steady_time until);
-  /// Call this when a server has not answered a run whole, before its caller is answered. `run` is
-  /// set if the request was suspected.
-  boost::asio::awaitable<void> run_failed(request_fingerprint request, backend_entry server,
-                                          std::optional<suspected_run> run, request_id attempt);
+  /// Call this when a server has not answered a run whole, before its caller is answered or the
+  /// request is sent again. If the connection was cut off and the server still listens, this takes
+  /// `watch_time`, and the server is watched further afterwards.
+  boost::asio::awaitable<void> run_failed(failed_run failed, duration watch_time);
   /// Call this when a server has answered a run whole.
   void run_answered(const request_fingerprint& request, const software_version& version,
                     const std::optional<suspected_run>& run);
@@ -112,6 +125,11 @@
     net::steady_time until;
   };
 
+  /// Watches a server that still listened when its run failed.
+  boost::asio::awaitable<void> watch_further(failed_run failed, std::weak_ptr<bool> alive);
+  /// Records the crash of a server that does not listen any longer, unless the request is not the
+  /// cause.
+  boost::asio::awaitable<void> conclude(failed_run failed, relay::listening_state state);
   boost::asio::awaitable<void> record(crash_report report);
   /// Tells the other front hosts; calls `done` when all have answered or failed to.
   void publish(const std::vector<crash_report>& reports, std::function<void()> done);
--- a/libs/front/src/call_crashes.cc
+++ b/libs/front/src/call_crashes.cc
@@ -14,6 +14,11 @@
 /// with its machine, which resets no connection.
 constexpr auto suspicious_silence = std::chrono::seconds(1);
 
+/// How long a server whose connection was cut off is watched before the call is sent to another
+/// one, and before its caller is answered, who may send the request again at once.
+constexpr duration retry_watch_time = std::chrono::milliseconds(50);
+constexpr duration answer_watch_time = std::chrono::milliseconds(250);
+
 }  // namespace
 
 crash_standing call_service::standing_of(const call& one) const {
@@ -47,6 +52,13 @@
   co_return false;
 }
 
+duration call_service::watch_time_after(const call& one, attempt_outcome outcome) const {
+  if (one.caller.gone() || this->stop) {
+    return {};
+  }
+  return this->may_try_again(one, outcome) ? retry_watch_time : answer_watch_time;
+}
+
 asio::awaitable<void> call_service::track_crash(call& one, const backend_entry& server,
                                                 attempt_outcome outcome) {
   if (!one.fingerprint) {
@@ -71,7 +83,8 @@
     case attempt_outcome::timed_out:
       break;
   }
-  co_await this->crashes.run_failed(*one.fingerprint, server, run, one.terms.id);
+  failed_run failed{*one.fingerprint, server, run, one.terms.id, one.answer.is_cut_off};
+  co_await this->crashes.run_failed(std::move(failed), this->watch_time_after(one, outcome));
 }
 
 }  // namespace hawthornlane::front
--- a/libs/front/src/crash_tracker.cc
+++ b/libs/front/src/crash_tracker.cc
@@ -24,6 +24,10 @@
 constexpr auto publication_time = std::chrono::milliseconds(250);
 /// How long a crash is offered to the ledger while too few disk hosts answer.
 constexpr auto storage_time = std::chrono::seconds(20);
+/// A process that ends closes its port and its connections one after the other.
+constexpr duration process_end_time = std::chrono::milliseconds(10);
+/// How long a server is watched whose connection was cut off, after the caller has been answered.
+constexpr duration late_end_time = std::chrono::seconds(1);
 constexpr auto permission_time = std::chrono::milliseconds(400);
 /// The store drops the entry of a crashed server after three reports of 1.2 s that are missing. One
 /// that is still listed after this time was out of reach only.
@@ -120,40 +124,61 @@
                                                                : run_permission::not_now;
 }
 
-asio::awaitable<void> crash_tracker::run_failed(request_fingerprint request, backend_entry server,
-                                                std::optional<suspected_run> run,
-                                                request_id attempt) {
-  const relay::listening_state state = co_await this->hooks.check_listening(server.address);
-  const backend_entry* entry = this->hooks.entry_of(server.id);
-  const bool is_listed = entry != nullptr && entry->start == server.start;
+asio::awaitable<void> crash_tracker::run_failed(failed_run failed, duration watch_time) {
+  const duration longest = failed.is_cut_off ? watch_time : duration{};
+  const duration time = std::max(longest, process_end_time);
+  const relay::listening_state state =
+      co_await this->hooks.check_listening(failed.server.address, time);
+  const backend_entry* entry = this->hooks.entry_of(failed.server.id);
+  const bool is_listed = entry != nullptr && entry->start == failed.server.start;
   log(event::attempt_failed,
-      {{"request", attempt.get()},
-       {"content", text_of(request)},
-       {"server", server.id.get()},
-       {"server_start", std::to_string(server.start.get())},
+      {{"request", failed.attempt.get()},
+       {"content", text_of(failed.request)},
+       {"server", failed.server.id.get()},
+       {"server_start", std::to_string(failed.server.start.get())},
        {"server_entry", !is_listed ? "gone" : (entry->draining ? "draining" : "ready")},
        {"listens", std::string(name_of(state))}});
+  if (state == relay::listening_state::listening && failed.is_cut_off) {
+    asio::co_spawn(this->context, this->watch_further(std::move(failed), this->lifetime),
+                   asio::detached);
+    co_return;
+  }
+  co_await this->conclude(std::move(failed), state);
+}
+
+asio::awaitable<void> crash_tracker::watch_further(failed_run failed, std::weak_ptr<bool> alive) {
+  const relay::listening_state state =
+      co_await this->hooks.check_listening(failed.server.address, late_end_time);
+  if (!alive.expired()) {
+    co_await this->conclude(std::move(failed), state);
+  }
+}
+
+asio::awaitable<void> crash_tracker::conclude(failed_run failed, relay::listening_state state) {
   const timestamp now = discovery::scheduler_now();
-  const bool is_known_good = this->answered.contains(request, server.version, now);
+  const bool is_known_good = this->answered.contains(failed.request, failed.server.version, now);
   if (state != relay::listening_state::listening && !is_known_good) {
+    const backend_entry* entry = this->hooks.entry_of(failed.server.id);
+    const bool is_listed = entry != nullptr && entry->start == failed.server.start;
     const bool is_certain = state == relay::listening_state::refused || !is_listed;
     crash_report report;
-    report.request = request;
-    report.version = server.version;
+    report.request = failed.request;
+    report.version = failed.server.version;
     report.crashes = {
-        {key_of(server), is_certain ? crash_state::confirmed : crash_state::unconfirmed}};
+        {key_of(failed.server), is_certain ? crash_state::confirmed : crash_state::unconfirmed}};
     if (!is_certain) {
-      this->unconfirmed.push_back({request, server, steady::now() + confirmation_time});
+      this->unconfirmed.push_back(
+          {failed.request, failed.server, steady::now() + confirmation_time});
     }
-    log(event::backend_crashed, {{"request", attempt.get()},
-                                 {"content", text_of(request)},
-                                 {"server", server.id.get()},
-                                 {"server_start", std::to_string(server.start.get())},
+    log(event::backend_crashed, {{"request", failed.attempt.get()},
+                                 {"content", text_of(failed.request)},
+                                 {"server", failed.server.id.get()},
+                                 {"server_start", std::to_string(failed.server.start.get())},
                                  {"confirmed", is_certain ? "yes" : "no"},
-                                 {"alone", run ? "yes" : "no"}});
+                                 {"alone", failed.run ? "yes" : "no"}});
     co_await this->record(std::move(report));
   }
-  this->run_withdrawn(run);
+  this->run_withdrawn(failed.run);
 }
 
 asio::awaitable<void> crash_tracker::record(crash_report report) {
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -183,8 +183,8 @@
     hooks.send = [this](const host_id& to, const std::string& payload, net::rpc_done done) {
       this->gossip.send(to, gossip_method::crashes, payload, std::move(done));
     };
-    hooks.check_listening = [this](http::endpoint where) {
-      return this->backends.check_listening(std::move(where));
+    hooks.check_listening = [this](http::endpoint where, duration watch_time) {
+      return this->backends.check_listening(std::move(where), watch_time);
     };
     hooks.entry_of = [this](const backend_server_id& id) {
       const auto& listed = this->fleet.backends().listed();
--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -40,6 +40,8 @@
   std::vector<http::header> headers;
   std::string body;
   response_terms terms;
+  /// The connection ended before the response did.
+  bool is_cut_off = false;
   /// What the body takes of the memory for responses.
   net::byte_share memory;
 };
@@ -112,8 +114,11 @@
   boost::asio::awaitable<attempt_outcome> run(const backend_request& request,
                                               const stream_sink& sink, attempt_handle& handle,
                                               backend_response& answer, std::string& detail);
-  /// Opens a connection to a server and closes it again.
-  boost::asio::awaitable<listening_state> check_listening(http::endpoint where);
+  /// Opens a connection to a server, and again if the server closes it. A process that ends may
+  /// close its port some time after its connections, so this takes `watch_time` if the server
+  /// listens.
+  boost::asio::awaitable<listening_state> check_listening(http::endpoint where,
+                                                          duration watch_time);
   /// Closes idle connections that are too old, and those to servers that are no longer listed.
   void close_idle(const std::function<bool(const http::endpoint&)>& still_listed);
 
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -7,6 +7,9 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
 
@@ -25,10 +28,9 @@
 constexpr auto connect_timeout = std::chrono::milliseconds(400);
 /// Limit for a check whether a server listens; callers wait for its result.
 constexpr auto listening_timeout = std::chrono::milliseconds(150);
-/// A process that ends closes its connections one after the other. One that still accepts a
-/// connection resets it within this time if it is ending; so does one that has too many.
-constexpr auto process_end_time = std::chrono::milliseconds(10);
-constexpr int max_listening_checks = 3;
+/// Interval of connection attempts to a server that closes each connection, which it does if it has
+/// too many or is ending; doubles with each attempt.
+constexpr auto first_check_interval = std::chrono::milliseconds(5);
 /// Idle connections kept per server. One host's share of a server's calls rarely needs more.
 constexpr std::size_t max_idle_connections = 16;
 /// How long an idle connection may be reused if the server sends no Keep-Alive header. Such
@@ -244,29 +246,32 @@
   co_return connection;
 }
 
-asio::awaitable<listening_state> backend_pool::check_listening(http::endpoint where) {
-  const net::steady_time until = std::chrono::steady_clock::now() + listening_timeout;
-  error_code error;
-  for (int attempt = 0; attempt < max_listening_checks && !error; ++attempt) {
+asio::awaitable<listening_state> backend_pool::check_listening(http::endpoint where,
+                                                               duration watch_time) {
+  const net::steady_time watched_until = std::chrono::steady_clock::now() + watch_time;
+  net::steady_time next_attempt = std::chrono::steady_clock::now();
+  auto interval = first_check_interval;
+  do {
     net::timed_socket socket(this->context, this->sweeper);
     ++this->counts.opened;
-    error = co_await socket.connect(where, until);
+    const error_code error =
+        co_await socket.connect(where, std::chrono::steady_clock::now() + listening_timeout);
     if (error) {
-      break;
+      const bool is_refused = error == asio::error::connection_refused;
+      co_return is_refused ? listening_state::refused : listening_state::silent;
     }
     std::string nothing;
-    const error_code closed =
-        co_await socket.read_more(nothing, 1, std::chrono::steady_clock::now() + process_end_time);
+    co_await socket.read_more(nothing, 1, watched_until);
     socket.close(true);
-    if (closed == asio::error::timed_out) {
-      break;
+    next_attempt = std::max(next_attempt + interval, std::chrono::steady_clock::now());
+    interval *= 2;
+    if (next_attempt < watched_until) {
+      asio::steady_timer pause(this->context, next_attempt);
+      error_code ignored;
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-  }
-  if (!error) {
-    co_return listening_state::listening;
-  }
-  const bool is_refused = error == asio::error::connection_refused;
-  co_return is_refused ? listening_state::refused : listening_state::silent;
+  } while (next_attempt < watched_until);
+  co_return listening_state::listening;
 }
 
 asio::awaitable<attempt_outcome> backend_pool::run(const backend_request& request,
@@ -316,14 +321,17 @@
   for (int skipped = 0; skipped <= max_mismatched_responses; ++skipped) {
     backend_response_parser from(request.method == "HEAD");
     error_code error = from.feed(connection.buffer);
+    bool is_cut_off = false;
     while (!error && !from.parser.is_header_done()) {
       error = co_await connection.socket.read_more(connection.buffer, read_size, request.until);
+      is_cut_off = error && error != asio::error::timed_out;
       if (!error) {
         error = from.feed(connection.buffer);
       }
     }
     if (error) {
       detail = "head: " + error.message();
+      answer.is_cut_off = is_cut_off;
       co_return error == asio::error::timed_out ? attempt_outcome::timed_out
                                                 : attempt_outcome::broken;
     }
@@ -382,6 +390,7 @@
       from.parser.put_eof(ended);
       error = ended;
     }
+    answer.is_cut_off = error && error != asio::error::timed_out;
     if (!error) {
       error = from.feed(connection.buffer);
     }
