--- /dev/null
+++ b/scenarios/rejoined_streams_test.cc
@@ -0,0 +1,108 @@
+// Streams that callers take up after all front hosts were killed at once in a release.
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "two_version_deployment.h"
+
+using namespace hawthornlane;
+using namespace hawthornlane::scenarios;
+
+namespace {
+
+constexpr int fronts = 2;
+/// Timeout of the route of streams.
+constexpr auto route_timeout = 3000ms;
+
+void kill_all_fronts(deployment& all) {
+  for (int front = 0; front < fronts; ++front) {
+    all.kill_front(front);
+  }
+}
+
+void start_all_fronts(deployment& all) {
+  for (int front = 0; front < fronts; ++front) {
+    all.start_front(front);
+  }
+  REQUIRE(all.run_until([&all] { return all.ready(0) && all.ready(1); }));
+}
+
+call_request stream_without_budget(const std::string& id) {
+  call_request call = turn("/resumed/x", id, "");
+  call.headers = {{"X-Token-Count", "100,30"}};
+  return call;
+}
+
+/// Takes up a stream at each front host; returns the versions of all that was received.
+std::set<std::string> versions_of_take_ups(two_version_deployment& all, const std::string& origin,
+                                           const std::string& name, bool has_budget) {
+  std::set<std::string> versions;
+  for (int front = 0; front < fronts; ++front) {
+    const decided_turn rest =
+        all.call_until_decided(front, name + std::to_string(front), [&](auto id) {
+          call_request call =
+              has_budget ? turn("/resumed/x", id, origin) : stream_without_budget(id);
+          call.headers.push_back({"Last-Event-Id", "1"});
+          call.headers.push_back({"Resumes", origin});
+          return call;
+        });
+    versions.merge(versions_in(rest.result.body));
+    CHECK((rest.result.status == 200 || runs_of(all, rest.id) == 0));
+  }
+  return versions;
+}
+
+}  // namespace
+
+TEST_CASE("streams of two versions are not joined after all front hosts were killed at once") {
+  two_version_deployment all(fronts);
+  std::map<std::string, std::string> version_of;
+  for (const char* version : {"v1", "v2", "v1", "v2"}) {
+    version_of[all.begin_at(version, static_cast<int>(version_of.size()) % fronts)] = version;
+  }
+  kill_all_fronts(all);
+  start_all_fronts(all);
+  for (const auto& [origin, version] : version_of) {
+    INFO(origin);
+    CHECK(versions_of_take_ups(all, origin, origin + "-rest-", true) == std::set{version});
+  }
+}
+
+TEST_CASE("a stream is not joined when its version has left while all front hosts were down") {
+  two_version_deployment all(fronts);
+  const std::string origin = all.begin_at("v1");
+  kill_all_fronts(all);
+  const bool is_removed = GENERATE(false, true);
+  for (const auto& server : all.engines) {
+    if (server->version() == "v1" && is_removed) {
+      all.store().remove("servers", server->instance());
+    } else if (server->version() == "v1") {
+      all.list_backend(*server, "models", true);
+    }
+  }
+  start_all_fronts(all);
+  CHECK(versions_of_take_ups(all, origin, "early-", true).empty());
+  all.run_for(route_timeout + 2000ms);
+  CHECK(versions_of_take_ups(all, origin, "late-", true).empty());
+}
+
+TEST_CASE("a stream without a budget is not joined after all front hosts were down in a release") {
+  two_version_deployment all(fronts, "v1");
+  const auto [origin, received] = all.begin("free", 0, stream_without_budget);
+  REQUIRE(versions_in(received) == std::set<std::string>{"v1"});
+  kill_all_fronts(all);
+  const std::string began_at = all.server_of(origin)->instance();
+  std::uint64_t born = 1'790'000'000'000;
+  for (const auto& server : all.engines) {
+    if (server->instance() == began_at) {
+      all.store().remove("servers", server->instance());
+      continue;
+    }
+    server->set_version("v2");
+    all.restart_backend(*server, "models", ++born);
+  }
+  start_all_fronts(all);
+  CHECK(versions_of_take_ups(all, origin, "early-", false).empty());
+  all.run_for(route_timeout + 2000ms);
+  CHECK(versions_of_take_ups(all, origin, "late-", false).empty());
+}
