Fault soak: servers whose ports close after their connections

The requests that end servers now close a server's port 0, 30 or 150 ms after its connections; the check (no arrival after three ends) is unchanged.

--- a/scenarios/soak_fatal_calls.cc
+++ b/scenarios/soak_fatal_calls.cc
@@ -52,9 +52,12 @@
 asio::awaitable<void> soak_callers::run_fatal(std::uint64_t seed) {
   caller who(this->context, this->sweeper, seed);
   constexpr std::array delays{0, 5, 30};
+  constexpr std::array port_delays{0, 30, 150};
   const std::size_t kind = who.random_index(4);
   const int delay = delays.at(who.random_index(delays.size()));
-  const std::string content = fmt::format("{}{}-{} {};", fatal_mark, seed, delay, kind);
+  const int port_delay = port_delays.at(seed % port_delays.size());
+  const std::string content =
+      fmt::format("{}{}-{}+{} {};", fatal_mark, seed, delay, port_delay, kind);
   int after_final = 0;
   for (int attempt = 0; attempt < max_attempts && !this->stopping; ++attempt) {
     who.failed = who.connected_to;
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -164,6 +164,7 @@
   void remove_retired_disks();
   /// Makes some requests end the server like a crash.
   void make_mortal(stand_ins::scripted_backend& server, const std::shared_ptr<fault_proxy>& proxy);
+  void close_ended_ports();
   /// Starts the successors of ended servers that are due.
   void replace_ended();
   /// Takes the steps of a release that are due.
@@ -195,6 +196,12 @@
     net::steady_time replace_at;
   };
   std::vector<ended_backend> ended_backends;
+  /// The port of a server whose connections have ended.
+  struct ending_port {
+    std::shared_ptr<fault_proxy> proxy;
+    net::steady_time close_at;
+  };
+  std::vector<ending_port> ending_ports;
   std::function<void(const std::string& server)> server_end_hook = [](const std::string&) {};
   /// Removed servers, which may still have open connections from callers.
   std::vector<soak_backend> removed_backends;
--- a/scenarios/soak_servers.cc
+++ b/scenarios/soak_servers.cc
@@ -24,6 +24,16 @@
   return std::chrono::milliseconds(std::stoi(request.body.substr(std::strlen(work_mark))));
 }
 
+/// How a request ends its servers, by the times in its name (`soak_fatal_calls.cc`).
+stand_ins::fatal_effect effect_of(const std::string& name) {
+  const std::size_t delay = name.find('-', std::strlen(fatal_mark)) + 1;
+  const std::size_t port_delay = name.find('+', delay) + 1;
+  stand_ins::fatal_effect effect;
+  effect.delay = std::chrono::milliseconds(std::stoi(name.substr(delay)));
+  effect.port_delay = std::chrono::milliseconds(std::stoi(name.substr(port_delay)));
+  return effect;
+}
+
 }  // namespace
 
 soak_backend soak_fleet::make_backend(const std::string& service) {
@@ -61,21 +71,35 @@
         if (name.empty()) {
           return std::nullopt;
         }
-        const int delay = std::stoi(name.substr(name.find('-', std::strlen(fatal_mark)) + 1));
-        return stand_ins::fatal_effect{std::chrono::milliseconds(delay), 0};
+        return effect_of(name);
       });
   server.on_end([this, &server, proxy](const std::optional<http::request>& cause) {
-    proxy->close();
     const std::string& name = server.instance();
-    this->promises.on_server_end(cause ? fatal_request_in(cause->body) : "");
+    const std::string request = cause ? fatal_request_in(cause->body) : "";
+    this->promises.on_server_end(request);
     const net::steady_time now = steady::now();
+    proxy->reset_connections();
+    this->ending_ports.push_back({proxy, now + (request.empty() ? std::chrono::milliseconds{}
+                                                                : effect_of(request).port_delay)});
+    this->close_ended_ports();
     this->ended_backends.push_back({name, now + server_restart_time});
     this->draining.push_back({name, now + entry_lifetime});
     this->server_end_hook(name);
   });
 }
 
+void soak_fleet::close_ended_ports() {
+  const net::steady_time now = steady::now();
+  std::erase_if(this->ending_ports, [now](const ending_port& item) {
+    if (now >= item.close_at) {
+      item.proxy->close();
+    }
+    return now >= item.close_at;
+  });
+}
+
 void soak_fleet::replace_ended() {
+  this->close_ended_ports();
   const net::steady_time now = steady::now();
   std::erase_if(this->ended_backends, [this, now](const ended_backend& item) {
     if (now < item.replace_at) {
