Count a run that its host has given up until its server cannot end any more

Class: work that is given up, and then counted as if it had not been begun.

Evidence: "a request that reaches a server after its host has given it up ends no fourth one" fails in its first history on the code before (2 late arrivals), all 300 hold now. fatal_request_test, "a run that its host has given up counts until its server cannot end any more": with only the first half of this fix its row of 200 ms has 4 ends, now both have three.

A suspected run that was not answered whole by a server that still listens keeps its reservation for 6 s; if the server's entry goes in this time, it has ended under the request. A call that is sent again after its connection was cut off reserves the run if disk hosts answer within 50 ms.

--- a/libs/front/include/hawthornlane/front/crash_tracker.h
+++ b/libs/front/include/hawthornlane/front/crash_tracker.h
@@ -129,11 +129,19 @@
     backend_entry server;
     net::steady_time until;
   };
+  /// A suspected run that was not answered whole by a server that still listens. The server may
+  /// still begin or go on with it, so it keeps its reservation for a while.
+  struct unfinished_run {
+    failed_run failed;
+    net::steady_time until;
+    /// False if the server's entry had already gone, as in a planned removal.
+    bool was_listed = true;
+  };
 
   /// Watches a server that still listened when its run failed.
   boost::asio::awaitable<void> watch_further(failed_run failed, std::weak_ptr<bool> alive);
   /// Records the crash of a server that does not listen any longer, unless the request is not the
-  /// cause.
+  /// cause. Keeps the reservation of a run at one that still listens.
   boost::asio::awaitable<void> conclude(failed_run failed, relay::listening_state state);
   /// Tells the other hosts and the ledger, for `publication_time` at most. The run's reservation is
   /// withdrawn once the ledger has the crash, so that it counts there all the time.
@@ -162,7 +170,12 @@
   /// Merges a report of another host; returns what this host knows of the request. The reported
   /// crashes are cleared in it if a server of the same version has answered the request here.
   crash_report merged(const crash_report& report);
+  /// Records the server's crash, which nothing excuses.
+  boost::asio::awaitable<void> record_crash(failed_run failed, bool is_certain);
+  /// True if the process of this entry is known to have ended.
+  [[nodiscard]] bool has_ended(const backend_entry& server) const;
   void resolve_unconfirmed(net::steady_time now);
+  void resolve_unfinished(net::steady_time now);
   void update_other_hosts();
   void read_ledger();
   void read_disk(const std::shared_ptr<std::set<disk_id>>& complete, const ledger_set& set,
@@ -175,6 +188,7 @@
   crash_table table;
   answered_requests answered;
   std::list<unconfirmed_crash> unconfirmed;
+  std::list<unfinished_run> unfinished;
   /// The crashes that this host has stored in the ledger.
   std::set<crash_key> stored;
   /// Live hosts that have all reports of this host.
--- a/libs/front/src/call_crashes.cc
+++ b/libs/front/src/call_crashes.cc
@@ -1,5 +1,7 @@
 // A call and the servers that crash under it: whether it may still be sent, and what its attempts
 // tell of the servers.
+#include <algorithm>
+
 #include "call_state.h"
 #include "hawthornlane/telemetry/log.h"
 
@@ -25,8 +27,17 @@
   return one.fingerprint ? this->crashes.standing(*one.fingerprint) : crash_standing::unsuspected;
 }
 
+asio::awaitable<void> call_service::reserve_rerun(call& one) {
+  const bool may_have_crashed = one.fingerprint && one.possible_runs > 0 && one.answer.is_cut_off;
+  if (may_have_crashed && this->standing_of(one) == crash_standing::unsuspected) {
+    co_await this->crashes.begin_run(*one.fingerprint, one.run,
+                                     std::min(one.until, steady::now() + retry_watch_time));
+  }
+}
+
 asio::awaitable<bool> call_service::admit_suspected(call& one, const acquired_server& acquired) {
-  if (this->standing_of(one) == crash_standing::unsuspected) {
+  co_await this->reserve_rerun(one);
+  if (one.run || this->standing_of(one) == crash_standing::unsuspected) {
     co_return true;
   }
   const run_permission permission =
--- a/libs/front/src/crash_tracker.cc
+++ b/libs/front/src/crash_tracker.cc
@@ -63,6 +63,14 @@
   return "";
 }
 
+crash_report report_on(const failed_run& failed, crash_state state) {
+  crash_report report;
+  report.request = failed.request;
+  report.version = failed.server.version;
+  report.crashes = {{key_of(failed.server), state}};
+  return report;
+}
+
 void log_crash(const failed_run& failed, bool is_certain) {
   log(event::backend_crashed, {{"request", failed.attempt.get()},
                                {"content", text_of(failed.request)},
@@ -102,7 +110,7 @@
   const relay::listening_state state =
       co_await this->hooks.check_listening(failed.server.address, time);
   const backend_entry* entry = this->hooks.entry_of(failed.server.id);
-  const bool is_listed = entry != nullptr && entry->start == failed.server.start;
+  const bool is_listed = !this->has_ended(failed.server);
   log(event::attempt_failed,
       {{"request", failed.attempt.get()},
        {"content", text_of(failed.request)},
@@ -127,35 +135,42 @@
 }
 
 asio::awaitable<void> crash_tracker::conclude(failed_run failed, relay::listening_state state) {
-  if (state != relay::listening_state::listening) {
-    crash_report report;
-    report.request = failed.request;
-    report.version = failed.server.version;
-    const std::size_t answers =
-        this->answered.count(failed.request, failed.server.version, discovery::scheduler_now());
-    if (outweighs(answers, this->table.crashes_of(failed.request) + 1)) {
-      report.crashes = {{key_of(failed.server), crash_state::cleared}};
-      if (this->table.merge(report, discovery::scheduler_now())) {
-        this->publish(report, [] {});
-      }
-    } else {
-      const backend_entry* entry = this->hooks.entry_of(failed.server.id);
-      const bool is_listed = entry != nullptr && entry->start == failed.server.start;
-      const bool is_certain = state == relay::listening_state::refused || !is_listed;
-      report.crashes = {
-          {key_of(failed.server), is_certain ? crash_state::confirmed : crash_state::unconfirmed}};
-      if (!is_certain) {
-        this->unconfirmed.push_back(
-            {failed.request, failed.server, steady::now() + confirmation_time});
-      }
-      log_crash(failed, is_certain);
-      co_await this->record(std::move(report), std::move(failed.run));
-      co_return;
+  if (state == relay::listening_state::listening) {
+    if (failed.run) {
+      const bool is_listed = !this->has_ended(failed.server);
+      this->unfinished.push_back({std::move(failed), steady::now() + confirmation_time, is_listed});
     }
+    co_return;
+  }
+  const std::size_t answers =
+      this->answered.count(failed.request, failed.server.version, discovery::scheduler_now());
+  if (!outweighs(answers, this->table.crashes_of(failed.request) + 1)) {
+    const bool is_certain =
+        state == relay::listening_state::refused || this->has_ended(failed.server);
+    co_await this->record_crash(std::move(failed), is_certain);
+    co_return;
+  }
+  crash_report report = report_on(failed, crash_state::cleared);
+  if (this->table.merge(report, discovery::scheduler_now())) {
+    this->publish(report, [] {});
   }
   this->run_withdrawn(failed.run);
 }
 
+bool crash_tracker::has_ended(const backend_entry& server) const {
+  const backend_entry* entry = this->hooks.entry_of(server.id);
+  return entry == nullptr || entry->start != server.start;
+}
+
+asio::awaitable<void> crash_tracker::record_crash(failed_run failed, bool is_certain) {
+  if (!is_certain) {
+    this->unconfirmed.push_back({failed.request, failed.server, steady::now() + confirmation_time});
+  }
+  log_crash(failed, is_certain);
+  const crash_state state = is_certain ? crash_state::confirmed : crash_state::unconfirmed;
+  co_await this->record(report_on(failed, state), std::move(failed.run));
+}
+
 asio::awaitable<void> crash_tracker::record(crash_report report, std::optional<suspected_run> run) {
   this->table.merge(report, discovery::scheduler_now());
   this->metrics.count("crashes_recorded");
@@ -360,6 +375,7 @@
     this->read_ledger();
   }
   this->resolve_unconfirmed(now);
+  this->resolve_unfinished(now);
   if (now >= this->next_update) {
     this->next_update = now + update_interval;
     this->table.expire(discovery::scheduler_now());
@@ -372,13 +388,12 @@
 
 void crash_tracker::resolve_unconfirmed(net::steady_time now) {
   for (auto item = this->unconfirmed.begin(); item != this->unconfirmed.end();) {
-    const backend_entry* entry = this->hooks.entry_of(item->server.id);
-    const bool has_ended = entry == nullptr || entry->start != item->server.start;
-    if (!has_ended && now < item->until) {
+    const bool is_certain = this->has_ended(item->server);
+    if (!is_certain && now < item->until) {
       ++item;
       continue;
     }
-    if (has_ended) {
+    if (is_certain) {
       crash_report report = this->table.report_of(item->request, discovery::scheduler_now());
       report.crashes = {{key_of(item->server), crash_state::confirmed}};
       this->table.merge(report, discovery::scheduler_now());
@@ -390,6 +405,23 @@
   }
 }
 
+void crash_tracker::resolve_unfinished(net::steady_time now) {
+  for (auto item = this->unfinished.begin(); item != this->unfinished.end();) {
+    const bool has_crashed = item->was_listed && this->has_ended(item->failed.server);
+    if (!has_crashed && now < item->until) {
+      ++item;
+      continue;
+    }
+    if (has_crashed) {
+      asio::co_spawn(this->context, this->record_crash(std::move(item->failed), true),
+                     asio::detached);
+    } else {
+      this->run_withdrawn(item->failed.run);
+    }
+    item = this->unfinished.erase(item);
+  }
+}
+
 void crash_tracker::update_other_hosts() {
   const std::vector<host_id> hosts = this->hooks.hosts();
   const std::set<host_id> live(hosts.begin(), hosts.end());
--- a/libs/front/test/crash_simulation.h
+++ b/libs/front/test/crash_simulation.h
@@ -136,6 +136,8 @@
 struct simulated_request {
   request_fingerprint content;
   bool ends_servers = false;
+  /// Its hosts give up before their servers begin with it (`arrive_late`).
+  bool is_late = false;
   std::set<backend_server_id> ended;
   int arrivals = 0;
   int late_arrivals = 0;
@@ -181,6 +183,18 @@
     this->hosts.at(this->random_index(this->hosts.size()))
         ->ledger.deliver_late_write(this->random());
   }
+  /// The servers begin with the requests that their hosts have given up.
+  void arrive_late() {
+    for (const late_run& run : std::exchange(this->late_runs, {})) {
+      if (this->servers.contains(run.server)) {
+        this->arrive(*run.request);
+        this->crash(run.server);
+        this->listed.erase(run.server);
+        run.request->ended.insert(run.server);
+      }
+    }
+    this->settle();
+  }
   /// Ends a server with all calls on it, and starts another one.
   void crash(const backend_server_id& id) {
     if (this->servers.erase(id) > 0) {
@@ -230,6 +244,16 @@
     bool is_ready = false;
   };
 
+  struct late_run {
+    simulated_request* request = nullptr;
+    backend_server_id server;
+  };
+
+  static void arrive(simulated_request& request) {
+    ++request.arrivals;
+    request.late_arrivals += request.ended.size() >= crash_table::max_crashes ? 1 : 0;
+  }
+
   static host_id name_of(int number) { return host_id("host-" + std::to_string(number)); }
 
   void start(int number) {
@@ -283,7 +307,10 @@
           ? relay::listening_state::listening
           : relay::listening_state::refused;
     };
-    hooks.entry_of = [this](const backend_server_id& id) { return &this->listed.at(id); };
+    hooks.entry_of = [this](const backend_server_id& id) {
+      const auto found = this->listed.find(id);
+      return found == this->listed.end() ? nullptr : &found->second;
+    };
     hooks.disks = [this, number]() -> std::optional<ledger_set> {
       if (this->is_cut_off(number) || this->disks_are_away) {
         return std::nullopt;
@@ -330,8 +357,14 @@
     }
     backend_entry server = this->servers.at(this->any_server());
     server.address.address = server.id.get();
-    ++request.arrivals;
-    request.late_arrivals += request.ended.size() >= crash_table::max_crashes ? 1 : 0;
+    if (request.is_late) {
+      this->late_runs.push_back({&request, server.id});
+      failed_run failed{request.content, server, granted, request_id("attempt"), false};
+      co_await tracker.run_failed(std::move(failed), duration{});
+      *answer = simulated_answer::failed;
+      co_return;
+    }
+    arrive(request);
     constexpr int longest_call = 6;
     for (std::size_t left = 1 + this->random_index(longest_call); left > 0; --left) {
       co_await this->yield();
@@ -355,8 +388,9 @@
   simulated_ledger ledger;
   std::vector<std::unique_ptr<host>> hosts;
   std::map<backend_server_id, backend_entry> servers;
-  /// All servers ever: the store drops entries of crashed ones much later.
+  /// The store drops the entries of crashed servers later.
   std::map<backend_server_id, backend_entry> listed;
+  std::vector<late_run> late_runs;
   int servers_made = 0;
   int messages_sent = 0;
   bool disks_are_away = false;
--- a/libs/front/test/crash_tracker_test.cc
+++ b/libs/front/test/crash_tracker_test.cc
@@ -101,6 +101,48 @@
   }
 }
 
+TEST_CASE("a request that reaches a server after its host has given it up ends no fourth one") {
+  constexpr std::uint64_t histories = 300;
+  constexpr int attempts = 8;
+  for (std::uint64_t seed = 1; seed <= histories; ++seed) {
+    INFO("seed " << seed);
+    crash_simulation all(host_count, 4 * server_count, seed);
+    simulated_request fatal = request_of(1, true);
+    REQUIRE(all.attempt(random_host(all), fatal) == simulated_answer::failed);
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+      fatal.is_late = all.random_index(3) == 0;
+      all.attempt(random_host(all), fatal);
+      if (all.random_index(4) == 0) {
+        all.arrive_late();
+      }
+    }
+    all.arrive_late();
+    REQUIRE(fatal.late_arrivals == 0);
+    REQUIRE(fatal.ended.size() <= crash_table::max_crashes);
+    all.settle();
+    const bool has_ended_three = fatal.ended.size() == crash_table::max_crashes;
+    const simulated_answer last = all.attempt(random_host(all), fatal);
+    REQUIRE((last == simulated_answer::blocked) == has_ended_three);
+  }
+}
+
+TEST_CASE("a given up request of a server that lives on does not count for good") {
+  crash_simulation all(host_count, 4 * server_count, 1);
+  simulated_request request = request_of(1, true);
+  REQUIRE(all.attempt(0, request) == simulated_answer::failed);
+  request.is_late = true;
+  REQUIRE(all.attempt(1, request) == simulated_answer::failed);
+  REQUIRE(all.attempt(2, request) == simulated_answer::failed);
+  CHECK(all.attempt(3, request) == simulated_answer::not_now);
+  constexpr int settles_until_resolved = 16;
+  for (int number = 0; number < settles_until_resolved; ++number) {
+    all.settle();
+  }
+  request.is_late = false;
+  request.ends_servers = false;
+  CHECK(all.attempt(3, request) == simulated_answer::served);
+}
+
 TEST_CASE("callers at the same moment end no more servers than they have calls in flight") {
   constexpr std::uint64_t histories = 100;
   constexpr std::size_t callers = 6;
--- a/scenarios/fatal_request_test.cc
+++ b/scenarios/fatal_request_test.cc
@@ -130,6 +130,23 @@
   CHECK(fatal.attempt(0, fatal_call(item.path, "last"), 0ms).status == 400);
 }
 
+TEST_CASE("a run that its host has given up counts until its server cannot end any more") {
+  // The host has begun the second run before it can know of the first end.
+  const auto port_delay = GENERATE(0ms, 200ms);
+  INFO("port closes " << port_delay.count() << " ms after the connections");
+  deployment all({fronts, 3, 2, 12});
+  REQUIRE(all_ready(all));
+  fatal_requests fatal(all, {10ms, 0, port_delay});
+  constexpr auto longer_than_time_limit = 2500ms;
+  fatal.delay_end(2, longer_than_time_limit);
+  for (int attempt = 0; attempt < attempts; ++attempt) {
+    fatal.attempt(attempt % fronts, fatal_call("/safe/x", fmt::format("f{}", attempt)), 100ms);
+  }
+  all.run_for(longer_than_time_limit);
+  CHECK(fatal.late_arrivals() == 0);
+  CHECK(fatal.ends() == max_ends);
+}
+
 TEST_CASE("a request that ends only some of the servers that run it is stopped after three ends") {
   const char* path = GENERATE("/safe/x", "/once/x");
   const int runs_per_end = GENERATE(2, 3);
--- a/scenarios/fatal_requests.cc
+++ b/scenarios/fatal_requests.cc
@@ -41,8 +41,13 @@
   });
   server.set_fatal_requests(
       [this, &server](const http::request& request) -> std::optional<stand_ins::fatal_effect> {
-        const bool ends = is_marked(request) && (!this->may_end || this->may_end(server));
-        return ends ? std::optional(this->effect) : std::nullopt;
+        if (!is_marked(request) || (this->may_end && !this->may_end(server))) {
+          return std::nullopt;
+        }
+        stand_ins::fatal_effect chosen = this->effect;
+        const auto delayed = this->delays.find(this->counts.arrivals);
+        chosen.delay = delayed == this->delays.end() ? chosen.delay : delayed->second;
+        return chosen;
       });
   server.on_end([this, &server, service](const std::optional<http::request>&) {
     ++this->counts.ends;
@@ -52,6 +57,10 @@
   });
 }
 
+void fatal_requests::delay_end(int run, std::chrono::milliseconds delay) {
+  this->delays[run] = delay;
+}
+
 void fatal_requests::limit_to(std::function<bool(const stand_ins::scripted_backend&)> may) {
   this->may_end = std::move(may);
 }
--- a/scenarios/fatal_requests.h
+++ b/scenarios/fatal_requests.h
@@ -37,6 +37,8 @@
   call_result attempt(int front, const call_request& what, std::chrono::milliseconds pause);
   /// Starts the servers that are due.
   void step();
+  /// The server that runs the request as the n-th one, from 1, ends this long after its arrival.
+  void delay_end(int run, std::chrono::milliseconds delay);
   /// Only servers for which this returns true end.
   void limit_to(std::function<bool(const stand_ins::scripted_backend&)> may_end);
   /// Ends one server like a crash that no request has caused.
@@ -60,6 +62,7 @@
 
   deployment& fleet;
   stand_ins::fatal_effect effect;
+  std::map<int, std::chrono::milliseconds> delays;
   std::function<bool(const stand_ins::scripted_backend&)> may_end;
   std::vector<successor> successors;
   totals counts;
