Guess the version of a stream only after five minutes whatever the stream

What callers would have seen: a take-up answered 200 and whole, joined from two versions. A stream with a budget began at v1; all front hosts were killed, and the servers of v1 were replaced before they were back; the caller takes the stream up 5 s later without naming the attempt that began it.

Evidence: rejoined_streams_test, row "a budget, and its caller names no attempt": the late take-up was served at v2 on the code before, and is refused now.

The time is five minutes for all. Callers that name the attempt are not affected.

--- a/libs/front/src/call_resumption.cc
+++ b/libs/front/src/call_resumption.cc
@@ -21,8 +21,8 @@
 constexpr duration max_view_age = std::chrono::milliseconds(2500);
 /// Added to the time that a stream may take: the delay until all hosts know a new server.
 constexpr duration view_delay = std::chrono::seconds(1);
-/// How far back a stream may have begun whose origin is stored only during a release. Its caller
-/// may take it up again and again, each time for the route's timeout.
+/// How far back a stream may have begun whose origin is not found. Its caller may take it up again
+/// and again, each time for the route's timeout.
 constexpr duration longest_stream_time = std::chrono::minutes(5);
 
 }  // namespace
@@ -43,10 +43,7 @@
   if (this->view_age() > max_view_age) {
     return std::nullopt;
   }
-  const bool is_always_stored =
-      one.terms.program && (one.terms.budget.has_value() || one.taken->keeps_turns);
-  const duration longest = is_always_stored ? one.taken->timeout : longest_stream_time;
-  return this->placer.only_version_for(one.service, longest + view_delay);
+  return this->placer.only_version_for(one.service, longest_stream_time + view_delay);
 }
 
 std::optional<software_version> call_service::required_version(const call& one) {
--- a/scenarios/rejoined_streams_test.cc
+++ b/scenarios/rejoined_streams_test.cc
@@ -33,17 +33,25 @@
   return call;
 }
 
+/// What a caller's take-up of a stream carries.
+struct take_up {
+  bool has_budget = true;
+  bool names_origin = true;
+};
+
 /// Takes up a stream at each front host; returns the versions of all that was received.
 std::set<std::string> versions_of_take_ups(two_version_deployment& all, const std::string& origin,
-                                           const std::string& name, bool has_budget) {
+                                           const std::string& name, const take_up& how) {
   std::set<std::string> versions;
   for (int front = 0; front < fronts; ++front) {
     const decided_turn rest =
         all.call_until_decided(front, name + std::to_string(front), [&](auto id) {
           call_request call =
-              has_budget ? turn("/resumed/x", id, origin) : stream_without_budget(id);
+              how.has_budget ? turn("/resumed/x", id, origin) : stream_without_budget(id);
           call.headers.push_back({"Last-Event-Id", "1"});
-          call.headers.push_back({"Resumes", origin});
+          if (how.names_origin) {
+            call.headers.push_back({"Resumes", origin});
+          }
           return call;
         });
     versions.merge(versions_in(rest.result.body));
@@ -52,6 +60,21 @@
   return versions;
 }
 
+/// Starts other processes of the second version in place of all servers, except for the one that
+/// ran the request, which is gone.
+void replace_servers(two_version_deployment& all, const std::string& origin) {
+  const std::string began_at = all.server_of(origin)->instance();
+  std::uint64_t born = 1'790'000'000'000;
+  for (const auto& server : all.engines) {
+    if (server->instance() == began_at) {
+      all.store().remove("servers", server->instance());
+      continue;
+    }
+    server->set_version("v2");
+    all.restart_backend(*server, "models", ++born);
+  }
+}
+
 }  // namespace
 
 TEST_CASE("streams of two versions are not joined after all front hosts were killed at once") {
@@ -64,7 +87,7 @@
   start_all_fronts(all);
   for (const auto& [origin, version] : version_of) {
     INFO(origin);
-    CHECK(versions_of_take_ups(all, origin, origin + "-rest-", true) == std::set{version});
+    CHECK(versions_of_take_ups(all, origin, origin + "-rest-", {}) == std::set{version});
   }
 }
 
@@ -81,28 +104,28 @@
     }
   }
   start_all_fronts(all);
-  CHECK(versions_of_take_ups(all, origin, "early-", true).empty());
+  CHECK(versions_of_take_ups(all, origin, "early-", {}).empty());
   all.run_for(route_timeout + 2000ms);
-  CHECK(versions_of_take_ups(all, origin, "late-", true).empty());
+  CHECK(versions_of_take_ups(all, origin, "late-", {}).empty());
 }
 
-TEST_CASE("a stream without a budget is not joined after all front hosts were down in a release") {
+TEST_CASE("a stream of unknown origin is not joined after all front hosts were down in a release") {
+  struct row {
+    const char* what;
+    take_up how;
+  };
+  const row item = GENERATE(row{"neither budget nor stored turns", {false, true}},
+                            row{"a budget, and its caller names no attempt", {true, false}});
+  INFO(item.what);
   two_version_deployment all(fronts, "v1");
-  const auto [origin, received] = all.begin("free", 0, stream_without_budget);
+  const auto [origin, received] = all.begin("begun", 0, [&item](const std::string& id) {
+    return item.how.has_budget ? turn("/resumed/x", id, id) : stream_without_budget(id);
+  });
   REQUIRE(versions_in(received) == std::set<std::string>{"v1"});
   kill_all_fronts(all);
-  const std::string began_at = all.server_of(origin)->instance();
-  std::uint64_t born = 1'790'000'000'000;
-  for (const auto& server : all.engines) {
-    if (server->instance() == began_at) {
-      all.store().remove("servers", server->instance());
-      continue;
-    }
-    server->set_version("v2");
-    all.restart_backend(*server, "models", ++born);
-  }
+  replace_servers(all, origin);
   start_all_fronts(all);
-  CHECK(versions_of_take_ups(all, origin, "early-", false).empty());
+  CHECK(versions_of_take_ups(all, origin, "early-", item.how).empty());
   all.run_for(route_timeout + 2000ms);
-  CHECK(versions_of_take_ups(all, origin, "late-", false).empty());
+  CHECK(versions_of_take_ups(all, origin, "late-", item.how).empty());
 }
