Let a quota share grow only when no other host can still grant by it

Cause: a disk host that is cut off may grant by its share for the 2 s of its lease. In a set of two the other host takes over after 1 s, and granted the whole quota at once. The same can happen in larger sets, if a host that the others no longer reach is still confirmed by the store until it is replaced. A host also went on granting after a joining disk had told it of the next set, until another disk's response said so.

Class: a time limit that is checked against one of two timeouts.

A share now shrinks at once and grows only when each host whose share shrank knows of it, or 2.5 s after the change (lease and the delay of its last confirmation). Changes among hosts that answer are as fast as before; after a host is lost, its share is missing for that long.

Why the histories missed it: they had five managers and a failure timeout of 3.5 s, where production has 2.5 s, and 1 s in a set of two. They now have production's timeouts and sets of 2, 3 and 5.

--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -197,7 +197,8 @@
   std::erase_if(this->cursors, [&members](const auto& item) {
     return std::find(members.begin(), members.end(), item.first) == members.end();
   });
-  this->quotas.set_share(quota_share(*received, this->ledger.identity()));
+  this->share_tracker.adopt(*received, this->ledger.identity(), discovery::scheduler_now());
+  this->update_quota_share();
   log(event::ledger_set_changed, {{"epoch", std::to_string(received->epoch.get())},
                                   {"members", std::to_string(received->members.size())},
                                   {"joint", received->joint() ? "yes" : "no"}});
@@ -241,6 +242,7 @@
   if (now >= this->next_tick) {
     this->next_tick = now + tick_interval;
     this->ledger.tick();
+    this->update_quota_share();
   }
   if (now >= this->next_quota_sweep) {
     this->next_quota_sweep = now + quota_sweep_interval;
--- a/libs/disk/src/disk_host_state.h
+++ b/libs/disk/src/disk_host_state.h
@@ -21,6 +21,7 @@
 #include "hawthornlane/disk/ledger_store.h"
 #include "hawthornlane/disk/quota_service.h"
 #include "hawthornlane/http/server.h"
+#include "hawthornlane/limits/quota_lease.h"
 #include "hawthornlane/net/rpc.h"
 #include "hawthornlane/turn_ledger/copy_cursor.h"
 #include "hawthornlane/turn_ledger/set_change.h"
@@ -64,6 +65,9 @@
   host_entry self;
   discovery::object_faults faults;
   std::optional<ledger_set> set;
+  quota_share_tracker share_tracker;
+  /// The share that the quota service has; nothing before the first set.
+  std::optional<double> managed_quota_share;
   store_revision set_revision;
   /// When this process first knew the current set.
   net::steady_time set_since{};
@@ -122,7 +126,11 @@
   [[nodiscard]] duration silence_of(const peer& other) const;
 
   // Membership in the ledger set.
+  /// The newest sets that the disks know, this one included.
+  [[nodiscard]] std::vector<member_probe_result> probe_results() const;
   [[nodiscard]] bool may_grant_quotas() const;
+  /// Gives the quota service the share that this host manages now.
+  void update_quota_share();
   /// Notes if a change that should have added this disk was taken back because it took too long.
   void note_set_change(const ledger_set& newer);
   [[nodiscard]] bool is_retiring(const host_id& name) const {
--- a/libs/disk/src/disk_membership.cc
+++ b/libs/disk/src/disk_membership.cc
@@ -73,21 +73,38 @@
   }
 }
 
-bool disk_host::state::may_grant_quotas() const {
-  if (!this->set) {
-    return false;
-  }
-  quota_lease_view view{
-      this->ledger.identity(), *this->set, timestamp_of(this->set_confirmed_at), {}};
+std::vector<member_probe_result> disk_host::state::probe_results() const {
+  std::vector<member_probe_result> results{
+      {this->ledger.identity(), discovery::scheduler_now(), this->ledger.probe().fence}};
   for (const auto& [name, other] : this->peers) {
     if (other.answered) {
-      view.probe_results.push_back(
+      results.push_back(
           {disk_id(other.entry.disk), timestamp_of(other.received_at), other.heard.fence});
     }
   }
+  return results;
+}
+
+bool disk_host::state::may_grant_quotas() const {
+  if (!this->set) {
+    return false;
+  }
+  const quota_lease_view view{this->ledger.identity(), *this->set,
+                              timestamp_of(this->set_confirmed_at), this->probe_results()};
   return holds_quota_lease(view, discovery::scheduler_now());
 }
 
+void disk_host::state::update_quota_share() {
+  if (!this->set) {
+    return;
+  }
+  const double share = this->share_tracker.share(this->ledger.identity(), this->probe_results(),
+                                                 discovery::scheduler_now());
+  if (std::exchange(this->managed_quota_share, share) != share) {
+    this->quotas.set_share(share);
+  }
+}
+
 bool disk_host::state::must_leave(const host_id& name) const {
   const auto known = this->retirements.find(name);
   return known != this->retirements.end() &&
--- a/libs/limits/include/hawthornlane/limits/quota_lease.h
+++ b/libs/limits/include/hawthornlane/limits/quota_lease.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -15,7 +17,10 @@
 /// been silent for longer may be replaced.
 constexpr duration quota_lease_duration = std::chrono::milliseconds(2000);
 
-/// The last response of another disk to a probe.
+/// Time for which a confirmation may be on its way to a host, whose lease begins when it arrives.
+constexpr duration max_confirmation_delay = std::chrono::milliseconds(500);
+
+/// The last response of another disk to a probe, or what this disk itself knows.
 struct member_probe_result {
   disk_id disk;
   timestamp received_at{};
@@ -36,13 +41,65 @@
   return set.joint() ? std::min(now, share_in(set.next)) : now;
 }
 
+/// The share of each quota that a host manages while the set changes. It shrinks at once. It grows
+/// only when no other host can still grant by its larger share of an earlier set: each such host
+/// knows the newer set, or its lease has ended. Otherwise both would grant the same share.
+class quota_share_tracker {
+public:
+  /// Call this with each newer set that the store returns. The first one is in force at once.
+  void adopt(const ledger_set& newer, const disk_id& self, timestamp now) {
+    if (this->set) {
+      this->note_reductions(newer, now);
+    } else {
+      this->managed = quota_share(newer, self);
+    }
+    this->set = newer;
+  }
+
+  /// Share at this time. `reports`: the newest sets that the other disks know.
+  double share(const disk_id& self, const std::vector<member_probe_result>& reports,
+               timestamp now) {
+    std::erase_if(this->reductions, [&reports, now](const auto& item) {
+      const auto& [disk, reduced] = item;
+      return now >= reduced.lease_end ||
+             std::any_of(reports.begin(), reports.end(), [&](const member_probe_result& report) {
+               return report.disk == disk && report.fence >= reduced.epoch;
+             });
+    });
+    const double wanted = this->set ? quota_share(*this->set, self) : 0.0;
+    this->managed = this->reductions.empty() ? wanted : std::min(this->managed, wanted);
+    return this->managed;
+  }
+
+private:
+  /// A host's share has become smaller.
+  struct reduction {
+    /// Of the set that made it smaller.
+    set_epoch epoch;
+    /// The host may grant by its earlier share until then, if it has not heard of that set.
+    timestamp lease_end{};
+  };
+
+  void note_reductions(const ledger_set& newer, timestamp now) {
+    for (const disk_id& disk : this->set->all()) {
+      if (quota_share(newer, disk) < quota_share(*this->set, disk)) {
+        this->reductions[disk] = {newer.epoch, now + quota_lease_duration + max_confirmation_delay};
+      }
+    }
+  }
+
+  std::optional<ledger_set> set;
+  double managed = 0;
+  std::map<disk_id, reduction> reductions;
+};
+
 /// What a member of the set knows about its membership.
 struct quota_lease_view {
   disk_id self;
   const ledger_set& set;
   /// When the store last confirmed `set` to this process.
   timestamp set_confirmed_at{};
-  /// Latest responses of the other disks.
+  /// Latest responses of the other disks, and the newest set that this one has been told of.
   std::vector<member_probe_result> probe_results;
 };
 
--- a/libs/limits/test/quota_faults.h
+++ b/libs/limits/test/quota_faults.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 #include <ostream>
+#include <set>
 #include <utility>
 
 #include "hawthornlane/limits/quota_manager.h"
@@ -41,7 +42,6 @@
 
 /// Bugs planted in a quota manager, to show that the checks detect them.
 enum class injected_bug {
-  none,
   /// A restart restores for how long quotas were managed, but not what was granted.
   loses_grants,
   /// A host that was replaced continues until it learns of it from the store.
@@ -50,9 +50,12 @@
   ignores_fences,
   /// A leaving host manages its share until the next set is in force.
   keeps_share_while_leaving,
+  /// A host's share grows as soon as it knows the set in which another host's is smaller.
+  grows_at_once,
   /// A refused call is deducted from the quota.
   deducts_refusals,
 };
+using injected_bugs = std::set<injected_bug>;
 
 /// By how much calls may exceed a quota: window, excess (a fraction) and slack (calls).
 inline constexpr quota_tolerance tolerance{std::chrono::seconds(5), 0.1, 20};
--- a/libs/limits/test/quota_simulation.h
+++ b/libs/limits/test/quota_simulation.h
@@ -26,20 +26,29 @@
 public:
   static constexpr int disk_hosts = 7;
   static constexpr int front_hosts = 3;
-  static constexpr int managers = 5;
+  static constexpr int usual_managers = 5;
 
-  simulation(std::uint64_t seed, account_limit first, injected_bug enabled_bug)
-      : random(seed), bug(enabled_bug) {
+  /// `managers`: how many of the hosts manage quotas; `hosts`: how many there are, `disk_hosts` at
+  /// most.
+  struct size {
+    int managers = usual_managers;
+    int hosts = disk_hosts;
+  };
+
+  simulation(std::uint64_t seed, account_limit first, injected_bugs enabled_bugs = {})
+      : simulation(seed, first, std::move(enabled_bugs), size{}) {}
+  simulation(std::uint64_t seed, account_limit first, injected_bugs enabled_bugs, size of)
+      : random(seed), bugs(std::move(enabled_bugs)), managers(of.managers) {
     for (int front = 0; front < front_hosts; ++front) {
       this->known_limits[front] = {first, limit_version(1)};
     }
     this->grants.record_limit_change(first, timestamp{});
     this->stored = {set_epoch(1), {}, {}};
-    for (int host = 0; host < managers; ++host) {
+    for (int host = 0; host < this->managers; ++host) {
       this->stored.members.push_back(name_of(host));
     }
     this->known_members.fill(this->stored.members);
-    for (int host = 0; host < disk_hosts; ++host) {
+    for (int host = 0; host < of.hosts; ++host) {
       this->start(host);
     }
   }
@@ -84,6 +93,9 @@
     bool writing = false;
     std::optional<ledger_set> set;
     timestamp set_confirmed_at{};
+    quota_share_tracker share;
+    /// The share that the manager has; nothing before its first one.
+    std::optional<double> set_share;
     std::map<int, member_probe_result> probe_results;
     /// Like `probe_results`, but also set for hosts that have never responded.
     std::map<int, timestamp> alive_at;
@@ -111,7 +123,9 @@
   static constexpr duration probe_interval = std::chrono::milliseconds(250);
   static constexpr duration set_check_interval = std::chrono::milliseconds(200);
   static constexpr duration store_poll_interval = std::chrono::milliseconds(50);
-  static constexpr duration failure_timeout = std::chrono::milliseconds(3500);
+  /// As in production: the loss of one of two disks stops the service until it is replaced.
+  static constexpr duration failure_timeout = std::chrono::milliseconds(2500);
+  static constexpr duration failure_timeout_of_two = std::chrono::milliseconds(1000);
   /// Time for one candidate to change the set before the next one may.
   static constexpr duration slot_time = std::chrono::milliseconds(1000);
   static constexpr duration max_sync_time = std::chrono::milliseconds(20);
@@ -185,7 +199,7 @@
     item.clock = this->random_time(std::chrono::hours(1));
     item.manager = std::make_unique<quota_manager>(tolerance);
     for (quota_record record : item.log) {
-      if (this->bug == injected_bug::loses_grants) {
+      if (this->bugs.contains(injected_bug::loses_grants)) {
         record.bucket_records.clear();
       }
       item.manager->restore(record);
@@ -193,6 +207,8 @@
     item.unsent.clear();
     item.writing = false;
     item.set.reset();
+    item.share = {};
+    item.set_share.reset();
     item.probe_results.clear();
     item.copied = set_epoch(0);
     for (int other = 0; other < disk_hosts; ++other) {
@@ -212,13 +228,33 @@
     }
     item.set = this->stored;
     item.set_confirmed_at = this->clock_of(item);
-    item.manager->set_share(this->share_of(*item.set, name_of(host)), this->clock_of(item));
+    item.fence = std::max(item.fence, item.set->epoch);
+    item.share.adopt(this->set_for_shares(item), name_of(host), this->clock_of(item));
+    this->update_share(host);
   }
-  [[nodiscard]] double share_of(ledger_set set, const disk_id& disk) const {
-    if (this->bug == injected_bug::keeps_share_while_leaving) {
-      set.next.clear();
+  [[nodiscard]] ledger_set set_for_shares(const host_state& host) const {
+    ledger_set known = *host.set;
+    if (this->bugs.contains(injected_bug::keeps_share_while_leaving)) {
+      known.next.clear();
+    }
+    return known;
+  }
+  void update_share(int host) {
+    host_state& item = this->hosts.at(host);
+    if (!item.set) {
+      return;
+    }
+    std::vector<member_probe_result> reports;
+    for (const auto& [other, report] : item.probe_results) {
+      reports.push_back(report);
+    }
+    double share = item.share.share(name_of(host), reports, this->clock_of(item));
+    if (this->bugs.contains(injected_bug::grows_at_once)) {
+      share = quota_share(this->set_for_shares(item), name_of(host));
+    }
+    if (std::exchange(item.set_share, share) != share) {
+      item.manager->set_share(share, this->clock_of(item));
     }
-    return quota_share(set, disk);
   }
   void probe(int host) {
     const int starts = this->hosts.at(host).starts;
@@ -247,11 +283,12 @@
     set_view view;
     view.self = name_of(host);
     view.set = item.set;
-    view.target_size = managers;
+    view.target_size = this->managers;
+    const bool is_of_two = item.set && item.set->members.size() == 2;
+    const duration timeout = is_of_two ? failure_timeout_of_two : failure_timeout;
     for (int other = 0; other < disk_hosts; ++other) {
       const bool is_self = other == host;
-      const bool reachable =
-          is_self || this->clock_of(item) - item.alive_at[other] < failure_timeout;
+      const bool reachable = is_self || this->clock_of(item) - item.alive_at[other] < timeout;
       const host_state& seen = this->hosts.at(other);
       view.disks.push_back({name_of(other), reachable, seen.retiring, seen.must_leave,
                             is_self ? item.copied : this->copied_of[{host, other}]});
@@ -274,6 +311,7 @@
     if (!item.set) {
       return;
     }
+    this->update_share(host);
     set_view view = this->view_of(host);
     view.skipped_candidates = this->skipped_candidates(host, view);
     const set_decision decision = decide_set_change(view);
@@ -316,13 +354,16 @@
       return false;
     }
     quota_lease_view view{name_of(number), *host.set, host.set_confirmed_at, {}};
+    view.probe_results.push_back({name_of(number), this->clock_of(host), host.fence});
     for (const auto& [other, word] : host.probe_results) {
       view.probe_results.push_back(word);
-      if (this->bug == injected_bug::ignores_fences) {
-        view.probe_results.back().fence = set_epoch(0);
+    }
+    if (this->bugs.contains(injected_bug::ignores_fences)) {
+      for (member_probe_result& word : view.probe_results) {
+        word.fence = set_epoch(0);
       }
     }
-    return this->bug == injected_bug::ignores_lease ||
+    return this->bugs.contains(injected_bug::ignores_lease) ||
            holds_quota_lease(view, this->clock_of(host));
   }
   void ask(int host, const quota_request& request,
@@ -333,7 +374,8 @@
       answer = item.manager->ask(request, this->clock_of(item));
     }
     if (answer.outcome != quota_outcome::granted) {
-      if (this->bug == injected_bug::deducts_refusals && answer.outcome == quota_outcome::refused) {
+      if (this->bugs.contains(injected_bug::deducts_refusals) &&
+          answer.outcome == quota_outcome::refused) {
         this->deduct_call(item);
       }
       reply(answer);
@@ -352,7 +394,7 @@
     }
     host.manager = std::make_unique<quota_manager>(tolerance);
     host.manager->restore(record);
-    host.manager->set_share(1.0 / managers, this->clock_of(host));
+    host.manager->set_share(1.0 / this->managers, this->clock_of(host));
   }
   /// Answers a granted call once the grant is in the log.
   void write(int host) {
@@ -481,7 +523,8 @@
     }
   }
   std::mt19937_64 random;
-  injected_bug bug;
+  injected_bugs bugs;
+  int managers;
   timestamp now{};
   std::multimap<timestamp, std::function<void()>> events;
   timestamp overload_end{};
