End a stream at the first event whose id does not increase

Cause: events were passed on whatever their ids. The platform's streams have increasing ids.

The attempt ends as broken at such an event, so a stream that may be resumed goes on at another server after the last new event. Events with neither id nor data are left out.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -19,6 +19,7 @@
 #include "hawthornlane/front/turn_store.h"
 #include "hawthornlane/relay/backend_pool.h"
 #include "hawthornlane/relay/caller_connection.h"
+#include "hawthornlane/relay/event_splitter.h"
 
 namespace hawthornlane::front {
 
@@ -138,6 +139,9 @@
   /// The outcome after checking the answer's signature and the end of the stream.
   static relay::attempt_outcome checked(call& one, relay::attempt_outcome outcome);
   boost::asio::awaitable<bool> stream_head(call& one, const relay::backend_response& head);
+  /// Removes empty events, and all events from the first one on whose id does not increase; false
+  /// if there is one.
+  static bool keep_new_events(const call& one, std::vector<relay::stream_event>& events);
   boost::asio::awaitable<bool> stream_bytes(call& one, std::string_view bytes);
   /// Limit of the events of the call's stream.
   [[nodiscard]] static std::int64_t max_events(const call& one);
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -188,6 +188,19 @@
   co_return co_await one.caller.start(head.status, headers);
 }
 
+bool call_service::keep_new_events(const call& one, std::vector<relay::stream_event>& events) {
+  std::erase_if(events, [](const auto& item) { return !item.id && item.data.empty(); });
+  std::uint64_t last = one.last_event.value_or(one.terms.last_event.value_or(0));
+  const auto repeated = std::find_if(events.begin(), events.end(), [&last](const auto& item) {
+    const bool is_repeated = item.id && *item.id <= last;
+    last = item.id.value_or(last);
+    return is_repeated;
+  });
+  const bool are_all_new = repeated == events.end();
+  events.erase(repeated, events.end());
+  return are_all_new;
+}
+
 asio::awaitable<bool> call_service::stream_bytes(call& one, std::string_view bytes) {
   std::string out;
   std::vector<relay::stream_event> events = one.splitter.add(bytes);
@@ -195,6 +208,7 @@
     one.detail = "an event of the stream is too large";
     co_return false;
   }
+  const bool are_all_new = keep_new_events(one, events);
   const auto count = static_cast<std::int64_t>(events.size());
   if (one.events + count > max_events(one)) {
     one.detail = "the stream has more events than the tokens that it may generate";
@@ -223,7 +237,11 @@
       one.output += '\n';
     }
   }
-  co_return co_await one.caller.write(out);
+  const bool is_written = co_await one.caller.write(out);
+  if (!are_all_new) {
+    one.detail = "an event of the stream is repeated";
+  }
+  co_return is_written&& are_all_new;
 }
 
 }  // namespace hawthornlane::front
--- a/scenarios/endless_response_test.cc
+++ b/scenarios/endless_response_test.cc
@@ -66,6 +66,18 @@
   }
 }
 
+/// Events of the endless kinds that were passed on: those of one id, and empty ones.
+std::size_t repeated_events(const std::string& body) {
+  std::size_t count = 0;
+  for (const std::string_view event : {"id: 1\ndata: a\n\n", "\n\n\n"}) {
+    for (std::size_t at = body.find(event); at != std::string::npos;
+         at = body.find(event, at + event.size())) {
+      ++count;
+    }
+  }
+  return count;
+}
+
 void check_answer(const call_shape& shape, endless_part part, const call_result& result) {
   constexpr int refused = 503;
   const bool is_served = part == endless_part::after_response && !shape.is_turn;
@@ -76,6 +88,7 @@
     CHECK(result.whole);
   }
   CHECK_FALSE(result.malformed);
+  CHECK((!shape.is_turn || repeated_events(result.body) <= 1));
 }
 
 }  // namespace
