--- a/libs/limits/include/hawthornlane/limits/quota_lease.h
+++ b/libs/limits/include/hawthornlane/limits/quota_lease.h
@@ -60,11 +60,12 @@
   double share(const disk_id& self, const std::vector<member_probe_result>& reports,
                timestamp now) {
     std::erase_if(this->reductions, [&reports, now](const auto& item) {
-      const auto& [disk, reduced] = item;
-      return now >= reduced.lease_end ||
-             std::any_of(reports.begin(), reports.end(), [&](const member_probe_result& report) {
-               return report.disk == disk && report.fence >= reduced.epoch;
-             });
+      const disk_id& disk = item.first;
+      const reduction& reduced = item.second;
+      const auto knows = [&](const member_probe_result& report) {
+        return report.disk == disk && report.fence >= reduced.epoch;
+      };
+      return now >= reduced.lease_end || std::any_of(reports.begin(), reports.end(), knows);
     });
     const double wanted = this->set ? quota_share(*this->set, self) : 0.0;
     this->managed = this->reductions.empty() ? wanted : std::min(this->managed, wanted);
