--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -241,7 +241,7 @@
   if (!are_all_new) {
     one.detail = "an event of the stream is repeated";
   }
-  co_return is_written&& are_all_new;
+  co_return (is_written && are_all_new);
 }
 
 }  // namespace hawthornlane::front
