--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -12,6 +12,7 @@
 #include <deque>
 #include <set>
 
+#include "backend_statuses.h"
 #include "hawthornlane/http/listening.h"
 #include "hawthornlane/net/timed_socket.h"
 #include "hawthornlane/relay/caller_connection.h"
@@ -37,42 +38,6 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-constexpr int misdirected = 421;
-constexpr int overloaded = 503;
-constexpr int deadline_passed = 504;
-
-/// The status of a behavior that fails with an error response; 0 for all others.
-int failure_status(backend_behavior behavior) {
-  switch (behavior) {
-    case backend_behavior::fail_408:
-      return 408;
-    case backend_behavior::fail_429:
-      return 429;
-    case backend_behavior::fail_500:
-      return 500;
-    case backend_behavior::fail_503:
-      return 503;
-    case backend_behavior::fail_504:
-      return 504;
-    default:
-      return 0;
-  }
-}
-
-/// The status of a behavior that refuses the request without running it; 0 for all others.
-int refusal_status(backend_behavior behavior) {
-  switch (behavior) {
-    case backend_behavior::shed:
-      return 503;
-    case backend_behavior::shed_as_too_many:
-      return 429;
-    case backend_behavior::misdirect:
-      return misdirected;
-    default:
-      return 0;
-  }
-}
-
 net::steady_time write_deadline() {
   return std::chrono::steady_clock::now() + std::chrono::seconds(5);
 }
