Say that a rerun goes on without a reservation whatever the reason

The comment on reserve_rerun named disk hosts that do not answer; the call also goes on if the ledger refuses while this host does not suspect the request. Comment only.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -103,7 +103,7 @@
   // Requests under which servers have crashed.
   [[nodiscard]] crash_standing standing_of(const call& one) const;
   /// Reserves a run after one whose server may be ending and is still watched: it may be under way
-  /// for longer than that. The call goes on without a reservation if too few disk hosts answer.
+  /// for longer than that. The call goes on without a reservation if it gets none in time.
   boost::asio::awaitable<void> reserve_rerun(call& one);
   /// Whether the call may be sent to its server now. Returns false if it has been answered.
   boost::asio::awaitable<bool> admit_suspected(call& one, const acquired_server& acquired);
