Log each check of the store, and what it takes to fetch a copy

- store_checked (504): one line a check by the host that reads for all, with the time since its last check, the time of each list, the lag of its event loop, and how much later than it was others have dated the last read.
- copy_applied (823): from the first message that told of newer state to the copy, with the requests, refusals and failures in between.
- Metrics store_read_age_ms, store_reads_restated, event_loop_lag_ms.
- Reads of the store are numbered, so that a report can be told to be of a read that is known.
The number follows the probe message as a tail, which hosts of older versions do not read.
When to read is decided as before.

--- a/libs/fleet/include/hawthornlane/fleet/store_read_schedule.h
+++ b/libs/fleet/include/hawthornlane/fleet/store_read_schedule.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <utility>
 
@@ -12,6 +13,19 @@
 
 namespace hawthornlane {
 
+/// Numbers the reads of the store by all hosts: each is numbered one higher than the newest read
+/// that its host knows of. 0: made or reported by a host of a version that does not number reads.
+using store_read_number = strong_value<struct store_read_number_tag, std::uint64_t>;
+
+/// One read of the store, as one host knows it.
+struct store_read {
+  host_id by;
+  store_read_number number;
+  /// When it began. For a read of another host this is an estimate: late by the time that messages
+  /// took on the way here.
+  timestamp at{};
+};
+
 /// Each call to the store costs money, and a watch may stop delivering events without an error. So
 /// one host reads the store at a fixed interval and sends the result to the others.
 ///
@@ -66,14 +80,26 @@
       : self(std::move(host)), last_attempt(started) {}
 
   void on_outage_changed(outage_hook hook) { this->outage_changed = std::move(hook); }
-  /// That host's read of the store succeeded at that time.
-  void record_read(const host_id& by, timestamp at) {
-    if (at <= this->newest_read) {
+  /// A read of the store by this host succeeded; it began at that time.
+  void record_own_read(timestamp at) {
+    this->record_read({this->self, store_read_number(this->newest.number.get() + 1), at});
+  }
+  /// A read of the store succeeded, at this host or by the report of another one.
+  void record_read(const store_read& read) {
+    const timestamp at = read.at;
+    if (this->is_known(read) && at > this->newest.at) {
+      ++this->restated;
+      this->restated_by = std::max(this->restated_by, at - this->newest.at);
+    }
+    if (at <= this->newest.at) {
       return;
     }
-    const timestamp before = std::exchange(this->newest_read, at);
+    if (!this->is_known(read)) {
+      this->restated_by = {};
+    }
+    const timestamp before = this->newest.at;
     const bool first = !std::exchange(this->has_read, true);
-    this->newest_reader = by;
+    this->newest = {read.by, std::max(read.number, this->newest.number), at};
     const bool may_be_outage = !first && at - before >= min_outage && this->last_failure > before;
     if (may_be_outage && !this->was_cut_off(before, at)) {
       this->newest_outage = {before, at, unknown};
@@ -111,20 +137,29 @@
           initial_wait + rank_step * static_cast<int>(std::min(rank, max_rank_steps));
       return now - this->last_attempt >= (this->has_attempted ? read_interval : wait_before_first);
     }
-    const bool is_reader = this->newest_reader == this->self;
-    return now - this->newest_read >= (is_reader ? read_interval : read_interval + wait) &&
+    const bool is_reader = this->newest.by == this->self;
+    return now - this->newest.at >= (is_reader ? read_interval : read_interval + wait) &&
            (!this->has_attempted || now - this->last_attempt >= read_interval);
   }
-  [[nodiscard]] duration age(timestamp now) const { return now - this->newest_read; }
-  /// Time of the newest read; valid only if `heard`.
-  [[nodiscard]] timestamp last_read() const { return this->newest_read; }
-  [[nodiscard]] const host_id& last_reader() const { return this->newest_reader; }
+  [[nodiscard]] duration age(timestamp now) const { return now - this->newest.at; }
+  /// The newest read; valid only if `heard`.
+  [[nodiscard]] const store_read& newest_read() const { return this->newest; }
+  [[nodiscard]] timestamp last_read() const { return this->newest.at; }
+  [[nodiscard]] const host_id& last_reader() const { return this->newest.by; }
+  /// Reports that date a read later than this host already knew it.
+  [[nodiscard]] std::uint64_t restated_count() const { return this->restated; }
+  /// The largest difference of such a report from the known time of the newest read.
+  [[nodiscard]] duration newest_restated_by() const { return this->restated_by; }
   /// True once any host's read has been recorded.
   [[nodiscard]] bool heard() const { return this->has_read; }
   /// The host whose schedule this is.
   [[nodiscard]] const host_id& owner() const { return this->self; }
 
 private:
+  [[nodiscard]] bool is_known(const store_read& read) const {
+    return this->has_read && read.number.get() != 0 && read.number == this->newest.number &&
+           read.by == this->newest.by;
+  }
   /// Whether this host lost contact with the others in the time between two reads. Hosts that had
   /// gone before it are not missed.
   [[nodiscard]] bool was_cut_off(timestamp before, timestamp now) const {
@@ -134,8 +169,7 @@
   }
 
   host_id self;
-  host_id newest_reader;
-  timestamp newest_read{};
+  store_read newest;
   timestamp last_attempt;
   timestamp last_failure{};
   timestamp last_contact{};
@@ -143,6 +177,8 @@
   timestamp contact_regained_at{};
   bool has_read = false;
   bool has_attempted = false;
+  std::uint64_t restated = 0;
+  duration restated_by{};
   outage newest_outage{{}, {}, {}};
   outage_hook outage_changed = [](const outage&) {};
 };
--- a/libs/fleet/test/store_outage_test.cc
+++ b/libs/fleet/test/store_outage_test.cc
@@ -189,7 +189,7 @@
         host.fails_at = this->now + (this->store_is_silent || cut_off ? call_timeout : step);
       }
       if (is_read) {
-        host.schedule.record_read(host.name, this->now);
+        host.schedule.record_own_read(this->now);
         std::vector<backend_entry> entries;
         for (const int number : this->listed) {
           entries.push_back(entry_of(number));
@@ -218,7 +218,7 @@
         continue;
       }
       if (from.schedule.heard()) {
-        to->schedule.record_read(from.schedule.last_reader(), from.schedule.last_read());
+        to->schedule.record_read(from.schedule.newest_read());
       }
       to->schedule.record_contact(this->now);
       if (from.servers.heard() && from.servers.at() > to->servers.at()) {
--- a/libs/front/include/hawthornlane/front/copy_fetch_scheduler.h
+++ b/libs/front/include/hawthornlane/front/copy_fetch_scheduler.h
@@ -12,6 +12,15 @@
 
 namespace hawthornlane::front {
 
+/// What it took to fetch one copy.
+struct fetch_progress {
+  /// Since a peer was first known to have newer state.
+  duration since_known{};
+  int requests = 0;
+  int refusals = 0;
+  int failures = 0;
+};
+
 /// Fetches each new state once: at most one copy of each kind is in flight, and another peer is
 /// asked only after the previous one has refused or failed. Without that bound each host asked
 /// every peer with newer state: 585 copies for 23 hosts and one change of 700 KB, with 34 MB queued
@@ -59,6 +68,8 @@
 
   /// The asked peer has sent its copy.
   void taken(copy_kind kind);
+  /// The progress of the fetch under way.
+  [[nodiscard]] fetch_progress progress(copy_kind kind, timestamp now) const;
   /// This host's own state has changed: clears which peers have newer state.
   void invalidate(copy_kind kind);
   /// The asked peer refused because it is busy, and named hosts that already have the state.
@@ -89,6 +100,10 @@
     std::optional<host_id> asked;
     /// Number of requests so far; spreads them over the peers with newer state.
     std::uint64_t request_count = 0;
+    /// Since the last copy; `since_known` is not used.
+    fetch_progress counts;
+    /// When a peer became known to have newer state; not set while none is.
+    std::optional<timestamp> known_since;
     timestamp no_request_until{};
   };
 
--- a/libs/front/include/hawthornlane/front/copy_messages.h
+++ b/libs/front/include/hawthornlane/front/copy_messages.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "hawthornlane/units/ids.h"
@@ -18,6 +19,9 @@
 constexpr std::array all_copy_kinds{copy_kind::configuration, copy_kind::backends, copy_kind::hosts,
                                     copy_kind::ledger};
 
+/// Name of a kind in logs.
+std::string_view name_of(copy_kind kind);
+
 /// Array of one value for each kind of copy.
 template <class Value>
 class per_copy_kind {
--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hawthornlane/fleet/fleet_view.h"
+#include "hawthornlane/fleet/store_read_schedule.h"
 #include "hawthornlane/net/message_bytes.h"
 #include "hawthornlane/turn_ledger/ledger_set.h"
 
@@ -87,6 +88,8 @@
   /// the time since then. An empty name: no read yet.
   host_id store_read_by;
   duration store_read_age{};
+  /// Not part of `serialize`: follows the message, as hosts of older versions do not read it.
+  store_read_number store_read_id;
   /// Services with a demand above zero.
   std::vector<service_demand> demand;
 
--- a/libs/front/include/hawthornlane/front/host_report.h
+++ b/libs/front/include/hawthornlane/front/host_report.h
@@ -20,6 +20,7 @@
   const platform_adapter::store_client& store;
   const discovery::object_faults& faults;
   const discovery::fleet_state& fleet;
+  const store_read_schedule& read_schedule;
   const relay::backend_pool& backends;
   const call_service& calls;
   const peer_gossip& gossip;
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -86,6 +86,8 @@
             net::rpc_done done);
   /// Demand of all live peers, one entry per peer and service.
   [[nodiscard]] std::vector<service_demand> demand_of_others() const;
+  /// Total lag of this host's event loop since its start.
+  [[nodiscard]] duration event_loop_lag_total() const;
   [[nodiscard]] const copy_counters& counters() const { return this->counts; }
 
 private:
@@ -125,6 +127,8 @@
   void request_due_copies();
   void request_copy(const std::shared_ptr<peer>& other, copy_kind kind);
   void handle_copy_response(const host_id& from, copy_kind kind, std::string bytes);
+  /// Logs how long a copy took to fetch, and how many requests.
+  void log_copy(const host_id& from, copy_kind kind, std::size_t bytes) const;
   std::optional<std::string> send_copy(const copy_request& request);
   void add_peer(const host_entry& entry);
 
--- a/libs/front/src/copy_fetch_scheduler.cc
+++ b/libs/front/src/copy_fetch_scheduler.cc
@@ -14,6 +14,7 @@
     one.ahead.erase(from);
     return;
   }
+  one.known_since = one.known_since.value_or(now);
   source& known = one.ahead.try_emplace(from, source{.ahead_since = now}).first->second;
   known.immediate = known.immediate || immediate;
 }
@@ -47,6 +48,7 @@
     return std::nullopt;
   }
   ++one.request_count;
+  ++one.counts.requests;
   one.asked = *best;
   return one.asked;
 }
@@ -57,6 +59,15 @@
     one.backoffs.erase(*one.asked);
   }
   one.asked.reset();
+  one.counts = {};
+  one.known_since.reset();
+}
+
+fetch_progress copy_fetch_scheduler::progress(copy_kind kind, timestamp now) const {
+  const fetch& one = this->fetches[kind];
+  fetch_progress progress = one.counts;
+  progress.since_known = now - one.known_since.value_or(now);
+  return progress;
 }
 
 void copy_fetch_scheduler::invalidate(copy_kind kind) {
@@ -72,6 +83,7 @@
   fetch& one = this->fetches[kind];
   one.no_request_until = now + refusal_delay;
   if (one.asked) {
+    ++one.counts.refusals;
     backoff_state& asked = one.backoffs[*one.asked];
     ++asked.refusals;
     asked.until = now + this->backoff_after(asked.refusals);
@@ -100,6 +112,7 @@
   if (!one.asked) {
     return;
   }
+  ++one.counts.failures;
   backoff_state& asked = one.backoffs[*one.asked];
   asked.until = now + asked.next_failure_backoff;
   asked.next_failure_backoff = std::min(asked.next_failure_backoff * growth, max_failure_backoff);
--- a/libs/front/src/copy_messages.cc
+++ b/libs/front/src/copy_messages.cc
@@ -13,6 +13,20 @@
 
 }  // namespace
 
+std::string_view name_of(copy_kind kind) {
+  switch (kind) {
+    case copy_kind::configuration:
+      return "configuration";
+    case copy_kind::backends:
+      return "backends";
+    case copy_kind::hosts:
+      return "hosts";
+    case copy_kind::ledger:
+      return "ledger";
+  }
+  return "";
+}
+
 std::optional<copy_request> copy_request_from(const std::string& bytes) {
   auto request = from_bytes<copy_request>(bytes);
   const auto& kinds = all_copy_kinds;
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -132,6 +132,7 @@
             .store = this->store,
             .faults = this->faults,
             .fleet = this->fleet,
+            .read_schedule = this->read_schedule,
             .backends = this->backends,
             .calls = this->calls,
             .gossip = this->gossip,
@@ -255,6 +256,7 @@
     own.demand = this->placer.demand();
     if (this->read_schedule.heard()) {
       own.store_read_by = this->read_schedule.last_reader();
+      own.store_read_id = this->read_schedule.newest_read().number;
       own.store_read_age = this->read_schedule.age(discovery::scheduler_now());
     }
     return own;
--- a/libs/front/src/gossip_messages.cc
+++ b/libs/front/src/gossip_messages.cc
@@ -10,14 +10,16 @@
 }
 
 std::string bytes_of(const probe_message& message) {
-  const std::string tail = message.crash_checksum == 0 ? "" : to_bytes(message.crash_checksum);
-  return to_bytes(message) + tail;
+  return to_bytes(message) + to_bytes(message.crash_checksum) +
+         to_bytes(message.digest.store_read_id.get());
 }
 
 std::optional<probe_message> probe_message_from(const std::string& bytes) {
-  if (auto whole = from_bytes_with_tail<probe_message, std::uint64_t>(bytes)) {
-    whole->first.crash_checksum = whole->second;
-    return std::move(whole->first);
+  if (auto parts = from_bytes_with_tails<probe_message, std::uint64_t, std::uint64_t>(bytes)) {
+    auto& [message, crash_checksum, read_id] = *parts;
+    message.crash_checksum = crash_checksum;
+    message.digest.store_read_id = store_read_number(read_id);
+    return std::move(message);
   }
   auto digest = from_bytes<gossip_digest>(bytes);
   if (!digest) {
--- a/libs/front/src/host_report.cc
+++ b/libs/front/src/host_report.cc
@@ -1,6 +1,7 @@
 // Reports of a front host: its metrics and its memory use.
 #include "hawthornlane/front/host_report.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "hawthornlane/telemetry/log.h"
@@ -30,6 +31,13 @@
   this->set("store_watches", store_counts.watches);
   this->set("store_writes", store_counts.writes);
   this->set("store_failed", store_counts.failed);
+  if (this->from.read_schedule.heard()) {
+    const duration age = this->from.read_schedule.age(discovery::scheduler_now());
+    this->set("store_read_age_ms", std::max<std::int64_t>(age / std::chrono::milliseconds(1), 0));
+  }
+  this->set("store_reads_restated", this->from.read_schedule.restated_count());
+  this->set("event_loop_lag_ms",
+            this->from.gossip.event_loop_lag_total() / std::chrono::milliseconds(1));
   this->set("store_objects_malformed", this->from.faults.count());
   this->set("backend_connections_opened", this->from.backends.counters().opened);
   this->set("backend_connections_reused", this->from.backends.counters().reused);
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -152,6 +152,10 @@
          steady::now() - known->second->answered_at < this->silence_timeout();
 }
 
+duration peer_gossip::event_loop_lag_total() const {
+  return this->loop_lag.total(discovery::scheduler_now());
+}
+
 void peer_gossip::broadcast_state() {
   this->encoder.mark_stale();
   const std::string payload = this->probe_bytes();
@@ -253,7 +257,8 @@
     log(event::host_reachable, {{"peer", other.entry.name.get()}});
   }
   if (!digest.store_read_by.get().empty()) {
-    this->read_schedule.record_read(digest.store_read_by, now - digest.store_read_age);
+    this->read_schedule.record_read(
+        {digest.store_read_by, digest.store_read_id, now - digest.store_read_age});
   }
   this->read_schedule.record_contact(now);
   this->detect_state_changes();
@@ -313,19 +318,6 @@
   }
 }
 
-known_versions peer_gossip::own_versions() const {
-  known_versions own;
-  if (const auto& table = this->fleet.table()) {
-    own.configuration = table->version();
-  }
-  own.backends_changed_at = this->fleet.backends().at();
-  own.hosts_revision = this->fleet.hosts().at();
-  if (const auto set = this->hooks.ledger()) {
-    own.ledger = set->epoch;
-  }
-  return own;
-}
-
 void peer_gossip::relay(const relayed_request& relayed, duration timeout, net::rpc_done done) {
   std::vector<relay_candidate> candidates;
   for (const auto& [name, other] : this->peers) {
@@ -389,6 +381,7 @@
   }
   ++this->counts.taken;
   this->counts.bytes_taken += answer->copy->size();
+  this->log_copy(from, kind, answer->copy->size());
   this->fetches.taken(kind);
   this->compare_with_peers(kind);
   this->send(from, gossip_method::copy_taken, to_bytes(copy_request{kind, this->fetches.owner()}),
@@ -437,22 +430,6 @@
   return std::nullopt;
 }
 
-std::optional<std::string> peer_gossip::send_copy(const copy_request& request) {
-  this->detect_state_changes();
-  const auto& copy = this->copies.ready(request.kind);
-  if (!copy) {
-    return std::nullopt;
-  }
-  const timestamp now = discovery::scheduler_now();
-  if (!this->hooks.may_send_copy() ||
-      !this->send_limiter.try_begin(request.kind, request.requester, copy->size(), now)) {
-    return to_response_bytes({std::nullopt, this->send_limiter.holders(request.kind)});
-  }
-  ++this->counts.given;
-  this->counts.bytes_given += copy->size();
-  return to_response_bytes({copy, {}});
-}
-
 std::vector<host_entry> peer_gossip::ready_hosts() const {
   std::vector<host_entry> ready;
   for (const auto& [name, other] : this->peers) {
--- a/libs/front/src/store_reader.cc
+++ b/libs/front/src/store_reader.cc
@@ -36,10 +36,6 @@
 /// replaced by another host long before.
 constexpr duration reader_timeout = std::chrono::seconds(2);
 
-std::string milliseconds_text(duration time) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 }  // namespace
 
 struct store_reader::configuration_read {
@@ -156,9 +152,40 @@
   co_return good;
 }
 
+/// What one check took, for its log line.
+struct store_reader::check_log {
+  timestamp began = discovery::scheduler_now();
+  timestamp step_began = began;
+  duration since_last{};
+  duration restated_by{};
+  duration lag_before{};
+  duration configuration{};
+  duration servers{};
+  duration hosts{};
+
+  void end_step(duration& step) {
+    const timestamp now = discovery::scheduler_now();
+    step = now - std::exchange(this->step_began, now);
+  }
+  void write(bool good, store_revision revision, duration lag) const {
+    log(event::store_checked, {{"good", good ? "yes" : "no"},
+                               {"revision", std::to_string(revision.get())},
+                               {"since_last_ms", milliseconds_text(this->since_last)},
+                               {"restated_ms", milliseconds_text(this->restated_by)},
+                               {"configuration_ms", milliseconds_text(this->configuration)},
+                               {"servers_ms", milliseconds_text(this->servers)},
+                               {"hosts_ms", milliseconds_text(this->hosts)},
+                               {"lag_ms", milliseconds_text(lag - this->lag_before)}});
+  }
+};
+
 asio::awaitable<void> store_reader::check_store(std::shared_ptr<const void> owner) {
   this->checking = true;
-  const timestamp began = discovery::scheduler_now();
+  check_log times;
+  const timestamp began = times.began;
+  times.since_last = began - std::exchange(this->last_check_began, began);
+  times.restated_by = this->parts.read_schedule.newest_restated_by();
+  times.lag_before = this->parts.gossip.event_loop_lag_total();
   this->parts.read_schedule.began(began);
   failure reason;
   object_page page;
@@ -168,12 +195,14 @@
     return good;
   };
   bool good = co_await this->check_configuration(owner);
+  times.end_step(times.configuration);
   if (good) {
     good =
         record_outcome(co_await this->parts.store.list(object_kind::backend_servers, page, reason));
+    times.end_step(times.servers);
   }
   if (good) {
-    this->parts.read_schedule.record_read(this->parts.self, began);
+    this->parts.read_schedule.record_own_read(began);
     this->parts.fleet.list_backends(
         page.at, discovery::backend_entries_of(page, this->parts.faults), "store");
     const bool hosts_due =
@@ -185,7 +214,9 @@
       this->parts.ledger.adopt_ledger_set(page);
       this->parts.fleet.list_hosts(page.at, discovery::host_entries_of(page, this->parts.faults));
     }
+    times.end_step(times.hosts);
   }
+  times.write(good, this->parts.fleet.backends().at(), this->parts.gossip.event_loop_lag_total());
   if (!good) {
     this->parts.read_schedule.record_failure(discovery::scheduler_now());
   }
--- a/libs/front/src/store_reader.h
+++ b/libs/front/src/store_reader.h
@@ -34,6 +34,7 @@
   void tick(net::steady_time now, const std::shared_ptr<const void>& owner);
 
 private:
+  struct check_log;
   /// A read of the configuration; shared with whoever waits for it.
   struct configuration_read;
 
@@ -59,6 +60,7 @@
 
   store_reader_parts parts;
   bool checking = false;
+  timestamp last_check_began = discovery::scheduler_now();
   /// Invariant: at most `max_configuration_reads`.
   std::size_t configuration_reads = 0;
   bool reading_hosts = false;
--- a/libs/front/test/probe_encoder_test.cc
+++ b/libs/front/test/probe_encoder_test.cc
@@ -19,6 +19,7 @@
   message.digest.configuration = config_version(9);
   message.digest.store_read_by = reader;
   message.digest.store_read_age = reader.get().empty() ? 0ms : 40ms;
+  message.digest.store_read_id = store_read_number(reader.get().empty() ? 0 : 17);
   message.digest.demand = std::move(demand);
   message.suspected = std::move(suspected);
   return message;
@@ -51,7 +52,7 @@
       if (!fresh.digest.store_read_by.get().empty()) {
         fresh.digest.store_read_age += later;
       }
-      CHECK(encoder.encoded(at(later)) == to_bytes(fresh));
+      CHECK(encoder.encoded(at(later)) == bytes_of(fresh));
     }
     encoder.mark_stale();
     CHECK(encoder.is_stale());
--- a/libs/telemetry/include/hawthornlane/telemetry/log.h
+++ b/libs/telemetry/include/hawthornlane/telemetry/log.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "hawthornlane/units/quantities.h"
+
 namespace hawthornlane {
 
 /// The closed list of events; a number never changes its meaning. Documented in
@@ -39,6 +41,7 @@
   platform_reachable = 501,
   object_malformed = 502,
   platform_outage_ended = 503,
+  store_checked = 504,
   backend_failed = 600,
   backend_excluded = 601,
   backend_restored = 602,
@@ -63,6 +66,7 @@
   host_reachable = 820,
   host_silent = 821,
   backend_crashed = 822,
+  copy_applied = 823,
   settings_reread = 830,
   lines_dropped = 840,
   ledger_set_changed = 850,
@@ -91,6 +95,9 @@
 /// All events, ordered by number.
 std::span<const event_entry> event_catalogue();
 
+/// A duration as whole milliseconds, for a log line.
+std::string milliseconds_text(duration time);
+
 /// A named value in a log line.
 struct log_field {
   std::string_view name;
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -62,6 +62,9 @@
         platform_outage_ended, "platform_outage_ended", info,
         "no host had read the platform's store for a while; the line says for how long, and "
         "which host read it first"},
+    event_entry{store_checked, "store_checked", info,
+                "this host has read the platform's store for all; the line says how long each list "
+                "took"},
     event_entry{backend_failed, "backend_failed", warning, "a call to a backend server failed"},
     event_entry{backend_excluded, "backend_excluded", warning,
                 "a backend server gets no new calls for a while"},
@@ -116,6 +119,9 @@
     event_entry{backend_crashed, "backend_crashed", warning,
                 "a backend server's process has ended under a request; the line says whether that "
                 "is certain, and whether the request was suspected before and ran alone"},
+    event_entry{copy_applied, "copy_applied", info,
+                "a copy of newer state has come from another host; the line says how long it took "
+                "and how many requests"},
     event_entry{settings_reread, "settings_reread", info, "the settings file was read again"},
     event_entry{lines_dropped, "lines_dropped", warning,
                 "the reader of the log was too slow; the line has the number of lines dropped"},
@@ -217,6 +223,10 @@
 
 void set_log_host(std::string name) { sink().host = std::move(name); }
 
+std::string milliseconds_text(duration time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 void log(event number, const std::vector<log_field>& fields) {
   const event_entry& entry = entry_of(number);
   const auto now =
