Do not take a store read for a new one because its report came late

Callers saw servers that had left get calls for 3 s and longer (DRAIN), and configurations that were in force late (CONFIG), while hosts were slow.

Cause: hosts tell each other the age of the newest read of the store. A message that waits at a slow host arrives with the age that it had when it was sent, so the read is dated later than it was. The host passes this on, the latest date wins everywhere, at the reader too, and as long as messages wait somewhere the read does not get older: no host is due to read, and nobody notices.

Change: a read is told apart by its host, process and count. A report of a known read can only make it older, and one of an earlier read by the same process is ignored, so a late report delays at most the host that gets it.

--- a/libs/fleet/include/hawthornlane/fleet/store_read_schedule.h
+++ b/libs/fleet/include/hawthornlane/fleet/store_read_schedule.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <utility>
 
 #include "hawthornlane/units/ids.h"
@@ -13,9 +14,20 @@
 
 namespace hawthornlane {
 
-/// Numbers the reads of the store by all hosts: each is numbered one higher than the newest read
-/// that its host knows of. 0: made or reported by a host of a version that does not number reads.
-using store_read_number = strong_value<struct store_read_number_tag, std::uint64_t>;
+/// Tells the reads of the store by one host apart.
+struct store_read_number {
+  /// The host's process.
+  std::uint32_t process = 0;
+  /// Reads by that process so far. 0: unknown, as hosts of older versions do not send it.
+  std::uint32_t count = 0;
+
+  friend bool operator==(const store_read_number&, const store_read_number&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->process, this->count);
+  }
+};
 
 /// One read of the store, as one host knows it.
 struct store_read {
@@ -77,40 +89,29 @@
   using outage_hook = std::function<void(const outage&)>;
 
   store_read_schedule(host_id host, timestamp started)
-      : self(std::move(host)), last_attempt(started) {}
+      : self(std::move(host)),
+        process(static_cast<std::uint32_t>(started.time_since_epoch().count())),
+        last_attempt(started) {}
 
   void on_outage_changed(outage_hook hook) { this->outage_changed = std::move(hook); }
   /// A read of the store by this host succeeded; it began at that time.
   void record_own_read(timestamp at) {
-    this->record_read({this->self, store_read_number(this->newest.number.get() + 1), at});
+    this->record_read({this->self, {this->process, ++this->own_reads}, at});
   }
-  /// A read of the store succeeded, at this host or by the report of another one.
+  /// A read of the store succeeded, at this host or by the report of another one. Reports of a
+  /// known read can only show that it is older than this host thought: otherwise a read whose
+  /// reports wait on their way would stay new for as long as hosts pass them on.
   void record_read(const store_read& read) {
-    const timestamp at = read.at;
-    if (this->is_known(read) && at > this->newest.at) {
-      ++this->restated;
-      this->restated_by = std::max(this->restated_by, at - this->newest.at);
-    }
-    if (at <= this->newest.at) {
-      return;
-    }
-    if (!this->is_known(read)) {
-      this->restated_by = {};
-    }
-    const timestamp before = this->newest.at;
-    const bool first = !std::exchange(this->has_read, true);
-    this->newest = {read.by, std::max(read.number, this->newest.number), at};
-    const bool may_be_outage = !first && at - before >= min_outage && this->last_failure > before;
-    if (may_be_outage && !this->was_cut_off(before, at)) {
-      this->newest_outage = {before, at, unknown};
-      this->outage_changed(this->newest_outage);
-      return;
-    }
-    const bool is_open = this->newest_outage.removals_final_at == unknown;
-    if (is_open && at - this->newest_outage.back_at >= renewal_time) {
-      this->newest_outage.removals_final_at = at + spread_time;
-      this->outage_changed(this->newest_outage);
+    known_read& known = this->reads[{read.by, read.number.process}];
+    if (read.number.count == 0) {
+      known.at = std::max(known.at, read.at);
+    } else if (read.number.count > known.count) {
+      known = {read.number.count, read.at};
+    } else if (read.number.count == known.count) {
+      this->note_restated(read.at - known.at);
+      known.at = std::min(known.at, read.at);
     }
+    this->update_newest();
   }
   /// A read by this host has failed.
   void record_failure(timestamp now) { this->last_failure = now; }
@@ -148,17 +149,58 @@
   [[nodiscard]] const host_id& last_reader() const { return this->newest.by; }
   /// Reports that date a read later than this host already knew it.
   [[nodiscard]] std::uint64_t restated_count() const { return this->restated; }
-  /// The largest difference of such a report from the known time of the newest read.
-  [[nodiscard]] duration newest_restated_by() const { return this->restated_by; }
+  /// The largest difference of such a report from the known time since the last call.
+  duration take_restated_by() { return std::exchange(this->restated_by, {}); }
   /// True once any host's read has been recorded.
   [[nodiscard]] bool heard() const { return this->has_read; }
   /// The host whose schedule this is.
   [[nodiscard]] const host_id& owner() const { return this->self; }
 
 private:
-  [[nodiscard]] bool is_known(const store_read& read) const {
-    return this->has_read && read.number.get() != 0 && read.number == this->newest.number &&
-           read.by == this->newest.by;
+  /// The newest read by one process.
+  struct known_read {
+    std::uint32_t count = 0;
+    timestamp at{};
+  };
+  /// Reads that are older are forgotten.
+  static constexpr duration known_read_time = std::chrono::minutes(1);
+
+  void update_newest() {
+    const timestamp before = this->newest.at;
+    std::erase_if(this->reads,
+                  [before](const auto& item) { return item.second.at + known_read_time < before; });
+    const auto best =
+        std::max_element(this->reads.begin(), this->reads.end(),
+                         [](const auto& a, const auto& b) { return a.second.at < b.second.at; });
+    if (best == this->reads.end()) {
+      return;
+    }
+    const auto& [reader, known] = *best;
+    this->newest = {reader.first, {reader.second, known.count}, known.at};
+    if (known.at > before) {
+      this->note_newer_read(before, known.at);
+    }
+  }
+  /// Finds out what the time between two reads tells of an outage.
+  void note_newer_read(timestamp before, timestamp at) {
+    const bool first = !std::exchange(this->has_read, true);
+    const bool may_be_outage = !first && at - before >= min_outage && this->last_failure > before;
+    if (may_be_outage && !this->was_cut_off(before, at)) {
+      this->newest_outage = {before, at, unknown};
+      this->outage_changed(this->newest_outage);
+      return;
+    }
+    const bool is_open = this->newest_outage.removals_final_at == unknown;
+    if (is_open && at - this->newest_outage.back_at >= renewal_time) {
+      this->newest_outage.removals_final_at = at + spread_time;
+      this->outage_changed(this->newest_outage);
+    }
+  }
+  void note_restated(duration later) {
+    if (later > duration::zero()) {
+      ++this->restated;
+      this->restated_by = std::max(this->restated_by, later);
+    }
   }
   /// Whether this host lost contact with the others in the time between two reads. Hosts that had
   /// gone before it are not missed.
@@ -169,6 +211,11 @@
   }
 
   host_id self;
+  /// Distinguishes the reads of this process from those of earlier ones of this host.
+  std::uint32_t process;
+  std::uint32_t own_reads = 0;
+  std::map<std::pair<host_id, std::uint32_t>, known_read> reads;
+  /// Invariant: the newest of `reads`.
   store_read newest;
   timestamp last_attempt;
   timestamp last_failure{};
--- a/libs/fleet/test/fleet_test.cc
+++ b/libs/fleet/test/fleet_test.cc
@@ -188,22 +188,22 @@
   const host_id b("b");
   store_read_schedule first(a, at(0s));
   store_read_schedule second(b, at(0s));
-  first.record_read({a, store_read_number(0), at(10s)});
-  second.record_read({a, store_read_number(0), at(10s)});
+  first.record_read({a, {}, at(10s)});
+  second.record_read({a, {}, at(10s)});
   CHECK_FALSE(first.due(at(10s + 800ms), 0));
   CHECK(first.due(at(10s + 900ms), 0));
   CHECK_FALSE(second.due(at(10s + 900ms), 1));
 
   SECTION("a read by the first host delays the second") {
-    second.record_read({a, store_read_number(0), at(10s + 900ms)});
+    second.record_read({a, {}, at(10s + 900ms)});
     CHECK_FALSE(second.due(at(11s + 500ms), 1));
   }
   SECTION("the store refuses the first host: it pauses, and the second takes over for good") {
     first.began(at(10s + 900ms));
     CHECK_FALSE(first.due(at(11s), 0));
     CHECK(second.due(at(11s + 100ms), 1));
-    second.record_read({b, store_read_number(0), at(11s + 100ms)});
-    first.record_read({b, store_read_number(0), at(11s + 100ms)});
+    second.record_read({b, {}, at(11s + 100ms)});
+    first.record_read({b, {}, at(11s + 100ms)});
     CHECK(second.due(at(12s), 1));
     CHECK_FALSE(first.due(at(12s), 0));
   }
@@ -224,8 +224,8 @@
 
 TEST_CASE("a report of an older read does not replace a newer one") {
   store_read_schedule schedule(host_id("a"), at(0s));
-  schedule.record_read({host_id("b"), store_read_number(0), at(10s)});
-  schedule.record_read({host_id("c"), store_read_number(0), at(9s)});
+  schedule.record_read({host_id("b"), {}, at(10s)});
+  schedule.record_read({host_id("c"), {}, at(9s)});
   CHECK(schedule.last_reader() == host_id("b"));
   CHECK(schedule.age(at(12s)) == 2s);
 }
--- a/libs/front/include/hawthornlane/front/front_settings.h
+++ b/libs/front/include/hawthornlane/front/front_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hawthornlane/discovery/host_settings.h"
+#include "hawthornlane/placement/server_pool.h"
 
 namespace hawthornlane::front {
 
@@ -28,6 +29,9 @@
   bool contended = false;
   /// Whether a call for a full server queues at the directory host of that server.
   bool claims_places = false;
+
+  /// The rules for the servers that follow from these settings.
+  [[nodiscard]] pool_rules pool() const;
 };
 
 /// Keys and their rules for the settings file.
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -54,13 +54,6 @@
 /// Interval at which idle connections to servers are closed.
 constexpr auto idle_sweep_interval = std::chrono::seconds(1);
 
-pool_rules rules_for(const front_settings& settings) {
-  pool_rules rules;
-  rules.claims_places = settings.claims_places;
-  rules.learns_speed = settings.contended;
-  return rules;
-}
-
 }  // namespace
 
 struct front_host::state : std::enable_shared_from_this<front_host::state> {
@@ -74,7 +67,7 @@
         read_schedule(settings.host, discovery::scheduler_now()),
         backends(io, sweeper, codec),
         ledger(io, sweeper, fleet, settings.zone, settings.memory_mb * cache_bytes_per_mb),
-        placer(io, settings.host, settings.zone, fleet, metrics, rules_for(settings)),
+        placer(io, settings.host, settings.zone, fleet, metrics, settings.pool()),
         quotas(io, make_quota_hooks()),
         crashes(io, ledger, metrics, make_crash_hooks()),
         calls(fleet, placer, backends, codec, quotas, ledger, crashes, metrics),
--- a/libs/front/src/front_settings.cc
+++ b/libs/front/src/front_settings.cc
@@ -55,4 +55,11 @@
   return settings;
 }
 
+pool_rules front_settings::pool() const {
+  pool_rules rules;
+  rules.claims_places = this->claims_places;
+  rules.learns_speed = this->contended;
+  return rules;
+}
+
 }  // namespace hawthornlane::front
--- a/libs/front/src/gossip_messages.cc
+++ b/libs/front/src/gossip_messages.cc
@@ -11,14 +11,14 @@
 
 std::string bytes_of(const probe_message& message) {
   return to_bytes(message) + to_bytes(message.crash_checksum) +
-         to_bytes(message.digest.store_read_id.get());
+         to_bytes(message.digest.store_read_id);
 }
 
 std::optional<probe_message> probe_message_from(const std::string& bytes) {
-  if (auto parts = from_bytes_with_tails<probe_message, std::uint64_t, std::uint64_t>(bytes)) {
+  if (auto parts = from_bytes_with_tails<probe_message, std::uint64_t, store_read_number>(bytes)) {
     auto& [message, crash_checksum, read_id] = *parts;
     message.crash_checksum = crash_checksum;
-    message.digest.store_read_id = store_read_number(read_id);
+    message.digest.store_read_id = read_id;
     return std::move(message);
   }
   auto digest = from_bytes<gossip_digest>(bytes);
--- a/libs/front/src/store_reader.cc
+++ b/libs/front/src/store_reader.cc
@@ -184,7 +184,7 @@
   check_log times;
   const timestamp began = times.began;
   times.since_last = began - std::exchange(this->last_check_began, began);
-  times.restated_by = this->parts.read_schedule.newest_restated_by();
+  times.restated_by = this->parts.read_schedule.take_restated_by();
   times.lag_before = this->parts.gossip.event_loop_lag_total();
   this->parts.read_schedule.began(began);
   failure reason;
--- a/libs/front/test/probe_encoder_test.cc
+++ b/libs/front/test/probe_encoder_test.cc
@@ -19,7 +19,8 @@
   message.digest.configuration = config_version(9);
   message.digest.store_read_by = reader;
   message.digest.store_read_age = reader.get().empty() ? 0ms : 40ms;
-  message.digest.store_read_id = store_read_number(reader.get().empty() ? 0 : 17);
+  message.digest.store_read_id =
+      reader.get().empty() ? store_read_number() : store_read_number{5, 17};
   message.digest.demand = std::move(demand);
   message.suspected = std::move(suspected);
   return message;
