Free a copy's place when it has arrived, not when it has been applied

Callers saw configurations that were in force late at some hosts while hosts were slow: a host sends two copies at once, and a copy counted as under way until its receiver had applied it, which takes a slow host 0.5 s and more.

Change: the receiver reports that the bytes have arrived (copy_received) before it applies them, and again after it (copy_taken, as before); only then it is named as a source. Hosts of older versions ignore the new report.

copy_propagation_test applied copies in no time, so it could not find this.

Also: the time since newer state is known starts anew with each state.

--- a/libs/front/include/hawthornlane/front/copy_send_limiter.h
+++ b/libs/front/include/hawthornlane/front/copy_send_limiter.h
@@ -19,7 +19,7 @@
 class copy_send_limiter {
 public:
   /// Concurrent copies allowed for any size. The second one keeps the link busy while the first
-  /// receiver processes and confirms its copy.
+  /// receiver confirms its copy.
   static constexpr std::size_t min_concurrent_copies = 2;
   /// More concurrent copies are allowed up to this many bytes in total: 17 ms of a link of
   /// 30 Mbit/s.
@@ -33,7 +33,9 @@
   /// True when a copy may be sent to `receiver` now; it is then counted as in flight. If the
   /// receiver asks again, its previous copy is lost and no longer counted.
   bool try_begin(copy_kind kind, const host_id& receiver, std::size_t bytes, timestamp now);
-  /// The receiver has confirmed its copy.
+  /// The copy has arrived. The receiver may take long to apply it, and the link is free meanwhile.
+  void received(copy_kind kind, const host_id& receiver);
+  /// The receiver has applied its copy.
   void taken(copy_kind kind, const host_id& receiver);
   /// This host's state of that kind has changed: no host has received it yet.
   void invalidate(copy_kind kind);
@@ -45,9 +47,11 @@
     std::size_t bytes = 0;
     /// Whether the copy is of the newest state. The receiver of an older one is not a holder.
     bool is_newest = true;
+    bool has_arrived = false;
   };
   struct send_state {
-    /// By receiver. Invariant: at most `min_concurrent_copies`, or `max_burst_bytes` together.
+    /// By receiver. Invariant: of those that have not arrived, at most `min_concurrent_copies`, or
+    /// `max_burst_bytes` together.
     std::map<host_id, copy_in_flight> in_flight;
     /// Most recent first. Invariant: at most `max_holders`, each once.
     std::deque<host_id> holders;
--- a/libs/front/include/hawthornlane/front/gossip_messages.h
+++ b/libs/front/include/hawthornlane/front/gossip_messages.h
@@ -53,7 +53,10 @@
   /// Grants a place to a waiting claim (`place_grant`).
   grant = 12,
   /// Reports crashes of backend servers under requests (`crash_message`).
-  crashes = 13
+  crashes = 13,
+  /// Reports that the bytes of a requested copy have arrived (`copy_request`); `copy_taken` follows
+  /// when the copy has been applied. Hosts of older versions do not serve it.
+  copy_received = 14
 };
 
 /// Demand of one front host for one service.
--- a/libs/front/include/hawthornlane/front/peer_gossip.h
+++ b/libs/front/include/hawthornlane/front/peer_gossip.h
@@ -127,6 +127,8 @@
   void request_due_copies();
   void request_copy(const std::shared_ptr<peer>& other, copy_kind kind);
   void handle_copy_response(const host_id& from, copy_kind kind, std::string bytes);
+  /// Tells the sender of a copy that it has arrived, or has been applied.
+  void confirm_copy(const host_id& from, gossip_method method, copy_kind kind);
   /// Logs how long a copy took to fetch, and how many requests.
   void log_copy(const host_id& from, copy_kind kind, std::size_t bytes) const;
   std::optional<std::string> send_copy(const copy_request& request);
--- a/libs/front/src/copy_fetch_scheduler.cc
+++ b/libs/front/src/copy_fetch_scheduler.cc
@@ -12,6 +12,9 @@
   fetch& one = this->fetches[kind];
   if (!ahead) {
     one.ahead.erase(from);
+    if (one.ahead.empty()) {
+      one.known_since.reset();
+    }
     return;
   }
   one.known_since = one.known_since.value_or(now);
@@ -73,6 +76,7 @@
 void copy_fetch_scheduler::invalidate(copy_kind kind) {
   fetch& one = this->fetches[kind];
   one.ahead.clear();
+  one.known_since.reset();
   for (auto& [name, backoffs] : one.backoffs) {
     backoffs.refusals = 0;
   }
--- a/libs/front/src/copy_send_limiter.cc
+++ b/libs/front/src/copy_send_limiter.cc
@@ -12,16 +12,29 @@
     return item.first == receiver || now - item.second.began >= confirmation_timeout;
   });
   std::size_t sum = bytes;
+  std::size_t count = 0;
   for (const auto& [to, copy] : in_flight) {
+    if (copy.has_arrived) {
+      continue;
+    }
     sum += copy.bytes;
+    ++count;
   }
-  if (in_flight.size() >= min_concurrent_copies && sum > max_burst_bytes) {
+  if (count >= min_concurrent_copies && sum > max_burst_bytes) {
     return false;
   }
   in_flight.emplace(receiver, copy_in_flight{now, bytes});
   return true;
 }
 
+void copy_send_limiter::received(copy_kind kind, const host_id& receiver) {
+  auto& in_flight = this->send_states[kind].in_flight;
+  const auto copy = in_flight.find(receiver);
+  if (copy != in_flight.end()) {
+    copy->second.has_arrived = true;
+  }
+}
+
 void copy_send_limiter::taken(copy_kind kind, const host_id& receiver) {
   send_state& one = this->send_states[kind];
   const auto copy = one.in_flight.extract(receiver);
--- a/libs/front/src/peer_gossip.cc
+++ b/libs/front/src/peer_gossip.cc
@@ -374,6 +374,10 @@
     this->fetches.busy(kind, answer->holders, discovery::scheduler_now());
     return;
   }
+  if (answer) {
+    // Before the copy is applied, which takes a slow host long enough to delay all others.
+    this->confirm_copy(from, gossip_method::copy_received, kind);
+  }
   if (!answer || !this->copies.apply(from, kind, *answer->copy)) {
     ++this->counts.failed;
     this->fetches.failed(kind, discovery::scheduler_now());
@@ -384,8 +388,7 @@
   this->log_copy(from, kind, answer->copy->size());
   this->fetches.taken(kind);
   this->compare_with_peers(kind);
-  this->send(from, gossip_method::copy_taken, to_bytes(copy_request{kind, this->fetches.owner()}),
-             [](net::rpc_failure, const std::string&) {});
+  this->confirm_copy(from, gossip_method::copy_taken, kind);
   this->request_due_copies();
 }
 
@@ -409,6 +412,14 @@
       const auto request = copy_request_from(payload);
       return request ? this->send_copy(*request) : std::nullopt;
     }
+    case gossip_method::copy_received: {
+      const auto request = copy_request_from(payload);
+      if (!request) {
+        return std::nullopt;
+      }
+      this->send_limiter.received(request->kind, request->requester);
+      return "";
+    }
     case gossip_method::copy_taken: {
       const auto request = copy_request_from(payload);
       if (!request) {
--- a/libs/front/src/peer_gossip_copies.cc
+++ b/libs/front/src/peer_gossip_copies.cc
@@ -36,6 +36,11 @@
   return to_response_bytes({copy, {}});
 }
 
+void peer_gossip::confirm_copy(const host_id& from, gossip_method method, copy_kind kind) {
+  this->send(from, method, to_bytes(copy_request{kind, this->fetches.owner()}),
+             [](net::rpc_failure, const std::string&) {});
+}
+
 void peer_gossip::log_copy(const host_id& from, copy_kind kind, std::size_t bytes) const {
   const fetch_progress progress = this->fetches.progress(kind, discovery::scheduler_now());
   log(event::copy_applied, {{"kind", std::string(name_of(kind))},
--- a/libs/front/src/peer_traffic.cc
+++ b/libs/front/src/peer_traffic.cc
@@ -39,6 +39,7 @@
     case gossip_method::crashes:
       return traffic_kind::crashes;
     case gossip_method::copy:
+    case gossip_method::copy_received:
     case gossip_method::copy_taken:
       return traffic_kind::copies;
   }
--- a/libs/front/test/copy_propagation_test.cc
+++ b/libs/front/test/copy_propagation_test.cc
@@ -47,6 +47,7 @@
 constexpr duration copy_timeout = 1s;
 constexpr duration probe_timeout = 600ms;
 constexpr std::size_t small_message_bytes = 200;
+constexpr int slow_factor = 5;
 /// An accepted configuration must be in force on all hosts within this time.
 constexpr duration spread_limit = 3s;
 
@@ -84,7 +85,7 @@
 };
 
 /// Kinds of messages between hosts; a `digest` is answered with the digest of the receiver.
-enum class message_kind { digest, copy, taken };
+enum class message_kind { digest, copy, received, taken };
 
 struct message {
   message_kind what = message_kind::digest;
@@ -106,6 +107,8 @@
   copy_fetch_scheduler fetch_scheduler;
   copy_send_limiter send_limiter;
   state_version version = 0;
+  /// It handles nothing until then, as it applies a copy.
+  timestamp busy_until{};
   struct word {
     state_version version = 0;
     timestamp at;
@@ -130,6 +133,9 @@
   /// Restarts per host and second, while faults last. The host that reads the store does not
   /// restart.
   double restarts = 0;
+  /// Time in which a host applies a copy, and the share of hosts that take five times as long.
+  duration apply_time{};
+  double slow_hosts = 0;
 };
 
 class network {
@@ -137,6 +143,10 @@
   network(const scenario& input, unsigned seed) : plan(input), random(seed) {
     this->members.resize(this->plan.hosts);
     this->link_free_at.resize(this->plan.hosts);
+    for (std::size_t host = 0; host < this->plan.hosts; ++host) {
+      const bool is_slow = host > 0 && this->happens(this->plan.slow_hosts);
+      this->apply_times.push_back(this->plan.apply_time * (is_slow ? slow_factor : 1));
+    }
     this->queued_bytes.resize(this->plan.hosts);
     for (std::size_t host = 0; host < this->plan.hosts; ++host) {
       this->start(host);
@@ -255,10 +265,20 @@
     this->max_queued_bytes = std::max(this->max_queued_bytes, this->queued_bytes[from]);
     this->clock.at(free_at, [this, from, bytes] { this->queued_bytes[from] -= bytes; });
     if (!lost) {
-      this->clock.at(free_at + link_delay, std::move(arrives));
+      this->clock.at(free_at + link_delay,
+                     [this, to, what = std::move(arrives)] { this->handle_when_idle(to, what); });
     }
   }
 
+  void handle_when_idle(std::size_t host, const std::function<void()>& what) {
+    const timestamp until = this->members[host]->busy_until;
+    if (until <= this->clock.now()) {
+      what();
+      return;
+    }
+    this->clock.at(until, [this, host, what] { this->handle_when_idle(host, what); });
+  }
+
   /// Calls `done` once: with the answer, or with `nullopt` at the timeout; never when the caller
   /// has restarted.
   void call(std::size_t from, std::size_t to, const message& input, duration limit,
@@ -301,6 +321,9 @@
           answer.holders = one.send_limiter.holders(kind);
         }
         break;
+      case message_kind::received:
+        one.send_limiter.received(kind, name_of(from));
+        break;
       case message_kind::taken:
         one.send_limiter.taken(kind, name_of(from));
         break;
@@ -368,7 +391,21 @@
       one.fetch_scheduler.busy(kind, answer->holders, this->clock.now());
       return;
     }
-    this->apply(host, answer->version);
+    this->call(host, source, {message_kind::received, 0, false}, probe_timeout,
+               [](const std::optional<reply>&) {});
+    one.busy_until = this->clock.now() + this->apply_times[host];
+    const auto finish = [this, host, source, version = answer->version,
+                         alive = std::weak_ptr(this->members[host])] {
+      if (!alive.expired()) {
+        this->finish_copy(host, source, version);
+      }
+    };
+    this->handle_when_idle(host, finish);
+  }
+
+  void finish_copy(std::size_t host, std::size_t source, state_version version) {
+    simulated_host& one = *this->members[host];
+    this->apply(host, version);
     one.fetch_scheduler.taken(kind);
     this->compare_with_peers(host);
     this->call(host, source, {message_kind::taken, 0, false}, probe_timeout,
@@ -410,7 +447,9 @@
 
   void schedule_tick(std::size_t host, duration delay) {
     this->clock.at(this->clock.now() + delay, [this, host] {
-      this->request_due_copies(host);
+      if (this->members[host]->busy_until <= this->clock.now()) {
+        this->request_due_copies(host);
+      }
       this->schedule_tick(host, tick_interval);
     });
   }
@@ -430,6 +469,7 @@
   std::vector<std::shared_ptr<simulated_host>> members;
   std::vector<timestamp> link_free_at;
   std::vector<std::size_t> queued_bytes;
+  std::vector<duration> apply_times;
   std::set<std::pair<std::size_t, std::size_t>> cuts;
   std::map<std::size_t, std::deque<timestamp>> request_times;
   state_version store = 0;
@@ -452,6 +492,9 @@
       {"half of the pairs are cut", 60, 100'000, 1, 0ms, 0, 0, 0.5},
       {"pairs are cut in the largest deployment", 340, 60'000, 1, 0ms, 0, 0, 0.3},
       {"hosts restart", 60, 100'000, 5, 1s, 0, 0, 0, 0.2},
+      {"hosts apply slowly", 60, 52'000, 1, 0ms, 0, 0, 0, 0, 150ms, 0.4},
+      {"hosts apply slowly, in the largest deployment", 340, 52'000, 1, 0ms, 0, 0, 0, 0, 150ms,
+       0.4},
       {"all faults, few hosts", 9, 100'000, 8, 1s, 0.05, 0.1, 0.1, 0.2},
       {"all faults", 60, 100'000, 8, 1s, 0.05, 0.1, 0.1, 0.2},
       {"all faults, the largest deployment", 340, 60'000, 4, 1s, 0.02, 0.05, 0.05, 0.05},
--- a/libs/front/test/copy_send_limiter_test.cc
+++ b/libs/front/test/copy_send_limiter_test.cc
@@ -52,6 +52,11 @@
       {"in flight", [](copy_send_limiter&) {}, 999ms, false},
       {"confirmed", [](copy_send_limiter& send_state) { send_state.taken(kind, host(0)); }, 1ms,
        true},
+      {"arrived", [](copy_send_limiter& send_state) { send_state.received(kind, host(0)); }, 1ms,
+       true},
+      {"a copy of another kind arrived",
+       [](copy_send_limiter& send_state) { send_state.received(copy_kind::hosts, host(0)); }, 1ms,
+       false},
       {"a copy of another kind confirmed",
        [](copy_send_limiter& send_state) { send_state.taken(copy_kind::hosts, host(0)); }, 1ms,
        false},
@@ -72,6 +77,15 @@
   }
 }
 
+TEST_CASE("a host is named only when it has applied its copy, not when that has arrived") {
+  copy_send_limiter send_state;
+  REQUIRE(send_state.try_begin(kind, host(0), 10, at(0ms)));
+  send_state.received(kind, host(0));
+  CHECK(send_state.holders(kind).empty());
+  send_state.taken(kind, host(0));
+  CHECK(send_state.holders(kind) == std::vector{host(0)});
+}
+
 TEST_CASE("only the last hosts that received the newest state are named") {
   copy_send_limiter send_state;
   const auto take = [&send_state](int number) {
--- a/libs/front/test/peer_traffic_test.cc
+++ b/libs/front/test/peer_traffic_test.cc
@@ -70,6 +70,7 @@
                       {gossip_method::relay, traffic_kind::relays},
                       {gossip_method::directory, traffic_kind::directory},
                       {gossip_method::copy, traffic_kind::copies},
+                      {gossip_method::copy_received, traffic_kind::copies},
                       {gossip_method::copy_taken, traffic_kind::copies}};
   for (const row& item : rows) {
     CHECK(kind_of(item.method) == item.kind);
