Order configurations by the revision of their own object

A reader takes a listing of the configuration for old news if no object in it has a higher revision than any before. Another writer's object counted too, so one odd entry with a revision that is too large hid all later configurations from the host that reads for all.

Found by reading the code for the report of an odd entry.

--- a/libs/discovery/include/hawthornlane/discovery/registration.h
+++ b/libs/discovery/include/hawthornlane/discovery/registration.h
@@ -35,6 +35,10 @@
   configuration config;
   std::string text;
 };
+/// Revision of the configuration's object in a listing; 0 if it is missing. Other objects of the
+/// listing, which any writer may add, do not count.
+store_revision configuration_revision_of(const platform_adapter::object_page& page);
+
 /// Decodes the configuration on a page. The result has at most one element. It has none if the
 /// page has no configuration or an unreadable one; the configuration in force then stays.
 std::vector<stored_configuration> configurations_of(const platform_adapter::object_page& page,
--- a/libs/discovery/src/registration.cc
+++ b/libs/discovery/src/registration.cc
@@ -118,6 +118,15 @@
                                               platform_adapter::backend_entry_from, faults));
 }
 
+store_revision configuration_revision_of(const object_page& page) {
+  for (const auto& item : page.items) {
+    if (item.object.name == platform_adapter::configuration_object_name) {
+      return item.object.revision;
+    }
+  }
+  return {};
+}
+
 std::vector<stored_configuration> configurations_of(const object_page& page,
                                                     object_faults& faults) {
   std::vector<stored_configuration> configurations;
--- a/libs/discovery/test/registration_test.cc
+++ b/libs/discovery/test/registration_test.cc
@@ -2,6 +2,8 @@
 #include "hawthornlane/discovery/registration.h"
 
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <limits>
 
 using namespace hawthornlane;
 using namespace hawthornlane::discovery;
@@ -79,6 +81,15 @@
   CHECK(faults.count() == 1);
 }
 
+TEST_CASE("another object's revision does not hide newer configurations") {
+  object_page page = page_of({item("main", "{}"), item("odd", "{}")});
+  page.items[1].object.revision = store_revision(std::numeric_limits<std::uint64_t>::max());
+  CHECK(configuration_revision_of(page) == store_revision(5));
+  page.items[0].object.revision = store_revision(6);
+  CHECK(configuration_revision_of(page) == store_revision(6));
+  CHECK(configuration_revision_of(page_of({item("odd", "{}")})) == store_revision());
+}
+
 TEST_CASE("an unreadable object is logged once, and again when its fault changes") {
   const auto kind = object_kind::backend_servers;
   const auto fault = [](std::uint64_t revision, const std::string& detail) {
--- a/libs/front/src/store_reader.cc
+++ b/libs/front/src/store_reader.cc
@@ -90,10 +90,7 @@
 }
 
 bool store_reader::apply_configuration(const object_page& page) {
-  store_revision newest;
-  for (const auto& item : page.items) {
-    newest = std::max(newest, item.object.revision);
-  }
+  const store_revision newest = discovery::configuration_revision_of(page);
   // Decoding 1 MB takes about 0.1 s on an eighth of a core, and it is read every 0.85 s.
   if (newest <= this->configuration_at && page.faults.empty()) {
     return false;
