Never conclude a stream's version from a host's own list of servers

Callers whose stream had begun at a server of a new version got the rest from a server of the old one (ORDER), after the host that they took it up at had stood still for two seconds while the new servers came.

Cause: a stream whose origin is not found went on at the only version that the host had known for five minutes, by a list that counts as recent by the age of the newest read that any host has made. A host that stood still handles waiting calls before, or with, the messages that would correct it.

Change: a stream goes on at its stored version or is refused. Each stream of a route that may be resumed has its origin stored, also while one version serves, so that streams outside the ledger can be taken up.

--- a/libs/discovery/include/hawthornlane/discovery/fleet_state.h
+++ b/libs/discovery/include/hawthornlane/discovery/fleet_state.h
@@ -52,8 +52,6 @@
   [[nodiscard]] const host_registry& hosts() const { return this->host_list; }
   /// Servers of a service that may get new calls, including those with a deferred removal.
   [[nodiscard]] std::vector<backend_entry> usable_backends(const service_name& service) const;
-  /// The software versions of all servers of a service, draining ones included.
-  [[nodiscard]] std::set<software_version> versions_of(const service_name& service) const;
   [[nodiscard]] std::set<service_name> services_with_backends() const;
 
   /// Sets the hook that runs after each change of the backend servers or the configuration.
--- a/libs/discovery/src/fleet_state.cc
+++ b/libs/discovery/src/fleet_state.cc
@@ -142,18 +142,6 @@
   return usable;
 }
 
-std::set<software_version> fleet_state::versions_of(const service_name& service) const {
-  std::set<software_version> versions;
-  for (const auto* entries : {&this->servers.listed(), &this->servers.pending_removals()}) {
-    for (const auto& [id, entry] : *entries) {
-      if (entry.service == service) {
-        versions.insert(entry.version);
-      }
-    }
-  }
-  return versions;
-}
-
 std::set<service_name> fleet_state::services_with_backends() const {
   std::set<service_name> services;
   for (const auto& [id, entry] : this->servers.listed()) {
--- a/libs/front/include/hawthornlane/front/call_placer.h
+++ b/libs/front/include/hawthornlane/front/call_placer.h
@@ -15,7 +15,6 @@
 #include "hawthornlane/front/place_exchange.h"
 #include "hawthornlane/net/async_signal.h"
 #include "hawthornlane/placement/server_pool.h"
-#include "hawthornlane/placement/version_history.h"
 
 namespace hawthornlane::front {
 
@@ -84,9 +83,6 @@
   [[nodiscard]] std::optional<software_version> only_listed_version(const service_name& service);
   /// Whether a server of this version may get new calls.
   [[nodiscard]] bool lists_version(const service_name& service, const software_version& version);
-  /// The only version that any known server of the service has had for that time.
-  [[nodiscard]] std::optional<software_version> only_version_for(const service_name& service,
-                                                                 duration time);
 
   /// Passes the current lists of servers to the pools.
   void refresh_servers();
@@ -102,7 +98,6 @@
   struct service_pool {
     explicit service_pool(server_pool from) : pool(std::move(from)) {}
     server_pool pool;
-    version_history versions;
     /// Calls at servers and waiting, smoothed.
     double demand = 0;
     /// Unhealthy servers, as last logged.
@@ -116,7 +111,6 @@
   };
 
   service_pool& pool_of(const service_name& name);
-  void record_versions(const service_name& name, service_pool& item);
   /// Asks the directory hosts for the loads and prompt locations that affect this placement.
   boost::asio::awaitable<void> query_directory(const server_pool& pool,
                                                const placement_request& request);
--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -45,8 +45,6 @@
   void begin_stop(const shutdown_policy& rules);
   /// Answers the calls that can no longer end in time. Call this regularly during a stop.
   void continue_stop();
-  /// Sets how to find the age of this host's list of backend servers.
-  void set_view_age(std::function<duration()> hook) { this->view_age = std::move(hook); }
 
 private:
   struct call;
@@ -78,10 +76,9 @@
   [[nodiscard]] static bool takes_up_stream(const call& one);
   /// Whether a call that the ledger need not count is admitted to it, so that its stream's origin
   /// is stored or found.
-  [[nodiscard]] bool needs_origin_record(const call& one);
+  [[nodiscard]] static bool needs_origin_record(const call& one);
   /// Finds the version at which a resumption has to go on.
   boost::asio::awaitable<bool> admit_resumption(call& one);
-  [[nodiscard]] std::optional<software_version> only_possible_version(const call& one);
   /// The version that the next server must have; nothing if the stream has not begun.
   [[nodiscard]] static std::optional<software_version> required_version(const call& one);
   /// Stores the origin of a stream that is about to begin at this server, if that is needed.
@@ -171,7 +168,6 @@
   std::set<call*> active;
   recent_call_times call_times;
   std::optional<planned_stop> stop;
-  std::function<duration()> view_age = [] { return duration::max(); };
 };
 
 }  // namespace hawthornlane::front
--- a/libs/front/src/call_placer.cc
+++ b/libs/front/src/call_placer.cc
@@ -59,16 +59,9 @@
       this->pools.try_emplace(name, server_pool(this->rules, this->own_host, this->zone))
           .first->second;
   item.pool.set_servers(this->fleet.usable_backends(name), discovery::scheduler_now());
-  this->record_versions(name, item);
   return item;
 }
 
-void call_placer::record_versions(const service_name& name, service_pool& item) {
-  if (this->fleet.backends().heard()) {
-    item.versions.record(this->fleet.versions_of(name), discovery::scheduler_now());
-  }
-}
-
 std::optional<software_version> call_placer::only_listed_version(const service_name& service) {
   const auto& versions = this->pool_of(service).pool.listed_versions();
   return versions.size() == 1 ? std::optional(versions.begin()->first) : std::nullopt;
@@ -78,11 +71,6 @@
   return this->pool_of(service).pool.listed_versions().contains(version);
 }
 
-std::optional<software_version> call_placer::only_version_for(const service_name& service,
-                                                              duration time) {
-  return this->pool_of(service).versions.only_since(discovery::scheduler_now() - time);
-}
-
 void call_placer::deliver(const std::vector<placement>& placed) {
   for (const placement& item : placed) {
     const auto found = this->waiters.find(item.id);
@@ -107,7 +95,6 @@
     }
   }
   for (auto& [name, item] : this->pools) {
-    this->record_versions(name, item);
     const std::vector<backend_entry> servers = this->fleet.usable_backends(name);
     this->deliver(item.pool.set_servers(servers, discovery::scheduler_now()));
   }
--- a/libs/front/src/call_resumption.cc
+++ b/libs/front/src/call_resumption.cc
@@ -17,14 +17,6 @@
 /// Longest time that a first event waits for its origin if nothing else has been stored for the
 /// stream. After it the stream goes on, but a resumption may find no origin and be refused.
 constexpr auto max_origin_wait = std::chrono::milliseconds(200);
-/// A host whose list of servers is older than this may not know all versions.
-constexpr duration max_view_age = std::chrono::milliseconds(2500);
-/// Added to the time that a stream may take: the delay until all hosts know a new server.
-constexpr duration view_delay = std::chrono::seconds(1);
-/// How far back a stream may have begun whose origin is not found. Its caller may take it up again
-/// and again, each time for the route's timeout.
-constexpr duration longest_stream_time = std::chrono::minutes(5);
-
 }  // namespace
 
 bool call_service::takes_up_stream(const call& one) {
@@ -36,14 +28,7 @@
   if (one.is_resumption) {
     return one.resumes.has_value();
   }
-  return one.origin && !this->placer.only_listed_version(one.service);
-}
-
-std::optional<software_version> call_service::only_possible_version(const call& one) {
-  if (this->view_age() > max_view_age) {
-    return std::nullopt;
-  }
-  return this->placer.only_version_for(one.service, longest_stream_time + view_delay);
+  return one.origin != nullptr;
 }
 
 std::optional<software_version> call_service::required_version(const call& one) {
@@ -58,7 +43,6 @@
   facts.found = one.origin_found;
   facts.origin = one.stored_origin;
   facts.service = one.service;
-  facts.only_version = this->only_possible_version(one);
   facts.keeps_turns = one.taken->keeps_turns;
   const resumption_decision decision = decide_resumption(facts);
   one.resumed_version = decision.version;
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -223,12 +223,6 @@
     return hooks;
   }
 
-  /// Time since the newest read of the store that this host knows of.
-  [[nodiscard]] duration view_age() const {
-    return this->read_schedule.heard() ? this->read_schedule.age(discovery::scheduler_now())
-                                       : duration::max();
-  }
-
   [[nodiscard]] bool claims_places(gossip_method method) const {
     const bool is_place_method = method == gossip_method::claim ||
                                  method == gossip_method::withdraw ||
@@ -273,7 +267,6 @@
     });
     this->backends.limit_buffered_bytes(this->settings.memory_mb * bytes_per_mb / response_share);
     this->ledger.set_traffic(this->traffic);
-    this->calls.set_view_age([this] { return this->view_age(); });
     this->ledger.set_relay(
         [this](const relayed_request& request, duration timeout, net::rpc_done done) {
           this->gossip.relay(request, timeout, std::move(done));
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/resumption.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/resumption.h
@@ -16,9 +16,6 @@
   std::optional<stream_origin> origin;
   /// The service that would get the call now.
   service_name service;
-  /// The only version at which a stream of this service can have begun; nothing if there may be
-  /// several, or if this host cannot know.
-  std::optional<software_version> only_version;
   /// The route stores turns. The caller has the first part of the turn, so its whole text would not
   /// be stored.
   bool keeps_turns = false;
@@ -47,8 +44,7 @@
     return is_same ? resumption_decision{resumption_kind::goes_on, facts.origin->version}
                    : resumption_decision{resumption_kind::service_changed, std::nullopt};
   }
-  return facts.only_version ? resumption_decision{resumption_kind::goes_on, facts.only_version}
-                            : resumption_decision{resumption_kind::version_unknown, std::nullopt};
+  return {resumption_kind::version_unknown, std::nullopt};
 }
 
 inline std::string_view name_of(resumption_kind kind) {
--- a/scenarios/deployment.cc
+++ b/scenarios/deployment.cc
@@ -160,10 +160,10 @@
     }
     std::size_t ran = this->environment.poll();
     for (auto& item : this->fronts) {
-      ran += item.context ? item.context->poll() : 0;
+      ran += item.poll();
     }
     for (auto& item : this->disks) {
-      ran += item.context ? item.context->poll() : 0;
+      ran += item.poll();
     }
     if (ran == 0) {
       // No event loop has work: yield to the kernel and to the disk hosts' threads.
@@ -317,6 +317,14 @@
   return this->fronts.at(static_cast<std::size_t>(front)).ended;
 }
 
+void deployment::freeze_front(int front, bool frozen) {
+  this->fronts[static_cast<std::size_t>(front)].frozen = frozen;
+}
+
+void deployment::freeze_disk(int disk, bool frozen) {
+  this->disks[static_cast<std::size_t>(disk)].frozen = frozen;
+}
+
 void deployment::kill_front(int front) {
   auto& item = this->fronts.at(static_cast<std::size_t>(front));
   item.host.reset();
--- a/scenarios/deployment.h
+++ b/scenarios/deployment.h
@@ -75,6 +75,9 @@
   [[nodiscard]] bool front_ended(int front) const;
   void kill_front(int front);
   void start_front(int front);
+  /// Stops or continues a host, like SIGSTOP and SIGCONT: what reaches it waits.
+  void freeze_front(int front, bool frozen);
+  void freeze_disk(int disk, bool frozen);
   void kill_disk(int disk);
   /// Restarts a disk host with its existing data folder or with an empty one.
   void start_disk(int disk, bool empty = false);
@@ -107,6 +110,9 @@
     std::unique_ptr<boost::asio::io_context> context;
     std::unique_ptr<Host> host;
     bool ended = false;
+    bool frozen = false;
+
+    std::size_t poll() { return this->context && !this->frozen ? this->context->poll() : 0; }
   };
 
   /// A free port, chosen at the first call and the same one afterwards.
--- a/scenarios/rejoined_streams_test.cc
+++ b/scenarios/rejoined_streams_test.cc
@@ -1,7 +1,12 @@
 // Streams that callers take up after all front hosts were killed at once in a release.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
+#include <string>
+#include <vector>
 
 #include "two_version_deployment.h"
 
@@ -129,3 +134,46 @@
   all.run_for(route_timeout + 2000ms);
   CHECK(versions_of_take_ups(all, origin, "late-", item.how).empty());
 }
+
+// Takes five minutes: the host then takes a version for the only one if it has known it that long.
+TEST_CASE("a host that stood still does not join a stream of a version that it has not heard of",
+          "[.][long]") {
+  constexpr int streams = 16;
+  two_version_deployment all(3, "v1");
+  all.run_for(303s);
+  all.freeze_front(0, true);
+  for (std::size_t old = all.engines.size(); old > 0; --old) {
+    all.list_backend(*all.engines[old - 1], "models", true);
+    stand_ins::scripted_backend& added = all.add_backend("models");
+    added.set_version("v2");
+    added.set_events(events_of_stream, 30ms);
+    all.list_backend(added, "models");
+  }
+  all.run_for(servers_known);
+  std::vector<std::string> origins;
+  for (int number = 0; number < streams; ++number) {
+    const auto [origin, received] =
+        all.begin("new-" + std::to_string(number), 1 + number % 2, stream_without_budget);
+    REQUIRE(versions_in(received) == std::set<std::string>{"v2"});
+    origins.push_back(origin);
+  }
+  const bool disks_stand_still = GENERATE(true, false);
+  all.freeze_disk(0, disks_stand_still);
+  all.freeze_disk(1, disks_stand_still);
+  std::vector<std::shared_ptr<std::optional<call_result>>> take_ups;
+  for (const std::string& origin : origins) {
+    call_request call = stream_without_budget(origin + "-rest");
+    call.headers.push_back({"Last-Event-Id", "1"});
+    take_ups.push_back(all.begin_call(0, call));
+  }
+  all.freeze_front(0, false);
+  REQUIRE(all.run_until([&take_ups] {
+    return std::all_of(take_ups.begin(), take_ups.end(),
+                       [](const auto& one) { return one->has_value(); });
+  }));
+  for (std::size_t number = 0; number < take_ups.size(); ++number) {
+    INFO(origins[number] << ": " << (*take_ups[number])->status);
+    CHECK_FALSE(versions_in((*take_ups[number])->body).contains("v1"));
+    CHECK(((*take_ups[number])->status == 200 || runs_of(all, origins[number] + "-rest") == 0));
+  }
+}
