--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -139,6 +139,8 @@
   /// Removes empty events, and all events from the first one on whose id does not increase; false
   /// if there is one.
   static bool keep_new_events(const call& one, std::vector<relay::stream_event>& events);
+  /// Counts a stream that goes on, after a break, with another id than the next one.
+  void note_id_gap(call& one, const relay::stream_event& first);
   boost::asio::awaitable<bool> stream_bytes(call& one, std::string_view bytes);
   /// Limit of the events of the call's stream.
   [[nodiscard]] static std::int64_t max_events(const call& one);
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -122,6 +122,9 @@
       outcome != attempt_outcome::not_sent && outcome != attempt_outcome::not_run;
   one.possible_runs += may_have_run ? 1 : 0;
   this->metrics.count(fmt::format("tries_{}", name_of(outcome)));
+  if (one.answer.ends_with_connection) {
+    this->metrics.count("responses_ended_by_connection");
+  }
   co_return outcome;
 }
 
@@ -184,6 +187,9 @@
     co_return false;
   }
   one.status = head.status;
+  if (one.caller.ends_with_connection()) {
+    this->metrics.count("streams_without_chunks");
+  }
   const std::vector<http::header> headers = relay::end_to_end_headers(head.headers);
   co_return co_await one.caller.start(head.status, headers);
 }
@@ -201,6 +207,15 @@
   return are_all_new;
 }
 
+void call_service::note_id_gap(call& one, const relay::stream_event& first) {
+  const auto before = one.last_event ? one.last_event : one.terms.last_event;
+  if (!before || !first.id || *first.id == *before + 1) {
+    return;
+  }
+  ++one.id_gaps;
+  this->metrics.count("resumption_id_gaps");
+}
+
 asio::awaitable<bool> call_service::stream_bytes(call& one, std::string_view bytes) {
   std::string out;
   std::vector<relay::stream_event> events = one.splitter.add(bytes);
@@ -224,6 +239,7 @@
     out += item.bytes;
     if (one.events == one.events_before) {
       this->placer.started(one.service, one.attempt_id);
+      this->note_id_gap(one, item);
     }
     if (one.events == 0) {
       one.origin_server = one.server;
--- a/libs/front/src/call_state.h
+++ b/libs/front/src/call_state.h
@@ -126,6 +126,8 @@
   /// Of the current attempt: its placement id, and the number of events relayed before it.
   placement_id attempt_id;
   std::int64_t events_before = 0;
+  /// Number of resumptions after which the first event's id was not the next one.
+  int id_gaps = 0;
   std::string output;
   net::steady_time first_event_at;
   // For the log line.
--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -42,6 +42,8 @@
   response_terms terms;
   /// The connection ended before the response did.
   bool is_cut_off = false;
+  /// The response has neither a length nor chunks: only the end of its connection marks its end.
+  bool ends_with_connection = false;
   /// What the body takes of the memory for responses.
   net::byte_share memory;
 };
--- a/libs/relay/include/hawthornlane/relay/caller_connection.h
+++ b/libs/relay/include/hawthornlane/relay/caller_connection.h
@@ -49,6 +49,8 @@
   /// Resets the connection, so that an incomplete response cannot look complete.
   void abort_connection();
 
+  /// Whether the end of the connection marks the end of a response that is sent in pieces.
+  [[nodiscard]] bool ends_with_connection() const { return !this->may_use_chunked_encoding; }
   /// Announces in the following responses that the connection will be closed.
   void close_after_response() { this->keep_alive = false; }
   /// Whether the connection may carry another request.
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -340,6 +340,7 @@
       continue;
     }
     from.copy_head(answer);
+    answer.ends_with_connection = from.parser.need_eof();
     answer.terms = this->codec.decode_response(answer.status, answer.headers);
     const bool is_mismatched = answer.terms.id && *answer.terms.id != request.id;
     const stream_sink none;
