--- a/scenarios/test_caller.cc
+++ b/scenarios/test_caller.cc
@@ -27,8 +27,9 @@
   "service":"apps","max-attempts":2,"priority":2},
  {"name":"once","host":"a.example","path-prefix":"/once/","kind":"unsafe","timeout-ms":700,
   "service":"apps","max-attempts":1,"priority":2}],
- "services":[{"name":"models","max-conns":100,"engine":{"slots":4,"kv-capacity":100000,
-  "tokens-per-event":10,"pin-ms":4000}},{"name":"apps","max-conns":100}],
+ "services":[{"name":"models","max-conns":100,"health-path":"/healthz",
+   "engine":{"slots":4,"kv-capacity":100000,"tokens-per-event":10,"pin-ms":4000}},
+  {"name":"apps","max-conns":100,"health-path":"/healthz"}],
  "limits":{"max-header-bytes":4096,"max-body-bytes":10000,"header-timeout-ms":400,
   "idle-timeout-ms":5000}})";
 
