Take the end of a connection for the end of a response only if the server's process goes on

What callers saw: a stream of one event of three, answered 200 and whole; a stored turn that lacks events, and half of a body, likewise. Cause: a response without a length or chunks ends with its connection, and the kernel closes the connections of a process that is killed as the process itself would. read_body took each such end for the end of the response, and what it passed on had a last chunk or a length. Fix: the server's process is shown to go on before the response counts as whole. From the head of such a response on the pool holds a second connection to the server (an idle one, or a new one); after the end a liveness check is sent on it (GET /report of an engine, else the health path), and any response but 421 shows that the process has outlived the end. A connection that was open before has ended with the process, also if another one has its address by then. Ruled out: asking only whether the port listens (another process may have it within 50 ms); resuming every such stream at another server (max-attempts is 1 on most routes, and turns cannot be resumed).

--- a/libs/fleet/include/hawthornlane/fleet/configuration.h
+++ b/libs/fleet/include/hawthornlane/fleet/configuration.h
@@ -86,6 +86,8 @@
   service_name name;
   /// Connections that one backend server accepts from all hosts together.
   std::uint32_t max_connections = 0;
+  /// Path at which a server answers a liveness check; empty: none.
+  std::string health_path;
   /// Set if the servers are model engines.
   std::optional<engine_properties> engine;
 
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -109,6 +109,10 @@
   request.id = one.terms.id;
   request.until = one.until + timeout_slack;
   request.repeatable = one.taken->kind == call_kind::idempotent;
+  request.liveness_check = [this, &one, &server]() -> std::optional<http::request> {
+    const service* pool = one.table->find_service(one.service);
+    return pool != nullptr ? this->codec.liveness_check(*pool, server.id) : std::nullopt;
+  };
   relay::stream_sink sink;
   sink.on_head = [this, &one](const relay::backend_response& head) {
     return this->stream_head(one, head);
--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,8 @@
   bool is_cut_off = false;
   /// The response has neither a length nor chunks: only the end of its connection marks its end.
   bool ends_with_connection = false;
+  /// The head of the response to this call has arrived.
+  bool has_begun = false;
   /// What the body takes of the memory for responses.
   net::byte_share memory;
 };
@@ -69,6 +72,10 @@
   /// True if running the call twice does no harm. Otherwise only recently used pooled
   /// connections are taken, since a call on one that the server has just closed is lost.
   bool repeatable = false;
+  /// Makes the request by which the server shows that its process goes on; nothing if there is
+  /// none. It is sent after a response that ends with its connection, which is whole only if the
+  /// server answers.
+  std::function<std::optional<http::request>()> liveness_check;
 };
 
 /// Cancels an attempt that is in progress.
@@ -99,6 +106,9 @@
   std::uint64_t mismatched_responses = 0;
   /// Refusals without a request id, possibly meant for an earlier call on the same connection.
   std::uint64_t unidentified_refusals = 0;
+  /// Responses that ended with their connection, by whether the server then showed that it goes on.
+  std::uint64_t ends_confirmed = 0;
+  std::uint64_t ends_unconfirmed = 0;
 };
 
 /// Keeps idle connections to each server. Not thread-safe.
@@ -132,20 +142,35 @@
 
 private:
   struct server_connection;
+  struct end_witness;
   using connection_ptr = std::unique_ptr<server_connection>;
 
   connection_ptr take_idle(const backend_request& request);
   boost::asio::awaitable<connection_ptr> acquire(const backend_request& request,
                                                  attempt_handle& handle, std::string& detail);
+  /// Sends the call over this connection.
+  boost::asio::awaitable<attempt_outcome> run_on(connection_ptr connection,
+                                                 const backend_request& request,
+                                                 const stream_sink& sink, attempt_handle& handle,
+                                                 backend_response& answer, std::string& detail);
+  /// Takes or opens a second connection to the request's server; null if the server cannot be
+  /// checked.
+  std::shared_ptr<end_witness> open_witness(const backend_request& request);
+  static boost::asio::awaitable<void> connect_witness(std::shared_ptr<end_witness> witness);
+  /// Whether the server, and not the end of its process, has ended the response: it answers on a
+  /// connection that was opened before.
+  boost::asio::awaitable<bool> has_ended_response(std::shared_ptr<end_witness> witness,
+                                                  net::steady_time until, attempt_handle& handle);
   void put_idle(const backend_request& request, connection_ptr connection);
   boost::asio::awaitable<attempt_outcome> exchange(server_connection& connection,
                                                    const backend_request& request,
-                                                   const stream_sink& sink,
+                                                   const stream_sink& sink, attempt_handle& handle,
                                                    backend_response& answer, std::string& detail);
   boost::asio::awaitable<attempt_outcome> read_body(server_connection& connection,
                                                     const backend_request& request,
                                                     const stream_sink& sink,
                                                     struct backend_response_parser& from,
+                                                    attempt_handle& handle,
                                                     backend_response& answer, std::string& detail);
   /// Derives from a complete response whether the call ran.
   attempt_outcome outcome_of(const server_connection& connection, const backend_response& answer,
--- a/libs/relay/include/hawthornlane/relay/call_terms.h
+++ b/libs/relay/include/hawthornlane/relay/call_terms.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "hawthornlane/errors/error_kind.h"
+#include "hawthornlane/fleet/configuration.h"
 #include "hawthornlane/http/message.h"
 #include "hawthornlane/units/ids.h"
 #include "hawthornlane/units/quantities.h"
@@ -84,6 +85,10 @@
   std::function<std::vector<http::header>(const http::request&, const dispatch_terms&)>
       dispatch_headers;
   std::function<response_terms(int status, const std::vector<http::header>&)> decode_response;
+  /// A request that runs no call and that only this server's process answers; nothing if servers of
+  /// the service have no such request.
+  std::function<std::optional<http::request>(const service&, const backend_server_id&)>
+      liveness_check;
 };
 
 }  // namespace hawthornlane::relay
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -14,6 +14,7 @@
 #include <charconv>
 
 #include "hawthornlane/relay/framing.h"
+#include "server_connection.h"
 
 namespace hawthornlane::relay {
 namespace asio = boost::asio;
@@ -94,23 +95,6 @@
 
 }  // namespace
 
-/// One connection to a backend server.
-struct backend_pool::server_connection {
-  server_connection(asio::io_context& context, net::deadline_sweeper& sweeper)
-      : socket(context, sweeper) {}
-
-  net::timed_socket socket;
-  std::string buffer;
-  net::steady_time idle_since;
-  net::steady_time usable_until;
-  incarnation server_start;
-  bool reused = false;
-  /// True once the whole request is sent. If the response ends earlier, the connection is not
-  /// reused.
-  bool sent = false;
-  bool reusable = false;
-};
-
 /// Parses one response from a connection's bytes.
 struct backend_response_parser {
   bhttp::response_parser<bhttp::string_body> parser;
@@ -284,9 +268,16 @@
   if (!connection) {
     co_return attempt_outcome::not_sent;
   }
+  co_return co_await this->run_on(std::move(connection), request, sink, handle, answer, detail);
+}
+
+asio::awaitable<attempt_outcome> backend_pool::run_on(
+    connection_ptr connection, const backend_request& request, const stream_sink& sink,
+    attempt_handle& handle, backend_response& answer, std::string& detail) {
   // A server may respond before it has read a long body, so the response is read while the
   // request is still being written.
   server_connection& current = *connection;
+  handle.socket = &current.socket;
   current.sent = false;
   current.reusable = false;
   const auto alive = std::make_shared<connection_ptr>(std::move(connection));
@@ -299,7 +290,7 @@
         (*held)->sent = !error;
       }(alive, bytes, request.until),
       asio::detached);
-  attempt_outcome outcome = co_await this->exchange(current, request, sink, answer, detail);
+  attempt_outcome outcome = co_await this->exchange(current, request, sink, handle, answer, detail);
   handle.socket = nullptr;
   if (handle.abandoned) {
     outcome = attempt_outcome::abandoned;
@@ -313,11 +304,9 @@
   co_return outcome;
 }
 
-asio::awaitable<attempt_outcome> backend_pool::exchange(server_connection& connection,
-                                                        const backend_request& request,
-                                                        const stream_sink& sink,
-                                                        backend_response& answer,
-                                                        std::string& detail) {
+asio::awaitable<attempt_outcome> backend_pool::exchange(
+    server_connection& connection, const backend_request& request, const stream_sink& sink,
+    attempt_handle& handle, backend_response& answer, std::string& detail) {
   for (int skipped = 0; skipped <= max_mismatched_responses; ++skipped) {
     backend_response_parser from(request.method == "HEAD");
     error_code error = from.feed(connection.buffer);
@@ -343,9 +332,10 @@
     answer.ends_with_connection = from.parser.need_eof();
     answer.terms = this->codec.decode_response(answer.status, answer.headers);
     const bool is_mismatched = answer.terms.id && *answer.terms.id != request.id;
+    answer.has_begun = !is_mismatched;
     const stream_sink none;
     const attempt_outcome outcome = co_await this->read_body(
-        connection, request, is_mismatched ? none : sink, from, answer, detail);
+        connection, request, is_mismatched ? none : sink, from, handle, answer, detail);
     if (!is_mismatched) {
       co_return outcome;
     }
@@ -360,7 +350,12 @@
 
 asio::awaitable<attempt_outcome> backend_pool::read_body(
     server_connection& connection, const backend_request& request, const stream_sink& sink,
-    backend_response_parser& from, backend_response& answer, std::string& detail) {
+    backend_response_parser& from, attempt_handle& handle, backend_response& answer,
+    std::string& detail) {
+  std::shared_ptr<end_witness> witness;
+  if (answer.ends_with_connection && !answer.terms.not_run) {
+    witness = this->open_witness(request);
+  }
   const bool is_stream =
       sink.on_head && answer.status < first_failure_status &&
       from.parser.get()[bhttp::field::content_type].starts_with("text/event-stream");
@@ -401,6 +396,15 @@
                                                 : attempt_outcome::broken;
     }
   }
+  if (answer.ends_with_connection && !answer.terms.not_run) {
+    const bool is_whole = co_await this->has_ended_response(witness, request.until, handle);
+    ++(is_whole ? this->counts.ends_confirmed : this->counts.ends_unconfirmed);
+    if (!is_whole) {
+      detail = "body: the connection ended, and the server has not shown that it goes on";
+      answer.is_cut_off = true;
+      co_return attempt_outcome::broken;
+    }
+  }
   answer.body = std::move(whole);
   answer.memory = std::move(share);
   const auto idle_time = keep_alive_time(answer.headers);
--- /dev/null
+++ b/libs/relay/src/server_connection.h
@@ -0,0 +1,39 @@
+// One connection to a backend server, as its pool keeps it.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+
+#include "hawthornlane/relay/backend_pool.h"
+
+namespace hawthornlane::relay {
+
+struct backend_pool::server_connection {
+  server_connection(boost::asio::io_context& context, net::deadline_sweeper& sweeper)
+      : socket(context, sweeper) {}
+
+  net::timed_socket socket;
+  std::string buffer;
+  net::steady_time idle_since;
+  net::steady_time usable_until;
+  incarnation server_start;
+  bool reused = false;
+  /// True once the whole request is sent. If the response ends earlier, the connection is not
+  /// reused.
+  bool sent = false;
+  bool reusable = false;
+};
+
+/// A second connection to the server of a response that ends with its own connection.
+struct backend_pool::end_witness {
+  explicit end_witness(boost::asio::io_context& context) : opened(context) {}
+
+  backend_request check;
+  /// Null if it could not be opened.
+  connection_ptr connection;
+  bool is_opening = false;
+  /// Cancelled once `is_opening` is false.
+  boost::asio::steady_timer opened;
+};
+
+}  // namespace hawthornlane::relay
