Reset a response without chunks whose host ends before it does

What callers saw: a caller of HTTP/1.0 gets a stream without chunks. When the front host was killed in the middle of it, the caller read the first events and an ordinary end of the connection, which is how a whole response ends for it.

Cause: the kernel closes the connections of a process that ends in order, and nothing of the host runs at that moment. The same end came from a socket that its event loop destroys, since Asio's destructor takes SO_LINGER back.

Fix: from the head of such a response on, the socket has SO_LINGER with zero seconds, so that every end is a reset, also the kernel's. `finish` takes it back once the response is whole, so what is still in the kernel's buffers arrives. `timed_socket` closes explicitly in its destructor. Responses with a length, which are all that `respond` and `refuse` write, and responses in chunks have their own end mark and are as before.

--- a/libs/net/include/hawthornlane/net/timed_socket.h
+++ b/libs/net/include/hawthornlane/net/timed_socket.h
@@ -53,6 +53,10 @@
   /// Cancels pending operations and closes. `hard` sends a reset instead of an orderly
   /// shutdown.
   void close(bool hard = false);
+  /// While on, every end of the connection is a reset, also the one by the kernel when the process
+  /// ends, so that the end cannot be taken for the end of a message. Bytes that have not left the
+  /// host by then are lost.
+  void set_reset_at_end(bool on);
   [[nodiscard]] bool is_open() const { return this->socket.is_open(); }
   /// Shuts down the sending side; the peer may still send.
   void shutdown_send();
--- a/libs/net/src/timed_socket.cc
+++ b/libs/net/src/timed_socket.cc
@@ -51,6 +51,8 @@
   this->stop_watching();
   this->alarms->erase(&this->read_alarm);
   this->alarms->erase(&this->write_alarm);
+  // Asio's destructor would turn `set_reset_at_end` off.
+  this->close();
 }
 
 void timed_socket::set_options() {
@@ -178,11 +180,16 @@
 void timed_socket::close(bool hard) {
   error_code ignored;
   if (hard) {
-    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->set_reset_at_end(true);
   }
   this->socket.close(ignored);
 }
 
+void timed_socket::set_reset_at_end(bool on) {
+  error_code ignored;
+  this->socket.set_option(asio::socket_base::linger(on, 0), ignored);
+}
+
 void timed_socket::shutdown_send() {
   error_code ignored;
   this->socket.shutdown(tcp::socket::shutdown_send, ignored);
--- a/libs/relay/src/caller_connection.cc
+++ b/libs/relay/src/caller_connection.cc
@@ -232,6 +232,9 @@
                                                const std::vector<http::header>& headers) {
   this->has_started = true;
   this->keep_alive = this->keep_alive && this->may_use_chunked_encoding;
+  if (this->ends_with_connection()) {
+    this->socket.set_reset_at_end(true);
+  }
   std::string bytes = this->head_bytes(status, headers);
   bytes += this->may_use_chunked_encoding ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
   co_return co_await this->send(bytes);
@@ -249,7 +252,10 @@
 }
 
 asio::awaitable<bool> caller_connection::finish() {
-  if (!this->may_use_chunked_encoding) {
+  if (this->ends_with_connection()) {
+    if (!this->is_gone) {
+      this->socket.set_reset_at_end(false);
+    }
     co_return !this->is_gone;
   }
   co_return co_await this->send("0\r\n\r\n");
--- a/scenarios/response_end_test.cc
+++ b/scenarios/response_end_test.cc
@@ -120,3 +120,52 @@
   CHECK((*result)->body.find("piece 1") != std::string::npos);
   CHECK_FALSE((*result)->whole);
 }
+
+TEST_CASE("a stream without chunks that breaks at its server does not look whole") {
+  deployment all;
+  REQUIRE(is_up(all));
+  all.engine_behaviors->set({stand_ins::backend_behavior::truncate});
+  call_request call = turn("/kept/x", "t1", "p");
+  call.http_version = "1.0";
+  const call_result result = all.call(0, call);
+  CHECK(result.status == 200);
+  CHECK(result.body.find("piece 2") != std::string::npos);
+  CHECK_FALSE(result.whole);
+}
+
+TEST_CASE("a planned stop ends a stream without chunks in a way that shows whether it is whole") {
+  struct row {
+    const char* what;
+    int events;
+    bool ends_in_time;
+  };
+  const row rows[] = {
+      {"ends before the host", 5, true},
+      {"goes on for longer than the host", 30, false},
+  };
+  for (const row& item : rows) {
+    INFO(item.what);
+    deployment all;
+    REQUIRE(is_up(all));
+    for (const auto& server : all.engines) {
+      server->set_events(item.events, 250ms);
+    }
+    all.configure(2, R"("/resumed/","kind":"stream","timeout-ms":3000)",
+                  R"("/resumed/","kind":"stream","timeout-ms":20000)");
+    all.run_for(1500ms);
+    call_request call = turn("/resumed/x", "t1", "p");
+    call.http_version = "1.0";
+    call.headers.back().value = "100,1000";
+    const auto result = all.begin_call(0, call);
+    REQUIRE(all.run_until([&all] { return runs_of(all, "t1") == 1; }));
+    all.run_for(300ms);
+    all.stop_front(0);
+    CHECK(all.run_until([&all] { return all.front_ended(0); }));
+    all.kill_front(0);
+    REQUIRE(all.run_until([&result] { return result->has_value(); }));
+    const std::string last = "piece " + std::to_string(item.events) + " of";
+    CHECK((*result)->body.find("piece 2") != std::string::npos);
+    CHECK((*result)->whole == item.ends_in_time);
+    CHECK(((*result)->body.find(last) != std::string::npos) == item.ends_in_time);
+  }
+}
