End a stream as broken once the run that brought a part of it proves invalid

What callers saw: a server in trouble sends an event that is valid by itself and then what no run sends: the same id again, an event over 256 KB, more events than the tokens allow, or bytes that are no chunk.

Cause: an attempt that broke off and one that proved invalid were the same outcome; only the former's events are good.

Fix: `is_run_invalid` marks such an attempt (`backend_response::is_malformed` for bytes that the parser rejects; a connection that is cut off or times out is none). Events that arrive in one piece with the first invalid one are no longer relayed, so that another server can still go on.

Not covered: a caller that leaves by itself between the valid event and the invalid bytes.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -90,6 +90,15 @@
   static void log_placed_resumption(const call& one, const backend_entry& server);
   void log_refused_resumption(const call& one, const std::string& detail);
 
+  // Runs that prove invalid (call_invalid_run.cc).
+  /// Rejects the events of the current attempt; returns false.
+  static bool reject_run(call& one, std::string reason);
+  /// Notes whether the attempt that has ended has spoilt the caller's stream.
+  void note_spoilt_stream(call& one);
+  /// Makes the ledger refuse every resumption of the caller's stream. Returns once a majority of
+  /// disk hosts has stored that, or at the call's deadline.
+  boost::asio::awaitable<void> withdraw_origin(call& one);
+
   // Placement.
   /// Runs one attempt at one server; returns true if the call should be tried at another one.
   boost::asio::awaitable<bool> run_attempt(call& one);
@@ -136,8 +145,7 @@
   /// The outcome after checking the answer's signature and the end of the stream.
   static relay::attempt_outcome checked(call& one, relay::attempt_outcome outcome);
   boost::asio::awaitable<bool> stream_head(call& one, const relay::backend_response& head);
-  /// Removes empty events, and all events from the first one on whose id does not increase; false
-  /// if there is one.
+  /// Removes empty events; returns false if the id of an event does not increase.
   static bool keep_new_events(const call& one, std::vector<relay::stream_event>& events);
   /// Counts a stream that goes on, after a break, with another id than the next one.
   void note_id_gap(call& one, const relay::stream_event& first);
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -95,6 +95,7 @@
   this->store_origin(one, server);
   one.sent_at = steady::now();
   one.events_before = one.events;
+  one.is_run_invalid = false;
   one.splitter = {};
   one.handle = {};
   const relay::dispatch_terms terms = terms_for(one, server);
@@ -118,6 +119,7 @@
   const attempt_outcome ended =
       co_await this->backends.run(request, sink, one.handle, one.answer, one.detail);
   const attempt_outcome outcome = checked(one, ended);
+  this->note_spoilt_stream(one);
   const bool may_have_run =
       outcome != attempt_outcome::not_sent && outcome != attempt_outcome::not_run;
   one.possible_runs += may_have_run ? 1 : 0;
@@ -151,7 +153,8 @@
 
 bool call_service::may_try_again(const call& one, attempt_outcome outcome) const {
   const bool time_left = steady::now() + min_service_time < one.until;
-  if (!time_left || one.tries >= max_tries || one.caller.gone() || one.ended_by_stop) {
+  if (!time_left || one.is_spoilt || one.tries >= max_tries || one.caller.gone() ||
+      one.ended_by_stop) {
     return false;
   }
   if (outcome == attempt_outcome::not_sent || outcome == attempt_outcome::not_run) {
@@ -197,14 +200,11 @@
 bool call_service::keep_new_events(const call& one, std::vector<relay::stream_event>& events) {
   std::erase_if(events, [](const auto& item) { return !item.id && item.data.empty(); });
   std::uint64_t last = one.last_event.value_or(one.terms.last_event.value_or(0));
-  const auto repeated = std::find_if(events.begin(), events.end(), [&last](const auto& item) {
+  return std::none_of(events.begin(), events.end(), [&last](const auto& item) {
     const bool is_repeated = item.id && *item.id <= last;
     last = item.id.value_or(last);
     return is_repeated;
   });
-  const bool are_all_new = repeated == events.end();
-  events.erase(repeated, events.end());
-  return are_all_new;
 }
 
 void call_service::note_id_gap(call& one, const relay::stream_event& first) {
@@ -220,14 +220,14 @@
   std::string out;
   std::vector<relay::stream_event> events = one.splitter.add(bytes);
   if (one.splitter.pending_bytes() > max_event_bytes) {
-    one.detail = "an event of the stream is too large";
-    co_return false;
+    co_return reject_run(one, "an event of the stream is too large");
+  }
+  if (!keep_new_events(one, events)) {
+    co_return reject_run(one, "an event of the stream is repeated");
   }
-  const bool are_all_new = keep_new_events(one, events);
   const auto count = static_cast<std::int64_t>(events.size());
   if (one.events + count > max_events(one)) {
-    one.detail = "the stream has more events than the tokens that it may generate";
-    co_return false;
+    co_return reject_run(one, "the stream has more events than the tokens that it may generate");
   }
   if (one.events == one.events_before && !events.empty()) {
     const bool may_leave = co_await this->may_first_event_leave(one);
@@ -253,11 +253,7 @@
       one.output += '\n';
     }
   }
-  const bool is_written = co_await one.caller.write(out);
-  if (!are_all_new) {
-    one.detail = "an event of the stream is repeated";
-  }
-  co_return (is_written && are_all_new);
+  co_return co_await one.caller.write(out);
 }
 
 }  // namespace hawthornlane::front
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -160,6 +160,9 @@
   const attempt_outcome outcome = co_await this->try_server(one, *acquired.server);
   this->report_outcome(one, acquired, outcome);
   one.outcome = name_of(outcome);
+  if (one.is_spoilt) {
+    co_await this->withdraw_origin(one);
+  }
   if (outcome == attempt_outcome::whole || outcome == attempt_outcome::timed_out) {
     const duration took = std::chrono::duration_cast<duration>(steady::now() - one.sent_at);
     this->call_times.record(one.taken->name, took, discovery::scheduler_now());
--- a/libs/front/src/call_state.h
+++ b/libs/front/src/call_state.h
@@ -126,6 +126,10 @@
   /// Of the current attempt: its placement id, and the number of events relayed before it.
   placement_id attempt_id;
   std::int64_t events_before = 0;
+  /// The current attempt's server has sent what no valid run sends.
+  bool is_run_invalid = false;
+  /// The caller has an event of an invalid run: no other run may go on after it.
+  bool is_spoilt = false;
   /// Number of resumptions after which the first event's id was not the next one.
   int id_gaps = 0;
   std::string output;
--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -42,6 +42,8 @@
   response_terms terms;
   /// The connection ended before the response did.
   bool is_cut_off = false;
+  /// Bytes came in the body that are no part of an HTTP response, or exceed its limits.
+  bool is_malformed = false;
   /// The response has neither a length nor chunks: only the end of its connection marks its end.
   bool ends_with_connection = false;
   /// What the body takes of the memory for responses.
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -394,6 +394,7 @@
     answer.is_cut_off = error && error != asio::error::timed_out;
     if (!error) {
       error = from.feed(connection.buffer);
+      answer.is_malformed = error.failed();
     }
     if (error) {
       detail = "body: " + error.message();
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/ledger_records.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -66,7 +67,11 @@
   /// For the log: the server that the attempt was sent to; empty if it was written before.
   backend_server_id server;
 
+  /// Number of the write that no other one replaces.
+  static constexpr std::uint32_t last_write = std::numeric_limits<std::uint32_t>::max();
+
   [[nodiscard]] bool is_known() const { return !this->version.get().empty(); }
+  [[nodiscard]] bool is_withdrawn() const { return this->write == last_write; }
   friend bool operator==(const stream_origin&, const stream_origin&) = default;
   template <class Archive>
   void serialize(Archive& archive) {
@@ -74,6 +79,12 @@
   }
 };
 
+/// Replaces the origin of a stream that must not go on: a part of it that its caller has is
+/// invalid.
+inline stream_origin withdrawn_origin() {
+  return {service_name(), software_version(), stream_origin::last_write, backend_server_id()};
+}
+
 /// Merges two states of an attempt's origin; the order does not matter.
 inline stream_origin newest_of(const std::optional<stream_origin>& known,
                                const stream_origin& other) {
--- a/libs/turn_ledger/include/hawthornlane/turn_ledger/resumption.h
+++ b/libs/turn_ledger/include/hawthornlane/turn_ledger/resumption.h
@@ -27,6 +27,8 @@
   /// The route leads to another service than the one that began the stream.
   service_changed,
   turn_not_whole,
+  /// The run that brought a part of the stream has proved invalid.
+  withdrawn,
 };
 
 struct resumption_decision {
@@ -39,6 +41,9 @@
   if (facts.keeps_turns) {
     return {resumption_kind::turn_not_whole, std::nullopt};
   }
+  if (facts.origin && facts.origin->is_withdrawn()) {
+    return {resumption_kind::withdrawn, std::nullopt};
+  }
   if (facts.found == origin_outcome::found && facts.origin) {
     const bool is_same = facts.origin->service == facts.service;
     return is_same ? resumption_decision{resumption_kind::goes_on, facts.origin->version}
@@ -57,6 +62,8 @@
       return "the route leads to another service than the one that began the stream";
     case resumption_kind::turn_not_whole:
       return "the route stores whole turns only";
+    case resumption_kind::withdrawn:
+      return "a server that brought a part of the stream has proved invalid";
   }
   return "";
 }
--- a/libs/turn_ledger/test/stream_origin_search_test.cc
+++ b/libs/turn_ledger/test/stream_origin_search_test.cc
@@ -389,6 +389,7 @@
       {"nothing stored", absent, std::nullopt, false, version_unknown, std::nullopt},
       {"no majority", undecided, std::nullopt, false, version_unknown, std::nullopt},
       {"contradictory writes", absent, origin("", ""), false, version_unknown, std::nullopt},
+      {"a withdrawn origin", absent, withdrawn_origin(), false, withdrawn, std::nullopt},
       {"a turn whose first part is not here", found, origin("models", "v1"), true, turn_not_whole,
        std::nullopt},
   };
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -52,6 +52,14 @@
   fail_504,
   /// Runs it, but first sends a refusal that states "not run" and carries no request id.
   refuse_then_respond,
+  /// Runs it; after the first event that it sends of a stream, it sends that event again, the begin
+  /// of an event of 300 KB, 1,100 events at once, or bytes that are no chunk.
+  repeat_event,
+  send_oversized_event,
+  send_too_many_events,
+  send_no_chunk,
+  /// The same as `repeat_event`, with both events in one piece.
+  send_event_twice,
 };
 
 /// The behaviors of a group of servers: one for each request, in the order in which requests reach
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -16,6 +16,7 @@
 #include "hawthornlane/http/listening.h"
 #include "hawthornlane/net/timed_socket.h"
 #include "hawthornlane/relay/caller_connection.h"
+#include "invalid_streams.h"
 
 namespace hawthornlane::stand_ins {
 namespace asio = boost::asio;
@@ -31,6 +32,8 @@
 }
 
 constexpr auto long_delay = std::chrono::seconds(60);
+/// From the bytes that make a stream invalid to the end of its connection.
+constexpr auto invalid_stream_time = std::chrono::milliseconds(500);
 
 asio::awaitable<void> delay(std::chrono::milliseconds time) {
   asio::steady_timer timer(co_await asio::this_coro::executor, time);
@@ -405,7 +408,8 @@
     for (int event = last_event_of(request) + 1; open && event <= self->events; ++event) {
       const bool cut = behavior == backend_behavior::truncate && event == self->events;
       const std::string bytes = self->event_bytes(event);
-      const std::string sent = cut ? bytes.substr(0, bytes.size() / 2) : bytes;
+      std::string sent = cut ? bytes.substr(0, bytes.size() / 2) : bytes;
+      sent += behavior == backend_behavior::send_event_twice ? bytes : "";
       if (is_delimited) {
         open = co_await caller.write(sent);
       } else {
@@ -420,6 +424,13 @@
         co_return;
       }
       co_await delay(self->event_interval);
+      const std::string invalid = invalid_bytes_after(behavior, event, bytes);
+      if (!invalid.empty()) {
+        co_await write_raw(caller, invalid);
+        co_await delay(invalid_stream_time);
+        caller.abort_connection();
+        co_return;
+      }
     }
     if (open && is_delimited) {
       open = co_await caller.finish();
