Ask a server for the rest of a stream that only the end of its connection ended

What callers saw: a stream without chunks that its server ends early, between two events, looked whole though the server's process goes on, so the check of the process cannot show it. Cause: the end of a connection is no end mark, whoever closes it. Fix: where the stream may be resumed, it is resumed at its own server after the last event. It brings nothing if it was whole, and the missing events otherwise; the call is sent to no further server, so max-attempts holds. Streams that may not be resumed, and bodies, stay whole if their server's process goes on, as the protocol has it.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -90,6 +90,15 @@
   static void log_placed_resumption(const call& one, const backend_entry& server);
   void log_refused_resumption(const call& one, const std::string& detail);
 
+  // Streams whose end only the end of a connection marks (call_stream_rest.cc).
+  /// Whether the server may have ended the stream early and may be asked for the rest.
+  [[nodiscard]] bool may_lack_rest(const call& one, relay::attempt_outcome outcome) const;
+  /// Resumes such a stream at its own server, so that the call is sent to no further one. Returns
+  /// the outcome of the attempt as a whole.
+  boost::asio::awaitable<relay::attempt_outcome> read_rest(call& one, const backend_entry& server,
+                                                           relay::backend_request& request,
+                                                           const relay::stream_sink& sink);
+
   // Runs that prove invalid (call_invalid_run.cc).
   /// Rejects the events of the current attempt; returns false.
   static bool reject_run(call& one, std::string reason);
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -122,7 +122,10 @@
   one.answer = {};
   const attempt_outcome ended =
       co_await this->backends.run(request, sink, one.handle, one.answer, one.detail);
-  const attempt_outcome outcome = checked(one, ended);
+  attempt_outcome outcome = checked(one, ended);
+  if (this->may_lack_rest(one, outcome)) {
+    outcome = co_await this->read_rest(one, server, request, sink);
+  }
   this->note_spoilt_stream(one);
   const bool may_have_run =
       outcome != attempt_outcome::not_sent && outcome != attempt_outcome::not_run;
--- a/scenarios/response_end_test.cc
+++ b/scenarios/response_end_test.cc
@@ -86,6 +86,19 @@
   CHECK(runs_of(all, "o1") == 1);
 }
 
+TEST_CASE("a stream that its server ends early, and that may be resumed, does not look whole") {
+  undelimited_deployment all;
+  for (int number = 0; number < 3; ++number) {
+    all.engine_behaviors->set(
+        {stand_ins::backend_behavior::close_early, stand_ins::backend_behavior::answer});
+    const std::string id = "early-" + std::to_string(number);
+    const call_result stream = all.call(0, turn("/resumed/x", id, id));
+    INFO(id);
+    CHECK(stream.whole);
+    CHECK(stream.body == three_events);
+  }
+}
+
 TEST_CASE("a response without a length from a server that goes on is whole") {
   undelimited_deployment all;
   for (int number = 0; number < 4; ++number) {
