Fail a fetch whose body ends only with its connection

What callers saw: a tool's server that answers without a length or chunks, and whose process ends in the middle of the body, gave a call that was kept as finished with half an answer.

Cause: Beast's parser takes the end of the connection for the end of such a body, and the kernel ends the connections of a killed process in order. `http::client` passed this on as a whole response to all of its users.

Fix: `fetch` and `fetch_stream` take an `accepted_end`. The default accepts only a length or the last chunk; any other body is a `partial_response`. The end of the connection is accepted where the receiver checks an end mark of the body itself: a model's stream ("[DONE]"), and the JSON objects of the platform's store and of the object API, whose writes need only the status.

An error response without a length is now a partial one too, as one that is cut short of its length already was.

--- a/libs/engine/src/backend_client.cc
+++ b/libs/engine/src/backend_client.cc
@@ -157,8 +157,9 @@
   http::fetch_failure why;
   http::request ask = post("/v1/chat/completions", call.request_id, completion_body(call));
   const auto feed = [&reader](std::string_view part) { return reader.feed(part); };
-  const auto head =
-      co_await this->client.fetch_stream(server, std::move(ask), call.response_timeout, feed, why);
+  // The stream has an end mark of its own, "[DONE]".
+  const auto head = co_await this->client.fetch_stream(
+      server, std::move(ask), call.response_timeout, feed, why, http::accepted_end::connection);
   set_outcome(result, head, why, reader.done());
   result.whole = elapsed_since(start);
   co_return result;
--- a/libs/http/include/hawthornlane/http/client.h
+++ b/libs/http/include/hawthornlane/http/client.h
@@ -22,6 +22,15 @@
   std::string detail;
 };
 
+/// What may mark the end of a response's body.
+enum class accepted_end : std::uint8_t {
+  /// Its length or its last chunk. A body that has neither is a `partial_response`.
+  framing,
+  /// Also the end of its connection, which comes in order when the server's process is killed. Only
+  /// for bodies that have an end mark of their own, which the receiver checks.
+  connection,
+};
+
 /// Receives the next part of a body; returns false to end the transfer.
 using body_sink = std::function<bool(std::string_view)>;
 
@@ -39,14 +48,14 @@
   /// Sends one request and reads the whole response. `limit` is applied to connecting, to the
   /// response's head and to each part of its body; the whole body may take four times as long.
   boost::asio::awaitable<std::optional<response>> fetch(endpoint where, request what,
-                                                        duration limit, fetch_failure& reason);
+                                                        duration limit, fetch_failure& reason,
+                                                        accepted_end ends = accepted_end::framing);
   /// Sends one request and passes the body to `sink` as it arrives. `idle_timeout` limits the
   /// time between two parts. The returned response has an empty body, except when its status is an
   /// error: then it contains the body, of 64 KB at most, and `sink` is not called.
-  boost::asio::awaitable<std::optional<response>> fetch_stream(endpoint where, request what,
-                                                               duration idle_timeout,
-                                                               body_sink sink,
-                                                               fetch_failure& reason);
+  boost::asio::awaitable<std::optional<response>> fetch_stream(
+      endpoint where, request what, duration idle_timeout, body_sink sink, fetch_failure& reason,
+      accepted_end ends = accepted_end::framing);
 
 private:
   struct pool;
@@ -54,7 +63,8 @@
   boost::asio::awaitable<std::optional<response>> exchange(endpoint where, request what,
                                                            duration idle_timeout,
                                                            std::optional<duration> body_limit,
-                                                           body_sink sink, fetch_failure& reason);
+                                                           accepted_end ends, body_sink sink,
+                                                           fetch_failure& reason);
 
   std::size_t max_response_bytes;
   std::shared_ptr<pool> idle;
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -112,6 +112,7 @@
   duration idle_time{};
   /// From the head to the end of the body.
   std::optional<duration> body_time;
+  accepted_end ends = accepted_end::framing;
 };
 
 /// Enables TCP keepalive probes, so that a long wait for a response ends soon if the peer or the
@@ -186,6 +187,10 @@
       co_return false;
     }
   }
+  if (parser.need_eof() && limits.ends == accepted_end::framing) {
+    reason = {progress::partial_response, "the body has no length and ended with its connection"};
+    co_return false;
+  }
   co_return true;
 }
 
@@ -231,13 +236,13 @@
 client::~client() = default;
 
 asio::awaitable<std::optional<response>> client::fetch(endpoint where, request what, duration limit,
-                                                       fetch_failure& reason) {
+                                                       fetch_failure& reason, accepted_end ends) {
   std::string body;
   const auto append = [&body](std::string_view part) {
     body += part;
     return true;
   };
-  auto head = co_await this->exchange(where, std::move(what), limit, limit * body_time_factor,
+  auto head = co_await this->exchange(where, std::move(what), limit, limit * body_time_factor, ends,
                                       append, reason);
   if (head && head->body.empty()) {
     head->body = std::move(body);
@@ -247,16 +252,18 @@
 
 asio::awaitable<std::optional<response>> client::fetch_stream(endpoint where, request what,
                                                               duration idle_timeout, body_sink sink,
-                                                              fetch_failure& reason) {
-  co_return co_await this->exchange(where, std::move(what), idle_timeout, std::nullopt,
+                                                              fetch_failure& reason,
+                                                              accepted_end ends) {
+  co_return co_await this->exchange(where, std::move(what), idle_timeout, std::nullopt, ends,
                                     std::move(sink), reason);
 }
 
 asio::awaitable<std::optional<response>> client::exchange(endpoint where, request what,
                                                           duration idle_timeout,
                                                           std::optional<duration> body_limit,
-                                                          body_sink sink, fetch_failure& reason) {
-  const response_limits limits{this->max_response_bytes, idle_timeout, body_limit};
+                                                          accepted_end ends, body_sink sink,
+                                                          fetch_failure& reason) {
+  const response_limits limits{this->max_response_bytes, idle_timeout, body_limit, ends};
   const auto executor = co_await asio::this_coro::executor;
   const string_request message = to_beast_request(where, what);
   // The server may have closed a pooled connection, and a failed write does not tell whether the
--- a/libs/platform/src/object_store.cc
+++ b/libs/platform/src/object_store.cc
@@ -11,6 +11,8 @@
 
 constexpr duration call_timeout = std::chrono::seconds(2);
 constexpr duration watch_timeout = std::chrono::seconds(30);
+/// What is read is a JSON object, which has an end of its own; of writes only the status counts.
+constexpr auto accepted_ends = http::accepted_end::connection;
 
 std::optional<stored_object> object_from(const json::value& value) {
   const json::object* fields = value.if_object();
@@ -71,7 +73,8 @@
   http::request http_request;
   http_request.target = "/objects/" + http::url_encode(key);
   http::fetch_failure why;
-  const auto answer = co_await this->client.fetch(this->platform, http_request, call_timeout, why);
+  const auto answer =
+      co_await this->client.fetch(this->platform, http_request, call_timeout, why, accepted_ends);
   this->got_response = answer.has_value();
   if (!answer) {
     reason = platform_failure(why.detail);
@@ -98,7 +101,8 @@
   http::request http_request;
   http_request.target = std::move(target);
   http::fetch_failure why;
-  const auto answer = co_await this->client.fetch(this->platform, http_request, timeout, why);
+  const auto answer =
+      co_await this->client.fetch(this->platform, http_request, timeout, why, accepted_ends);
   this->got_response = answer.has_value();
   std::optional<object_listing> listing;
   if (answer && answer->status == status_ok) {
@@ -132,7 +136,8 @@
       "/objects/" + http::url_encode(key) + "?version=" + std::to_string(expected);
   http_request.body = std::move(value);
   http::fetch_failure why;
-  const auto answer = co_await this->client.fetch(this->platform, http_request, call_timeout, why);
+  const auto answer =
+      co_await this->client.fetch(this->platform, http_request, call_timeout, why, accepted_ends);
   this->got_response = answer.has_value();
   write_result result;
   if (!answer) {
