Stream to callers of HTTP/1.0 without chunks, and end unfinished streams

What callers saw: the HTTP server sent a stream in chunks also to a caller of HTTP/1.0, which has none: the body held the chunks' framing, and any end of the connection was its end. When a handler returned in the middle of a stream in chunks, the next response on the connection was written into that stream.

Cause: `start_stream` did not know the request's version, and a connection counted as usable once a response had begun.

Fix: a stream to HTTP/1.0 has no chunks and ends with its connection, which is reset on every end until `finish_stream`, as in `relay::caller_connection`. An unfinished stream closes its connection.

Evidence: on the code before, build/http_test failed in "a stream of the HTTP server looks whole only if it is" (both rows of 1.0) and in "a connection with an unfinished stream serves no other request". It passes now (7 cases, 68 assertions); scenarios/sample_caller.sh passes. A server process that is killed was tried for `caller_connection` only, which uses the same socket option.

--- a/libs/http/include/hawthornlane/http/server.h
+++ b/libs/http/include/hawthornlane/http/server.h
@@ -16,7 +16,8 @@
 
 /// Writes the response of one request. Call either `respond` once, or `start_stream`,
 /// any number of `write`s and one `finish_stream`. Each returns false once the
-/// caller has disconnected; the handler may still continue.
+/// caller has disconnected; the handler may still continue. A handler that returns in the middle of
+/// a stream ends the connection, and the response does not look whole.
 class exchange {
 public:
   exchange() = default;
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -58,10 +58,23 @@
   return std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
 }
 
+/// HTTP/1.0 in Beast's version numbers.
+constexpr unsigned http_1_0 = 10;
+
 class connection_exchange final : public exchange {
 public:
-  connection_exchange(beast::tcp_stream& to, duration limit, bool keep)
-      : stream(to), write_time(limit), keep_alive(keep) {}
+  /// `version` is the request's, in Beast's numbers.
+  connection_exchange(beast::tcp_stream& to, duration limit, bool keep, unsigned version)
+      : stream(to), write_time(limit), keep_alive(keep), uses_chunks(version > http_1_0) {}
+  connection_exchange(const connection_exchange&) = delete;
+  connection_exchange& operator=(const connection_exchange&) = delete;
+  /// Closes the connection if a stream is unfinished.
+  ~connection_exchange() override {
+    if (this->is_streaming) {
+      // Asio's destructor would turn the reset off.
+      this->stream.close();
+    }
+  }
 
   asio::awaitable<bool> respond(response answer) override {
     bhttp::response<bhttp::string_body> message;
@@ -77,9 +90,14 @@
   }
 
   asio::awaitable<bool> start_stream(response head) override {
+    this->is_streaming = true;
+    this->keep_alive = this->keep_alive && this->uses_chunks;
+    if (!this->uses_chunks) {
+      this->set_reset_at_end(true);
+    }
     bhttp::response<bhttp::empty_body> message;
     this->fill(message, head);
-    message.chunked(true);
+    message.chunked(this->uses_chunks);
     bhttp::response_serializer<bhttp::empty_body> serializer{message};
     this->stream.expires_after(steady(this->write_time));
     error_code error;
@@ -95,9 +113,14 @@
     }
     this->stream.expires_after(steady(this->write_time));
     error_code error;
-    co_await asio::async_write(this->stream,
-                               bhttp::make_chunk(asio::buffer(chunk.data(), chunk.size())),
-                               asio::redirect_error(asio::use_awaitable, error));
+    const auto bytes = asio::buffer(chunk.data(), chunk.size());
+    if (this->uses_chunks) {
+      co_await asio::async_write(this->stream, bhttp::make_chunk(bytes),
+                                 asio::redirect_error(asio::use_awaitable, error));
+    } else {
+      co_await asio::async_write(this->stream, bytes,
+                                 asio::redirect_error(asio::use_awaitable, error));
+    }
     co_return this->record_error(error);
   }
 
@@ -105,14 +128,21 @@
     if (this->gone) {
       co_return false;
     }
-    this->stream.expires_after(steady(this->write_time));
     error_code error;
-    co_await asio::async_write(this->stream, bhttp::make_chunk_last(),
-                               asio::redirect_error(asio::use_awaitable, error));
+    if (this->uses_chunks) {
+      this->stream.expires_after(steady(this->write_time));
+      co_await asio::async_write(this->stream, bhttp::make_chunk_last(),
+                                 asio::redirect_error(asio::use_awaitable, error));
+    } else {
+      this->set_reset_at_end(false);
+    }
+    this->is_streaming = error.failed();
     co_return this->record_error(error);
   }
 
-  [[nodiscard]] bool usable() const { return this->answered && !this->gone && this->keep_alive; }
+  [[nodiscard]] bool usable() const {
+    return this->answered && !this->gone && this->keep_alive && !this->is_streaming;
+  }
   [[nodiscard]] bool was_answered() const { return this->answered; }
 
 private:
@@ -127,6 +157,13 @@
     }
   }
 
+  /// While on, every end of the connection is a reset, also the one by the kernel when the process
+  /// ends: without chunks, an end in order marks the end of a stream.
+  void set_reset_at_end(bool on) {
+    error_code ignored;
+    this->stream.socket().set_option(asio::socket_base::linger(on, 0), ignored);
+  }
+
   bool record_error(const error_code& error) {
     this->gone = this->gone || error.failed();
     return !this->gone;
@@ -135,6 +172,10 @@
   beast::tcp_stream& stream;
   duration write_time;
   bool keep_alive;
+  /// False for HTTP/1.0, which has no chunks.
+  bool uses_chunks;
+  /// A stream has been started and not finished.
+  bool is_streaming = false;
   bool answered = false;
   bool gone = false;
 };
@@ -236,7 +277,7 @@
     co_return false;
   }
   const bool keep = !error && parser.keep_alive() && !shared->stopping;
-  connection_exchange reply(stream, shared->limits.write_time, keep);
+  connection_exchange reply(stream, shared->limits.write_time, keep, parser.get().version());
   if (error) {
     const std::string detail = error.message();
     response refusal = shared->make_error_response(error_kind_of(error), detail);
