Soak: servers that are killed while they respond, and callers of HTTP/1.0

Half of the soak's model and application servers respond without a length, and half are processes (hawthornlane-stand-in-server, which inherits its listening socket and forwards to the responses in the soak). One caller in four speaks HTTP/1.0.

--- a/scenarios/child_process.cc
+++ b/scenarios/child_process.cc
@@ -14,7 +14,7 @@
 namespace hawthornlane::scenarios {
 
 child_process::child_process(const std::vector<std::string>& arguments,
-                             const std::string& output_file) {
+                             const std::string& output_file, std::optional<int> socket) {
   std::vector<char*> words;
   words.reserve(arguments.size() + 1);
   for (const std::string& word : arguments) {
@@ -28,7 +28,10 @@
                                      O_WRONLY | O_CREAT | O_APPEND, file_mode);
   ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   // A copy of a proxy's or a server's socket would keep its port and its connections open.
-  ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  if (socket) {
+    ::posix_spawn_file_actions_adddup2(&actions, *socket, inherited_socket);
+  }
+  ::posix_spawn_file_actions_addclosefrom_np(&actions, inherited_socket + (socket ? 1 : 0));
   const int error =
       ::posix_spawn(&this->id, words.front(), &actions, nullptr, words.data(), environ);
   ::posix_spawn_file_actions_destroy(&actions);
--- a/scenarios/child_process.h
+++ b/scenarios/child_process.h
@@ -16,8 +16,12 @@
 /// kills it if it still runs, so that no process outlives the scenario.
 class child_process {
 public:
-  /// Throws `std::system_error` when the program cannot be started.
-  child_process(const std::vector<std::string>& arguments, const std::string& output_file);
+  static constexpr int inherited_socket = 3;
+
+  /// Throws `std::system_error` when the program cannot be started. It gets `socket`, if there is
+  /// one, as descriptor `inherited_socket`, and no other descriptor of this process.
+  child_process(const std::vector<std::string>& arguments, const std::string& output_file,
+                std::optional<int> socket = std::nullopt);
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
   ~child_process();
--- a/scenarios/fault_proxy.cc
+++ b/scenarios/fault_proxy.cc
@@ -95,6 +95,17 @@
     co_await pump(self, link, false);
   }
 
+  /// Takes connections from now on.
+  void begin() {
+    const auto at = this->acceptor.local_endpoint();
+    this->address = {at.address().to_string(), at.port()};
+    const auto take = [self = this->shared_from_this()](tcp::socket socket) {
+      const auto link = std::make_shared<proxied_connection>(std::move(socket));
+      asio::co_spawn(self->context, forward_connection(self, link), asio::detached);
+    };
+    asio::co_spawn(this->context, http::accept_until_closed(this->acceptor, take), asio::detached);
+  }
+
   [[nodiscard]] bool held(bool forward) const {
     return forward ? this->fault.hold_forward : this->fault.hold_back;
   }
@@ -153,13 +164,13 @@
 fault_proxy::fault_proxy(asio::io_context& context, const http::endpoint& target)
     : shared(std::make_shared<state>(context, target)) {
   http::listen_on(this->shared->acceptor, {target.address, 0});
-  const auto at = this->shared->acceptor.local_endpoint();
-  this->shared->address = {at.address().to_string(), at.port()};
-  const auto take = [self = this->shared](tcp::socket socket) {
-    const auto link = std::make_shared<proxied_connection>(std::move(socket));
-    asio::co_spawn(self->context, state::forward_connection(self, link), asio::detached);
-  };
-  asio::co_spawn(context, http::accept_until_closed(this->shared->acceptor, take), asio::detached);
+  this->shared->begin();
+}
+
+fault_proxy::fault_proxy(asio::io_context& context, int listener, const http::endpoint& target)
+    : shared(std::make_shared<state>(context, target)) {
+  this->shared->acceptor.assign(tcp::v4(), listener);
+  this->shared->begin();
 }
 
 fault_proxy::~fault_proxy() { this->close(); }
--- a/scenarios/fault_proxy.h
+++ b/scenarios/fault_proxy.h
@@ -26,6 +26,8 @@
 class fault_proxy {
 public:
   fault_proxy(boost::asio::io_context& context, const http::endpoint& target);
+  /// Takes connections from `listener`, a listening IPv4 socket, which it owns from now on.
+  fault_proxy(boost::asio::io_context& context, int listener, const http::endpoint& target);
   ~fault_proxy();
   fault_proxy(const fault_proxy&) = delete;
   fault_proxy& operator=(const fault_proxy&) = delete;
--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -76,6 +76,12 @@
   int callers = 0;
 };
 
+fleet_size size_of(const soak_options& with, std::uint64_t seed) {
+  fleet_size size = with.size;
+  size.server_seed = seed;
+  return size;
+}
+
 /// One run with one seed.
 class soak_run {
 public:
@@ -84,7 +90,7 @@
         seed(from),
         folder(fs::temp_directory_path() /
                fmt::format("hawthornlane-soak-{}-{}", ::getpid(), seed)),
-        fleet(context, with.programs, folder, with.size, checker),
+        fleet(context, with.programs, folder, size_of(with, from), checker),
         faults(fleet, seed, with.faults),
         callers(
             context, fleet, checker,
@@ -97,9 +103,8 @@
             seed) {
     this->faults.on_fatal_request(
         [this](std::uint64_t number) { this->callers.start_fatal_request(number); });
-    this->fleet.on_server_end([this](const std::string& server) {
-      this->faults.record(fmt::format("{} ends under a request", server));
-    });
+    this->fleet.on_server_end(
+        [this](const std::string& server) { this->faults.record(fmt::format("{} ends", server)); });
   }
 
   /// Returns true if every promise was kept.
@@ -196,8 +201,9 @@
     const attempt_share& begun = this->checker.of_streams().begun();
     fmt::print("; calm: {} of {} resumptions go on, {} of {} streams begin", resumed.served,
                resumed.sent, begun.served, begun.sent);
-    fmt::print("; {} servers ended, {} requests that end servers were stopped",
-               this->checker.servers_ended(), this->checker.fatal_requests_stopped());
+    fmt::print("; {} servers were killed, {} ended, {} requests that end servers were stopped",
+               this->fleet.servers_killed(), this->checker.servers_ended(),
+               this->checker.fatal_requests_stopped());
     if (this->first_served_after) {
       fmt::print("; served {} ms after the return", this->first_served_after->count());
     }
--- a/scenarios/promise_checker.cc
+++ b/scenarios/promise_checker.cc
@@ -175,8 +175,9 @@
   part.after = call.sent.last_event;
   part.events = result.body;
   part.whole = result.whole;
+  const std::string& version = call.sent.request.http_version;
   for (const std::string& broken : this->streams.on_part(part)) {
-    this->note(broken);
+    this->note(version == "1.1" ? broken : broken + ", to a caller of HTTP/" + version);
   }
   int& used = this->tokens[call.sent.program];
   used += events_in(result.body) * tokens_per_event;
--- a/scenarios/soak_caller.h
+++ b/scenarios/soak_caller.h
@@ -22,6 +22,14 @@
   caller(boost::asio::io_context& io, net::deadline_sweeper& alarms, std::uint64_t seed)
       : context(io), sweeper(alarms), random(seed) {}
 
+  /// Lets one caller in four speak HTTP/1.0; `seed` is that of the caller.
+  void choose_version(std::uint64_t seed) {
+    constexpr std::uint64_t other_source = 0x10;
+    constexpr double share = 0.25;
+    std::mt19937_64 source(seed ^ other_source);
+    this->http_version = std::bernoulli_distribution(share)(source) ? "1.0" : "1.1";
+  }
+
   boost::asio::io_context& context;
   net::deadline_sweeper& sweeper;
   std::mt19937_64 random;
@@ -32,6 +40,7 @@
   /// Last address that failed; not used for the next connection if there is another.
   std::string failed;
   std::string connected_to;
+  std::string http_version = "1.1";
   /// When the connection was opened, or the last response on it had been read.
   net::steady_time idle_since{};
 
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -77,6 +77,7 @@
 
 asio::awaitable<void> soak_callers::run_caller(std::uint64_t seed) {
   caller who(this->context, this->sweeper, seed);
+  who.choose_version(seed);
   co_await pause(std::chrono::milliseconds(who.random_index(500)));
   while (!this->stopping) {
     constexpr std::size_t kinds = 10;
@@ -170,6 +171,7 @@
 
 asio::awaitable<void> soak_callers::run_paused_caller(std::uint64_t seed) {
   caller who(this->context, this->sweeper, seed);
+  who.choose_version(seed);
   while (!this->stopping) {
     conversation_state line;
     line.program = fresh_id();
@@ -345,6 +347,7 @@
     co_return result;
   }
   sent_call sent = what;
+  sent.request.http_version = who.http_version;
   // All calls of a program, and all attempts at a fatal request, belong to one account.
   const std::string& unit = sent.is_fatal ? sent.request.body : sent.request.id;
   const std::string& name = sent.program.empty() ? unit : sent.program;
@@ -385,7 +388,8 @@
   if (!result.whole) {
     who.failed = who.connected_to;
     who.drop(true);
-  } else if (result.header("Connection") == "close" || result.status >= 500) {
+  } else if (result.header("Connection") == "close" || result.status >= 500 ||
+             who.http_version == "1.0") {
     who.drop(false);
   }
   co_return result;
--- a/scenarios/soak_fatal_calls.cc
+++ b/scenarios/soak_fatal_calls.cc
@@ -51,6 +51,7 @@
 
 asio::awaitable<void> soak_callers::run_fatal(std::uint64_t seed) {
   caller who(this->context, this->sweeper, seed);
+  who.choose_version(seed);
   constexpr std::array delays{0, 5, 30};
   constexpr std::array port_delays{0, 30, 150};
   const std::size_t kind = who.random_index(4);
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -38,6 +38,7 @@
       release_random(seed),
       disk_random(seed),
       fatal_random(seed),
+      kill_random(seed),
       endless_random(seed) {
   const std::vector<fault_kind> groups[] = {this->process_faults(), this->link_faults(),
                                             this->environment_faults(),
@@ -436,6 +437,7 @@
   }
   this->take_disks_in_turn(now);
   this->send_fatal_requests(now);
+  this->kill_servers(now);
   this->send_endless_responses(now);
   if (now >= this->period_ends) {
     const bool no_faults = this->random_index(3) == 0;
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -79,6 +79,8 @@
   void send_endless_responses(net::steady_time now);
   /// Starts callers whose requests end servers.
   void send_fatal_requests(net::steady_time now);
+  /// Kills the processes of backend servers while they respond.
+  void kill_servers(net::steady_time now);
   void note(net::steady_time now, const std::string& what);
   undo set_behaviors(const std::shared_ptr<stand_ins::behavior_script>& behaviors);
   undo pause_process(soak_host& host);
@@ -114,6 +116,9 @@
   /// Likewise for requests that end servers.
   std::mt19937_64 fatal_random;
   net::steady_time next_fatal{};
+  /// Likewise for servers that are killed.
+  std::mt19937_64 kill_random;
+  net::steady_time next_kill{};
   /// Likewise for responses without an end.
   std::mt19937_64 endless_random;
   net::steady_time next_endless{};
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -78,7 +78,8 @@
       size(wanted),
       programs(from),
       contended(wanted.contended),
-      max_routes(wanted.routes) {
+      max_routes(wanted.routes),
+      server_random(wanted.server_seed) {
   fs::create_directories(this->folder);
   this->platform = std::make_unique<stand_ins::object_platform>(io, http::endpoint{loopback, 0});
   for (int number = 0; number < size.engines; ++number) {
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "hawthornlane/stand_ins/object_platform.h"
 #include "hawthornlane/stand_ins/scripted_backend.h"
 #include "promise_checker.h"
+#include "server_process.h"
 
 namespace hawthornlane::scenarios {
 
@@ -38,6 +40,8 @@
   double disk_share = 0;
   /// Added to each sync of a disk host.
   std::chrono::milliseconds added_sync_time{0};
+  /// Determines how backend servers respond and which ones are processes.
+  std::uint64_t server_seed = 0;
 };
 
 /// One host: its process and the proxies in front of it.
@@ -76,6 +80,14 @@
   std::string service;
   std::unique_ptr<stand_ins::scripted_backend> server;
   std::shared_ptr<fault_proxy> proxy;
+  /// Forwards hosts' connections to the proxy; not every server has one.
+  std::shared_ptr<server_process> process;
+  /// A server that was removed, and has answered its last call by then.
+  net::steady_time process_until = net::never;
+
+  [[nodiscard]] http::endpoint where() const {
+    return this->process ? this->process->where() : this->proxy->where();
+  }
 };
 
 /// Client accounts of a deployment under a fault soak.
@@ -131,7 +143,12 @@
   /// Lets this server, if it still runs, give each request this response, or its usual one.
   void set_endless_response(const std::string& instance,
                             std::optional<stand_ins::endless_response> response);
-  /// Sets a hook that is called when a server has ended under a request.
+  /// Kills the process of the server with this index in `backends`, if it has one, this long after
+  /// it has received its next request. Returns false if it has none.
+  bool kill_server_in_response(std::size_t index, std::chrono::milliseconds delay);
+  /// Servers whose processes were killed.
+  [[nodiscard]] int servers_killed() const { return this->kills; }
+  /// Sets a hook that is called when a server has ended under a request or was killed.
   void on_server_end(std::function<void(const std::string& server)> hook) {
     this->server_end_hook = std::move(hook);
   }
@@ -163,7 +180,14 @@
   void supervise_process(soak_host& host);
   void remove_retired_disks();
   /// Makes some requests end the server like a crash.
-  void make_mortal(stand_ins::scripted_backend& server, const std::shared_ptr<fault_proxy>& proxy);
+  void make_mortal(const soak_backend& backend);
+  /// Lets the server mark the ends of its responses in one of the ways, and be a process or not.
+  void vary(soak_backend& backend);
+  void on_request(const std::string& instance);
+  void kill_server(const std::string& instance);
+  /// Keeps a server that was removed until it has answered its last call.
+  void remove(soak_backend backend);
+  void end_removed_processes();
   void close_ended_ports();
   /// Starts the successors of ended servers that are due.
   void replace_ended();
@@ -199,6 +223,7 @@
   /// The port of a server whose connections have ended.
   struct ending_port {
     std::shared_ptr<fault_proxy> proxy;
+    std::shared_ptr<server_process> process;
     net::steady_time close_at;
   };
   std::vector<ending_port> ending_ports;
@@ -220,6 +245,12 @@
   std::string extra_routes;
   net::steady_time next_memory_check{};
   int backends_made = 0;
+  /// The kinds of servers have their own random source, so that they do not change the faults of a
+  /// seed.
+  std::mt19937_64 server_random;
+  /// Servers whose processes end under their next request, and how long after it.
+  std::map<std::string, std::chrono::milliseconds> doomed;
+  int kills = 0;
 };
 
 }  // namespace hawthornlane::scenarios
--- a/scenarios/soak_servers.cc
+++ b/scenarios/soak_servers.cc
@@ -2,11 +2,13 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <cstring>
 
 #include "soak_fleet.h"
 
 namespace hawthornlane::scenarios {
+namespace fs = std::filesystem;
 using steady = std::chrono::steady_clock;
 
 namespace {
@@ -17,6 +19,11 @@
 /// From the end of a server to its successor's start, and until the store drops its entry.
 constexpr auto server_restart_time = std::chrono::milliseconds(400);
 constexpr auto entry_lifetime = std::chrono::milliseconds(3600);
+/// A removed server has answered its last call after this time, which is longer than the timeout of
+/// any route to it.
+constexpr auto last_call_time = std::chrono::milliseconds(8000);
+/// Pause in the middle of each event, so that a server may end there.
+constexpr auto write_pause = std::chrono::milliseconds(4);
 /// Calls that a server of the service "batches" works on at once.
 constexpr int batch_slots = 4;
 
@@ -50,12 +57,14 @@
   const std::string name = made.server->instance();
   made.server->on_arrival([this, name](const stand_ins::backend_arrival& arrival) {
     this->promises.on_arrival(name, arrival);
+    this->on_request(name);
   });
   if (service == "batches") {
     made.server->set_work(batch_slots, work_time_of);
     return made;
   }
-  this->make_mortal(*made.server, made.proxy);
+  this->vary(made);
+  this->make_mortal(made);
   if (is_engine) {
     made.server->set_version(this->engine_version);
     made.server->set_events(events_per_turn, std::chrono::milliseconds(8));
@@ -63,8 +72,75 @@
   return made;
 }
 
-void soak_fleet::make_mortal(stand_ins::scripted_backend& server,
-                             const std::shared_ptr<fault_proxy>& proxy) {
+void soak_fleet::vary(soak_backend& backend) {
+  const auto one_in_two = [this] {
+    return std::uniform_int_distribution<int>(0, 1)(this->server_random) == 0;
+  };
+  const bool is_undelimited = one_in_two();
+  const bool is_process = one_in_two();
+  if (is_undelimited) {
+    backend.server->set_framing(stand_ins::body_framing::connection_end);
+  }
+  backend.server->set_write_pause(write_pause);
+  if (!is_process) {
+    return;
+  }
+  const fs::path here = fs::read_symlink("/proc/self/exe").parent_path();
+  const std::string log = backend.server->instance() + ".log";
+  backend.process = std::make_shared<server_process>(
+      here / "hawthornlane-stand-in-server", backend.proxy->where(), (this->folder / log).string());
+}
+
+bool soak_fleet::kill_server_in_response(std::size_t index, std::chrono::milliseconds delay) {
+  const soak_backend& backend = this->backends.at(index);
+  if (!backend.process || backend.server->ended()) {
+    return false;
+  }
+  this->doomed[backend.server->instance()] = delay;
+  return true;
+}
+
+void soak_fleet::on_request(const std::string& instance) {
+  const auto found = this->doomed.find(instance);
+  if (found == this->doomed.end()) {
+    return;
+  }
+  const auto timer = std::make_shared<boost::asio::steady_timer>(this->context, found->second);
+  this->doomed.erase(found);
+  timer->async_wait(
+      [this, timer, instance](const auto& /*error*/) { this->kill_server(instance); });
+}
+
+void soak_fleet::kill_server(const std::string& instance) {
+  for (const soak_backend& backend : this->backends) {
+    if (backend.server->instance() != instance || backend.server->ended()) {
+      continue;
+    }
+    ++this->kills;
+    backend.process->kill();
+    backend.server->end();
+    return;
+  }
+}
+
+void soak_fleet::remove(soak_backend backend) {
+  backend.process_until = steady::now() + last_call_time;
+  this->removed_backends.push_back(std::move(backend));
+}
+
+void soak_fleet::end_removed_processes() {
+  const net::steady_time now = steady::now();
+  for (soak_backend& backend : this->removed_backends) {
+    if (now >= backend.process_until) {
+      backend.process.reset();
+    }
+  }
+}
+
+void soak_fleet::make_mortal(const soak_backend& backend) {
+  stand_ins::scripted_backend& server = *backend.server;
+  const std::shared_ptr<fault_proxy> proxy = backend.proxy;
+  const std::shared_ptr<server_process> process = backend.process;
   server.set_fatal_requests(
       [this](const http::request& request) -> std::optional<stand_ins::fatal_effect> {
         const std::string name = fatal_request_in(request.body);
@@ -73,14 +149,18 @@
         }
         return effect_of(name);
       });
-  server.on_end([this, &server, proxy](const std::optional<http::request>& cause) {
+  server.on_end([this, &server, proxy, process](const std::optional<http::request>& cause) {
     const std::string& name = server.instance();
     const std::string request = cause ? fatal_request_in(cause->body) : "";
     this->promises.on_server_end(request);
     const net::steady_time now = steady::now();
+    const auto port_delay =
+        request.empty() ? std::chrono::milliseconds{} : effect_of(request).port_delay;
+    if (process && port_delay.count() == 0) {
+      process->kill();
+    }
     proxy->reset_connections();
-    this->ending_ports.push_back({proxy, now + (request.empty() ? std::chrono::milliseconds{}
-                                                                : effect_of(request).port_delay)});
+    this->ending_ports.push_back({proxy, process, now + port_delay});
     this->close_ended_ports();
     this->ended_backends.push_back({name, now + server_restart_time});
     this->draining.push_back({name, now + entry_lifetime});
@@ -93,6 +173,9 @@
   std::erase_if(this->ending_ports, [now](const ending_port& item) {
     if (now >= item.close_at) {
       item.proxy->close();
+      if (item.process) {
+        item.process->kill();
+      }
     }
     return now >= item.close_at;
   });
@@ -100,6 +183,7 @@
 
 void soak_fleet::replace_ended() {
   this->close_ended_ports();
+  this->end_removed_processes();
   const net::steady_time now = steady::now();
   std::erase_if(this->ended_backends, [this, now](const ended_backend& item) {
     if (now < item.replace_at) {
@@ -112,7 +196,7 @@
       soak_backend fresh = this->make_backend(backend.service);
       this->list(fresh, false);
       std::swap(backend, fresh);
-      this->removed_backends.push_back(std::move(fresh));
+      this->remove(std::move(fresh));
       break;
     }
     return true;
@@ -125,9 +209,8 @@
 }
 
 void soak_fleet::list(const soak_backend& backend, bool draining) {
-  this->platform->put(
-      "servers", backend.server->instance(),
-      backend.server->entry_at(backend.proxy->where(), backend.service, "z0", draining));
+  this->platform->put("servers", backend.server->instance(),
+                      backend.server->entry_at(backend.where(), backend.service, "z0", draining));
 }
 
 void soak_fleet::begin_release() {
@@ -164,7 +247,7 @@
     this->list(backend, true);
     std::swap(backend, fresh);
     this->draining.push_back({instance, now + drain_time});
-    this->removed_backends.push_back(std::move(fresh));
+    this->remove(std::move(fresh));
     return;
   }
 }
@@ -192,7 +275,7 @@
   this->platform->remove("servers", backend.server->instance());
   soak_backend fresh = this->make_backend(backend.service);
   std::swap(backend, fresh);
-  this->removed_backends.push_back(std::move(fresh));
+  this->remove(std::move(fresh));
   this->list(backend, false);
 }
 
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -134,6 +134,8 @@
   void set_work(int slots, std::function<std::chrono::milliseconds(const http::request&)> time_of);
   /// Sets how responses are framed; `delimited` at first.
   void set_framing(body_framing framing);
+  /// Sets a pause in the middle of each event, and of each body that ends with its connection.
+  void set_write_pause(std::chrono::milliseconds pause);
   /// Sets what becomes of the connections when the process ends; `reset` at first.
   void set_connection_ending(connection_ending ending);
   /// Sets a delay before each request is read from a connection.
--- a/stand_ins/src/backend_responses.cc
+++ b/stand_ins/src/backend_responses.cc
@@ -124,8 +124,9 @@
   const auto effect = self->effect_of(request);
   if (self->framing == body_framing::connection_end) {
     const std::string sent = effect ? body.substr(0, body.size() / 2) : body;
-    const std::string bytes = undelimited_head(headers) + sent;
-    co_await caller.connection().write_all(bytes, write_deadline());
+    const std::string head = undelimited_head(headers);
+    co_await write_raw(caller, head);
+    co_await write_paused(self, caller, sent, body_framing::connection_end);
     caller.mark_disconnected();
     if (effect) {
       self->end(request, effect->port_delay);
@@ -148,13 +149,38 @@
   }
 }
 
+asio::awaitable<bool> scripted_backend::state::write_paused(std::shared_ptr<state> self,
+                                                            relay::caller_connection& caller,
+                                                            const std::string bytes,
+                                                            body_framing framing) {
+  const bool pauses = self->write_pause.count() > 0;
+  const std::size_t middle = pauses ? bytes.size() / 2 : bytes.size();
+  const std::string parts[] = {bytes.substr(0, middle), bytes.substr(middle)};
+  bool open = true;
+  for (const std::string& part : parts) {
+    if (part.empty() || !open) {
+      continue;
+    }
+    if (framing == body_framing::delimited) {
+      open = co_await caller.write(part);
+    } else {
+      open = co_await write_raw(caller, part);
+    }
+    if (pauses && &part == &parts[0]) {
+      co_await delay(self->write_pause);
+    }
+  }
+  co_return open;
+}
+
 asio::awaitable<void> scripted_backend::state::stream(std::shared_ptr<state> self,
                                                       relay::caller_connection& caller,
                                                       const http::request& request,
                                                       std::vector<http::header> headers,
                                                       backend_behavior behavior) {
   const auto effect = self->effect_of(request);
-  const bool is_delimited = self->framing == body_framing::delimited;
+  const body_framing framing = self->framing;
+  const bool is_delimited = framing == body_framing::delimited;
   bool open = true;
   if (is_delimited) {
     open = co_await caller.start(200, headers);
@@ -166,11 +192,7 @@
     const bool cut = behavior == backend_behavior::truncate && event == self->events;
     const std::string bytes = self->event_bytes(event);
     const std::string sent = cut ? bytes.substr(0, bytes.size() / 2) : bytes;
-    if (is_delimited) {
-      open = co_await caller.write(sent);
-    } else {
-      open = co_await write_raw(caller, sent);
-    }
+    open = co_await write_paused(self, caller, sent, framing);
     if (effect && event >= effect->after_events) {
       self->end(request, effect->port_delay);
       co_return;
--- a/stand_ins/src/backend_state.h
+++ b/stand_ins/src/backend_state.h
@@ -42,6 +42,7 @@
   int events = 3;
   std::chrono::milliseconds event_interval{0};
   std::chrono::milliseconds read_delay{0};
+  std::chrono::milliseconds write_pause{0};
   body_framing framing = body_framing::delimited;
   connection_ending ending = connection_ending::reset;
   int slots = 0;
@@ -141,6 +142,10 @@
   static asio::awaitable<void> answer(std::shared_ptr<state> self, relay::caller_connection& caller,
                                       const http::request& request, const std::string id,
                                       backend_behavior behavior);
+  /// Writes bytes in two parts with the write pause between them; false if the peer is gone.
+  static asio::awaitable<bool> write_paused(std::shared_ptr<state> self,
+                                            relay::caller_connection& caller,
+                                            const std::string bytes, body_framing framing);
   static asio::awaitable<void> stream(std::shared_ptr<state> self, relay::caller_connection& caller,
                                       const http::request& request,
                                       std::vector<http::header> headers, backend_behavior behavior);
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -69,6 +69,10 @@
 
 void scripted_backend::set_framing(body_framing framing) { this->shared->framing = framing; }
 
+void scripted_backend::set_write_pause(std::chrono::milliseconds pause) {
+  this->shared->write_pause = pause;
+}
+
 void scripted_backend::set_connection_ending(connection_ending ending) {
   this->shared->ending = ending;
 }
