--- a/stand_ins/src/backend_responses.cc
+++ b/stand_ins/src/backend_responses.cc
@@ -3,11 +3,14 @@
 
 #include "backend_state.h"
 #include "backend_statuses.h"
+#include "invalid_streams.h"
 
 namespace hawthornlane::stand_ins {
 namespace {
 
 constexpr auto long_delay = std::chrono::seconds(60);
+/// From the bytes that make a stream invalid to the end of its connection.
+constexpr auto invalid_stream_time = std::chrono::milliseconds(500);
 
 net::steady_time write_deadline() {
   return std::chrono::steady_clock::now() + std::chrono::seconds(5);
@@ -189,9 +192,14 @@
     open = co_await write_raw(caller, head);
   }
   for (int event = last_event_of(request) + 1; open && event <= self->events; ++event) {
+    if (behavior == backend_behavior::close_early && event == self->events) {
+      caller.mark_disconnected();
+      co_return;
+    }
     const bool cut = behavior == backend_behavior::truncate && event == self->events;
     const std::string bytes = self->event_bytes(event);
-    const std::string sent = cut ? bytes.substr(0, bytes.size() / 2) : bytes;
+    std::string sent = cut ? bytes.substr(0, bytes.size() / 2) : bytes;
+    sent += behavior == backend_behavior::send_event_twice ? bytes : "";
     open = co_await write_paused(self, caller, sent, framing);
     if (effect && event >= effect->after_events) {
       self->end(request, effect->port_delay);
@@ -202,6 +210,13 @@
       co_return;
     }
     co_await delay(self->event_interval);
+    const std::string invalid = invalid_bytes_after(behavior, event, bytes);
+    if (!invalid.empty()) {
+      co_await write_raw(caller, invalid);
+      co_await delay(invalid_stream_time);
+      caller.abort_connection();
+      co_return;
+    }
   }
   if (open && is_delimited) {
     open = co_await caller.finish();
