--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -46,6 +46,8 @@
                     changes; no call may be cut off.
   --endless         The same, while servers send responses without an end; all calls end
                     within their time limits.
+  --early-ends      Also streams that may be resumed whose connection ends in order before
+                    their last event, while their server goes on.
   --closing KIND    The last fault, after the others, while callers go on: none, power, wipe,
                     wipe-after-replacement, wipe-in-retirement or random [default: none].
   --front-share X   Processor time of each front host, as a share of one core; 0: no limit
@@ -294,6 +296,8 @@
     options.faults = fault_choice::endless;
   } else if (arguments.at("--planned").asBool()) {
     options.faults = fault_choice::planned;
+  } else if (arguments.at("--early-ends").asBool()) {
+    options.faults = fault_choice::early_ends;
   }
   options.size.contended = arguments.at("--contended").asBool();
   int failed = 0;
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -19,6 +19,9 @@
   planned,
   /// The same, while a server sends responses without an end at nearly all times.
   endless,
+  /// All faults, and streams that may be resumed whose connection ends early, in order, while their
+  /// server goes on.
+  early_ends,
 };
 
 /// Starts and ends faults in an order that the seed determines. Several may be active at once.
@@ -81,6 +84,11 @@
   void send_fatal_requests(net::steady_time now);
   /// Kills the processes of backend servers while they respond.
   void kill_servers(net::steady_time now);
+  /// Lets model servers close connections early for a while.
+  void end_streams_early(net::steady_time now);
+  [[nodiscard]] bool plays_all() const {
+    return this->choice == fault_choice::all || this->choice == fault_choice::early_ends;
+  }
   void note(net::steady_time now, const std::string& what);
   undo set_behaviors(const std::shared_ptr<stand_ins::behavior_script>& behaviors);
   undo pause_process(soak_host& host);
@@ -119,6 +127,9 @@
   /// Likewise for servers that are killed.
   std::mt19937_64 kill_random;
   net::steady_time next_kill{};
+  /// Likewise for streams whose connection ends early.
+  std::mt19937_64 early_end_random;
+  net::steady_time next_early_end{};
   /// Likewise for responses without an end.
   std::mt19937_64 endless_random;
   net::steady_time next_endless{};
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -146,6 +146,9 @@
   /// Kills the process of the server with this index in `backends`, if it has one, this long after
   /// it has received its next request. Returns false if it has none.
   bool kill_server_in_response(std::size_t index, std::chrono::milliseconds delay);
+  /// While `on`, model servers close the connection of every other stream that may be resumed in
+  /// order before its last event, and go on.
+  void set_early_ends(bool on) { this->ends_early = on; }
   /// Servers whose processes were killed.
   [[nodiscard]] int servers_killed() const { return this->kills; }
   /// Sets a hook that is called when a server has ended under a request or was killed.
@@ -251,6 +254,8 @@
   /// Servers whose processes end under their next request, and how long after it.
   std::map<std::string, std::chrono::milliseconds> doomed;
   int kills = 0;
+  bool ends_early = false;
+  std::uint64_t early_ends_asked = 0;
 };
 
 }  // namespace hawthornlane::scenarios
--- a/scenarios/soak_servers.cc
+++ b/scenarios/soak_servers.cc
@@ -66,6 +66,10 @@
   this->vary(made);
   this->make_mortal(made);
   if (is_engine) {
+    made.server->set_early_ends([this](const http::request& request) {
+      const bool may_be_resumed = request.target.starts_with("/resumed/");
+      return this->ends_early && may_be_resumed && ++this->early_ends_asked % 2 == 0;
+    });
     made.server->set_version(this->engine_version);
     made.server->set_events(events_per_turn, std::chrono::milliseconds(8));
   }
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -164,6 +164,8 @@
   /// Sets which requests run and get a response without an end.
   void set_endless_responses(
       std::function<std::optional<endless_response>(const http::request&)> choose);
+  /// Sets which requests get the behavior `close_early` instead of `answer`.
+  void set_early_ends(std::function<bool(const http::request&)> choose);
   /// Ends the process like a crash.
   void end();
   [[nodiscard]] bool ended() const;
--- a/stand_ins/src/backend_serving.cc
+++ b/stand_ins/src/backend_serving.cc
@@ -156,7 +156,10 @@
     co_await respond_endlessly(self, caller, request, id, *endless);
     co_return;
   }
-  const backend_behavior behavior = self->script->take();
+  backend_behavior behavior = self->script->take();
+  if (behavior == backend_behavior::answer && self->ends_early && self->ends_early(request)) {
+    behavior = backend_behavior::close_early;
+  }
   const bool runs = refusal_status(behavior) == 0;
   if (runs && self->work_time_of) {
     const bool in_time = co_await work(self, caller, request, id);
--- a/stand_ins/src/backend_state.h
+++ b/stand_ins/src/backend_state.h
@@ -55,6 +55,7 @@
   std::function<void(const backend_arrival&)> arrival_hook;
   std::function<std::optional<fatal_effect>(const http::request&)> fatal_effect_of;
   std::function<std::optional<endless_response>(const http::request&)> endless_response_to;
+  std::function<bool(const http::request&)> ends_early;
   std::function<void(const std::optional<http::request>& cause)> end_hook;
   std::set<net::timed_socket*> connections;
   http::endpoint address;
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -42,6 +42,10 @@
   this->shared->endless_response_to = std::move(choose);
 }
 
+void scripted_backend::set_early_ends(std::function<bool(const http::request&)> choose) {
+  this->shared->ends_early = std::move(choose);
+}
+
 void scripted_backend::end() { this->shared->end(); }
 
 bool scripted_backend::ended() const { return this->shared->ended; }
