--- a/stand_ins/src/backend_state.h
+++ b/stand_ins/src/backend_state.h
@@ -42,6 +42,7 @@
   int events = 3;
   std::chrono::milliseconds event_interval{0};
   std::chrono::milliseconds read_delay{0};
+  std::chrono::milliseconds write_pause{0};
   body_framing framing = body_framing::delimited;
   connection_ending ending = connection_ending::reset;
   int slots = 0;
@@ -54,6 +55,7 @@
   std::function<void(const backend_arrival&)> arrival_hook;
   std::function<std::optional<fatal_effect>(const http::request&)> fatal_effect_of;
   std::function<std::optional<endless_response>(const http::request&)> endless_response_to;
+  std::function<bool(const http::request&)> ends_early;
   std::function<void(const std::optional<http::request>& cause)> end_hook;
   std::set<net::timed_socket*> connections;
   http::endpoint address;
@@ -141,6 +143,10 @@
   static asio::awaitable<void> answer(std::shared_ptr<state> self, relay::caller_connection& caller,
                                       const http::request& request, const std::string id,
                                       backend_behavior behavior);
+  /// Writes bytes in two parts with the write pause between them; false if the peer is gone.
+  static asio::awaitable<bool> write_paused(std::shared_ptr<state> self,
+                                            relay::caller_connection& caller,
+                                            const std::string bytes, body_framing framing);
   static asio::awaitable<void> stream(std::shared_ptr<state> self, relay::caller_connection& caller,
                                       const http::request& request,
                                       std::vector<http::header> headers, backend_behavior behavior);
