Don't end a stream as complete when it is resumed with a response that is no stream

Cause: such a body is kept apart and not relayed, and the attempt counts as whole.

Fix: an attempt of a stream that has begun is whole only if its response is an event stream.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -93,6 +93,7 @@
   // Runs that prove invalid (call_invalid_run.cc).
   /// Rejects the events of the current attempt; returns false.
   static bool reject_run(call& one, std::string reason);
+  [[nodiscard]] static bool is_stream(const relay::backend_response& answer);
   /// Notes whether the attempt that has ended has spoilt the caller's stream.
   void note_spoilt_stream(call& one);
   /// Makes the ledger refuse every resumption of the caller's stream. Returns once a majority of
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -143,6 +143,10 @@
     one.detail = fmt::format("status {} when resuming a stream", one.answer.status);
     outcome = attempt_outcome::broken;
   }
+  if (outcome == attempt_outcome::whole && one.caller.started() && !is_stream(one.answer)) {
+    one.detail = "a stream was resumed with a response that is no stream";
+    return attempt_outcome::broken;
+  }
   if (outcome == attempt_outcome::whole && one.caller.started() &&
       !one.splitter.at_event_boundary()) {
     one.detail = "the stream ended inside an event";
--- a/libs/front/src/call_invalid_run.cc
+++ b/libs/front/src/call_invalid_run.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "call_state.h"
+#include "hawthornlane/relay/framing.h"
 
 namespace hawthornlane::front {
 namespace asio = boost::asio;
@@ -23,6 +24,13 @@
   return false;
 }
 
+bool call_service::is_stream(const relay::backend_response& answer) {
+  return std::any_of(answer.headers.begin(), answer.headers.end(), [](const http::header& item) {
+    return relay::same_header_name(item.name, "content-type") &&
+           item.value.starts_with("text/event-stream");
+  });
+}
+
 void call_service::note_spoilt_stream(call& one) {
   one.is_run_invalid = one.is_run_invalid || one.answer.is_malformed;
   if (!one.is_run_invalid || one.events == one.events_before) {
--- a/scenarios/invalid_run_test.cc
+++ b/scenarios/invalid_run_test.cc
@@ -11,8 +11,8 @@
 namespace {
 
 struct invalid_row {
-  const char* what;
-  backend_behavior behavior;
+  const char* what = "";
+  backend_behavior behavior = backend_behavior::answer;
   /// Events that the caller may get of the run.
   int most_events = 1;
 };
@@ -127,6 +127,16 @@
   CHECK(runs_of(all, stream.id) == 2);
 }
 
+TEST_CASE("a stream that is resumed with a response that is no stream does not look whole") {
+  two_version_deployment all(1);
+  all.engine_behaviors->set({backend_behavior::truncate, backend_behavior::answer_without_stream});
+  const decided_turn stream =
+      all.call_until_decided(0, "stream", [](const auto& id) { return stream_of(id, id); });
+  CHECK(runs_of(all, stream.id) == 2);
+  CHECK(whole_events_in(stream.result.body) == events_of_stream - 1);
+  CHECK_FALSE(stream.result.whole);
+}
+
 TEST_CASE("a run whose first event is invalid does not keep its stream from going on") {
   two_version_deployment all(2);
   all.engine_behaviors->set({backend_behavior::truncate, backend_behavior::send_event_twice});
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -60,6 +60,8 @@
   send_no_chunk,
   /// The same as `repeat_event`, with both events in one piece.
   send_event_twice,
+  /// Runs it; a body that is no stream, also to a request for tokens.
+  answer_without_stream,
 };
 
 /// The behaviors of a group of servers: one for each request, in the order in which requests reach
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -359,7 +359,8 @@
                                       backend_behavior behavior) {
     const bool is_signed = behavior != backend_behavior::unsigned_response;
     auto headers = self->headers_for(id, is_signed);
-    if (request.find_header("X-Token-Count")) {
+    const bool is_stream = behavior != backend_behavior::answer_without_stream;
+    if (is_stream && request.find_header("X-Token-Count")) {
       headers.push_back({"Content-Type", "text/event-stream"});
       co_await stream(self, caller, request, headers, behavior);
       co_return;
