--- a/stand_ins/src/backend_responses.cc
+++ b/stand_ins/src/backend_responses.cc
@@ -118,7 +118,8 @@
                                                       backend_behavior behavior) {
   const bool is_signed = behavior != backend_behavior::unsigned_response;
   auto headers = self->headers_for(id, is_signed);
-  if (request.find_header("X-Token-Count")) {
+  const bool is_stream = behavior != backend_behavior::answer_without_stream;
+  if (is_stream && request.find_header("X-Token-Count")) {
     headers.push_back({"Content-Type", "text/event-stream"});
     co_await stream(self, caller, request, headers, behavior);
     co_return;
