Keep a whole response without a length from being called broken

Cause: a second connection that the server had closed while idle, a late check and a missing one all counted as the end of the process; and a rest that brought nothing counted more than the check before. Fix: the second connection is replaced when it has ended while the response goes on. A check that is late on an open connection confirms the end, since a process that is killed ends both connections; without a health path the connection is only watched, for 300 ms. Not covered by a test: a stream longer than its server's idle time.

--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -75,8 +75,7 @@
   /// connections are taken, since a call on one that the server has just closed is lost.
   bool repeatable = false;
   /// Makes the request by which the server shows that its process goes on; nothing if there is
-  /// none. It is sent after a response that ends with its connection, which is whole only if the
-  /// server answers.
+  /// none. It is sent after a response that ends with its connection, on another one.
   std::function<std::optional<http::request>()> liveness_check;
 };
 
@@ -155,14 +154,16 @@
                                                  const backend_request& request,
                                                  const stream_sink& sink, attempt_handle& handle,
                                                  backend_response& answer, std::string& detail);
-  /// Takes or opens a second connection to the request's server; null if the server cannot be
-  /// checked.
+  /// Takes or opens a second connection to the request's server.
   std::shared_ptr<end_witness> open_witness(const backend_request& request);
+  /// Replaces a second connection that has ended while the response goes on: servers close idle
+  /// connections.
+  void renew_witness(std::shared_ptr<end_witness>& witness, const backend_request& request);
   static boost::asio::awaitable<void> connect_witness(std::shared_ptr<end_witness> witness);
   /// Whether the server, and not the end of its process, has ended the response: it answers on a
-  /// connection that was opened before.
+  /// connection that was opened before, or this stays open.
   boost::asio::awaitable<bool> has_ended_response(std::shared_ptr<end_witness> witness,
-                                                  net::steady_time until, attempt_handle& handle);
+                                                  attempt_handle& handle);
   void put_idle(const backend_request& request, connection_ptr connection);
   boost::asio::awaitable<attempt_outcome> exchange(server_connection& connection,
                                                    const backend_request& request,
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -388,6 +388,10 @@
     }
     answer.is_cut_off = error && error != asio::error::timed_out;
     if (!error) {
+      // Behind these bytes the end may have arrived already, with the end of the process.
+      if (!from.parser.is_done() && !connection.socket.stale_while_idle()) {
+        this->renew_witness(witness, request);
+      }
       error = from.feed(connection.buffer);
       answer.is_malformed = error.failed();
     }
@@ -398,7 +402,7 @@
     }
   }
   if (answer.ends_with_connection && !answer.terms.not_run) {
-    const bool is_whole = co_await this->has_ended_response(witness, request.until, handle);
+    const bool is_whole = co_await this->has_ended_response(witness, handle);
     ++(is_whole ? this->counts.ends_confirmed : this->counts.ends_unconfirmed);
     if (!is_whole) {
       detail = "body: the connection ended, and the server has not shown that it goes on";
--- a/libs/relay/src/end_witness.cc
+++ b/libs/relay/src/end_witness.cc
@@ -14,9 +14,9 @@
 
 namespace {
 
-/// Limit for opening the second connection and for the response on it. A check may wait for a slot
-/// of the server, which takes about as long as one call.
-constexpr auto check_timeout = std::chrono::milliseconds(500);
+/// Limit for opening the second connection, and for what arrives on it after the end. It includes
+/// one retransmission: the end of a process that has been killed arrives on both connections.
+constexpr auto check_timeout = std::chrono::milliseconds(300);
 /// Another process has the server's address.
 constexpr int misdirected_status = 421;
 
@@ -26,17 +26,17 @@
     const backend_request& request) {
   std::optional<http::request> check =
       request.liveness_check ? request.liveness_check() : std::nullopt;
-  if (!check) {
-    return nullptr;
-  }
   auto witness = std::make_shared<end_witness>(this->context);
   witness->check.where = request.where;
   witness->check.server_start = request.server_start;
-  witness->check.method = std::move(check->method);
-  witness->check.target = std::move(check->target);
-  witness->check.headers = std::move(check->headers);
-  witness->check.headers.push_back({"Host", http::to_string(request.where)});
   witness->check.repeatable = true;
+  witness->has_check = check.has_value();
+  if (check) {
+    witness->check.method = std::move(check->method);
+    witness->check.target = std::move(check->target);
+    witness->check.headers = std::move(check->headers);
+    witness->check.headers.push_back({"Host", http::to_string(request.where)});
+  }
   witness->connection = this->take_idle(witness->check);
   if (witness->connection) {
     return witness;
@@ -48,6 +48,16 @@
   return witness;
 }
 
+void backend_pool::renew_witness(std::shared_ptr<end_witness>& witness,
+                                 const backend_request& request) {
+  if (!witness || witness->is_opening) {
+    return;
+  }
+  if (!witness->connection || witness->connection->socket.stale_while_idle()) {
+    witness = this->open_witness(request);
+  }
+}
+
 asio::awaitable<void> backend_pool::connect_witness(std::shared_ptr<end_witness> witness) {
   const net::steady_time until = std::chrono::steady_clock::now() + check_timeout;
   const error_code error =
@@ -60,26 +70,34 @@
 }
 
 asio::awaitable<bool> backend_pool::has_ended_response(std::shared_ptr<end_witness> witness,
-                                                       net::steady_time until,
                                                        attempt_handle& handle) {
-  if (!witness) {
-    co_return false;
-  }
-  witness->check.until = std::min(until, std::chrono::steady_clock::now() + check_timeout);
-  witness->opened.expires_at(witness->check.until);
+  witness->check.until = std::chrono::steady_clock::now() + check_timeout;
   if (witness->is_opening) {
+    witness->opened.expires_at(witness->check.until);
     error_code ignored;
     co_await witness->opened.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   }
   if (witness->is_opening || !witness->connection || handle.abandoned) {
     co_return false;
   }
+  if (witness->connection->socket.stale_while_idle()) {
+    co_return false;
+  }
+  if (!witness->has_check) {
+    std::string nothing;
+    const error_code error =
+        co_await witness->connection->socket.read_more(nothing, 1, witness->check.until);
+    co_return error == asio::error::timed_out;
+  }
   const stream_sink none;
   backend_response found;
   std::string detail;
-  co_await this->run_on(std::move(witness->connection), witness->check, none, handle, found,
-                        detail);
-  co_return found.has_begun&& found.status != misdirected_status;
+  const attempt_outcome outcome = co_await this->run_on(
+      std::move(witness->connection), witness->check, none, handle, found, detail);
+  const bool has_answered = found.has_begun && found.status != misdirected_status;
+  // A busy server answers late, but its connection stays open.
+  const bool is_open = outcome == attempt_outcome::timed_out;
+  co_return has_answered || is_open;
 }
 
 }  // namespace hawthornlane::relay
--- a/libs/relay/src/server_connection.h
+++ b/libs/relay/src/server_connection.h
@@ -28,6 +28,8 @@
 struct backend_pool::end_witness {
   explicit end_witness(boost::asio::io_context& context) : opened(context) {}
 
+  /// Without a check the connection is only watched.
+  bool has_check = false;
   backend_request check;
   /// Null if it could not be opened.
   connection_ptr connection;
--- a/scenarios/response_end_test.cc
+++ b/scenarios/response_end_test.cc
@@ -62,6 +62,7 @@
   INFO(path);
   undelimited_deployment all;
   const call_result cut = all.call(0, fatal(turn(path, "t1", "p")));
+  CHECK(cut.whole == (path == "/resumed/x"));
   CHECK((!cut.whole || cut.body == three_events));
 }
 
@@ -99,6 +100,30 @@
   }
 }
 
+TEST_CASE("a whole stream is not cut off because its server gives no rest") {
+  using enum stand_ins::backend_behavior;
+  const stand_ins::backend_behavior rest = GENERATE(shed, misdirect, fail_500, drop_response, hang);
+  undelimited_deployment all;
+  all.engine_behaviors->set({answer, rest});
+  const call_result stream = all.call(0, turn("/resumed/x", "t1", "p"));
+  INFO(static_cast<int>(rest));
+  CHECK(stream.whole);
+  CHECK(stream.body == three_events);
+  CHECK(stream.took < 1500ms);
+}
+
+TEST_CASE("a response without a length is not cut off by a service without a health path") {
+  undelimited_deployment all;
+  all.configure(2, R"(,"health-path":"/healthz"})", "}");
+  all.run_for(2s);
+  const call_result once = all.call(0, plain("/once/x", "o1"));
+  CHECK(once.status == 200);
+  CHECK(once.whole);
+  all.ends_left = 1;
+  const call_result cut = all.call(0, fatal(plain("/once/x", "o2")));
+  CHECK_FALSE((cut.status == 200 && cut.whole));
+}
+
 TEST_CASE("a response without a length from a server that goes on is whole") {
   undelimited_deployment all;
   for (int number = 0; number < 4; ++number) {
