Soak: count the servers of a call, not the rests that it asks of one of them

Cause: the checker counted each run of a resumable call against max-attempts, which limits the servers that a call is sent to (RULES, BUDGET). Change: a run at a server that has run the call counts only if it is no resumption with Last-Event-Id; more than three of these are reported, and those of a call that may not be resumed count as before. promise_checker_test has the rows.

--- a/scenarios/promise_checker.cc
+++ b/scenarios/promise_checker.cc
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds crossing_slack{200};
 /// Maximum number of servers at which an idempotent call or a resumable stream may run.
 constexpr int max_runs = 2;
+/// Resumptions of a stream at a server that has run it, which add no server to the call.
+constexpr int max_rests = 3;
 /// Servers that may end under one request.
 constexpr int max_ends = 3;
 
@@ -75,6 +77,16 @@
   known_call& call = found_call->second;
   const sent_call& sent = call.sent;
   ++call.runs;
+  const bool is_first_here = ++call.servers[server] == 1;
+  const bool may_ask_rest =
+      sent.repeats == repetition::resumable && arrival.request.find_header("Last-Event-Id");
+  if (!is_first_here && may_ask_rest) {
+    if (call.servers[server] > 1 + max_rests) {
+      this->note(fmt::format("{} was asked for the rest of {} {} times", server, id,
+                             call.servers[server] - 1));
+    }
+    --call.runs;
+  }
   const int maximum = sent.repeats == repetition::once ? 1 : max_runs;
   if (call.runs > maximum) {
     this->note(
--- a/scenarios/promise_checker.h
+++ b/scenarios/promise_checker.h
@@ -104,6 +104,8 @@
   struct known_call {
     sent_call sent;
     int runs = 0;
+    /// Servers that ran it, with the number of runs at each.
+    std::map<std::string, int> servers;
     /// Status that promised the caller that the call has not run and never will; 0: none.
     int refused = 0;
   };
--- a/scenarios/promise_checker_test.cc
+++ b/scenarios/promise_checker_test.cc
@@ -85,6 +85,18 @@
       checker.on_arrival("s", arrival_of(call));
     }
   };
+  const auto asked_for_rest = [](repetition repeats, int times) {
+    return [repeats, times](promise_checker& checker) {
+      const sent_call call = plain_call(repeats);
+      checker.on_sent(call);
+      checker.on_arrival("s", arrival_of(call));
+      stand_ins::backend_arrival rest = arrival_of(call);
+      rest.request.headers.push_back({"Last-Event-Id", "1"});
+      for (int number = 0; number < times; ++number) {
+        checker.on_arrival("s", rest);
+      }
+    };
+  };
   const auto ends = [run](sent_call call, int times, call_result result, bool calm = false) {
     return [=](promise_checker& checker) {
       run(checker, call, times);
@@ -105,6 +117,9 @@
       {"run twice", ends(once, 2, answer(200, "answer to r1")), 1},
       {"an idempotent call at two servers", ends(safe, 2, answer(200, "answer to r1")), 0},
       {"an idempotent call at three", ends(safe, 3, answer(200, "answer to r1")), 1},
+      {"rests of a stream at its server", asked_for_rest(repetition::resumable, 3), 0},
+      {"too many rests", asked_for_rest(repetition::resumable, 4), 1},
+      {"a rest of a call that runs once", asked_for_rest(repetition::once, 1), 1},
       {"refused and not run", ends(once, 0, answer(503)), 0},
       {"refused and run", ends(once, 1, answer(503)), 1},
       {"over the budget and run", ends(turn, 1, answer(402)), 1},
