--- a/scenarios/promise_checker.cc
+++ b/scenarios/promise_checker.cc
@@ -71,7 +71,8 @@
   const std::string id = arrival.request.find_header("X-Request-Id").value_or("");
   const auto found_call = this->calls.find(id);
   if (found_call == this->calls.end()) {
-    this->note(fmt::format("{} ran request '{}', which no caller sent", server, id));
+    this->note(fmt::format("{} ran request '{}', which no caller sent: {} {}", server, id,
+                           arrival.request.method, arrival.request.target));
     return;
   }
   known_call& call = found_call->second;
@@ -189,7 +190,8 @@
   part.whole = result.whole;
   const std::string& version = call.sent.request.http_version;
   for (const std::string& broken : this->streams.on_part(part)) {
-    this->note(version == "1.1" ? broken : broken + ", to a caller of HTTP/" + version);
+    this->note(version == "1.1" ? broken
+                                : fmt::format("{}, to a caller of HTTP/{}", broken, version));
   }
   int& used = this->tokens[call.sent.program];
   used += events_in(result.body) * tokens_per_event;
--- a/scenarios/response_end_test.cc
+++ b/scenarios/response_end_test.cc
@@ -112,6 +112,19 @@
   CHECK(stream.took < 1500ms);
 }
 
+TEST_CASE("a stream that lasts longer than its server keeps idle connections is not cut off") {
+  const std::string path = GENERATE("/kept/x", "/resumed/x");
+  INFO(path);
+  undelimited_deployment all;
+  for (const auto& server : all.engines) {
+    server->set_events(3, 500ms);
+    server->set_idle_time(700ms);
+  }
+  const call_result stream = all.call(0, turn(path, "t1", "p"));
+  CHECK(stream.whole);
+  CHECK(stream.body == three_events);
+}
+
 TEST_CASE("a response without a length is not cut off by a service without a health path") {
   undelimited_deployment all;
   all.configure(2, R"(,"health-path":"/healthz"})", "}");
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -151,6 +151,8 @@
   void set_write_pause(std::chrono::milliseconds pause);
   /// Sets what becomes of the connections when the process ends; `reset` at first.
   void set_connection_ending(connection_ending ending);
+  /// Sets after which time without a request a connection is closed.
+  void set_idle_time(std::chrono::milliseconds time);
   /// Sets a delay before each request is read from a connection.
   void set_read_delay(std::chrono::milliseconds delay);
   [[nodiscard]] const std::vector<backend_arrival>& arrivals() const;
--- a/stand_ins/src/backend_serving.cc
+++ b/stand_ins/src/backend_serving.cc
@@ -11,13 +11,6 @@
 namespace hawthornlane::stand_ins {
 namespace {
 
-/// Servers accept whole conversations, which are larger than what a caller sends.
-caller_limits server_limits() {
-  caller_limits limits;
-  limits.body_bytes *= 4;
-  return limits;
-}
-
 /// Requests that a server answers beside its work, whatever its behavior.
 bool is_check(const http::request& request) {
   return request.method == "GET" && (request.target == "/report" || request.target == "/healthz");
@@ -124,7 +117,8 @@
     if (self->read_delay.count() > 0) {
       co_await delay(self->read_delay);
     }
-    const auto outcome = co_await caller.read(server_limits, request, reason);
+    const auto limits = [&self] { return self->limits; };
+    const auto outcome = co_await caller.read(limits, request, reason);
     if (outcome != relay::read_outcome::request || self->ended) {
       break;
     }
--- a/stand_ins/src/backend_state.h
+++ b/stand_ins/src/backend_state.h
@@ -24,6 +24,12 @@
 
 asio::awaitable<void> delay(std::chrono::milliseconds time);
 
+inline caller_limits server_limits() {
+  caller_limits limits;
+  limits.body_bytes *= 4;
+  return limits;
+}
+
 struct scripted_backend::state : std::enable_shared_from_this<scripted_backend::state> {
   state(asio::io_context& io, net::deadline_sweeper& sweep, std::string id,
         std::shared_ptr<behavior_script> behaviors)
@@ -42,6 +48,8 @@
   int events = 3;
   std::chrono::milliseconds event_interval{0};
   std::chrono::milliseconds read_delay{0};
+  /// Servers accept whole conversations, which are larger than what a caller sends.
+  caller_limits limits = server_limits();
   std::chrono::milliseconds write_pause{0};
   body_framing framing = body_framing::delimited;
   connection_ending ending = connection_ending::reset;
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -81,6 +81,10 @@
   this->shared->ending = ending;
 }
 
+void scripted_backend::set_idle_time(std::chrono::milliseconds time) {
+  this->shared->limits.idle_timeout = time;
+}
+
 void scripted_backend::set_read_delay(std::chrono::milliseconds delay) {
   this->shared->read_delay = delay;
 }
