Failing test: crowds of clients that take memory and descriptors

Clients that send without an end, beyond the limits, or never whole: 15 kinds at every port that a client can reach, of a front host, a disk host and hawthornlaned, as processes on loopback addresses. Memory limit 64 MB, 500 descriptors of which 200 are reserved for files, bodies of up to 1 MB, crowds of 96 clients that send much or 700 that send little. The process has to live, to stay within both limits, to answer an ordinary request beside the crowd and after it, to come back to half of its memory, and to take a request of the largest legal size in calm.

--- a/scenarios/child_process.cc
+++ b/scenarios/child_process.cc
@@ -97,8 +97,7 @@
   return this->ended;
 }
 
-std::optional<std::uint64_t> child_process::peak_memory_kb() const {
-  constexpr std::string_view label = "VmHWM:";
+std::optional<std::uint64_t> child_process::status_kb(std::string_view label) const {
   std::ifstream file("/proc/" + std::to_string(this->id) + "/status");
   std::string line;
   while (!this->ended && std::getline(file, line)) {
@@ -109,4 +108,22 @@
   return std::nullopt;
 }
 
+std::optional<std::uint64_t> child_process::peak_memory_kb() const {
+  return this->status_kb("VmHWM:");
+}
+
+std::optional<std::uint64_t> child_process::memory_kb() const { return this->status_kb("VmRSS:"); }
+
+void child_process::reset_peak_memory() const {
+  constexpr const char* reset_peak = "5";
+  std::ofstream("/proc/" + std::to_string(this->id) + "/clear_refs") << reset_peak;
+}
+
+std::size_t child_process::open_descriptors() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator entries("/proc/" + std::to_string(this->id) + "/fd",
+                                                    error);
+  return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 }  // namespace hawthornlane::scenarios
--- a/scenarios/child_process.h
+++ b/scenarios/child_process.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hawthornlane::scenarios {
@@ -40,9 +41,17 @@
   [[nodiscard]] std::optional<int> status();
   /// Peak resident memory so far, KB of 1024 bytes; empty once the process has ended.
   [[nodiscard]] std::optional<std::uint64_t> peak_memory_kb() const;
+  /// Begins the measurement of the peak anew.
+  void reset_peak_memory() const;
+  /// Resident memory now, KB of 1024 bytes; empty once the process has ended.
+  [[nodiscard]] std::optional<std::uint64_t> memory_kb() const;
+  /// Number of open descriptors; 0 once the process has ended.
+  [[nodiscard]] std::size_t open_descriptors() const;
 
 private:
   void reap(bool wait);
+  /// Value of a field of the process's status, KB.
+  [[nodiscard]] std::optional<std::uint64_t> status_kb(std::string_view label) const;
 
   pid_t id = 0;
   std::set<stop_reason> stopped_for;
--- /dev/null
+++ b/scenarios/crowd_hosts.cc
@@ -0,0 +1,255 @@
+// The programs as processes with small limits, and stand-ins for the platform.
+#include "crowd_hosts.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cstdio>
+#include <fstream>
+
+#include "hawthornlane/net/timed_socket.h"
+
+namespace hawthornlane::scenarios {
+namespace asio = boost::asio;
+namespace fs = std::filesystem;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto call_limit = std::chrono::seconds(20);
+constexpr auto start_limit = std::chrono::seconds(30);
+constexpr int disk_count = 3;
+constexpr int server_count = 4;
+constexpr const char* operator_credential = "operators-of-the-crowd-test";
+
+http::endpoint fresh_endpoint() { return {loopback, free_port()}; }
+
+/// The configuration of the test deployments with limits for clients as in the test.
+std::string configuration_text() {
+  const client_limits_of_test limits;
+  const std::string text = configuration_of(1);
+  const std::size_t at = text.find("\"limits\"");
+  return text.substr(0, at) + fmt::format(R"("limits":{{"max-header-bytes":{},"max-body-bytes":{},)"
+                                          R"("header-timeout-ms":{},"idle-timeout-ms":{}}}}})",
+                                          limits.head_bytes, limits.body_bytes,
+                                          limits.header_timeout.count(),
+                                          limits.idle_timeout.count());
+}
+
+bool knows_setting(const std::string& program, const std::string& key) {
+  FILE* output = ::popen((program + " --describe-config").c_str(), "r");
+  std::string text;
+  char line[512];
+  while (output != nullptr && std::fgets(line, sizeof line, output) != nullptr) {
+    text += line;
+  }
+  if (output != nullptr) {
+    ::pclose(output);
+  }
+  return text.find(key) != std::string::npos;
+}
+
+std::string program_path(const std::string& name) {
+  return std::string(HAWTHORNLANE_PROGRAMS) + "/" + name;
+}
+
+asio::awaitable<void> make_call(asio::io_context& context, net::deadline_sweeper& sweeper,
+                                http::endpoint where, std::string bytes,
+                                std::shared_ptr<std::optional<call_result>> into) {
+  const auto until = steady::now() + call_limit;
+  net::timed_socket socket(context, sweeper);
+  call_result result;
+  const net::error_code failed = co_await socket.connect(where, until);
+  if (!failed) {
+    co_await socket.write_all(bytes, until);
+    std::string buffer;
+    co_await read_answer(socket, buffer, until, result);
+  }
+  *into = std::move(result);
+}
+
+}  // namespace
+
+crowd_hosts::crowd_hosts()
+    : sweeper(environment),
+      folder(fs::temp_directory_path() / fmt::format("hawthornlane-crowd-{}", ::getpid())) {
+  fs::remove_all(this->folder);
+  fs::create_directories(this->folder);
+  const http::endpoint any{loopback, 0};
+  this->store = std::make_unique<stand_ins::object_platform>(this->environment, any);
+  this->daemon_platform = std::make_unique<stand_ins::platform>(this->environment, any);
+  this->store->put("config", "main", configuration_text());
+  for (int number = 0; number < server_count; ++number) {
+    const std::string service = number % 2 == 0 ? "apps" : "models";
+    this->servers.push_back(std::make_unique<stand_ins::scripted_backend>(
+        this->environment, this->sweeper, any, fmt::format("server-{}", number),
+        std::make_shared<stand_ins::behavior_script>()));
+    const auto& server = *this->servers.back();
+    this->store->put("servers", server.instance(), server.entry(service, "z0"));
+  }
+  this->start_disks();
+  this->start_front();
+  this->start_daemon();
+}
+
+crowd_hosts::~crowd_hosts() {
+  this->front.reset();
+  this->disks.clear();
+  this->daemon.reset();
+  fs::remove_all(this->folder);
+}
+
+std::unique_ptr<child_process> crowd_hosts::start(const std::string& program,
+                                                  const std::string& name,
+                                                  const std::string& settings) {
+  const std::string file = (this->folder / (name + ".ini")).string();
+  std::ofstream(file) << settings;
+  // The process itself has no more descriptors than its settings say.
+  const std::string limited =
+      fmt::format("ulimit -n {} && exec \"$0\" --config \"$1\"", this->bounds.descriptors);
+  const std::vector<std::string> command{"/bin/sh", "-c", limited, program_path(program), file};
+  return std::make_unique<child_process>(command, (this->folder / (name + ".log")).string());
+}
+
+std::string crowd_hosts::host_section(const std::string& name) const {
+  return fmt::format("[host]\nname = {}\navailability_zone = z0\n", name);
+}
+
+void crowd_hosts::start_disks() {
+  const std::string limits = knows_setting(program_path("hawthornlane-disk"), "memory_mb")
+                                 ? fmt::format("memory_mb = {}\nmax_descriptors = {}\n",
+                                               this->bounds.memory_mb, this->bounds.descriptors)
+                                 : "";
+  for (int number = 0; number < disk_count; ++number) {
+    const std::string name = fmt::format("disk-{}", number);
+    const fs::path data = this->folder / name;
+    fs::create_directories(data);
+    const http::endpoint metrics = fresh_endpoint();
+    this->disk_metrics_at = number == 0 ? metrics : this->disk_metrics_at;
+    this->disks.push_back(this->start(
+        "hawthornlane-disk", name,
+        this->host_section(name) + limits +
+            fmt::format("region = r\n[disk]\nfolder = {}\nsize_mb = 64\n[peers]\nlisten = {}\n"
+                        "[metrics]\nlisten = {}\n[platform]\naddress = {}\n",
+                        data.string(), http::to_string(fresh_endpoint()), http::to_string(metrics),
+                        http::to_string(this->store->where()))));
+  }
+}
+
+void crowd_hosts::start_front() {
+  this->callers_at = fresh_endpoint();
+  this->ready_at = fresh_endpoint();
+  this->directory_at = fresh_endpoint();
+  this->front_metrics_at = fresh_endpoint();
+  const std::string limits = knows_setting(program_path("hawthornlane-front"), "max_descriptors")
+                                 ? fmt::format("max_descriptors = {}\n", this->bounds.descriptors)
+                                 : "";
+  this->front = this->start(
+      "hawthornlane-front", "front",
+      this->host_section("front") + limits +
+          fmt::format("region = r\nmemory_mb = {}\n[callers]\nlisten = {}\nready_listen = {}\n"
+                      "directory_listen = {}\ngrace = 8 s\n[peers]\nlisten = {}\n"
+                      "[metrics]\nlisten = {}\n[platform]\naddress = {}\n",
+                      this->bounds.memory_mb, http::to_string(this->callers_at),
+                      http::to_string(this->ready_at), http::to_string(this->directory_at),
+                      http::to_string(fresh_endpoint()), http::to_string(this->front_metrics_at),
+                      http::to_string(this->store->where())));
+}
+
+void crowd_hosts::start_daemon() {
+  this->daemon_at = fresh_endpoint();
+  const std::string limits = knows_setting(program_path("hawthornlaned"), "memory_mb")
+                                 ? fmt::format("memory_mb = {}\nmax_descriptors = {}\n",
+                                               this->bounds.memory_mb, this->bounds.descriptors)
+                                 : "";
+  this->daemon = this->start(
+      "hawthornlaned", "daemon",
+      this->host_section("daemon") + limits +
+          fmt::format("listen = {}\npeer_listen = 127.0.0.1:0\n[platform]\naddress = {}\n"
+                      "[callers]\nlargest_body = {}\n[operators]\ncredential = {}\n",
+                      http::to_string(this->daemon_at),
+                      http::to_string(this->daemon_platform->where()),
+                      client_limits_of_test().body_bytes, operator_credential));
+}
+
+std::vector<crowded_port> crowd_hosts::ports() const {
+  const client_limits_of_test limits;
+  const auto target = [&limits](const http::endpoint& where, const std::string& path) {
+    return crowd_target{where, path, "a.example", limits.body_bytes, limits.head_bytes};
+  };
+  const auto get = [](const std::string& path) {
+    call_request call;
+    call.method = "GET";
+    call.path = path;
+    return call;
+  };
+  call_request ordinary;
+  ordinary.path = "/safe/x";
+  ordinary.id = "ordinary";
+  ordinary.body = "input";
+  call_request largest = ordinary;
+  largest.id = "largest";
+  largest.body.assign(limits.body_bytes, 'l');
+  // A document of the largest size is read whole before it is found to be invalid.
+  constexpr int document_invalid = 422;
+  call_request document;
+  document.path = "/v1/admin/documents/claims";
+  document.headers = {{"Authorization", fmt::format("Bearer {}", operator_credential)}};
+  document.body.assign(limits.body_bytes, 'd');
+  const std::string resolve = "/resolve?name=a.example&region=r&zone=z0";
+  return {
+      {"callers", this->front.get(), target(this->callers_at, "/safe/x"), ordinary, 200, largest},
+      {"calls that may run once", this->front.get(), target(this->callers_at, "/once/x"), ordinary,
+       200, largest},
+      {"directory", this->front.get(), target(this->directory_at, "/resolve"), get(resolve)},
+      {"ready", this->front.get(), target(this->ready_at, "/ready"), get("/ready")},
+      {"metrics of a front host", this->front.get(), target(this->front_metrics_at, "/metrics"),
+       get("/metrics")},
+      {"metrics of a disk host", this->disks.front().get(),
+       target(this->disk_metrics_at, "/metrics"), get("/metrics")},
+      {"hawthornlaned", this->daemon.get(), target(this->daemon_at, "/v1/programs"), get("/readyz"),
+       200, document, document_invalid}};
+}
+
+bool crowd_hosts::wait_until_serving() {
+  const auto until = steady::now() + start_limit;
+  for (const crowded_port& port : this->ports()) {
+    while (this->call(port.target.where, port.ordinary).status != port.ordinary_status) {
+      if (steady::now() >= until || !port.process->running()) {
+        return false;
+      }
+      this->run_until([] { return false; }, std::chrono::milliseconds(50));
+    }
+  }
+  return true;
+}
+
+std::unique_ptr<client_crowd> crowd_hosts::begin_crowd(crowd_kind kind,
+                                                       const crowd_target& target) {
+  return std::make_unique<client_crowd>(this->environment, this->sweeper, kind, target);
+}
+
+call_result crowd_hosts::call(const http::endpoint& where, const call_request& what) {
+  const auto result = std::make_shared<std::optional<call_result>>();
+  asio::co_spawn(this->environment,
+                 make_call(this->environment, this->sweeper, where, bytes_of(what), result),
+                 asio::detached);
+  this->run_until([&result] { return result->has_value(); }, call_limit + std::chrono::seconds(5));
+  return result->value_or(call_result{});
+}
+
+bool crowd_hosts::run_until(const std::function<bool()>& done, std::chrono::milliseconds limit) {
+  constexpr auto poll_interval = std::chrono::milliseconds(5);
+  const auto until = steady::now() + limit;
+  while (!done()) {
+    if (steady::now() >= until) {
+      return false;
+    }
+    this->environment.run_for(poll_interval);
+  }
+  return true;
+}
+
+}  // namespace hawthornlane::scenarios
--- /dev/null
+++ b/scenarios/crowd_hosts.h
@@ -0,0 +1,101 @@
+// The programs as processes with small limits, and stand-ins for the platform, for tests with
+// crowds of clients.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "child_process.h"
+#include "client_crowd.h"
+#include "hawthornlane/net/deadline_sweeper.h"
+#include "hawthornlane/stand_ins/object_platform.h"
+#include "hawthornlane/stand_ins/platform.h"
+#include "hawthornlane/stand_ins/scripted_backend.h"
+#include "test_caller.h"
+
+namespace hawthornlane::scenarios {
+
+/// Limits of a process, as its settings have them.
+struct process_limits {
+  std::uint64_t memory_mb = 64;
+  std::size_t descriptors = 500;
+  /// Descriptors that the platform reserves for files.
+  static constexpr std::size_t reserved_descriptors = 200;
+
+  [[nodiscard]] std::uint64_t memory_kb() const { return this->memory_mb * 1024; }
+  [[nodiscard]] std::size_t sockets() const { return this->descriptors - reserved_descriptors; }
+};
+
+/// Requests and connections of clients may have these sizes in the test's configuration.
+struct client_limits_of_test {
+  std::size_t head_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{1024} * 1024;
+  std::chrono::milliseconds header_timeout{5000};
+  std::chrono::milliseconds idle_timeout{20'000};
+};
+
+/// A process under test, and the requests that show that it serves.
+struct crowded_port {
+  std::string name;
+  child_process* process = nullptr;
+  crowd_target target;
+  call_request ordinary;
+  int ordinary_status = 200;
+  /// The largest legal request, if it differs from an ordinary one.
+  std::optional<call_request> largest = std::nullopt;
+  int largest_status = 200;
+};
+
+/// One front host, three disk hosts and one `hawthornlaned`. Use it on the thread that runs its
+/// event loop only.
+class crowd_hosts {
+private:
+  /// Event loop of the clients and stand-ins. Declared first, so that it is destroyed last.
+  boost::asio::io_context environment;
+  net::deadline_sweeper sweeper;
+
+public:
+  crowd_hosts();
+  crowd_hosts(const crowd_hosts&) = delete;
+  crowd_hosts& operator=(const crowd_hosts&) = delete;
+  ~crowd_hosts();
+
+  /// Waits until all programs serve; false if one does not.
+  bool wait_until_serving();
+  [[nodiscard]] std::vector<crowded_port> ports() const;
+  std::unique_ptr<client_crowd> begin_crowd(crowd_kind kind, const crowd_target& target);
+  call_result call(const http::endpoint& where, const call_request& what);
+  /// Runs the event loop until `done` returns true; returns false after `limit`.
+  bool run_until(const std::function<bool()>& done, std::chrono::milliseconds limit);
+  [[nodiscard]] const process_limits& limits() const { return this->bounds; }
+
+private:
+  std::unique_ptr<child_process> start(const std::string& program, const std::string& name,
+                                       const std::string& settings);
+  void start_disks();
+  void start_front();
+  void start_daemon();
+  [[nodiscard]] std::string host_section(const std::string& name) const;
+
+  process_limits bounds;
+  std::filesystem::path folder;
+  std::unique_ptr<stand_ins::object_platform> store;
+  std::unique_ptr<stand_ins::platform> daemon_platform;
+  std::vector<std::unique_ptr<stand_ins::scripted_backend>> servers;
+  std::vector<std::unique_ptr<child_process>> disks;
+  std::unique_ptr<child_process> front;
+  std::unique_ptr<child_process> daemon;
+  http::endpoint callers_at;
+  http::endpoint ready_at;
+  http::endpoint directory_at;
+  http::endpoint front_metrics_at;
+  http::endpoint disk_metrics_at;
+  http::endpoint daemon_at;
+};
+
+}  // namespace hawthornlane::scenarios
