--- a/scenarios/client_crowd_test.cc
+++ b/scenarios/client_crowd_test.cc
@@ -15,6 +15,8 @@
 /// Longest time for a crowd to send all that it sends, and for memory to come back.
 constexpr auto crowd_limit = 15s;
 constexpr auto recovery_limit = 15s;
+/// Ports at which each crowd is played.
+constexpr int port_count = 7;
 
 /// An ordinary request as a client of the platform sends it: again after a refusal that promises
 /// that it has not run.
@@ -71,7 +73,6 @@
 }  // namespace
 
 TEST_CASE("no crowd of clients takes the memory or the descriptors of a process") {
-  constexpr int port_count = 7;
   crowd_hosts hosts;
   REQUIRE(hosts.wait_until_serving());
   REQUIRE(hosts.ports().size() == port_count);
