--- a/libs/net/include/hawthornlane/net/timed_socket.h
+++ b/libs/net/include/hawthornlane/net/timed_socket.h
@@ -34,6 +34,12 @@
   /// Reads at most `max_bytes` bytes and appends them to `buffer`.
   boost::asio::awaitable<error_code> read_more(std::string& buffer, std::size_t max_bytes,
                                                steady_time until);
+  /// Waits until there is something to read, the end of the connection included. Takes no buffer.
+  boost::asio::awaitable<error_code> wait_readable(steady_time until);
+  /// Reads what has arrived without a wait; fails with `would_block` if nothing has.
+  std::size_t read_available(boost::asio::mutable_buffer into, error_code& error);
+  /// Writes as much as can be written without a wait; returns the number of bytes.
+  std::size_t write_available(std::string_view bytes);
   /// Ends the pending read as if its deadline had passed.
   void cancel_read() { this->read_alarm.on_expired(); }
   boost::asio::awaitable<error_code> write_all(std::string_view bytes, steady_time until);
