Limit the clients of directory, readiness, metrics and hawthornlaned together

What callers saw: the same crowds at these ports.

Cause: each request had a limit of 4 MB where none has a body of more than a few hundred bytes, the server's string body allocates what is announced or twice what has arrived, and a connection over the limit of connections was closed without a word, whatever the others did.

Change: requests are read by `request_assembler`, which asks the process's registry before it allocates. A connection that waits holds no buffer: all of a thread read into one. Bodies at the synchronous servers have 16 KB. At the limit of its listener's connections a silent or stalled one yields to the new one. What a refused client still sends is dropped at a bounded rate for up to 5 s, so that closing does not reset the connection before it has read the response.

--- a/libs/discovery/include/hawthornlane/discovery/host_settings.h
+++ b/libs/discovery/include/hawthornlane/discovery/host_settings.h
@@ -1,6 +1,7 @@
 // Settings that hosts of all roles have on the users' platform.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,10 @@
   http::endpoint peers_advertised;
   http::endpoint metrics_at;
   http::endpoint store;
+  /// Memory limit of the process, MB.
+  std::uint64_t memory_mb = 128;
+  /// Limit of open descriptors; 0: the kernel's limit of the process.
+  std::uint64_t max_descriptors = 0;
 };
 
 /// Returns `rules`, the settings keys of one role, with the keys common to all roles appended.
@@ -30,7 +35,7 @@
 /// address.
 http::endpoint address_of(const checked_values& values, const char* section, const char* key);
 
-/// Extracts the common settings from validated values.
+/// Extracts the common settings from validated values. The role's own rules have `memory_mb`.
 host_settings host_settings_from(const checked_values& values);
 
 }  // namespace hawthornlane::discovery
--- a/libs/discovery/src/host_settings.cc
+++ b/libs/discovery/src/host_settings.cc
@@ -9,6 +9,9 @@
       {"host", "name", name, true, "", 0, 0, "name of this host, unique in the deployment"},
       {"host", "availability_zone", name, true, "", 0, 0, "zone that this host is in"},
       {"host", "region", name, true, "", 0, 0, "region that this host is in"},
+      {"host", "max_descriptors", integer, false, "0", 0, 1048576,
+       "descriptors that the process may open, files included; 0: the kernel's limit of the "
+       "process"},
       {"peers", "listen", address, true, "", 0, 0,
        "address on which this host listens for other hosts"},
       {"peers", "advertise", address, false, "", 0, 0,
@@ -36,6 +39,8 @@
   }
   settings.metrics_at = address_of(values, "metrics", "listen");
   settings.store = address_of(values, "platform", "address");
+  settings.memory_mb = static_cast<std::uint64_t>(values.integer("host", "memory_mb"));
+  settings.max_descriptors = static_cast<std::uint64_t>(values.integer("host", "max_descriptors"));
   return settings;
 }
 
--- a/libs/disk/src/disk_host.cc
+++ b/libs/disk/src/disk_host.cc
@@ -85,8 +85,11 @@
     answer.body = this->metrics_text();
     return answer;
   };
+  const auto& registry = this->clients.registry();
+  const std::size_t most = this->clients.limits().auxiliary_connections;
   this->metrics_server =
-      http::make_synchronous_server(this->context, this->settings.metrics_at, respond);
+      http::make_synchronous_server(this->context, this->settings.metrics_at, respond,
+                                    {registry, registry->add_listener("metrics", most)});
 }
 
 std::string disk_host::state::metrics_text() {
@@ -114,6 +117,7 @@
   add("store_reads", this->store.counters().reads);
   add("store_watches", this->store.counters().watches);
   add("store_writes", this->store.counters().writes);
+  this->clients.add_metrics(add);
   return text;
 }
 
@@ -255,6 +259,7 @@
   if (now >= this->next_report) {
     this->next_report = now + report_interval;
     this->report_waiting();
+    this->clients.tick();
   }
   if (now >= this->next_turn_fetch && !this->fetching_turns) {
     this->next_turn_fetch = now + turn_fetch_interval;
--- a/libs/disk/src/disk_host_state.h
+++ b/libs/disk/src/disk_host_state.h
@@ -23,6 +23,7 @@
 #include "hawthornlane/http/server.h"
 #include "hawthornlane/limits/quota_lease.h"
 #include "hawthornlane/net/rpc.h"
+#include "hawthornlane/overload/process_clients.h"
 #include "hawthornlane/turn_ledger/copy_cursor.h"
 #include "hawthornlane/turn_ledger/set_change.h"
 
@@ -49,7 +50,12 @@
         store(settings.store),
         quotas(settings.quotas, make_quota_hooks()),
         ledger(io, settings.data_folder, settings.disk_mb * 1024 * 1024,
-               turn_log::usual_segment_bytes, quotas.journal(), settings.added_sync_time) {}
+               turn_log::usual_segment_bytes, quotas.journal(), settings.added_sync_time),
+        clients({settings.memory_mb * 1024 * 1024, settings.max_descriptors},
+                client_memory_divisor) {}
+
+  /// Clients read only metrics here.
+  static constexpr std::size_t client_memory_divisor = 32;
 
   boost::asio::io_context& context;
   disk_settings settings;
@@ -58,6 +64,7 @@
   discovery::fleet_state fleet;
   quota_service quotas;
   ledger_store ledger;
+  overload::process_clients clients;
   std::unique_ptr<net::rpc_server> server;
   std::unique_ptr<http::server> metrics_server;
   std::vector<std::unique_ptr<discovery::store_follower>> followers;
--- a/libs/disk/src/disk_settings.cc
+++ b/libs/disk/src/disk_settings.cc
@@ -7,6 +7,7 @@
 std::vector<key_rule> make_schema() {
   using enum value_type;
   return {
+      {"host", "memory_mb", integer, false, "128", 16, 1048576, "memory limit of the process, MB"},
       {"disk", "folder", text, true, "", 0, 0, "folder of persistent data"},
       {"disk", "size_mb", integer, true, "", 8, 1048576, "maximum size of the folder, MB"},
       {"disk", "tolerated_losses", integer, false, "1", 0, 8,
--- a/libs/http/include/hawthornlane/http/server.h
+++ b/libs/http/include/hawthornlane/http/server.h
@@ -10,6 +10,7 @@
 
 #include "hawthornlane/errors/error_kind.h"
 #include "hawthornlane/http/message.h"
+#include "hawthornlane/overload/client_registry.h"
 #include "hawthornlane/units/quantities.h"
 
 namespace hawthornlane::http {
@@ -42,8 +43,18 @@
   duration idle_time = std::chrono::seconds(60);
   /// Timeout of one write to the caller.
   duration write_time = std::chrono::seconds(20);
-  /// Maximum number of open connections; further ones are closed at once.
+  /// Maximum number of open connections, unless the listener of `server_clients` has its own. At
+  /// the limit a silent or slow one yields to a new one.
   std::size_t connections = 4096;
+  /// Copies of its body that a request may take while it is served, in addition to the body.
+  std::size_t copies_in_service = 0;
+};
+
+/// What limits the clients of a server together with those of other servers of the process.
+struct server_clients {
+  /// Null: the server's clients are limited by themselves.
+  std::shared_ptr<overload::client_registry> registry;
+  overload::listener* at = nullptr;
 };
 
 using handler = std::function<boost::asio::awaitable<void>(const request&, exchange&)>;
@@ -56,7 +67,7 @@
   /// Listens at once, so that `where()` returns the port that the kernel chose for
   /// port 0. Throws `boost::system::system_error` on failure.
   server(boost::asio::io_context& context, const endpoint& listen_at, server_limits limits,
-         handler handle, error_responder make_error_response);
+         handler handle, error_responder make_error_response, server_clients clients = {});
   server(const server&) = delete;
   server& operator=(const server&) = delete;
   ~server();
--- a/libs/http/include/hawthornlane/http/synchronous_server.h
+++ b/libs/http/include/hawthornlane/http/synchronous_server.h
@@ -9,11 +9,12 @@
 
 namespace hawthornlane::http {
 
-/// Answers each request with the result of `respond`. An invalid request gets no body and the
-/// status that the error table lists for its fault. Throws `boost::system::system_error` when it
-/// cannot listen.
+/// Requests have small bodies, of 16 KB at most, if any. Answers each request with the result of
+/// `respond`. An invalid request gets no body and the status that the error table lists for its
+/// fault. Throws `boost::system::system_error` when it cannot listen.
 std::unique_ptr<server> make_synchronous_server(boost::asio::io_context& context,
                                                 const endpoint& listen_at,
-                                                std::function<response(const request&)> respond);
+                                                std::function<response(const request&)> respond,
+                                                server_clients clients = {});
 
 }  // namespace hawthornlane::http
--- a/libs/http/src/synchronous_server.cc
+++ b/libs/http/src/synchronous_server.cc
@@ -7,7 +7,10 @@
 
 std::unique_ptr<server> make_synchronous_server(boost::asio::io_context& context,
                                                 const endpoint& listen_at,
-                                                std::function<response(const request&)> respond) {
+                                                std::function<response(const request&)> respond,
+                                                server_clients clients) {
+  server_limits limits;
+  limits.body_bytes = std::size_t{16} * 1024;
   const auto handle = [respond = std::move(respond)](
                           const request& ask, exchange& reply) -> boost::asio::awaitable<void> {
     response answer = respond(ask);
@@ -18,7 +21,8 @@
     answer.status = answer_for(kind).http_status;
     return answer;
   };
-  return std::make_unique<server>(context, listen_at, server_limits{}, handle, make_error_response);
+  return std::make_unique<server>(context, listen_at, limits, handle, make_error_response,
+                                  std::move(clients));
 }
 
 }  // namespace hawthornlane::http
--- a/libs/node/include/hawthornlane/node/node.h
+++ b/libs/node/include/hawthornlane/node/node.h
@@ -12,6 +12,7 @@
 #include "hawthornlane/node/node_settings.h"
 #include "hawthornlane/node/ownership_manager.h"
 #include "hawthornlane/node/shard_map_store.h"
+#include "hawthornlane/overload/process_clients.h"
 
 namespace hawthornlane {
 
@@ -73,6 +74,7 @@
   document_registry documents;
   backend_table backends;
   shard_map_store map;
+  overload::process_clients clients;
   std::unique_ptr<peer_network> peers;
   std::unique_ptr<http::server> server;
   std::unique_ptr<host_view> hosts;
--- a/libs/node/include/hawthornlane/node/node_settings.h
+++ b/libs/node/include/hawthornlane/node/node_settings.h
@@ -27,6 +27,10 @@
   /// Peer addresses of other hosts, tried at a start while the platform is down.
   std::vector<std::string> seeds;
   std::string operator_credential;
+  /// Memory limit of the process, MB.
+  std::uint64_t memory_mb = 0;
+  /// Limit of open descriptors; 0: the kernel's limit of the process.
+  std::uint64_t max_descriptors = 0;
   std::uint32_t workers = 2;
   std::uint32_t shards = 64;
   std::uint32_t replicas = 2;
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -20,6 +20,9 @@
 constexpr duration shard_tick_interval = std::chrono::milliseconds(100);
 constexpr duration ownership_interval = std::chrono::milliseconds(400);
 constexpr duration idle_check_interval = std::chrono::seconds(1);
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
+/// Copies of a request's body while it is served: parsed, and as a message to another host.
+constexpr std::size_t copies_of_body = 2;
 constexpr duration shutdown_check_interval = std::chrono::milliseconds(200);
 constexpr duration max_shutdown_time = std::chrono::minutes(10);
 /// Limit of the wait for a host to hand shards to: if the whole region shuts down, there is none.
@@ -87,15 +90,20 @@
       shards(this->settings.shards, this->self, ownership_times{}),
       documents(this->time, this->platform, this->audit, this->settings.host.get()),
       map(this->time, this->platform, this->settings.shards),
+      clients({this->settings.memory_mb * bytes_per_mb, this->settings.max_descriptors}),
       on_stopped(std::move(stopped_hook)) {
   this->peers =
       std::make_unique<peer_network>(this->settings.peer_listen, this->make_peer_handlers());
   http::server_limits limits;
   limits.body_bytes = this->settings.largest_body;
+  limits.copies_in_service = copies_of_body;
+  const auto& registry = this->clients.registry();
+  const std::size_t most = this->clients.limits().call_connections;
   this->server = std::make_unique<http::server>(
       context, this->settings.listen, limits,
       [this](const http::request& ask, http::exchange& reply) { return this->serve(ask, reply); },
-      [](error_kind kind, std::string_view detail) { return error_response(kind, detail); });
+      [](error_kind kind, std::string_view detail) { return error_response(kind, detail); },
+      http::server_clients{registry, registry->add_listener("callers", most)});
   member self_member;
   self_member.id = this->self;
   self_member.zone = this->settings.zone;
@@ -267,6 +275,8 @@
   add("shard_bytes_sent_total", "counter", this->peers->shard_bytes_sent());
   add("shard_messages_sent_total", "counter", this->peers->shard_messages_sent());
   add("audit_entries_dropped_total", "counter", this->audit.dropped());
+  this->clients.add_metrics(
+      [&add](const std::string& name, std::uint64_t value) { add(name, "gauge", value); });
   return text;
 }
 
@@ -412,6 +422,7 @@
     co_await this->wait(idle_check_interval);
     const timestamp now = this->time.now();
     this->runner->tick();
+    this->clients.tick();
     std::vector<idle_program> due;
     std::map<program_id, std::pair<std::size_t, timestamp>> seen;
     this->shards.read_all([&](const shard_core& core) {
--- a/libs/node/src/node_settings.cc
+++ b/libs/node/src/node_settings.cc
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr double second = 1e6;
+/// A quarter of the memory is for requests, and a request takes up to four times its body.
+constexpr std::int64_t min_memory_per_body = 16;
 
 std::vector<key_rule> make_schema() {
   using enum value_type;
@@ -14,6 +16,10 @@
       {"host", "listen", address, true, "", 0, 0, "where callers and operators connect"},
       {"host", "peer_listen", address, true, "", 0, 0, "where other hosts connect"},
       {"host", "workers", integer, false, "2", 1, 64, "worker threads"},
+      {"host", "memory_mb", integer, false, "512", 32, 1048576, "memory limit of the process, MB"},
+      {"host", "max_descriptors", integer, false, "0", 0, 1048576,
+       "descriptors that the process may open, files included; 0: the kernel's limit of the "
+       "process"},
       {"platform", "address", address, true, "", 0, 0, "the platform's object API"},
       {"peers", "seeds", list, false, "", 0, 0,
        "peer addresses to contact at a start while the platform is down"},
@@ -40,6 +46,12 @@
     problems.push_back({values.line_of("operators", "credential"),
                         "[operators] credential is shorter than 16 characters"});
   }
+  constexpr std::int64_t bytes_per_mb = 1024 * 1024;
+  const std::int64_t memory = values.integer("host", "memory_mb") * bytes_per_mb;
+  if (values.integer("callers", "largest_body") > memory / min_memory_per_body) {
+    problems.push_back({values.line_of("callers", "largest_body"),
+                        "[callers] largest_body needs a [host] memory_mb of 16 times its size"});
+  }
   const std::string format = values.text("log", "format");
   if (format != "text" && format != "json") {
     problems.push_back({values.line_of("log", "format"),
@@ -75,6 +87,8 @@
   settings.zone = availability_zone(values.text("host", "availability_zone"));
   settings.listen = *http::endpoint_from_string(values.text("host", "listen"));
   settings.peer_listen = values.text("host", "peer_listen");
+  settings.memory_mb = static_cast<std::uint64_t>(values.integer("host", "memory_mb"));
+  settings.max_descriptors = static_cast<std::uint64_t>(values.integer("host", "max_descriptors"));
   settings.workers = static_cast<std::uint32_t>(values.integer("host", "workers"));
   settings.platform = *http::endpoint_from_string(values.text("platform", "address"));
   settings.seeds = values.list("peers", "seeds");
--- a/programs/hawthornlane_front.cc
+++ b/programs/hawthornlane_front.cc
@@ -1,6 +1,7 @@
 // The daemon of a front host of the platform.
 #include "daemon_main.h"
 #include "hawthornlane/front/front_host.h"
+#include "hawthornlane/overload/allocator.h"
 
 namespace asio = boost::asio;
 using namespace hawthornlane;
@@ -29,6 +30,7 @@
 int run(const front::front_settings& settings, const std::string& path) {
   // Single-threaded: a host has only a quarter or half of one core, and sharing tables
   // between threads would cost locks and context switches.
+  overload::return_large_blocks();
   asio::io_context context(1);
   front::front_host host(context, settings, [&context] { context.stop(); });
   asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
--- a/programs/hawthornlaned.cc
+++ b/programs/hawthornlaned.cc
@@ -12,6 +12,7 @@
 
 #include "daemon_main.h"
 #include "hawthornlane/node/node.h"
+#include "hawthornlane/overload/allocator.h"
 #include "hawthornlane/telemetry/log.h"
 
 namespace asio = boost::asio;
@@ -46,6 +47,7 @@
 }
 
 int run(const hawthornlane::node_settings& settings) {
+  hawthornlane::overload::return_large_blocks();
   asio::io_context context(static_cast<int>(settings.workers));
   auto guard = asio::make_work_guard(context);
   hawthornlane::node host(context, settings, [&context] { context.stop(); });
