Limit the callers of a front host together

What callers saw: client_crowd_test on, callers' port: 100 to 167 MB with bodies of 1 MB, whole or stalled, in one piece, pieces or chunks, where 64 are allowed, up to 86 MB at rest afterwards, and all 500 descriptors with 700 silent or stalled connections.

Cause: limits by the call, none for the process; a buffer of 16 KB for each connection that waits; an accept loop that takes connections until descriptors are gone; an allocator that keeps freed blocks.

Change: callers' connections read through `request_assembler` and have a place in the process's registry; a request that has to yield is refused 503 `overloaded`, not run; copies of a kept turn and its history are counted before it runs. The listener moves out of front_host.cc. Refusals of requests that were not read whole are logged once a second for each cause.

--- a/libs/errors/include/hawthornlane/errors/error_kind.h
+++ b/libs/errors/include/hawthornlane/errors/error_kind.h
@@ -46,6 +46,7 @@
   stream_version_unknown,
   stream_version_gone,
   request_crashes_servers,
+  overloaded,
   internal,
 };
 
--- a/libs/errors/src/error_kind.cc
+++ b/libs/errors/src/error_kind.cc
@@ -80,6 +80,8 @@
                  "no server of the software version that began the stream is left; begin it anew"},
     error_answer{request_crashes_servers, "request_crashes_servers", 400, outcome::may_have_run,
                  false, "several backend servers have crashed under this request"},
+    error_answer{overloaded, "overloaded", 503, outcome::not_run_here, true,
+                 "clients make this host hold too much; send it again later"},
     error_answer{internal, "internal", 500, outcome::may_have_run, false, "a fault in the host"},
 };
 
--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -39,6 +39,9 @@
   /// `wait`: the least time for Retry-After, where it is known.
   boost::asio::awaitable<void> refuse(relay::caller_connection& caller, const failure& why,
                                       const std::string& id, duration wait = {});
+  /// Answers a request that was refused before it was whole. No log line: the caller decides how
+  /// many there are.
+  boost::asio::awaitable<void> refuse_unread(relay::caller_connection& caller, const failure& why);
   /// Number of calls that have been read and not answered.
   [[nodiscard]] std::size_t in_flight() const { return this->active.size(); }
   /// Begins a planned stop: from now on only calls that can end before the process are accepted.
@@ -88,6 +91,10 @@
   /// Whether the server's process is still the one that this host knew when it sent the call.
   [[nodiscard]] bool is_known_process(const call& one) const;
   static void log_placed_resumption(const call& one, const backend_entry& server);
+  boost::asio::awaitable<void> respond_refusal(relay::caller_connection& caller, const failure& why,
+                                               const std::string& id, duration wait);
+  /// Counts what the call holds besides its request; false if it is too much.
+  static bool hold_copies(const call& one);
   void log_refused_resumption(const call& one, const std::string& detail);
 
   // Streams whose end only the end of a connection marks (call_stream_rest.cc).
@@ -186,6 +193,7 @@
   net::steady_time started_at = std::chrono::steady_clock::now();
   /// Calls that have been read and not answered.
   std::set<call*> active;
+  std::uint64_t unread_refusals = 0;
   recent_call_times call_times;
   std::optional<planned_stop> stop;
 };
--- a/libs/front/include/hawthornlane/front/front_settings.h
+++ b/libs/front/include/hawthornlane/front/front_settings.h
@@ -22,8 +22,6 @@
   duration address_time{};
   /// Time between the request to stop and the kill.
   duration grace{};
-  /// Memory limit of the process, MB.
-  std::uint64_t memory_mb = 0;
   /// Whether callers may demand more than the servers can serve, and servers may differ in speed.
   /// The speed of each server is then learned.
   bool contended = false;
--- a/libs/front/include/hawthornlane/front/host_report.h
+++ b/libs/front/include/hawthornlane/front/host_report.h
@@ -11,6 +11,7 @@
 #include "hawthornlane/front/crash_tracker.h"
 #include "hawthornlane/front/peer_gossip.h"
 #include "hawthornlane/front/peer_traffic.h"
+#include "hawthornlane/overload/process_clients.h"
 
 namespace hawthornlane::front {
 
@@ -26,6 +27,7 @@
   const peer_gossip& gossip;
   const crash_tracker& crashes;
   const peer_traffic& traffic;
+  const overload::process_clients& clients;
   /// Number of open connections of callers.
   std::function<std::size_t()> connections;
   /// Bytes of answers to other hosts that are queued for the link.
--- a/libs/front/src/call_admission.cc
+++ b/libs/front/src/call_admission.cc
@@ -18,8 +18,18 @@
   return program_id("stream\n" + origin.get());
 }
 
+/// Copies of a kept turn's input while it is stored: the record, its message, and one on the way to
+/// each of three disk hosts.
+constexpr std::size_t kept_turn_copies = 5;
+
 }  // namespace
 
+bool call_service::hold_copies(const call& one) {
+  const std::size_t kept =
+      one.taken->keeps_turns ? kept_turn_copies * one.request.body.size() : std::size_t{0};
+  return one.caller.hold_also(kept + one.history.size());
+}
+
 std::optional<failure> call_service::prepare(call& one) {
   if (auto malformed = this->decode(one)) {
     return malformed;
@@ -197,9 +207,14 @@
   if (!counted && !this->needs_origin_record(one)) {
     co_return true;
   }
+  const failure no_room{error_kind::overloaded, "the calls in memory are too large"};
+  if (!hold_copies(one)) {
+    co_await this->refuse(one.caller, no_room, one.terms.id.get());
+    co_return false;
+  }
   const turn_request turn = this->turn_request_of(one, counted);
   const net::steady_time began = steady::now();
-  const turn_admission admission = co_await this->turns.admit(turn, one.until);
+  turn_admission admission = co_await this->turns.admit(turn, one.until);
   one.ledger_ms = milliseconds_since(began);
   this->metrics.record("ledger_admit", std::chrono::duration_cast<duration>(steady::now() - began));
   failure why;
@@ -207,7 +222,12 @@
   switch (admission.kind) {
     case admission_kind::admitted:
       one.turn = turn;
-      one.history = admission.history;
+      one.history = std::move(admission.history);
+      if (!hold_copies(one)) {
+        this->turns.withdraw(turn);
+        co_await this->refuse(one.caller, no_room, one.terms.id.get());
+        co_return false;
+      }
       one.origin_found = admission.origin_found;
       one.stored_origin = admission.origin;
       co_return true;
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -105,8 +105,13 @@
   request.method = one.request.method;
   request.target = one.request.target;
   request.headers = this->codec.dispatch_headers(one.request, terms);
-  const std::string body = one.history + one.request.body;
-  request.body = body;
+  if (!one.sent) {
+    one.sent = std::make_shared<const call::sent_body>(
+        call::sent_body{std::move(one.history), std::move(one.request.body)});
+  }
+  request.body_begin = one.sent->history;
+  request.body = one.sent->input;
+  request.body_owner = one.sent;
   request.id = one.terms.id;
   request.until = one.until + timeout_slack;
   request.repeatable = one.taken->kind == call_kind::idempotent;
--- a/libs/front/src/call_service.cc
+++ b/libs/front/src/call_service.cc
@@ -69,6 +69,24 @@
 asio::awaitable<void> call_service::refuse(relay::caller_connection& caller, const failure& why,
                                            const std::string& id, duration wait) {
   const error_answer& row = answer_for(why.kind);
+  log(event::call_refused, {{"request", id},
+                            {"kind", std::string(row.name)},
+                            {"status", std::to_string(row.http_status)},
+                            {"detail", why.detail}});
+  co_await this->respond_refusal(caller, why, id, wait);
+}
+
+asio::awaitable<void> call_service::refuse_unread(relay::caller_connection& caller,
+                                                  const failure& why) {
+  // Each has its own number, which spreads the times of their return.
+  const std::string number = std::to_string(++this->unread_refusals);
+  co_await this->respond_refusal(caller, why, number, duration{});
+}
+
+asio::awaitable<void> call_service::respond_refusal(relay::caller_connection& caller,
+                                                    const failure& why, const std::string& id,
+                                                    duration wait) {
+  const error_answer& row = answer_for(why.kind);
   std::vector<http::header> headers{{"Content-Type", "application/json"}};
   const bool may_begin_anew =
       why.kind == error_kind::stream_version_unknown || why.kind == error_kind::stream_version_gone;
@@ -85,10 +103,6 @@
     headers.push_back({"Retry-After", fmt::format("{:.2f}", least + retry_jitter * part)});
   }
   this->metrics.count(fmt::format("refused_{}", row.name));
-  log(event::call_refused, {{"request", id},
-                            {"kind", std::string(row.name)},
-                            {"status", std::to_string(row.http_status)},
-                            {"detail", why.detail}});
   const std::string body =
       fmt::format(R"({{"error":"{}","outcome":"{}"}})", row.name, outcome_name(row.outcome));
   co_await caller.respond(row.http_status, headers, body);
--- a/libs/front/src/call_settlement.cc
+++ b/libs/front/src/call_settlement.cc
@@ -46,7 +46,7 @@
     turn_result result;
     result.used = tokens_sent(one);
     result.whole = true;
-    result.input = one.request.body;
+    result.input = one.sent->input;
     result.output = std::move(one.output);
     one.settled = true;
     const net::steady_time began = steady::now();
--- a/libs/front/src/call_state.h
+++ b/libs/front/src/call_state.h
@@ -109,6 +109,12 @@
   /// The turn in the ledger, once admitted.
   std::optional<turn_request> turn;
   std::string history;
+  /// History and input, from the first attempt on; shared with writes that may outlive the call.
+  struct sent_body {
+    std::string history;
+    std::string input;
+  };
+  std::shared_ptr<const sent_body> sent;
   /// Origin of the stream that the call takes up, as the ledger has it.
   origin_outcome origin_found = origin_outcome::undecided;
   std::optional<stream_origin> stored_origin;
--- a/libs/front/src/front_host.cc
+++ b/libs/front/src/front_host.cc
@@ -4,9 +4,9 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <set>
 
+#include "caller_listener.h"
 #include "configuration_copy.h"
 #include "hawthornlane/discovery/registration.h"
 #include "hawthornlane/front/address_choice.h"
@@ -19,8 +19,8 @@
 #include "hawthornlane/front/peer_traffic.h"
 #include "hawthornlane/front/quota_client.h"
 #include "hawthornlane/front/shutdown_policy.h"
-#include "hawthornlane/http/listening.h"
 #include "hawthornlane/http/synchronous_server.h"
+#include "hawthornlane/overload/process_clients.h"
 #include "hawthornlane/platform_adapter/call_codec.h"
 #include "hawthornlane/platform_adapter/resolve_messages.h"
 #include "hawthornlane/telemetry/log.h"
@@ -29,7 +29,6 @@
 namespace hawthornlane::front {
 namespace asio = boost::asio;
 using steady = std::chrono::steady_clock;
-using tcp = asio::ip::tcp;
 
 namespace {
 
@@ -45,8 +44,6 @@
 constexpr std::size_t peer_queue_share = 8;
 /// Divisor of the memory: limit of the responses of backend servers that are in memory at once.
 constexpr std::size_t response_share = 8;
-/// Pending connections of callers during a burst; the callers' kernels retry further ones.
-constexpr int accept_backlog = 1024;
 /// Interval at which scarce places are divided among hosts; a call at a model server takes 0.2 s.
 constexpr auto demand_update_interval = std::chrono::milliseconds(100);
 /// Interval at which this host reports its loads; a third of their lifetime.
@@ -74,7 +71,8 @@
         gossip(io, sweeper, fleet, read_schedule, make_gossip_hooks()),
         exchange(io, settings.host, make_exchange_hooks()),
         places(io, settings.host, exchange.entries(), metrics, make_place_hooks()),
-        acceptor(io),
+        clients({settings.memory_mb * bytes_per_mb, settings.max_descriptors}),
+        callers(io, make_caller_sources()),
         reader({io, settings.host, store, fleet, read_schedule, ledger, gossip, faults}),
         report(make_report_sources()) {
     this->placer.set_directory_exchange(this->exchange);
@@ -102,7 +100,8 @@
   peer_gossip gossip;
   directory_exchange exchange;
   place_exchange places;
-  tcp::acceptor acceptor;
+  overload::process_clients clients;
+  caller_listener callers;
   std::unique_ptr<net::rpc_server> peers;
   std::vector<std::unique_ptr<http::server>> auxiliary_servers;
   host_entry self;
@@ -113,11 +112,6 @@
   net::steady_time next_idle_sweep{};
   net::steady_time next_demand_update{};
   net::steady_time next_load_report{};
-  std::size_t connections = 0;
-  /// Callers' connections on which requests are read.
-  std::set<relay::caller_connection*> callers;
-  /// In a planned stop: no more connections are accepted, and those without a call are closed.
-  bool closing = false;
   host_report report;
 
   report_sources make_report_sources() {
@@ -131,11 +125,21 @@
             .gossip = this->gossip,
             .crashes = this->crashes,
             .traffic = this->traffic,
-            .connections = [this] { return this->connections; },
+            .clients = this->clients,
+            .connections = [this] { return this->callers.connections(); },
             .peer_bytes_waiting = [this] { return this->peers->queued_bytes(); },
             .memory_limit = this->settings.memory_mb * bytes_per_mb};
   }
 
+  caller_sources make_caller_sources() {
+    return {.sweeper = this->sweeper,
+            .fleet = this->fleet,
+            .calls = this->calls,
+            .clients = this->clients.registry(),
+            .max_connections = this->clients.limits().call_connections,
+            .leaving = [this] { return this->leaving; }};
+  }
+
   gossip_hooks make_gossip_hooks() {
     gossip_hooks hooks;
     hooks.traffic = this->traffic;
@@ -304,13 +308,13 @@
           reply(this->gossip.serve(method, payload));
         });
     this->peers->limit_queued_bytes(this->settings.memory_mb * bytes_per_mb / peer_queue_share);
-    this->serve_auxiliary(this->settings.ready_at, [this](const http::request& ask) {
+    this->serve_auxiliary("ready", this->settings.ready_at, [this](const http::request& ask) {
       return platform_adapter::readiness_response(platform_adapter::is_readiness_check(ask) &&
                                                   this->ready());
     });
-    this->serve_auxiliary(this->settings.directory_at,
+    this->serve_auxiliary("directory", this->settings.directory_at,
                           [this](const http::request& ask) { return this->addresses(ask); });
-    this->serve_auxiliary(this->settings.metrics_at, [this](const http::request& ask) {
+    this->serve_auxiliary("metrics", this->settings.metrics_at, [this](const http::request& ask) {
       if (auto page = blocked_request_page(ask, this->crashes)) {
         return std::move(*page);
       }
@@ -319,17 +323,17 @@
       answer.body = this->report.metrics_text();
       return answer;
     });
-    http::listen_on(this->acceptor, this->settings.callers_at, accept_backlog);
-    const auto take = [self = this->shared_from_this()](tcp::socket socket) {
-      asio::co_spawn(self->context, serve_caller(self, std::move(socket)), asio::detached);
-    };
-    asio::co_spawn(this->context, http::accept_until_closed(this->acceptor, take), asio::detached);
+    this->callers.listen(this->settings.callers_at, this->shared_from_this());
   }
 
-  void serve_auxiliary(const http::endpoint& where,
+  void serve_auxiliary(const std::string& name, const http::endpoint& where,
                        std::function<http::response(const http::request&)> respond) {
-    this->auxiliary_servers.push_back(
-        http::make_synchronous_server(this->context, where, std::move(respond)));
+    const bool is_directory = where == this->settings.directory_at;
+    const std::size_t most = is_directory ? this->clients.limits().directory_connections
+                                          : this->clients.limits().auxiliary_connections;
+    this->auxiliary_servers.push_back(http::make_synchronous_server(
+        this->context, where, std::move(respond),
+        {this->clients.registry(), this->clients.registry()->add_listener(name, most)}));
   }
 
   http::response addresses(const http::request& ask) {
@@ -348,56 +352,6 @@
     return platform_adapter::resolve_response(list, this->settings.address_time);
   }
 
-  static asio::awaitable<void> serve_caller(std::shared_ptr<state> self, tcp::socket accepted) {
-    net::timed_socket socket(std::move(accepted), self->sweeper);
-    relay::caller_connection caller(socket);
-    ++self->connections;
-    self->callers.insert(&caller);
-    const std::function<caller_limits()> limits = [self] {
-      return self->fleet.table() ? self->fleet.table()->source().limits : caller_limits{};
-    };
-    while (!self->closing) {
-      http::request request;
-      failure reason;
-      const relay::read_outcome outcome = co_await caller.read(limits, request, reason);
-      if (outcome == relay::read_outcome::closed) {
-        break;
-      }
-      if (outcome == relay::read_outcome::refused) {
-        caller.close_after_response();
-        co_await self->calls.refuse(caller, reason, "");
-        break;
-      }
-      if (self->leaving) {
-        caller.close_after_response();
-      }
-      co_await self->calls.serve(caller, std::move(request));
-      if (!caller.usable()) {
-        break;
-      }
-    }
-    self->callers.erase(&caller);
-    if (!caller.gone()) {
-      // Closing with unread bytes would send a reset, which discards the answer.
-      socket.shutdown_send();
-      co_await drain(socket);
-    }
-    socket.close();
-    --self->connections;
-  }
-
-  /// Reads and drops what the caller still sends, until it closes the connection.
-  static asio::awaitable<void> drain(net::timed_socket& socket) {
-    constexpr std::size_t read_size = std::size_t{16} * 1024;
-    constexpr auto drain_time = std::chrono::milliseconds(250);
-    const net::steady_time until = steady::now() + drain_time;
-    net::error_code error;
-    while (!error && steady::now() < until) {
-      std::string dropped;
-      error = co_await socket.read_more(dropped, read_size, until);
-    }
-  }
-
   void on_sweep() {
     this->placer.tick();
     if (this->settings.claims_places) {
@@ -421,6 +375,7 @@
       this->next_idle_sweep = now + idle_sweep_interval;
       this->close_idle();
       this->report.check_memory();
+      this->clients.tick();
     }
     this->reader.tick(now, this->shared_from_this());
     if (this->leaving) {
@@ -445,30 +400,20 @@
     this->stop_began = steady::now();
     this->calls.begin_stop({this->settings.grace, this->settings.address_time});
     log(event::stopping, {{"calls", std::to_string(this->calls.in_flight())},
-                          {"connections", std::to_string(this->connections)}});
+                          {"connections", std::to_string(this->callers.connections())}});
     this->gossip.broadcast_state();
   }
 
-  /// Accepts no more connections and closes those without a call.
-  void close_to_callers() {
-    this->closing = true;
-    net::error_code ignored;
-    this->acceptor.close(ignored);
-    for (relay::caller_connection* caller : this->callers) {
-      caller->stop_reading();
-    }
-  }
-
   void continue_stop(net::steady_time now) {
     const duration elapsed = std::chrono::duration_cast<duration>(now - this->stop_began);
     const shutdown_policy stop{this->settings.grace, this->settings.address_time};
     this->calls.continue_stop();
-    if (!this->closing && stop.may_close(elapsed, this->calls.in_flight())) {
-      this->close_to_callers();
+    if (!this->callers.is_closing() && stop.may_close(elapsed, this->calls.in_flight())) {
+      this->callers.close();
     }
-    if (this->closing && stop.may_exit(elapsed, this->connections)) {
+    if (this->callers.is_closing() && stop.may_exit(elapsed, this->callers.connections())) {
       log(event::stopped, {{"calls", std::to_string(this->calls.in_flight())},
-                           {"connections", std::to_string(this->connections)}});
+                           {"connections", std::to_string(this->callers.connections())}});
       flush_log();
       this->stopped();
     }
--- a/libs/front/src/front_settings.cc
+++ b/libs/front/src/front_settings.cc
@@ -44,7 +44,6 @@
   }
   front_settings settings;
   static_cast<discovery::host_settings&>(settings) = discovery::host_settings_from(values);
-  settings.memory_mb = static_cast<std::uint64_t>(values.integer("host", "memory_mb"));
   settings.callers_at = discovery::address_of(values, "callers", "listen");
   settings.ready_at = discovery::address_of(values, "callers", "ready_listen");
   settings.directory_at = discovery::address_of(values, "callers", "directory_listen");
--- a/libs/front/src/host_report.cc
+++ b/libs/front/src/host_report.cc
@@ -57,6 +57,8 @@
   const copy_counters& copies = this->from.gossip.counters();
   this->set("resident_bytes", resident_bytes().value_or(0));
   this->set("caller_connections", this->from.connections());
+  this->from.clients.add_metrics(
+      [this](const std::string& name, std::uint64_t value) { this->set(name, value); });
   this->set("peer_bytes_waiting", this->from.peer_bytes_waiting());
   this->set("configuration_bytes", this->from.fleet.configuration_copy().size());
   this->set("copies_asked", copies.asked);
--- a/libs/net/src/timed_socket.cc
+++ b/libs/net/src/timed_socket.cc
@@ -113,6 +113,28 @@
   co_return error;
 }
 
+asio::awaitable<error_code> timed_socket::wait_readable(steady_time until) {
+  if (std::chrono::steady_clock::now() >= until) {
+    co_return asio::error::timed_out;
+  }
+  this->read_alarm.expires_at = until;
+  error_code error;
+  co_await this->socket.async_wait(tcp::socket::wait_read,
+                                   asio::redirect_error(asio::use_awaitable, error));
+  co_return end_operation(this->read_alarm, error);
+}
+
+std::size_t timed_socket::read_available(asio::mutable_buffer into, error_code& error) {
+  this->socket.non_blocking(true, error);
+  return error ? 0 : this->socket.read_some(into, error);
+}
+
+std::size_t timed_socket::write_available(std::string_view bytes) {
+  error_code error;
+  this->socket.non_blocking(true, error);
+  return error ? 0 : this->socket.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+}
+
 asio::awaitable<error_code> timed_socket::write_all(std::string_view bytes, steady_time until) {
   this->write_alarm.expires_at = until;
   error_code error;
--- a/libs/overload/include/hawthornlane/overload/byte_budget.h
+++ b/libs/overload/include/hawthornlane/overload/byte_budget.h
@@ -5,30 +5,48 @@
 #include <memory>
 #include <utility>
 
-namespace hawthornlane::net {
+namespace hawthornlane::overload {
 
-/// Counts the bytes of all shares. Not thread-safe.
+/// Counts the bytes of all holders, from the first one. Not thread-safe.
+///
+/// A part of the budget is reserved for holders of few bytes, so that a small message is not
+/// refused because of others' large ones. Small holders are limited too: thousands of them also
+/// fill a process.
 class byte_budget {
 public:
-  explicit byte_budget(std::size_t most) : max_bytes(most) {}
+  /// A holder of at most this many bytes is small.
+  static constexpr std::size_t small_bytes = std::size_t{64} * 1024;
 
-  void limit(std::size_t most) { this->max_bytes = most; }
+  /// Holders of more than `small_bytes` may grow while all together hold at most `most_for_large`;
+  /// small ones may take `reserve` in addition.
+  byte_budget(std::size_t most_for_large, std::size_t reserve)
+      : large_limit(most_for_large), total_limit(most_for_large + reserve) {}
+
+  /// Whether a holder of `before` bytes may hold `after`.
+  [[nodiscard]] bool allows(std::size_t before, std::size_t after) const {
+    return after <= before || this->bytes - before + after <= this->limit_for(after);
+  }
+  /// Counts a holder's change without a check.
+  void change(std::size_t before, std::size_t after) { this->bytes += after - before; }
+
+  /// Limit of what all hold together, for a holder of `size` bytes to grow.
+  [[nodiscard]] std::size_t limit_for(std::size_t size) const {
+    return size > small_bytes ? this->large_limit : this->total_limit;
+  }
+  /// The largest holder that can be served at all.
+  [[nodiscard]] std::size_t largest() const { return this->large_limit; }
   [[nodiscard]] std::size_t used() const { return this->bytes; }
 
 private:
-  friend class byte_share;
-  std::size_t max_bytes;
-  /// Invariant: the sum of what all shares have counted.
+  std::size_t large_limit;
+  std::size_t total_limit;
+  /// Invariant: the sum of what all holders have counted.
   std::size_t bytes = 0;
 };
 
 /// One holder's part of a budget; returned when it is destroyed.
 class byte_share {
 public:
-  /// What each holder may keep without regard to the budget: a small message is never refused
-  /// because of others' large ones.
-  static constexpr std::size_t free_bytes = std::size_t{64} * 1024;
-
   byte_share() = default;
   explicit byte_share(std::shared_ptr<byte_budget> of) : budget(std::move(of)) {}
   byte_share(const byte_share&) = delete;
@@ -42,20 +60,19 @@
   }
   ~byte_share() {
     if (this->budget) {
-      this->budget->bytes -= this->counted;
+      this->budget->change(this->counted, 0);
     }
   }
 
   /// Counts a holder that keeps `size` bytes now; returns false if the budget does not allow it.
   [[nodiscard]] bool grow_to(std::size_t size) {
-    if (!this->budget || size <= free_bytes || size <= this->counted) {
+    if (!this->budget || size <= this->counted) {
       return true;
     }
-    const std::size_t more = size - this->counted;
-    if (this->budget->bytes + more > this->budget->max_bytes) {
+    if (!this->budget->allows(this->counted, size)) {
       return false;
     }
-    this->budget->bytes += more;
+    this->budget->change(this->counted, size);
     this->counted = size;
     return true;
   }
@@ -65,4 +82,4 @@
   std::size_t counted = 0;
 };
 
-}  // namespace hawthornlane::net
+}  // namespace hawthornlane::overload
--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -12,8 +12,8 @@
 #include <string_view>
 #include <vector>
 
-#include "hawthornlane/net/byte_budget.h"
 #include "hawthornlane/net/timed_socket.h"
+#include "hawthornlane/overload/byte_budget.h"
 #include "hawthornlane/relay/call_terms.h"
 
 namespace hawthornlane::relay {
@@ -50,7 +50,7 @@
   /// The head of the response to this call has arrived.
   bool has_begun = false;
   /// What the body takes of the memory for responses.
-  net::byte_share memory;
+  overload::byte_share memory;
 };
 
 /// Receives a streamed response. Returning false ends the transfer.
@@ -67,8 +67,12 @@
   std::string method;
   std::string target;
   std::vector<http::header> headers;
-  /// Owned by the caller of `run`; must outlive the attempt.
+  /// The body, in two parts. They belong to `body_owner`, or else to the caller of `run`, where
+  /// they must outlive the attempt.
+  std::string_view body_begin;
   std::string_view body;
+  /// Keeps the body until it is written, so that a large one is not copied.
+  std::shared_ptr<const void> body_owner;
   request_id id;
   net::steady_time until = net::never;
   /// True if running the call twice does no harm. Otherwise only recently used pooled
@@ -183,7 +187,7 @@
   net::deadline_sweeper& sweeper;
   const call_codec& codec;
   std::map<http::endpoint, std::vector<connection_ptr>> idle;
-  std::shared_ptr<net::byte_budget> buffered;
+  std::shared_ptr<overload::byte_budget> buffered;
   pool_counters counts;
 };
 
--- a/libs/relay/include/hawthornlane/relay/framing.h
+++ b/libs/relay/include/hawthornlane/relay/framing.h
@@ -15,9 +15,6 @@
 /// Returns nothing when the head is valid.
 std::optional<std::string> find_framing_error(std::string_view head);
 
-/// Length of the head including the empty line; nothing while the head is incomplete.
-std::optional<std::size_t> head_length(std::string_view bytes);
-
 /// Compares two names, letter case ignored.
 bool same_header_name(std::string_view a, std::string_view b);
 
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -52,6 +52,10 @@
 constexpr std::size_t max_chunk_framing_bytes = std::size_t{16} * 1024;
 /// Limit of all responses in memory, unless another one is set.
 constexpr std::size_t default_buffered_bytes = std::size_t{64} * 1024 * 1024;
+/// Divisor of that limit: what small responses may take in addition.
+constexpr std::size_t small_share = 4;
+/// A request's body of up to this size is copied behind its head, to be written at once.
+constexpr std::size_t max_copied_body = std::size_t{64} * 1024;
 constexpr int first_failure_status = 300;
 /// Statuses that tell a caller that the call has not run and will not run. If a server sends one
 /// without stating that it did not run the call, the attempt counts as broken.
@@ -80,17 +84,45 @@
          not_run_statuses.end();
 }
 
-std::string request_bytes(const backend_request& request) {
-  std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+/// A request as it is written: the pieces one after the other.
+struct request_message {
+  /// The head, and the body too if it is copied.
+  std::string begin;
+  std::array<std::string_view, 2> body;
+  std::shared_ptr<const void> body_owner;
+};
+
+request_message message_of(const backend_request& request) {
+  request_message message;
+  std::string& bytes = message.begin;
+  bytes = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
   for (const http::header& item : request.headers) {
     bytes += fmt::format("{}: {}\r\n", item.name, item.value);
   }
-  if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
-    bytes += fmt::format("Content-Length: {}\r\n", request.body.size());
+  const std::size_t size = request.body_begin.size() + request.body.size();
+  if (size > 0 || request.method == "POST" || request.method == "PUT") {
+    bytes += fmt::format("Content-Length: {}\r\n", size);
   }
   bytes += "\r\n";
+  if (request.body_owner && size > max_copied_body) {
+    message.body = {request.body_begin, request.body};
+    message.body_owner = request.body_owner;
+    return message;
+  }
+  bytes += request.body_begin;
   bytes += request.body;
-  return bytes;
+  return message;
+}
+
+asio::awaitable<error_code> write_message(net::timed_socket& socket, const request_message& message,
+                                          net::steady_time until) {
+  error_code error = co_await socket.write_all(message.begin, until);
+  for (const std::string_view piece : message.body) {
+    if (!error && !piece.empty()) {
+      error = co_await socket.write_all(piece, until);
+    }
+  }
+  co_return error;
 }
 
 }  // namespace
@@ -159,11 +191,14 @@
     : context(io),
       sweeper(sweep),
       codec(with),
-      buffered(std::make_shared<net::byte_budget>(default_buffered_bytes)) {}
+      buffered(std::make_shared<overload::byte_budget>(default_buffered_bytes,
+                                                       default_buffered_bytes / small_share)) {}
 
 backend_pool::~backend_pool() = default;
 
-void backend_pool::limit_buffered_bytes(std::size_t max_bytes) { this->buffered->limit(max_bytes); }
+void backend_pool::limit_buffered_bytes(std::size_t max_bytes) {
+  this->buffered = std::make_shared<overload::byte_budget>(max_bytes, max_bytes / small_share);
+}
 
 backend_pool::connection_ptr backend_pool::take_idle(const backend_request& request) {
   const auto found = this->idle.find(request.where);
@@ -281,12 +316,12 @@
   current.sent = false;
   current.reusable = false;
   const auto alive = std::make_shared<connection_ptr>(std::move(connection));
-  const auto bytes = std::make_shared<std::string>(request_bytes(request));
+  const auto bytes = std::make_shared<const request_message>(message_of(request));
   asio::co_spawn(
       this->context,
-      [](std::shared_ptr<connection_ptr> held, std::shared_ptr<std::string> message,
+      [](std::shared_ptr<connection_ptr> held, std::shared_ptr<const request_message> message,
          net::steady_time until) -> asio::awaitable<void> {
-        const error_code error = co_await (*held)->socket.write_all(*message, until);
+        const error_code error = co_await write_message((*held)->socket, *message, until);
         (*held)->sent = !error;
       }(alive, bytes, request.until),
       asio::detached);
@@ -363,7 +398,7 @@
     co_return attempt_outcome::abandoned;
   }
   std::string whole;
-  net::byte_share share(this->buffered);
+  overload::byte_share share(this->buffered);
   while (true) {
     const std::string piece = from.take_body();
     if (is_stream && !piece.empty() && !co_await sink.on_bytes(piece)) {
--- a/libs/relay/src/caller_connection.cc
+++ b/libs/relay/src/caller_connection.cc
@@ -3,8 +3,13 @@
 
 #include <fmt/format.h>
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
+#include "hawthornlane/http/read_scratch.h"
 #include "hawthornlane/relay/framing.h"
 
 namespace hawthornlane::relay {
@@ -14,70 +19,75 @@
 
 namespace {
 
-constexpr std::size_t read_size = std::size_t{16} * 1024;
 /// Timeout of one write to a caller. A slower caller would hold memory for too long.
 constexpr auto write_timeout = std::chrono::seconds(5);
 /// The timeout of a body is this multiple of the timeout of a head.
 constexpr int body_time_factor = 2;
-/// Bytes read beyond the header limit, so that exceeding it is detected and reported as such.
-constexpr std::size_t header_overrun = 1;
-/// Limit of the line before a chunk of a body, and of the fields after the last one.
-constexpr std::size_t max_chunk_framing_bytes = std::size_t{16} * 1024;
 
-using parser_type = bhttp::request_parser<bhttp::string_body>;
+net::steady_time after(duration time) { return std::chrono::steady_clock::now() + time; }
 
-/// HTTP/1.0 in Beast's version numbers.
-constexpr unsigned http_1_0 = 10;
+}  // namespace
 
-net::steady_time after(duration time) { return std::chrono::steady_clock::now() + time; }
+caller_connection::caller_connection(net::timed_socket& connected)
+    : socket(connected), requests(nullptr) {}
 
-/// Feeds `buffer` to the parser and removes the consumed bytes.
-error_code feed(parser_type& parser, std::string& buffer) {
-  while (!buffer.empty() && !parser.is_done()) {
-    error_code error;
-    const std::size_t taken = parser.put(asio::buffer(buffer), error);
-    buffer.erase(0, taken);
-    if (error && error != bhttp::error::need_more) {
-      return error;
-    }
-    if (error || taken == 0) {
-      break;
+caller_connection::caller_connection(net::timed_socket& connected,
+                                     std::shared_ptr<overload::client_registry> registry,
+                                     overload::listener* at, std::string yield_text)
+    : socket(connected),
+      slot(std::make_unique<overload::client_slot>(
+          std::move(registry), at, std::chrono::steady_clock::now(),
+          [this](overload::yielded what) { this->yield(what); })),
+      requests(this->slot.get()),
+      yield_response(std::move(yield_text)) {}
+
+caller_connection::~caller_connection() = default;
+
+void caller_connection::yield(overload::yielded what) {
+  this->has_yielded = true;
+  if (what == overload::yielded::memory) {
+    this->requests.drop();
+    if (this->is_reading) {
+      this->socket.cancel_read();
     }
+    return;
   }
-  const bool too_large = !parser.is_done() && buffer.size() > max_chunk_framing_bytes;
-  return too_large ? make_error_code(bhttp::error::body_limit) : error_code();
-}
-
-failure failure_from(const error_code& error) {
-  const bool large = error == bhttp::error::body_limit;
-  return {large ? error_kind::body_too_large : error_kind::bad_request, error.message()};
+  const bool is_refused = this->requests.has_begun() && !this->has_started;
+  this->requests.drop();
+  if (is_refused) {
+    this->socket.write_available(this->yield_response);
+  }
+  this->is_gone = true;
+  this->socket.close();
 }
 
-void copy_request(parser_type& parser, http::request& into) {
-  auto& message = parser.get();
-  into.method = std::string(message.method_string());
-  into.target = std::string(message.target());
-  into.path = into.target.substr(0, into.target.find('?'));
-  into.headers.clear();
-  for (const auto& item : message) {
-    into.headers.push_back({std::string(item.name_string()), std::string(item.value())});
+asio::awaitable<error_code> caller_connection::read_some(std::string_view& bytes,
+                                                         net::steady_time until) {
+  const std::span<char> scratch = http::read_scratch();
+  error_code error = asio::error::would_block;
+  while (error == asio::error::would_block) {
+    if (this->reading_stopped || this->has_yielded || std::chrono::steady_clock::now() >= until) {
+      co_return asio::error::timed_out;
+    }
+    const std::size_t got =
+        this->socket.read_available(asio::buffer(scratch.data(), scratch.size()), error);
+    bytes = std::string_view(scratch.data(), got);
+    if (error == asio::error::would_block) {
+      const error_code failed = co_await this->wait_readable(until);
+      if (failed) {
+        co_return failed;
+      }
+    }
   }
-  into.body = std::move(message.body());
+  co_return error;
 }
 
-}  // namespace
-
-struct caller_connection::request_parser {
-  parser_type parser;
-};
-
-asio::awaitable<error_code> caller_connection::read_more(std::size_t max_bytes,
-                                                         net::steady_time until) {
-  if (this->reading_stopped) {
+asio::awaitable<error_code> caller_connection::wait_readable(net::steady_time until) {
+  if (this->reading_stopped || this->has_yielded) {
     co_return asio::error::timed_out;
   }
   this->is_reading = true;
-  const error_code error = co_await this->socket.read_more(this->buffer, max_bytes, until);
+  const error_code error = co_await this->socket.wait_readable(until);
   this->is_reading = false;
   co_return error;
 }
@@ -89,104 +99,135 @@
   }
 }
 
-failure caller_connection::incomplete_request(const char* detail) const {
+failure caller_connection::incomplete_request() {
+  if (this->has_yielded) {
+    return {error_kind::overloaded, "the request had to yield its memory to others"};
+  }
   if (this->reading_stopped) {
     return {error_kind::host_leaving, "the host stops before the request has arrived"};
   }
-  return {error_kind::request_timeout, detail};
-}
-
-asio::awaitable<bool> caller_connection::wait_for_request(const caller_limits& limits) {
-  if (!this->buffer.empty()) {
-    co_return true;
+  if (this->slot) {
+    this->slot->count_refusal(overload::refusal_cause::timeout);
   }
-  const error_code error = co_await this->read_more(
-      std::min(read_size, limits.header_bytes + header_overrun), after(limits.idle_timeout));
-  co_return !error;
+  return {error_kind::request_timeout, this->requests.is_head_complete()
+                                           ? "the request body did not arrive in time"
+                                           : "the request head did not arrive in time"};
 }
 
-asio::awaitable<read_outcome> caller_connection::read_head(const caller_limits& limits,
-                                                           std::size_t& length, failure& reason) {
-  const net::steady_time head_until = after(limits.header_timeout);
-  while (!head_length(this->buffer) && this->buffer.size() <= limits.header_bytes) {
-    const error_code error = co_await this->read_more(
-        std::min(read_size, limits.header_bytes + header_overrun), head_until);
-    if (error == asio::error::timed_out) {
-      reason = this->incomplete_request("the request head did not arrive in time");
-      co_return read_outcome::refused;
+asio::awaitable<http::assembly> caller_connection::read_first(
+    const std::function<caller_limits()>& limits_in_force, caller_limits& limits) {
+  std::string_view bytes;
+  error_code error;
+  if (!this->requests.has_begun()) {
+    const net::steady_time until = after(limits_in_force().idle_timeout);
+    // The first request usually arrives with the connection, further ones after a pause.
+    if (!this->is_new) {
+      error = co_await this->wait_readable(until);
     }
-    if (error) {
-      co_return read_outcome::closed;
+    this->is_new = false;
+    if (!error) {
+      error = co_await this->read_some(bytes, until);
     }
   }
-  length = head_length(this->buffer).value_or(this->buffer.size());
-  if (length > limits.header_bytes) {
-    reason = {error_kind::header_too_large, "the request head exceeds the limit"};
-    co_return read_outcome::refused;
+  if (error) {
+    this->is_gone = this->is_gone || error != asio::error::timed_out;
+    co_return http::assembly::closed;
   }
-  if (const auto error_found =
-          find_framing_error(std::string_view(this->buffer).substr(0, length))) {
-    reason = {error_kind::bad_request, *error_found};
-    co_return read_outcome::refused;
+  limits = limits_in_force();
+  const http::assembly begun =
+      this->requests.begin({limits.header_bytes, limits.body_bytes}, find_framing_error);
+  if (begun != http::assembly::incomplete || bytes.empty()) {
+    co_return begun;
   }
-  co_return read_outcome::request;
+  co_return this->requests.add(bytes);
 }
 
-asio::awaitable<read_outcome> caller_connection::read_body(const caller_limits& limits,
-                                                           request_parser& from, failure& reason) {
-  error_code error_found = feed(from.parser, this->buffer);
-  const net::steady_time until = after(limits.header_timeout * body_time_factor);
-  const bool expects_continue =
-      from.parser.is_header_done() && !from.parser.is_done() &&
-      same_header_name(from.parser.get()[bhttp::field::expect], "100-continue");
-  if (!error_found && expects_continue && !co_await this->send("HTTP/1.1 100 Continue\r\n\r\n")) {
-    co_return read_outcome::closed;
-  }
-  while (!error_found && !from.parser.is_done()) {
-    const error_code error = co_await this->read_more(read_size, until);
+asio::awaitable<http::assembly> caller_connection::read_rest(const caller_limits& limits,
+                                                             http::assembly state) {
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  net::steady_time until = after(limits.header_timeout);
+  bool in_body = false;
+  while (state == http::assembly::incomplete || state == http::assembly::expects_continue) {
+    if (!in_body && this->requests.is_head_complete()) {
+      in_body = true;
+      until = after(limits.header_timeout * body_time_factor);
+    }
+    const bool expects = state == http::assembly::expects_continue;
+    if (expects && !co_await this->send("HTTP/1.1 100 Continue\r\n\r\n")) {
+      co_return http::assembly::closed;
+    }
+    // A client that sends without a pause must not keep others from being served.
+    co_await asio::post(executor, asio::use_awaitable);
+    std::string_view bytes;
+    const error_code error = co_await this->read_some(bytes, until);
     if (error == asio::error::timed_out) {
-      reason = this->incomplete_request("the request body did not arrive in time");
-      co_return read_outcome::refused;
+      co_return http::assembly::incomplete;
     }
     if (error) {
-      co_return read_outcome::closed;
+      co_return http::assembly::closed;
     }
-    error_found = feed(from.parser, this->buffer);
-  }
-  if (error_found) {
-    reason = failure_from(error_found);
-    co_return read_outcome::refused;
+    state = this->requests.add(bytes);
   }
-  co_return read_outcome::request;
+  co_return state;
 }
 
 asio::awaitable<read_outcome> caller_connection::read(
     const std::function<caller_limits()>& limits_in_force, http::request& into, failure& reason) {
   this->has_started = false;
-  const bool has_begun = co_await this->wait_for_request(limits_in_force());
-  if (!has_begun) {
+  caller_limits limits;
+  http::assembly state = co_await this->read_first(limits_in_force, limits);
+  state = co_await this->read_rest(limits, state);
+  if (state == http::assembly::closed || this->is_gone) {
     co_return read_outcome::closed;
   }
-  const caller_limits limits = limits_in_force();
-  std::size_t length = 0;
-  read_outcome outcome = co_await this->read_head(limits, length, reason);
-  if (outcome != read_outcome::request) {
-    co_return outcome;
-  }
-  request_parser from;
-  from.parser.eager(true);
-  from.parser.header_limit(static_cast<std::uint32_t>(length + 1));
-  from.parser.body_limit(limits.body_bytes);
-  outcome = co_await this->read_body(limits, from, reason);
-  if (outcome != read_outcome::request) {
-    co_return outcome;
+  if (state != http::assembly::complete) {
+    reason =
+        state == http::assembly::refused ? this->requests.reason() : this->incomplete_request();
+    co_return read_outcome::refused;
   }
-  this->keep_alive = from.parser.keep_alive();
-  this->may_use_chunked_encoding = from.parser.get().version() > http_1_0;
-  copy_request(from.parser, into);
+  this->keep_alive = this->requests.keep_alive();
+  this->may_use_chunked_encoding = this->requests.may_use_chunks();
+  into = this->requests.take();
   co_return read_outcome::request;
 }
 
+asio::awaitable<void> caller_connection::drop_rest(overload::drain_pace& pace, drop_time time,
+                                                   const std::function<bool()>& must_end) {
+  if (this->slot) {
+    this->slot->enter(overload::client_phase::closing, std::chrono::steady_clock::now());
+  }
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  const net::steady_time least = after(time.least);
+  const net::steady_time most = after(time.most);
+  std::size_t due = this->requests.bytes_due();
+  this->requests.drop();
+  pace.begin();
+  error_code error;
+  while (!error && due > 0) {
+    const net::steady_time now = std::chrono::steady_clock::now();
+    if (now >= most || (now >= least && must_end())) {
+      break;
+    }
+    error = co_await this->socket.wait_readable(std::min(most, after(time.least)));
+    if (error == asio::error::timed_out) {
+      error = {};
+      continue;
+    }
+    const std::span<char> scratch = http::read_scratch();
+    if (!error) {
+      due -= std::min(
+          due, this->socket.read_available(asio::buffer(scratch.data(), scratch.size()), error));
+      error = error == asio::error::would_block ? error_code() : error;
+    }
+    if (!error) {
+      asio::steady_timer timer(executor, pace.pause());
+      error_code ignored;
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+  }
+  pace.end();
+}
+
 std::string caller_connection::head_bytes(int status,
                                           const std::vector<http::header>& headers) const {
   const auto reason = bhttp::obsolete_reason(static_cast<bhttp::status>(status));
--- a/libs/relay/src/framing.cc
+++ b/libs/relay/src/framing.cc
@@ -105,12 +105,6 @@
   });
 }
 
-std::optional<std::size_t> head_length(std::string_view bytes) {
-  constexpr std::string_view end = "\r\n\r\n";
-  const std::size_t at = bytes.find(end);
-  return at == std::string_view::npos ? std::nullopt : std::optional(at + end.size());
-}
-
 std::optional<std::string> find_framing_error(std::string_view head) {
   header_counts seen;
   bool first = true;
--- a/libs/telemetry/include/hawthornlane/telemetry/log.h
+++ b/libs/telemetry/include/hawthornlane/telemetry/log.h
@@ -50,6 +50,7 @@
   call_ended = 701,
   resumption_decided = 702,
   attempt_failed = 703,
+  clients_refused = 704,
   request_blocked = 710,
   request_unblocked = 711,
   configuration_in_force = 800,
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -85,6 +85,9 @@
         "a backend server did not answer an attempt whole; the line names the request's content, "
         "the "
         "start of the server's process, and whether something still listens at its address"},
+    event_entry{clients_refused, "clients_refused", warning,
+                "requests were refused before they were whole, or connections closed, to keep "
+                "within the limits for clients; one line a second for each cause"},
     event_entry{request_blocked, "request_blocked", warning,
                 "too many backend servers have crashed under a request, named by the hash of its "
                 "content; it is refused from now on"},
