Soak: crowds of clients among the faults

Crowds of all kinds come to the ports of one host or of all, beside stops, reloads and changed limits of bodies; `--crowds` plays them nearly all the time, with bodies of up to 4 MB, while each call has to be answered within its time limit and each process to stay within its memory.

The test's settings need no check any more whether the program knows them; crowds and bounds are unchanged.

Also: the kernel's limit of descriptors counts if it is below the setting.

--- a/libs/overload/src/allocator.cc
+++ b/libs/overload/src/allocator.cc
@@ -12,7 +12,7 @@
 /// blocks.
 constexpr int large_block_bytes = 128 * 1024;
 /// Memory is not released after a lower peak, nor while more than a part of the peak is in use.
-constexpr std::size_t min_peak_bytes = std::size_t{2} * 1024 * 1024;
+constexpr std::size_t min_peak_bytes = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t held_divisor = 4;
 
 }  // namespace
--- a/libs/overload/src/client_limits.cc
+++ b/libs/overload/src/client_limits.cc
@@ -20,20 +20,21 @@
 constexpr std::size_t min_connections = 4;
 constexpr std::size_t max_auxiliary_connections = 64;
 
-std::size_t descriptors_of_process() {
+/// What both the settings and the kernel allow; `set` is 0 if the settings allow all.
+std::size_t descriptors_of_process(std::size_t set) {
   constexpr std::size_t if_unlimited = 4096;
   rlimit limit{};
-  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
-    return if_unlimited;
-  }
-  return static_cast<std::size_t>(limit.rlim_cur);
+  const bool is_limited =
+      ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+  const std::size_t allowed =
+      is_limited ? static_cast<std::size_t>(limit.rlim_cur) : std::max(set, if_unlimited);
+  return set > 0 ? std::min(set, allowed) : allowed;
 }
 
 }  // namespace
 
 client_limits client_limits_for(process_bounds bounds, std::size_t memory_divisor) {
-  const std::size_t all =
-      bounds.max_descriptors > 0 ? bounds.max_descriptors : descriptors_of_process();
+  const std::size_t all = descriptors_of_process(bounds.max_descriptors);
   const std::size_t sockets = all > 2 * reserved_descriptors ? all - reserved_descriptors : all / 2;
   const std::size_t by_memory = bounds.memory_bytes / connection_memory_divisor / connection_bytes;
   client_limits limits;
--- a/scenarios/client_crowd.cc
+++ b/scenarios/client_crowd.cc
@@ -18,9 +18,6 @@
 namespace {
 
 constexpr std::size_t kb = 1024;
-/// Clients of a crowd that sends large bodies, and of one that sends little.
-constexpr int large_crowd = 96;
-constexpr int small_crowd = 700;
 /// Size of a small body.
 constexpr std::size_t small_body = 60 * kb;
 /// Bytes handed to the kernel in one write.
@@ -28,8 +25,6 @@
 /// Size of a small piece, and the pause after it.
 constexpr std::size_t piece_size = 8 * kb;
 constexpr auto piece_pause = std::chrono::milliseconds(10);
-/// A client without an end gives up after this many bytes.
-constexpr std::size_t endless_bytes = std::size_t{16} * kb * kb;
 constexpr auto operation_timeout = std::chrono::seconds(30);
 /// Pause before a client comes again.
 constexpr auto return_pause = std::chrono::milliseconds(50);
@@ -38,7 +33,7 @@
 
 /// What one client sends.
 struct client_script {
-  int clients = large_crowd;
+  int clients = 0;
   /// Times that each client sends its request.
   int rounds = 1;
   framing body = framing::length;
@@ -47,39 +42,39 @@
   bool sends_small_body = false;
 };
 
-client_script script_of(crowd_kind kind) {
+client_script script_of(crowd_kind kind, const crowd_size& size) {
   constexpr int returns = 3;
   using enum crowd_kind;
   switch (kind) {
     case announced_far_over_limit:
-      return {large_crowd, returns, framing::announced};
+      return {size.large, returns, framing::announced};
     case chunked_without_end:
-      return {large_crowd, returns, framing::large_chunks};
+      return {size.large, returns, framing::large_chunks};
     case whole_bodies:
-      return {large_crowd, returns, framing::length, false, true};
+      return {size.large, returns, framing::length, false, true};
     case whole_bodies_in_pieces:
-      return {large_crowd, 1, framing::length, true, true};
+      return {size.large, 1, framing::length, true, true};
     case stalled_bodies:
-      return {large_crowd, 1, framing::length};
+      return {size.large, 1, framing::length};
     case stalled_bodies_in_pieces:
-      return {large_crowd, 1, framing::length, true};
+      return {size.large, 1, framing::length, true};
     case whole_large_chunks:
-      return {large_crowd, returns, framing::large_chunks, false, true};
+      return {size.large, returns, framing::large_chunks, false, true};
     case stalled_large_chunks:
-      return {large_crowd, 1, framing::large_chunks};
+      return {size.large, 1, framing::large_chunks};
     case whole_tiny_chunks:
-      return {large_crowd, 1, framing::tiny_chunks, false, true};
+      return {size.large, 1, framing::tiny_chunks, false, true};
     case stalled_tiny_chunks:
-      return {large_crowd, 1, framing::tiny_chunks};
+      return {size.large, 1, framing::tiny_chunks};
     case trailer_without_end:
-      return {large_crowd, returns, framing::trailer};
+      return {size.large, returns, framing::trailer};
     case stalled_small_bodies:
-      return {small_crowd, 1, framing::length, false, false, true};
+      return {size.small, 1, framing::length, false, false, true};
     case stalled_behind_many_fields:
-      return {small_crowd, 1, framing::length, false, false, true};
+      return {size.small, 1, framing::length, false, false, true};
     case stalled_heads:
     case silent:
-      return {small_crowd, 1, framing::none};
+      return {size.small, 1, framing::none};
   }
   return {};
 }
@@ -117,17 +112,20 @@
 }  // namespace
 
 struct client_crowd::state : std::enable_shared_from_this<client_crowd::state> {
-  state(asio::io_context& io, net::deadline_sweeper& sweep, crowd_kind what, crowd_target where)
+  state(asio::io_context& io, net::deadline_sweeper& sweep, crowd_kind what, crowd_target where,
+        crowd_size how_large)
       : context(io),
         sweeper(sweep),
         kind(what),
         target(std::move(where)),
-        script(script_of(what)) {}
+        size(how_large),
+        script(script_of(what, how_large)) {}
 
   asio::io_context& context;
   net::deadline_sweeper& sweeper;
   crowd_kind kind;
   crowd_target target;
+  crowd_size size;
   client_script script;
   /// The part of a body that is sent; the same for all clients.
   std::string body;
@@ -153,19 +151,19 @@
       case framing::none:
         return "";
       case framing::announced:
-        return std::string(endless_bytes, 'a');
+        return std::string(this->size.endless_bytes, 'a');
       case framing::length:
         return std::string(this->script.is_whole ? bytes : bytes - 1, 'b');
       case framing::large_chunks:
         if (this->kind == crowd_kind::chunked_without_end) {
-          return chunks_of(endless_bytes, large_chunk);
+          return chunks_of(this->size.endless_bytes, large_chunk);
         }
         return chunks_of(bytes, large_chunk) + (this->script.is_whole ? "0\r\n\r\n" : "");
       case framing::tiny_chunks:
         return chunks_of(bytes, 1) + (this->script.is_whole ? "0\r\n\r\n" : "");
       case framing::trailer: {
         std::string text = "1\r\nc\r\n0\r\n";
-        while (text.size() < endless_bytes) {
+        while (text.size() < this->size.endless_bytes) {
           text += "X-Field-After-The-Body: value\r\n";
         }
         return text;
@@ -304,8 +302,8 @@
 }
 
 client_crowd::client_crowd(asio::io_context& context, net::deadline_sweeper& sweeper,
-                           crowd_kind kind, crowd_target target)
-    : shared(std::make_shared<state>(context, sweeper, kind, std::move(target))) {
+                           crowd_kind kind, crowd_target target, crowd_size size)
+    : shared(std::make_shared<state>(context, sweeper, kind, std::move(target), size)) {
   this->shared->start();
 }
 
--- a/scenarios/client_crowd.h
+++ b/scenarios/client_crowd.h
@@ -51,6 +51,15 @@
 std::span<const crowd_kind> all_crowd_kinds();
 const char* name_of(crowd_kind kind);
 
+/// How much a crowd sends.
+struct crowd_size {
+  /// Clients of a crowd that sends large bodies, and of one that sends little.
+  int large = 96;
+  int small = 700;
+  /// A client without an end gives up after this many bytes.
+  std::size_t endless_bytes = std::size_t{16} * 1024 * 1024;
+};
+
 /// Where a crowd connects, and what its requests are.
 struct crowd_target {
   http::endpoint where;
@@ -66,7 +75,7 @@
 class client_crowd {
 public:
   client_crowd(boost::asio::io_context& context, net::deadline_sweeper& sweeper, crowd_kind kind,
-               crowd_target target);
+               crowd_target target, crowd_size size = {});
   client_crowd(const client_crowd&) = delete;
   client_crowd& operator=(const client_crowd&) = delete;
   /// Closes all connections.
--- a/scenarios/crowd_hosts.cc
+++ b/scenarios/crowd_hosts.cc
@@ -6,7 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <cstdio>
 #include <fstream>
 
 #include "hawthornlane/net/timed_socket.h"
@@ -38,19 +37,6 @@
                                           limits.idle_timeout.count());
 }
 
-bool knows_setting(const std::string& program, const std::string& key) {
-  FILE* output = ::popen((program + " --describe-config").c_str(), "r");
-  std::string text;
-  char line[512];
-  while (output != nullptr && std::fgets(line, sizeof line, output) != nullptr) {
-    text += line;
-  }
-  if (output != nullptr) {
-    ::pclose(output);
-  }
-  return text.find(key) != std::string::npos;
-}
-
 std::string program_path(const std::string& name) {
   return std::string(HAWTHORNLANE_PROGRAMS) + "/" + name;
 }
@@ -117,11 +103,16 @@
   return fmt::format("[host]\nname = {}\navailability_zone = z0\n", name);
 }
 
+std::string crowd_hosts::memory_setting() const {
+  return fmt::format("memory_mb = {}\n", this->bounds.memory_mb);
+}
+
+std::string crowd_hosts::descriptor_setting() const {
+  return fmt::format("max_descriptors = {}\n", this->bounds.descriptors);
+}
+
 void crowd_hosts::start_disks() {
-  const std::string limits = knows_setting(program_path("hawthornlane-disk"), "memory_mb")
-                                 ? fmt::format("memory_mb = {}\nmax_descriptors = {}\n",
-                                               this->bounds.memory_mb, this->bounds.descriptors)
-                                 : "";
+  const std::string limits = this->memory_setting() + this->descriptor_setting();
   for (int number = 0; number < disk_count; ++number) {
     const std::string name = fmt::format("disk-{}", number);
     const fs::path data = this->folder / name;
@@ -143,27 +134,22 @@
   this->ready_at = fresh_endpoint();
   this->directory_at = fresh_endpoint();
   this->front_metrics_at = fresh_endpoint();
-  const std::string limits = knows_setting(program_path("hawthornlane-front"), "max_descriptors")
-                                 ? fmt::format("max_descriptors = {}\n", this->bounds.descriptors)
-                                 : "";
+  const std::string limits = this->memory_setting() + this->descriptor_setting();
   this->front = this->start(
       "hawthornlane-front", "front",
       this->host_section("front") + limits +
-          fmt::format("region = r\nmemory_mb = {}\n[callers]\nlisten = {}\nready_listen = {}\n"
+          fmt::format("region = r\n[callers]\nlisten = {}\nready_listen = {}\n"
                       "directory_listen = {}\ngrace = 8 s\n[peers]\nlisten = {}\n"
                       "[metrics]\nlisten = {}\n[platform]\naddress = {}\n",
-                      this->bounds.memory_mb, http::to_string(this->callers_at),
-                      http::to_string(this->ready_at), http::to_string(this->directory_at),
-                      http::to_string(fresh_endpoint()), http::to_string(this->front_metrics_at),
+                      http::to_string(this->callers_at), http::to_string(this->ready_at),
+                      http::to_string(this->directory_at), http::to_string(fresh_endpoint()),
+                      http::to_string(this->front_metrics_at),
                       http::to_string(this->store->where())));
 }
 
 void crowd_hosts::start_daemon() {
   this->daemon_at = fresh_endpoint();
-  const std::string limits = knows_setting(program_path("hawthornlaned"), "memory_mb")
-                                 ? fmt::format("memory_mb = {}\nmax_descriptors = {}\n",
-                                               this->bounds.memory_mb, this->bounds.descriptors)
-                                 : "";
+  const std::string limits = this->memory_setting() + this->descriptor_setting();
   this->daemon = this->start(
       "hawthornlaned", "daemon",
       this->host_section("daemon") + limits +
--- a/scenarios/crowd_hosts.h
+++ b/scenarios/crowd_hosts.h
@@ -81,6 +81,8 @@
   void start_front();
   void start_daemon();
   [[nodiscard]] std::string host_section(const std::string& name) const;
+  [[nodiscard]] std::string memory_setting() const;
+  [[nodiscard]] std::string descriptor_setting() const;
 
   process_limits bounds;
   std::filesystem::path folder;
--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -46,6 +46,8 @@
                     changes; no call may be cut off.
   --endless         The same, while servers send responses without an end; all calls end
                     within their time limits.
+  --crowds          Only planned maintenance, while crowds of clients send without an end, beyond
+                    the limits, or never whole; all calls end within their time limits.
   --early-ends      Also streams that may be resumed whose connection ends in order before
                     their last event, while their server goes on.
   --closing KIND    The last fault, after the others, while callers go on: none, power, wipe,
@@ -294,6 +296,9 @@
   options.callers = std::stoi(arguments.at("--callers").asString());
   if (arguments.at("--endless").asBool()) {
     options.faults = fault_choice::endless;
+  } else if (arguments.at("--crowds").asBool()) {
+    options.faults = fault_choice::crowds;
+    options.size.large_bodies = true;
   } else if (arguments.at("--planned").asBool()) {
     options.faults = fault_choice::planned;
   } else if (arguments.at("--early-ends").asBool()) {
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -40,7 +40,8 @@
       fatal_random(seed),
       kill_random(seed),
       early_end_random(seed),
-      endless_random(seed) {
+      endless_random(seed),
+      crowd_random(seed) {
   const std::vector<fault_kind> groups[] = {this->process_faults(), this->link_faults(),
                                             this->environment_faults(),
                                             this->planned_maintenance()};
@@ -441,6 +442,7 @@
   this->kill_servers(now);
   this->end_streams_early(now);
   this->send_endless_responses(now);
+  this->send_crowds(now);
   if (now >= this->period_ends) {
     const bool no_faults = this->random_index(3) == 0;
     this->maintenance_only = !this->plays_all() || no_faults;
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -22,6 +22,8 @@
   /// All faults, and streams that may be resumed whose connection ends early, in order, while their
   /// server goes on.
   early_ends,
+  /// Planned maintenance, while crowds of clients that don't behave are there at nearly all times.
+  crowds,
 };
 
 /// Starts and ends faults in an order that the seed determines. Several may be active at once.
@@ -42,7 +44,7 @@
   void end_all();
   /// True if no fault has been active since 3 s before `then`; planned maintenance does not count.
   [[nodiscard]] bool calm_since(net::steady_time then) const;
-  /// The same, but responses without an end do not count either.
+  /// The same, but responses without an end and crowds of clients do not count either.
   [[nodiscard]] bool only_endless_since(net::steady_time then) const;
   [[nodiscard]] const std::map<std::string, std::uint64_t>& counts() const { return this->begun; }
   /// One line per fault, to trace a seed.
@@ -61,8 +63,9 @@
     bool planned;
     net::steady_time until;
     undo end;
-    /// Not drawn at random: a disk host that is away in its turn, or an endless response.
+    /// Not drawn at random: a disk host that is away in its turn, an endless response, or a crowd.
     bool in_turn = false;
+    /// An endless response or a crowd: calls still have to end in time.
     bool is_endless = false;
   };
 
@@ -80,6 +83,8 @@
   void take_disks_in_turn(net::steady_time now);
   /// Lets a server send responses without an end for a while.
   void send_endless_responses(net::steady_time now);
+  /// Lets a crowd of clients come to one host or to all, for a while.
+  void send_crowds(net::steady_time now);
   /// Starts callers whose requests end servers.
   void send_fatal_requests(net::steady_time now);
   /// Kills the processes of backend servers while they respond.
@@ -133,6 +138,9 @@
   /// Likewise for responses without an end.
   std::mt19937_64 endless_random;
   net::steady_time next_endless{};
+  /// Likewise for crowds of clients.
+  std::mt19937_64 crowd_random;
+  net::steady_time next_crowd{};
   std::function<void(std::uint64_t seed)> start_fatal_request = [](std::uint64_t) {};
   std::map<std::string, std::uint64_t> begun;
   std::vector<std::string> lines;
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -115,11 +115,12 @@
   host.store = std::make_unique<fault_proxy>(this->context, this->platform->where());
   const bool is_disk = host.kind == "disk";
   host.memory_mb = is_disk ? disk_memory_mb : front_memory_mb;
+  host.metrics_at = fresh_endpoint();
   const std::string limit = is_disk ? "" : fmt::format("memory_mb = {}\n", host.memory_mb);
   std::ofstream file(host.command.back());
   file << fmt::format(settings_of_every_host, name, number % zones, limit,
                       http::to_string(peers_at), http::to_string(host.peers->where()),
-                      http::to_string(fresh_endpoint()), http::to_string(host.store->where()));
+                      http::to_string(host.metrics_at), http::to_string(host.store->where()));
   return host;
 }
 
@@ -364,10 +365,38 @@
   constexpr std::string_view services = "\"services\":[";
   text.insert(text.find(services) + services.size(), R"({"name":"batches","max-conns":100},)");
   text.insert(text.find("\"limits\":"), accounts_text());
+  if (this->size.large_bodies) {
+    constexpr std::string_view small_limits = R"("max-body-bytes":10000,"header-timeout-ms":400)";
+    text.replace(
+        text.find(small_limits), small_limits.size(),
+        fmt::format(R"("max-body-bytes":{},"header-timeout-ms":1500)", this->max_body_bytes()));
+  }
   this->platform->put("config", "main", text);
   return this->newest;
 }
 
+std::size_t soak_fleet::max_body_bytes() const {
+  constexpr std::size_t usual = 10'000;
+  constexpr std::size_t large = std::size_t{4} * 1024 * 1024;
+  constexpr std::size_t less_large = std::size_t{1024} * 1024;
+  if (!this->size.large_bodies) {
+    return usual;
+  }
+  return this->newest % 2 == 0 ? large : less_large;
+}
+
+std::vector<http::endpoint> soak_fleet::client_ports(const soak_host& host) {
+  if (host.kind == "disk") {
+    return {host.metrics_at};
+  }
+  return {host.callers_at, host.ready_at, host.directory_at, host.metrics_at};
+}
+
+std::shared_ptr<client_crowd> soak_fleet::begin_crowd(crowd_kind kind, const crowd_target& target,
+                                                      crowd_size crowd) {
+  return std::make_shared<client_crowd>(this->context, this->sweeper, kind, target, crowd);
+}
+
 void soak_fleet::grow(double share) {
   constexpr int host_names = 20;
   this->extra_routes.clear();
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "child_process.h"
+#include "client_crowd.h"
 #include "fault_proxy.h"
 #include "hawthornlane/net/deadline_sweeper.h"
 #include "hawthornlane/stand_ins/object_platform.h"
@@ -35,6 +36,8 @@
   std::uint64_t link_rate = 0;
   /// Configures hosts for callers that may ask for more than the servers can serve.
   bool contended = false;
+  /// Configures larger bodies, whose limit changes with each version.
+  bool large_bodies = false;
   /// Processor time that each host may use, as a share of one core; 0: no limit.
   double front_share = 0;
   double disk_share = 0;
@@ -60,6 +63,7 @@
   http::endpoint callers_at;
   http::endpoint ready_at;
   http::endpoint directory_at;
+  http::endpoint metrics_at;
   std::unique_ptr<child_process> process;
   /// Number of processes that this host has had.
   int incarnation = 0;
@@ -133,6 +137,12 @@
   /// API key that callers of an account send.
   static std::string key_of(const std::string& account);
   [[nodiscard]] int version() const { return this->newest; }
+  /// Largest body in the newest configuration, bytes.
+  [[nodiscard]] std::size_t max_body_bytes() const;
+  /// Where clients can reach a host.
+  static std::vector<http::endpoint> client_ports(const soak_host& host);
+  std::shared_ptr<client_crowd> begin_crowd(crowd_kind kind, const crowd_target& target,
+                                            crowd_size crowd);
   /// Writes the next configuration, with this fraction (0 to 1) of the additional routes.
   void grow(double share);
   [[nodiscard]] bool grows() const { return this->max_routes > 0; }
