Crowd test: kept turns too

A turn that is kept is held several times at once while it is stored. The other crowds and bounds are unchanged.

--- a/libs/overload/include/hawthornlane/overload/client_registry.h
+++ b/libs/overload/include/hawthornlane/overload/client_registry.h
@@ -82,6 +82,7 @@
   explicit client_registry(std::size_t memory_bytes);
   client_registry(const client_registry&) = delete;
   client_registry& operator=(const client_registry&) = delete;
+  ~client_registry() = default;
 
   /// Adds a listener. The pointer is valid as long as the registry.
   listener* add_listener(std::string name, std::size_t max_connections);
--- a/scenarios/client_crowd.cc
+++ b/scenarios/client_crowd.cc
@@ -80,8 +80,15 @@
 }
 
 std::string head_begin(const crowd_target& target, std::uint64_t number) {
-  return fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: crowd-{}\r\n", target.path,
-                     target.host_name, number);
+  std::string head = fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: crowd-{}\r\n",
+                                 target.path, target.host_name, number);
+  if (target.sends_turns) {
+    head += fmt::format(
+        "X-Program-Id: p-{}\r\nX-Session-Id: s\r\nX-Token-Budget: 1000\r\n"
+        "X-Token-Count: 100,30\r\n",
+        number);
+  }
+  return head;
 }
 
 /// A head just below the limit: one long field, or fields as short as possible.
--- a/scenarios/client_crowd.h
+++ b/scenarios/client_crowd.h
@@ -68,6 +68,8 @@
   /// Limits of the target: a body and a head of these sizes are still legal.
   std::size_t body_bytes = 0;
   std::size_t head_bytes = 0;
+  /// Each request is the turn of a program of its own.
+  bool sends_turns = false;
 };
 
 /// Plays one crowd. The clients ignore refusals as far as they can: one that is refused or
--- a/scenarios/client_crowd_test.cc
+++ b/scenarios/client_crowd_test.cc
@@ -16,7 +16,7 @@
 constexpr auto crowd_limit = 15s;
 constexpr auto recovery_limit = 15s;
 /// Ports at which each crowd is played.
-constexpr int port_count = 7;
+constexpr int port_count = 8;
 
 /// An ordinary request as a client of the platform sends it: again after a refusal that promises
 /// that it has not run.
--- a/scenarios/crowd_hosts.cc
+++ b/scenarios/crowd_hosts.cc
@@ -184,11 +184,14 @@
   document.path = "/v1/admin/documents/claims";
   document.headers = {{"Authorization", fmt::format("Bearer {}", operator_credential)}};
   document.body.assign(limits.body_bytes, 'd');
+  crowd_target turns = target(this->callers_at, "/kept/x");
+  turns.sends_turns = true;
   const std::string resolve = "/resolve?name=a.example&region=r&zone=z0";
   return {
       {"callers", this->front.get(), target(this->callers_at, "/safe/x"), ordinary, 200, largest},
       {"calls that may run once", this->front.get(), target(this->callers_at, "/once/x"), ordinary,
        200, largest},
+      {"turns that are kept", this->front.get(), turns, ordinary, 200, largest},
       {"directory", this->front.get(), target(this->directory_at, "/resolve"), get(resolve)},
       {"ready", this->front.get(), target(this->ready_at, "/ready"), get("/ready")},
       {"metrics of a front host", this->front.get(), target(this->front_metrics_at, "/metrics"),
