--- a/libs/node/src/node_settings.cc
+++ b/libs/node/src/node_settings.cc
@@ -46,7 +46,7 @@
     problems.push_back({values.line_of("operators", "credential"),
                         "[operators] credential is shorter than 16 characters"});
   }
-  constexpr std::int64_t bytes_per_mb = 1024 * 1024;
+  constexpr std::int64_t bytes_per_mb = std::int64_t{1024} * 1024;
   const std::int64_t memory = values.integer("host", "memory_mb") * bytes_per_mb;
   if (values.integer("callers", "largest_body") > memory / min_memory_per_body) {
     problems.push_back({values.line_of("callers", "largest_body"),
