--- a/scenarios/client_crowd.cc
+++ b/scenarios/client_crowd.cc
@@ -69,7 +69,6 @@
     case trailer_without_end:
       return {size.large, returns, framing::trailer};
     case stalled_small_bodies:
-      return {size.small, 1, framing::length, false, false, true};
     case stalled_behind_many_fields:
       return {size.small, 1, framing::length, false, false, true};
     case stalled_heads:
