Take the read buffer of the thread that goes on after a wait

What callers could see: with several workers, hawthornlaned could take bytes of one connection for another's. Read in the code; no run showed it.

Cause: the buffer into which all connections of a thread read was chosen before a wait, after which a coroutine may go on in another thread.

--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -11,6 +11,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include "forwarded_exchange.h"
+
 namespace hawthornlane {
 namespace asio = boost::asio;
 namespace json = boost::json;
@@ -42,34 +44,6 @@
   return times;
 }
 
-/// Sends a handler's response back over the peer network.
-class forwarded_exchange final : public http::exchange {
-public:
-  explicit forwarded_exchange(forward_reply to) : reply(std::move(to)) {}
-
-  asio::awaitable<bool> respond(http::response answer) override {
-    this->reply.head(answer.status, answer.content_type);
-    this->reply.chunk(answer.body);
-    this->reply.end(true);
-    co_return true;
-  }
-  asio::awaitable<bool> start_stream(http::response head) override {
-    this->reply.head(head.status, head.content_type);
-    co_return true;
-  }
-  asio::awaitable<bool> write(std::string_view chunk) override {
-    this->reply.chunk(chunk);
-    co_return true;
-  }
-  asio::awaitable<bool> finish_stream() override {
-    this->reply.end(true);
-    co_return true;
-  }
-
-private:
-  forward_reply reply;
-};
-
 std::optional<http::request> http_request(const forwarded_request& from) {
   http::request ask;
   ask.method = from.method;
--- a/libs/overload/src/client_registry.cc
+++ b/libs/overload/src/client_registry.cc
@@ -14,10 +14,10 @@
 /// A request is slow if nothing has arrived for this long, or if it has arrived for longer than
 /// this at less than this rate on average. A body of some megabytes would miss its time limit then.
 constexpr auto max_silence = std::chrono::milliseconds(250);
+constexpr double min_bytes_per_second = 256.0 * 1024;
 /// A connection on which a request arrives yields to a new one if nothing has arrived for this
 /// long.
 constexpr auto min_silence_to_yield = std::chrono::milliseconds(20);
-constexpr double min_bytes_per_second = 256.0 * 1024;
 
 bool is_slow(std::size_t arrived, steady_time began, steady_time progressed, steady_time now) {
   if (now - progressed >= max_silence) {
--- a/libs/relay/src/caller_connection.cc
+++ b/libs/relay/src/caller_connection.cc
@@ -63,12 +63,12 @@
 
 asio::awaitable<error_code> caller_connection::read_some(std::string_view& bytes,
                                                          net::steady_time until) {
-  const std::span<char> scratch = http::read_scratch();
   error_code error = asio::error::would_block;
   while (error == asio::error::would_block) {
     if (this->reading_stopped || this->has_yielded || std::chrono::steady_clock::now() >= until) {
       co_return asio::error::timed_out;
     }
+    const std::span<char> scratch = http::read_scratch();
     const std::size_t got =
         this->socket.read_available(asio::buffer(scratch.data(), scratch.size()), error);
     bytes = std::string_view(scratch.data(), got);
