--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,9 +5,9 @@
 cd "$(dirname "$0")/.."
 out=target/review-2
 mkdir -p "$out"
-flags="-std=c++20 -O1 -w -Ireview/4 -Istand_ins/include -Ilibs/units/include -Ilibs/errors/include -Ilibs/http/include"
+flags="-std=c++20 -O1 -w -Ireview/4 -Istand_ins/include -Ilibs/units/include -Ilibs/errors/include -Ilibs/http/include -Ilibs/overload/include"
 common=""
-for source in stand_ins/src/object_platform.cc libs/errors/src/error_kind.cc libs/http/src/message.cc libs/http/src/server.cc; do
+for source in stand_ins/src/object_platform.cc libs/errors/src/error_kind.cc libs/http/src/message.cc libs/http/src/server.cc libs/http/src/request_assembler.cc libs/http/src/read_scratch.cc libs/overload/src/client_registry.cc; do
   object="$out/$(basename "$source" .cc).o"
   ${CXX:-g++} $flags -c "$source" -o "$object"
   common="$common $object"
