Review scripts: the platform's field for descriptors

The stand-in fills in the deploy file's templates, which use limits.max-fds now; without it the settings were rejected and cases 2 and 3 could not run (exit code 2, once each). Cases and rules are unchanged.

--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -847,6 +847,7 @@
         {"region", "region-a"},
         {"ip", "127.0.0.1"},
         {"limits.memory-mb", std::to_string(this->memory)},
+        {"limits.max-fds", "4100"},
         {"limits.disk-mb", "380"},
         {"listen.front", "127.0.0.1:" + std::to_string(made->callers)},
         {"listen.ready", "127.0.0.1:" + std::to_string(made->ready)},
