Leave the allocator of disk hosts as it was

Suspected, not shown: since blocks of 128 KB or more return to the machine when they are freed, each page of a copy is allocated anew. Clients of a disk host read only metrics, so nothing of that is needed there.

--- a/programs/hawthornlane_disk.cc
+++ b/programs/hawthornlane_disk.cc
@@ -1,7 +1,6 @@
 // The daemon of a disk host of the platform.
 #include "daemon_main.h"
 #include "hawthornlane/disk/disk_host.h"
-#include "hawthornlane/overload/allocator.h"
 
 namespace asio = boost::asio;
 using namespace hawthornlane;
@@ -30,7 +29,6 @@
 int run(const disk::disk_settings& settings, const std::string& path) {
   // Single-threaded: a host has only a quarter or half of one core, and sharing tables
   // between threads would cost locks and context switches.
-  overload::return_large_blocks();
   asio::io_context context(1);
   disk::disk_host host(context, settings);
   asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
