--- a/libs/http/src/message.cc
+++ b/libs/http/src/message.cc
@@ -1,24 +1,18 @@
 // HTTP requests and responses as value types.
 #include "hawthornlane/http/message.h"
 
-#include <algorithm>
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
-#include <cctype>
 #include <charconv>
 
+#include "hawthornlane/http/message_grammar.h"
+
 namespace hawthornlane::http {
 namespace {
 
-bool equal_ignoring_case(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-    return std::tolower(x) == std::tolower(y);
-  });
-}
-
 std::optional<std::string> find_in(const std::vector<header>& headers, std::string_view name) {
   for (const header& item : headers) {
-    if (equal_ignoring_case(item.name, name)) {
+    if (same_header_name(item.name, name)) {
       return item.value;
     }
   }
--- a/libs/relay/include/hawthornlane/relay/framing.h
+++ b/libs/relay/include/hawthornlane/relay/framing.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hawthornlane/http/message.h"
+#include "hawthornlane/http/message_grammar.h"
 
 namespace hawthornlane::relay {
 
@@ -15,8 +16,7 @@
 /// Returns nothing when the head is valid.
 std::optional<std::string> find_framing_error(std::string_view head);
 
-/// Compares two names, letter case ignored.
-bool same_header_name(std::string_view a, std::string_view b);
+using http::same_header_name;
 
 /// Returns the headers without hop-by-hop headers.
 std::vector<http::header> end_to_end_headers(const std::vector<http::header>& headers);
--- a/libs/relay/src/framing.cc
+++ b/libs/relay/src/framing.cc
@@ -3,82 +3,20 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
+
+#include "hawthornlane/http/message_grammar.h"
 
 namespace hawthornlane::relay {
+using http::has_control_character;
+using http::is_token;
+using http::trimmed;
+
 namespace {
 
 constexpr std::array<std::string_view, 8> connection_headers{
     "connection", "keep-alive",        "proxy-connection", "te",
     "trailer",    "transfer-encoding", "upgrade",          "content-length"};
 
-std::string_view trimmed(std::string_view text) {
-  const auto is_blank = [](char character) { return character == ' ' || character == '\t'; };
-  while (!text.empty() && is_blank(text.front())) {
-    text.remove_prefix(1);
-  }
-  while (!text.empty() && is_blank(text.back())) {
-    text.remove_suffix(1);
-  }
-  return text;
-}
-
-bool is_token(std::string_view name) {
-  constexpr std::string_view special_characters = "!#$%&'*+-.^_`|~";
-  return !name.empty() && std::all_of(name.begin(), name.end(), [&](unsigned char character) {
-    return std::isalnum(character) != 0 ||
-           special_characters.find(static_cast<char>(character)) != special_characters.npos;
-  });
-}
-
-bool all_digits(std::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char character) {
-    return std::isdigit(character) != 0;
-  });
-}
-
-bool has_control_character(std::string_view text) {
-  return std::any_of(text.begin(), text.end(), [](unsigned char character) {
-    return (character < 0x20 && character != '\t') || character == 0x7f;
-  });
-}
-
-/// Counts of the headers that decide the body's length, and of Host headers.
-struct header_counts {
-  int lengths = 0;
-  int encodings = 0;
-  int hosts = 0;
-};
-
-std::optional<std::string> find_header_error(std::string_view line, header_counts& seen) {
-  if (line.front() == ' ' || line.front() == '\t') {
-    return "a header is folded over several lines";
-  }
-  const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) {
-    return "a header line has no valid name";
-  }
-  const std::string_view name = line.substr(0, colon);
-  const std::string_view value = trimmed(line.substr(colon + 1));
-  if (has_control_character(value)) {
-    return "a header value has control characters";
-  }
-  if (same_header_name(name, "content-length")) {
-    ++seen.lengths;
-    if (!all_digits(value)) {
-      return "Content-Length is not a number";
-    }
-  } else if (same_header_name(name, "transfer-encoding")) {
-    ++seen.encodings;
-    if (!same_header_name(value, "chunked")) {
-      return "Transfer-Encoding is not exactly chunked";
-    }
-  } else if (same_header_name(name, "host")) {
-    ++seen.hosts;
-  }
-  return std::nullopt;
-}
-
 std::optional<std::string> find_request_line_error(std::string_view line) {
   const std::size_t first = line.find(' ');
   const std::size_t last = line.rfind(' ');
@@ -99,14 +37,9 @@
 
 }  // namespace
 
-bool same_header_name(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-    return std::tolower(x) == std::tolower(y);
-  });
-}
-
 std::optional<std::string> find_framing_error(std::string_view head) {
-  header_counts seen;
+  http::framing_headers framing(http::repeated_length::refused);
+  int hosts = 0;
   bool first = true;
   while (!head.empty()) {
     const std::size_t end = head.find("\r\n");
@@ -121,20 +54,25 @@
     if (line.empty()) {
       break;
     }
-    std::optional<std::string> error =
-        first ? find_request_line_error(line) : find_header_error(line, seen);
-    if (error) {
-      return error;
+    if (first) {
+      auto error = find_request_line_error(line);
+      if (error) {
+        return error;
+      }
+      first = false;
+      continue;
     }
-    first = false;
-  }
-  if (seen.lengths > 1) {
-    return "there are several Content-Length headers";
+    std::string_view invalid;
+    const auto field = http::parse_field_line(line, invalid);
+    if (const auto error = field ? framing.add(*field) : invalid) {
+      return std::string(*error);
+    }
+    hosts += same_header_name(field->name, "host") ? 1 : 0;
   }
-  if (seen.encodings > 1 || (seen.encodings == 1 && seen.lengths == 1)) {
-    return "the body length is specified in more than one way";
+  if (const auto conflict = framing.find_conflict()) {
+    return std::string(*conflict);
   }
-  if (seen.hosts != 1) {
+  if (hosts != 1) {
     return "there is not exactly one Host header";
   }
   return std::nullopt;
