Front hosts refuse responses of servers that HTTP does not allow

Cause: nothing checked a response's head but Boost.Beast's parser, and whatever was below 200 counted as interim.

Evidence: invalid_response_test plays 70 such responses on each kind of route, with a length, in chunks and until the end of the connection, in one piece and line by line.

Change: the pool reads with http::response_reader. A response that it refuses is a broken attempt: known with its first wrong line, another server if the call may be repeated, else 502, the connection reset, a failure in the server's health. New: event 705 response_malformed with the cause, metric responses_malformed. A turn whose response was refused is none to go on from.

Result: the test passes, as do 14 unusual responses that HTTP allows.

--- a/libs/front/include/hawthornlane/front/call_service.h
+++ b/libs/front/include/hawthornlane/front/call_service.h
@@ -159,6 +159,8 @@
   // Dispatch to one server.
   boost::asio::awaitable<relay::attempt_outcome> try_server(call& one, const backend_entry& server);
   static relay::dispatch_terms terms_for(const call& one, const backend_entry& server);
+  /// Logs a response that is not valid HTTP.
+  static void log_malformed(const call& one);
   /// The outcome after checking the answer's signature and the end of the stream.
   static relay::attempt_outcome checked(call& one, relay::attempt_outcome outcome);
   boost::asio::awaitable<bool> stream_head(call& one, const relay::backend_response& head);
--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -6,6 +6,7 @@
 
 #include "call_state.h"
 #include "hawthornlane/relay/framing.h"
+#include "hawthornlane/telemetry/log.h"
 
 namespace hawthornlane::front {
 namespace asio = boost::asio;
@@ -127,6 +128,7 @@
   one.answer = {};
   const attempt_outcome ended =
       co_await this->backends.run(request, sink, one.handle, one.answer, one.detail);
+  log_malformed(one);
   attempt_outcome outcome = checked(one, ended);
   if (this->may_lack_rest(one, outcome)) {
     outcome = co_await this->read_rest(one, server, request, sink);
@@ -142,6 +144,14 @@
   co_return outcome;
 }
 
+void call_service::log_malformed(const call& one) {
+  if (!one.answer.is_malformed) {
+    return;
+  }
+  log(event::response_malformed,
+      {{"request", one.terms.id.get()}, {"server", one.server.get()}, {"detail", one.detail}});
+}
+
 attempt_outcome call_service::checked(call& one, attempt_outcome outcome) {
   if (outcome == attempt_outcome::abandoned && !one.caller.gone() && !one.ended_by_stop) {
     return attempt_outcome::broken;
--- a/libs/front/src/call_stream_rest.cc
+++ b/libs/front/src/call_stream_rest.cc
@@ -52,6 +52,7 @@
     this->metrics.count("stream_rests_asked");
     const attempt_outcome ended =
         co_await this->backends.run(request, rest_sink, one.handle, one.answer, one.detail);
+    log_malformed(one);
     outcome = checked(one, ended);
     if (outcome == attempt_outcome::abandoned) {
       co_return outcome;
--- a/libs/front/src/host_report.cc
+++ b/libs/front/src/host_report.cc
@@ -43,6 +43,7 @@
   this->set("backend_connections_reused", this->from.backends.counters().reused);
   this->set("backend_foreign_answers", this->from.backends.counters().mismatched_responses);
   this->set("backend_unnamed_refusals", this->from.backends.counters().unidentified_refusals);
+  this->set("responses_malformed", this->from.backends.counters().malformed_responses);
   this->set("response_ends_confirmed", this->from.backends.counters().ends_confirmed);
   this->set("response_ends_unconfirmed", this->from.backends.counters().ends_unconfirmed);
   this->set("calls_under_way", this->from.calls.in_flight());
--- a/libs/relay/include/hawthornlane/relay/backend_pool.h
+++ b/libs/relay/include/hawthornlane/relay/backend_pool.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "hawthornlane/http/response_reader.h"
 #include "hawthornlane/net/timed_socket.h"
 #include "hawthornlane/overload/byte_budget.h"
 #include "hawthornlane/relay/call_terms.h"
@@ -43,7 +44,7 @@
   response_terms terms;
   /// The connection ended before the response did.
   bool is_cut_off = false;
-  /// Bytes came in the body that are no part of an HTTP response, or exceed its limits.
+  /// Bytes came that are no part of an HTTP response, or exceed its limits.
   bool is_malformed = false;
   /// The response has neither a length nor chunks: only the end of its connection marks its end.
   bool ends_with_connection = false;
@@ -109,6 +110,8 @@
   std::uint64_t opened = 0;
   std::uint64_t reused = 0;
   std::uint64_t mismatched_responses = 0;
+  /// Responses that are not valid HTTP, or exceed its limits.
+  std::uint64_t malformed_responses = 0;
   /// Refusals without a request id, possibly meant for an earlier call on the same connection.
   std::uint64_t unidentified_refusals = 0;
   /// Responses that ended with their connection, by whether the server then showed that it goes on.
@@ -176,7 +179,7 @@
   boost::asio::awaitable<attempt_outcome> read_body(server_connection& connection,
                                                     const backend_request& request,
                                                     const stream_sink& sink,
-                                                    struct backend_response_parser& from,
+                                                    http::response_reader& from,
                                                     attempt_handle& handle,
                                                     backend_response& answer, std::string& detail);
   /// Derives from a complete response whether the call ran.
--- a/libs/relay/src/backend_pool.cc
+++ b/libs/relay/src/backend_pool.cc
@@ -10,15 +10,14 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http.hpp>
 #include <charconv>
 
+#include "hawthornlane/http/response_reader.h"
 #include "hawthornlane/relay/framing.h"
 #include "server_connection.h"
 
 namespace hawthornlane::relay {
 namespace asio = boost::asio;
-namespace bhttp = boost::beast::http;
 using net::error_code;
 
 namespace {
@@ -44,12 +43,6 @@
 constexpr double keep_alive_share = 0.6;
 /// Responses to other calls that are skipped before the connection is closed.
 constexpr int max_mismatched_responses = 3;
-/// Limit of a response's body, and of all bytes of a response with its framing.
-constexpr std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
-constexpr std::size_t max_framed_bytes = 2 * max_response_bytes;
-constexpr std::uint32_t max_head_bytes = 64 * 1024;
-/// Limit of the line before a chunk, and of the fields after the last one.
-constexpr std::size_t max_chunk_framing_bytes = std::size_t{16} * 1024;
 /// Limit of all responses in memory, unless another one is set.
 constexpr std::size_t default_buffered_bytes = std::size_t{64} * 1024 * 1024;
 /// Divisor of that limit: what small responses may take in addition.
@@ -79,6 +72,13 @@
   return std::nullopt;
 }
 
+bool is_event_stream(const std::vector<http::header>& headers) {
+  return std::any_of(headers.begin(), headers.end(), [](const http::header& item) {
+    return same_header_name(item.name, "content-type") &&
+           item.value.starts_with("text/event-stream");
+  });
+}
+
 bool implies_not_run(int status) {
   return std::find(not_run_statuses.begin(), not_run_statuses.end(), status) !=
          not_run_statuses.end();
@@ -127,58 +127,6 @@
 
 }  // namespace
 
-/// Parses one response from a connection's bytes.
-struct backend_response_parser {
-  bhttp::response_parser<bhttp::string_body> parser;
-  std::size_t framed_bytes = 0;
-
-  explicit backend_response_parser(bool no_body) {
-    this->parser.eager(true);
-    this->parser.header_limit(max_head_bytes);
-    this->parser.body_limit(max_response_bytes);
-    this->parser.skip(no_body);
-  }
-
-  /// Consumes bytes from `buffer`; an error means that they are not a valid response.
-  error_code feed(std::string& buffer) {
-    while (!buffer.empty() && !this->parser.is_done()) {
-      error_code error;
-      const std::size_t taken = this->parser.put(asio::buffer(buffer), error);
-      buffer.erase(0, taken);
-      this->framed_bytes += taken;
-      if (error && error != bhttp::error::need_more) {
-        return error;
-      }
-      if (error || taken == 0) {
-        break;
-      }
-    }
-    return this->check_size(buffer);
-  }
-
-  /// The parser limits heads and bodies, but not the framing of a body in chunks.
-  [[nodiscard]] error_code check_size(const std::string& buffer) const {
-    const bool in_chunks = this->parser.is_header_done() && !this->parser.is_done();
-    const bool too_large = in_chunks && (buffer.size() > max_chunk_framing_bytes ||
-                                         this->framed_bytes > max_framed_bytes);
-    return too_large ? make_error_code(bhttp::error::body_limit) : error_code();
-  }
-
-  std::string take_body() {
-    std::string body = std::move(this->parser.get().body());
-    this->parser.get().body().clear();
-    return body;
-  }
-
-  void copy_head(backend_response& into) {
-    into.status = static_cast<int>(this->parser.get().result_int());
-    into.headers.clear();
-    for (const auto& item : this->parser.get()) {
-      into.headers.push_back({std::string(item.name_string()), std::string(item.value())});
-    }
-  }
-};
-
 void attempt_handle::abandon() {
   this->abandoned = true;
   if (this->socket != nullptr) {
@@ -327,6 +275,7 @@
       asio::detached);
   attempt_outcome outcome = co_await this->exchange(current, request, sink, handle, answer, detail);
   handle.socket = nullptr;
+  this->counts.malformed_responses += answer.is_malformed ? 1 : 0;
   if (handle.abandoned) {
     outcome = attempt_outcome::abandoned;
   }
@@ -343,28 +292,25 @@
     server_connection& connection, const backend_request& request, const stream_sink& sink,
     attempt_handle& handle, backend_response& answer, std::string& detail) {
   for (int skipped = 0; skipped <= max_mismatched_responses; ++skipped) {
-    backend_response_parser from(request.method == "HEAD");
-    error_code error = from.feed(connection.buffer);
-    bool is_cut_off = false;
-    while (!error && !from.parser.is_header_done()) {
+    http::response_reader from({}, request.method == "HEAD");
+    auto invalid = from.feed(connection.buffer);
+    error_code error;
+    while (!error && !invalid && !from.has_head()) {
       error = co_await connection.socket.read_more(connection.buffer, read_size, request.until);
-      is_cut_off = error && error != asio::error::timed_out;
       if (!error) {
-        error = from.feed(connection.buffer);
+        invalid = from.feed(connection.buffer);
       }
     }
-    if (error) {
-      detail = "head: " + error.message();
-      answer.is_cut_off = is_cut_off;
+    answer.is_malformed = invalid.has_value();
+    answer.is_cut_off = error && error != asio::error::timed_out;
+    if (error || invalid) {
+      detail = "head: " + invalid.value_or(error.message());
       co_return error == asio::error::timed_out ? attempt_outcome::timed_out
                                                 : attempt_outcome::broken;
     }
-    constexpr unsigned first_final_status = 200;
-    if (from.parser.get().result_int() < first_final_status) {
-      continue;
-    }
-    from.copy_head(answer);
-    answer.ends_with_connection = from.parser.need_eof();
+    answer.status = from.status();
+    answer.headers = from.headers();
+    answer.ends_with_connection = from.ends_with_connection();
     answer.terms = this->codec.decode_response(answer.status, answer.headers);
     const bool is_mismatched = answer.terms.id && *answer.terms.id != request.id;
     answer.has_begun = !is_mismatched;
@@ -385,15 +331,14 @@
 
 asio::awaitable<attempt_outcome> backend_pool::read_body(
     server_connection& connection, const backend_request& request, const stream_sink& sink,
-    backend_response_parser& from, attempt_handle& handle, backend_response& answer,
+    http::response_reader& from, attempt_handle& handle, backend_response& answer,
     std::string& detail) {
   std::shared_ptr<end_witness> witness;
   if (answer.ends_with_connection && !answer.terms.not_run) {
     witness = this->open_witness(request);
   }
   const bool is_stream =
-      sink.on_head && answer.status < first_failure_status &&
-      from.parser.get()[bhttp::field::content_type].starts_with("text/event-stream");
+      sink.on_head && answer.status < first_failure_status && is_event_stream(answer.headers);
   if (is_stream && !co_await sink.on_head(answer)) {
     co_return attempt_outcome::abandoned;
   }
@@ -407,7 +352,7 @@
     if (!is_stream) {
       whole += piece;
     }
-    if (from.parser.is_done()) {
+    if (from.is_done()) {
       break;
     }
     if (!share.grow_to(whole.capacity())) {
@@ -416,22 +361,21 @@
     }
     error_code error =
         co_await connection.socket.read_more(connection.buffer, read_size, request.until);
-    if (error == asio::error::eof && from.parser.need_eof()) {
-      error_code ended;
-      from.parser.put_eof(ended);
-      error = ended;
+    if (error == asio::error::eof && from.ends_with_connection() && !from.end()) {
+      error = {};
     }
     answer.is_cut_off = error && error != asio::error::timed_out;
+    std::optional<std::string> invalid;
     if (!error) {
       // Behind these bytes the end may have arrived already, with the end of the process.
-      if (!from.parser.is_done() && !connection.socket.stale_while_idle()) {
+      if (!from.is_done() && !connection.socket.stale_while_idle()) {
         this->renew_witness(witness, request);
       }
-      error = from.feed(connection.buffer);
-      answer.is_malformed = error.failed();
+      invalid = from.feed(connection.buffer);
+      answer.is_malformed = invalid.has_value();
     }
-    if (error) {
-      detail = "body: " + error.message();
+    if (error || invalid) {
+      detail = "body: " + invalid.value_or(error.message());
       co_return error == asio::error::timed_out ? attempt_outcome::timed_out
                                                 : attempt_outcome::broken;
     }
@@ -455,7 +399,7 @@
         std::chrono::duration<double>(*idle_time) * keep_alive_share);
     connection.usable_until = now + share;
   }
-  connection.reusable = from.parser.keep_alive() && !from.parser.need_eof();
+  connection.reusable = from.keeps_connection();
   co_return outcome_of(connection, answer, detail);
 }
 
--- a/libs/telemetry/include/hawthornlane/telemetry/log.h
+++ b/libs/telemetry/include/hawthornlane/telemetry/log.h
@@ -51,6 +51,7 @@
   resumption_decided = 702,
   attempt_failed = 703,
   clients_refused = 704,
+  response_malformed = 705,
   request_blocked = 710,
   request_unblocked = 711,
   configuration_in_force = 800,
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -88,6 +88,9 @@
     event_entry{clients_refused, "clients_refused", warning,
                 "requests were refused before they were whole, or connections closed, to keep "
                 "within the limits for clients; one line a second for each cause"},
+    event_entry{response_malformed, "response_malformed", warning,
+                "a backend server sent a response that is not valid HTTP or exceeds its limits; "
+                "the line says why"},
     event_entry{request_blocked, "request_blocked", warning,
                 "too many backend servers have crashed under a request, named by the hash of its "
                 "content; it is refused from now on"},
--- a/scenarios/crowd_hosts.cc
+++ b/scenarios/crowd_hosts.cc
@@ -20,8 +20,6 @@
 constexpr auto call_limit = std::chrono::seconds(20);
 constexpr auto start_limit = std::chrono::seconds(30);
 constexpr int disk_count = 3;
-constexpr int server_count = 4;
-constexpr const char* operator_credential = "operators-of-the-crowd-test";
 
 http::endpoint fresh_endpoint() { return {loopback, free_port()}; }
 
@@ -58,7 +56,7 @@
 
 }  // namespace
 
-crowd_hosts::crowd_hosts()
+crowd_hosts::crowd_hosts(host_counts size)
     : sweeper(environment),
       folder(fs::temp_directory_path() / fmt::format("hawthornlane-crowd-{}", ::getpid())) {
   fs::remove_all(this->folder);
@@ -67,26 +65,37 @@
   this->store = std::make_unique<stand_ins::object_platform>(this->environment, any);
   this->daemon_platform = std::make_unique<stand_ins::platform>(this->environment, any);
   this->store->put("config", "main", configuration_text());
-  for (int number = 0; number < server_count; ++number) {
+  for (int number = 0; number < size.servers; ++number) {
     const std::string service = number % 2 == 0 ? "apps" : "models";
-    this->servers.push_back(std::make_unique<stand_ins::scripted_backend>(
-        this->environment, this->sweeper, any, fmt::format("server-{}", number),
-        std::make_shared<stand_ins::behavior_script>()));
-    const auto& server = *this->servers.back();
+    const auto& server = this->add_server(fmt::format("server-{}", number));
     this->store->put("servers", server.instance(), server.entry(service, "z0"));
   }
   this->start_disks();
   this->start_front();
-  this->start_daemon();
+  for (int number = 0; number < size.daemons; ++number) {
+    this->start_daemon(number);
+  }
 }
 
 crowd_hosts::~crowd_hosts() {
   this->front.reset();
   this->disks.clear();
-  this->daemon.reset();
+  this->daemon_processes.clear();
   fs::remove_all(this->folder);
 }
 
+stand_ins::scripted_backend& crowd_hosts::add_server(const std::string& name) {
+  this->servers.push_back(std::make_unique<stand_ins::scripted_backend>(
+      this->environment, this->sweeper, http::endpoint{loopback, 0}, name,
+      std::make_shared<stand_ins::behavior_script>()));
+  return *this->servers.back();
+}
+
+std::string crowd_hosts::log_of(const std::string& name) const {
+  std::ifstream file(this->folder / (name + ".log"));
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
 std::unique_ptr<child_process> crowd_hosts::start(const std::string& program,
                                                   const std::string& name,
                                                   const std::string& settings) {
@@ -147,17 +156,18 @@
                       http::to_string(this->store->where())));
 }
 
-void crowd_hosts::start_daemon() {
-  this->daemon_at = fresh_endpoint();
+void crowd_hosts::start_daemon(int number) {
+  const std::string name = fmt::format("daemon-{}", number);
+  this->daemons_at.push_back(fresh_endpoint());
   const std::string limits = this->memory_setting() + this->descriptor_setting();
-  this->daemon = this->start(
-      "hawthornlaned", "daemon",
-      this->host_section("daemon") + limits +
+  this->daemon_processes.push_back(this->start(
+      "hawthornlaned", name,
+      this->host_section(name) + limits +
           fmt::format("listen = {}\npeer_listen = 127.0.0.1:0\n[platform]\naddress = {}\n"
                       "[callers]\nlargest_body = {}\n[operators]\ncredential = {}\n",
-                      http::to_string(this->daemon_at),
+                      http::to_string(this->daemons_at.back()),
                       http::to_string(this->daemon_platform->where()),
-                      client_limits_of_test().body_bytes, operator_credential));
+                      client_limits_of_test().body_bytes, operator_credential)));
 }
 
 std::vector<crowded_port> crowd_hosts::ports() const {
@@ -198,8 +208,9 @@
        get("/metrics")},
       {"metrics of a disk host", this->disks.front().get(),
        target(this->disk_metrics_at, "/metrics"), get("/metrics")},
-      {"hawthornlaned", this->daemon.get(), target(this->daemon_at, "/v1/programs"), get("/readyz"),
-       200, document, document_invalid}};
+      {"hawthornlaned", this->daemon_processes.front().get(),
+       target(this->daemons_at.front(), "/v1/programs"), get("/readyz"), 200, document,
+       document_invalid}};
 }
 
 bool crowd_hosts::wait_until_serving() {
@@ -220,15 +231,31 @@
   return std::make_unique<client_crowd>(this->environment, this->sweeper, kind, target);
 }
 
-call_result crowd_hosts::call(const http::endpoint& where, const call_request& what) {
-  const auto result = std::make_shared<std::optional<call_result>>();
+std::shared_ptr<std::optional<call_result>> crowd_hosts::begin_call(const http::endpoint& where,
+                                                                    const call_request& what) {
+  auto result = std::make_shared<std::optional<call_result>>();
   asio::co_spawn(this->environment,
                  make_call(this->environment, this->sweeper, where, bytes_of(what), result),
                  asio::detached);
+  return result;
+}
+
+call_result crowd_hosts::call(const http::endpoint& where, const call_request& what) {
+  const auto result = this->begin_call(where, what);
   this->run_until([&result] { return result->has_value(); }, call_limit + std::chrono::seconds(5));
   return result->value_or(call_result{});
 }
 
+std::optional<double> crowd_hosts::metric(const http::endpoint& where, const std::string& name) {
+  call_request request;
+  request.method = "GET";
+  request.path = "/metrics";
+  const std::string page = "\n" + this->call(where, request).body;
+  const std::size_t at = page.find("\n" + name + " ");
+  return at == std::string::npos ? std::nullopt
+                                 : std::optional(std::stod(page.substr(at + name.size() + 2)));
+}
+
 bool crowd_hosts::run_until(const std::function<bool()>& done, std::chrono::milliseconds limit) {
   constexpr auto poll_interval = std::chrono::milliseconds(5);
   const auto until = steady::now() + limit;
--- a/scenarios/crowd_hosts.h
+++ b/scenarios/crowd_hosts.h
@@ -1,5 +1,4 @@
-// The programs as processes with small limits, and stand-ins for the platform, for tests with
-// crowds of clients.
+// The programs as processes with small limits, and stand-ins for the platform.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -7,6 +6,7 @@
 #include <filesystem>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +20,9 @@
 
 namespace hawthornlane::scenarios {
 
+/// Credential of the operators of `hawthornlaned`.
+inline constexpr const char* operator_credential = "operators-of-the-crowd-test";
+
 /// Limits of a process, as its settings have them.
 struct process_limits {
   std::uint64_t memory_mb = 64;
@@ -51,7 +54,15 @@
   int largest_status = 200;
 };
 
-/// One front host, three disk hosts and one `hawthornlaned`. Use it on the thread that runs its
+/// Number of processes and backend servers.
+struct host_counts {
+  /// Half of the servers are of the service "models", the others of "apps".
+  int servers = 4;
+  /// `hawthornlaned`; programs need at least two.
+  int daemons = 1;
+};
+
+/// One front host, three disk hosts and `hawthornlaned`. Use it on the thread that runs its
 /// event loop only.
 class crowd_hosts {
 private:
@@ -60,7 +71,7 @@
   net::deadline_sweeper sweeper;
 
 public:
-  crowd_hosts();
+  explicit crowd_hosts(host_counts size = {});
   crowd_hosts(const crowd_hosts&) = delete;
   crowd_hosts& operator=(const crowd_hosts&) = delete;
   ~crowd_hosts();
@@ -70,16 +81,38 @@
   [[nodiscard]] std::vector<crowded_port> ports() const;
   std::unique_ptr<client_crowd> begin_crowd(crowd_kind kind, const crowd_target& target);
   call_result call(const http::endpoint& where, const call_request& what);
+  /// Starts a call and returns at once; the result is set when the call ends.
+  std::shared_ptr<std::optional<call_result>> begin_call(const http::endpoint& where,
+                                                         const call_request& what);
   /// Runs the event loop until `done` returns true; returns false after `limit`.
   bool run_until(const std::function<bool()>& done, std::chrono::milliseconds limit);
   [[nodiscard]] const process_limits& limits() const { return this->bounds; }
+  /// Value on a metrics page; empty if there is no metric of that name.
+  std::optional<double> metric(const http::endpoint& where, const std::string& name);
+
+  [[nodiscard]] const http::endpoint& callers() const { return this->callers_at; }
+  [[nodiscard]] const http::endpoint& front_metrics() const { return this->front_metrics_at; }
+  [[nodiscard]] const std::vector<http::endpoint>& daemons() const { return this->daemons_at; }
+  [[nodiscard]] child_process& front_process() { return *this->front; }
+  [[nodiscard]] child_process& daemon_process(std::size_t number) {
+    return *this->daemon_processes.at(number);
+  }
+  [[nodiscard]] std::vector<std::unique_ptr<stand_ins::scripted_backend>>& backends() {
+    return this->servers;
+  }
+  /// The object API that the `hawthornlaned` processes read.
+  [[nodiscard]] stand_ins::platform& daemon_objects() { return *this->daemon_platform; }
+  /// Starts one more server that no host knows yet.
+  stand_ins::scripted_backend& add_server(const std::string& name);
+  /// All that a process has logged so far.
+  [[nodiscard]] std::string log_of(const std::string& name) const;
 
 private:
   std::unique_ptr<child_process> start(const std::string& program, const std::string& name,
                                        const std::string& settings);
   void start_disks();
   void start_front();
-  void start_daemon();
+  void start_daemon(int number);
   [[nodiscard]] std::string host_section(const std::string& name) const;
   [[nodiscard]] std::string memory_setting() const;
   [[nodiscard]] std::string descriptor_setting() const;
@@ -91,13 +124,13 @@
   std::vector<std::unique_ptr<stand_ins::scripted_backend>> servers;
   std::vector<std::unique_ptr<child_process>> disks;
   std::unique_ptr<child_process> front;
-  std::unique_ptr<child_process> daemon;
+  std::vector<std::unique_ptr<child_process>> daemon_processes;
   http::endpoint callers_at;
   http::endpoint ready_at;
   http::endpoint directory_at;
   http::endpoint front_metrics_at;
   http::endpoint disk_metrics_at;
-  http::endpoint daemon_at;
+  std::vector<http::endpoint> daemons_at;
 };
 
 }  // namespace hawthornlane::scenarios
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -15,6 +15,7 @@
 #include "hawthornlane/http/message.h"
 #include "hawthornlane/net/deadline_sweeper.h"
 #include "hawthornlane/stand_ins/endless_response.h"
+#include "hawthornlane/stand_ins/invalid_response.h"
 
 namespace hawthornlane::stand_ins {
 
@@ -168,6 +169,8 @@
   /// Sets which requests run and get a response without an end.
   void set_endless_responses(
       std::function<std::optional<endless_response>(const http::request&)> choose);
+  /// Sets which requests run and get a response as it is given here.
+  void set_raw_responses(std::function<std::optional<raw_response>(const http::request&)> choose);
   /// Sets which requests get the behavior `close_early` instead of `answer`.
   void set_early_ends(std::function<bool(const http::request&)> choose);
   /// Ends the process like a crash.
--- a/stand_ins/src/backend_responses.cc
+++ b/stand_ins/src/backend_responses.cc
@@ -111,6 +111,16 @@
   caller.abort_connection();
 }
 
+asio::awaitable<void> scripted_backend::state::respond_raw(relay::caller_connection& caller,
+                                                           raw_response what) {
+  const net::steady_time until = std::chrono::steady_clock::now() + long_delay;
+  const bool closes = what.closes;
+  co_await send_raw_response(caller.connection(), std::move(what), until);
+  if (closes) {
+    caller.mark_disconnected();
+  }
+}
+
 asio::awaitable<void> scripted_backend::state::answer(std::shared_ptr<state> self,
                                                       relay::caller_connection& caller,
                                                       const http::request& request,
--- a/stand_ins/src/backend_serving.cc
+++ b/stand_ins/src/backend_serving.cc
@@ -150,6 +150,12 @@
     co_await respond_endlessly(self, caller, request, id, *endless);
     co_return;
   }
+  const auto raw = self->raw_response_to ? self->raw_response_to(request) : std::nullopt;
+  if (raw) {
+    self->record(request, true);
+    co_await respond_raw(caller, *raw);
+    co_return;
+  }
   backend_behavior behavior = self->script->take();
   if (behavior == backend_behavior::answer && self->ends_early && self->ends_early(request)) {
     behavior = backend_behavior::close_early;
--- a/stand_ins/src/backend_state.h
+++ b/stand_ins/src/backend_state.h
@@ -63,6 +63,7 @@
   std::function<void(const backend_arrival&)> arrival_hook;
   std::function<std::optional<fatal_effect>(const http::request&)> fatal_effect_of;
   std::function<std::optional<endless_response>(const http::request&)> endless_response_to;
+  std::function<std::optional<raw_response>(const http::request&)> raw_response_to;
   std::function<bool(const http::request&)> ends_early;
   std::function<void(const std::optional<http::request>& cause)> end_hook;
   std::set<net::timed_socket*> connections;
@@ -148,6 +149,7 @@
                                                  relay::caller_connection& caller,
                                                  const http::request& request, const std::string id,
                                                  endless_response what);
+  static asio::awaitable<void> respond_raw(relay::caller_connection& caller, raw_response what);
   static asio::awaitable<void> answer(std::shared_ptr<state> self, relay::caller_connection& caller,
                                       const http::request& request, const std::string id,
                                       backend_behavior behavior);
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -42,6 +42,11 @@
   this->shared->endless_response_to = std::move(choose);
 }
 
+void scripted_backend::set_raw_responses(
+    std::function<std::optional<raw_response>(const http::request&)> choose) {
+  this->shared->raw_response_to = std::move(choose);
+}
+
 void scripted_backend::set_early_ends(std::function<bool(const http::request&)> choose) {
   this->shared->ends_early = std::move(choose);
 }
