A request whose last chunk arrives in pieces ends no process

What callers would have seen: a front host or hawthornlaned aborts, with every call on it, after one request with an empty body in chunks of which "0 CR LF" and one more byte arrive by themselves.

Cause: an assertion of Boost.Beast 1.81 (n >= 5 in parse_chunk_header) fails if the last chunk has no chunk before it and is parsed in pieces. Release builds keep assertions.

Change: the parser of requests, too, gets the last chunk and its trailer only once they are whole. They are found by the same chunk_checker, which also refuses folded lines and invalid names in a request's trailer.

--- a/libs/http/src/request_assembler.cc
+++ b/libs/http/src/request_assembler.cc
@@ -4,6 +4,9 @@
 #include <algorithm>
 #include <boost/beast/http.hpp>
 #include <limits>
+#include <optional>
+
+#include "hawthornlane/http/chunk_checker.h"
 
 namespace hawthornlane::http {
 namespace asio = boost::asio;
@@ -122,6 +125,10 @@
 struct request_assembler::parsing {
   parser_type parser;
   std::size_t framed_bytes = 0;
+  /// Only for a body in chunks.
+  std::optional<chunk_checker> chunks;
+  /// Bytes that the checker has seen and the parser has not.
+  std::size_t checked = 0;
 };
 
 std::optional<std::size_t> head_length(std::string_view bytes) {
@@ -256,7 +263,17 @@
   };
   std::string all;
   all.swap(this->pending);
-  const assembly outcome = this->parse(all);
+  const std::string_view rest = std::string_view(all).substr(length);
+  assembly outcome = this->parse(std::string_view(all).substr(0, length));
+  if (outcome == assembly::complete && !this->append_pending(rest)) {
+    return this->refuse_for_memory();
+  }
+  if (outcome == assembly::incomplete && parser.chunked()) {
+    this->state->chunks.emplace();
+  }
+  if (outcome == assembly::incomplete && !rest.empty()) {
+    outcome = this->parse(rest);
+  }
   if (outcome != assembly::incomplete) {
     return outcome;
   }
@@ -271,9 +288,19 @@
 assembly request_assembler::parse(std::string_view bytes) {
   parsing& now = *this->state;
   while (!bytes.empty() && !now.parser.is_done()) {
+    if (now.chunks) {
+      const auto invalid = now.chunks->add(bytes.substr(now.checked));
+      if (invalid) {
+        return this->refuse(error_kind::bad_request, std::string(*invalid));
+      }
+      now.checked = bytes.size();
+    }
+    const std::size_t held_back = now.chunks ? now.chunks->incomplete_end() : 0;
     error_code error;
-    const std::size_t taken = now.parser.put(asio::buffer(bytes.data(), bytes.size()), error);
+    const std::size_t taken =
+        now.parser.put(asio::buffer(bytes.data(), bytes.size() - held_back), error);
     bytes.remove_prefix(taken);
+    now.checked -= std::min(taken, now.checked);
     now.framed_bytes += taken;
     if (error && error != bhttp::error::need_more) {
       failure found = failure_from(error);
