The client of servers and of the store refuses responses that HTTP does not allow

What callers saw, on: hawthornlaned took the body of a response with status 000, 099, 101, 600 or 999, with a folded line, or with an unknown transfer coding beside a length for the result of a tool or of a model call. A 100 or 103 before the response made the call finish with an empty result, and the response was lost. The store, the command line and other hosts' addresses are read with the same client.

Cause: http::client had a reader of its own, without a check, that took the first head for the last one.

Change: http::client reads with http::response_reader, like the pool of front hosts. A refused response is partial_response, so never "not run". hawthornlaned logs event 705 and counts responses_malformed_total.

--- a/libs/engine/include/hawthornlane/engine/backend_client.h
+++ b/libs/engine/include/hawthornlane/engine/backend_client.h
@@ -52,6 +52,8 @@
   duration first_token{};
   duration whole{};
   std::string detail;
+  /// The response is not valid HTTP, or exceeds its limits.
+  bool is_malformed = false;
 };
 
 /// Receives each piece of the response text as it arrives.
--- a/libs/engine/src/backend_client.cc
+++ b/libs/engine/src/backend_client.cc
@@ -136,6 +136,7 @@
     const bool never_sent = why.reached == http::progress::not_connected;
     result.outcome = never_sent ? kind::never_started : kind::broken;
     result.detail = why.detail;
+    result.is_malformed = why.is_malformed;
     return;
   }
   if (head->status >= first_error_status) {
--- a/libs/http/include/hawthornlane/http/client.h
+++ b/libs/http/include/hawthornlane/http/client.h
@@ -20,6 +20,8 @@
 struct fetch_failure {
   progress reached = progress::not_connected;
   std::string detail;
+  /// The response is not valid HTTP, or exceeds its limits.
+  bool is_malformed = false;
 };
 
 /// What may mark the end of a response's body.
@@ -34,7 +36,8 @@
 /// Receives the next part of a body; returns false to end the transfer.
 using body_sink = std::function<bool(std::string_view)>;
 
-/// Sends requests. Safe for concurrent use from coroutines on any executor.
+/// Sends requests. Interim responses are skipped; a response that is not valid HTTP is a
+/// `partial_response`. Safe for concurrent use from coroutines on any executor.
 class client {
 public:
   static constexpr std::size_t default_max_response_bytes = std::size_t{64} * 1024 * 1024;
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -15,6 +15,8 @@
 #include <map>
 #include <mutex>
 
+#include "hawthornlane/http/response_reader.h"
+
 namespace hawthornlane::http {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -28,8 +30,7 @@
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 /// Limit of the body of an error response.
 constexpr std::size_t max_error_bytes = std::size_t{64} * 1024;
-/// Limit of what is buffered of a response's head, or of the framing of a body in chunks.
-constexpr std::size_t max_buffered_bytes = std::size_t{128} * 1024;
+
 /// The whole body of a response may take this multiple of the limit of its parts.
 constexpr int body_time_factor = 4;
 
@@ -82,14 +83,11 @@
   return message;
 }
 
-template <class Message>
-response to_response(const Message& message) {
+response to_response(const response_reader& reader) {
   response plain;
-  plain.status = static_cast<int>(message.result_int());
-  for (const auto& item : message) {
-    plain.headers.push_back({std::string(item.name_string()), std::string(item.value())});
-  }
-  plain.content_type = std::string(message[bhttp::field::content_type]);
+  plain.status = reader.status();
+  plain.headers = reader.headers();
+  plain.content_type = plain.find_header("content-type").value_or("");
   return plain;
 }
 
@@ -107,7 +105,7 @@
 
 /// Limits of one response.
 struct response_limits {
-  std::size_t body_bytes = 0;
+  response_sizes sizes;
   /// Between two parts.
   duration idle_time{};
   /// From the head to the end of the body.
@@ -138,7 +136,8 @@
                                   asio::redirect_error(asio::use_awaitable, error));
   }
   if (error) {
-    reason = {progress::not_connected, to_string(where) + ": " + error.message()};
+    reason.detail = to_string(where) + ": " + error.message();
+    reason.reached = progress::not_connected;
     co_return false;
   }
   stream.socket().set_option(tcp::no_delay(true), error);
@@ -146,49 +145,60 @@
   co_return true;
 }
 
-using body_parser = bhttp::response_parser<bhttp::buffer_body>;
+/// Reads what arrives next into `buffer`.
+asio::awaitable<error_code> read_more(beast::tcp_stream& stream, std::string& buffer) {
+  std::array<char, read_size> bytes{};
+  error_code error;
+  const std::size_t size = co_await stream.async_read_some(
+      asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+  buffer.append(bytes.data(), size);
+  co_return error;
+}
 
 /// Passes the body to `sink`, or stores it in `head.body` when the status is an error.
-asio::awaitable<bool> read_body(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                body_parser& parser, const response_limits& limits,
+asio::awaitable<bool> read_body(beast::tcp_stream& stream, std::string& buffer,
+                                response_reader& reader, const response_limits& limits,
                                 const body_sink& sink, response& head, fetch_failure& reason) {
   using clock = std::chrono::steady_clock;
-  const bool is_error = head.status >= first_error_status;
   const auto until =
       limits.body_time ? clock::now() + steady(*limits.body_time) : clock::time_point::max();
-  std::array<char, read_size> chunk{};
-  while (!parser.is_done()) {
-    parser.get().body().data = chunk.data();
-    parser.get().body().size = chunk.size();
+  reason.reached = progress::partial_response;
+  while (true) {
+    const std::string part = reader.take_body();
+    if (head.status >= first_error_status) {
+      head.body += part;
+      if (head.body.size() > max_error_bytes) {
+        reason.detail = "the body of the error response is too large";
+        co_return false;
+      }
+    } else if (!part.empty() && !sink(part)) {
+      reason.detail = "the receiver stopped the transfer";
+      co_return false;
+    }
+    if (reader.is_done()) {
+      break;
+    }
     const auto now = clock::now();
     if (now >= until) {
-      reason = {progress::partial_response, "the body did not end in time"};
+      reason.detail = "the body did not end in time";
       co_return false;
     }
     stream.expires_at(std::min(until, now + steady(limits.idle_time)));
-    error_code error;
-    co_await bhttp::async_read_some(stream, buffer, parser,
-                                    asio::redirect_error(asio::use_awaitable, error));
-    if (error && error != bhttp::error::need_buffer) {
-      reason = {progress::partial_response, error.message()};
+    const error_code error = co_await read_more(stream, buffer);
+    const bool has_ended = error == asio::error::eof && reader.ends_with_connection();
+    if (error && !has_ended) {
+      reason.detail = error.message();
       co_return false;
     }
-    const std::string_view part(chunk.data(), chunk.size() - parser.get().body().size);
-    if (is_error) {
-      head.body += part;
-      if (head.body.size() > max_error_bytes) {
-        reason = {progress::partial_response, "the body of the error response is too large"};
-        co_return false;
-      }
-      continue;
-    }
-    if (!part.empty() && !sink(part)) {
-      reason = {progress::partial_response, "the receiver stopped the transfer"};
+    auto invalid = has_ended ? reader.end() : reader.feed(buffer);
+    if (invalid) {
+      reason.detail = std::move(*invalid);
+      reason.is_malformed = !has_ended;
       co_return false;
     }
   }
-  if (parser.need_eof() && limits.ends == accepted_end::framing) {
-    reason = {progress::partial_response, "the body has no length and ended with its connection"};
+  if (reader.ends_with_connection() && limits.ends == accepted_end::framing) {
+    reason.detail = "the body has no length and ended with its connection";
     co_return false;
   }
   co_return true;
@@ -205,27 +215,31 @@
     }
   }
   error_code error;
-  body_parser parser;
-  parser.body_limit(limits.body_bytes);
-  beast::flat_buffer buffer(max_buffered_bytes);
+  response_reader reader(limits.sizes, message.method() == bhttp::verb::head);
+  std::string buffer;
   one.stream->expires_after(steady(limits.idle_time));
   co_await bhttp::async_write(*one.stream, message,
                               asio::redirect_error(asio::use_awaitable, error));
-  if (!error) {
-    co_await bhttp::async_read_header(*one.stream, buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, error));
+  std::optional<std::string> invalid;
+  while (!error && !invalid && !reader.has_head()) {
+    error = co_await read_more(*one.stream, buffer);
+    if (!error) {
+      invalid = reader.feed(buffer);
+    }
   }
-  if (error) {
-    reason = {progress::possibly_sent, to_string(where) + ": " + error.message()};
-    one.try_again = one.reused && error != beast::error::timeout;
+  if (error || invalid) {
+    reason.reached = invalid ? progress::partial_response : progress::possibly_sent;
+    reason.is_malformed = invalid.has_value();
+    reason.detail = to_string(where) + ": " + invalid.value_or(error.message());
+    one.try_again = one.reused && !invalid && error != beast::error::timeout;
     co_return;
   }
-  response head = to_response(parser.get());
-  const bool whole = co_await read_body(*one.stream, buffer, parser, limits, sink, head, reason);
+  response head = to_response(reader);
+  const bool whole = co_await read_body(*one.stream, buffer, reader, limits, sink, head, reason);
   if (!whole) {
     co_return;
   }
-  one.reusable = parser.keep_alive();
+  one.reusable = reader.keeps_connection();
   one.head = std::move(head);
 }
 
@@ -263,7 +277,8 @@
                                                           std::optional<duration> body_limit,
                                                           accepted_end ends, body_sink sink,
                                                           fetch_failure& reason) {
-  const response_limits limits{this->max_response_bytes, idle_timeout, body_limit, ends};
+  const response_sizes sizes{.body = this->max_response_bytes};
+  const response_limits limits{sizes, idle_timeout, body_limit, ends};
   const auto executor = co_await asio::this_coro::executor;
   const string_request message = to_beast_request(where, what);
   // The server may have closed a pooled connection, and a failed write does not tell whether the
--- a/libs/node/include/hawthornlane/node/call_runner.h
+++ b/libs/node/include/hawthornlane/node/call_runner.h
@@ -60,6 +60,8 @@
 
   [[nodiscard]] std::uint64_t tokens_relayed() const { return this->relayed; }
   [[nodiscard]] std::size_t running() const { return this->active; }
+  /// Responses of servers that were not valid HTTP.
+  [[nodiscard]] std::uint64_t malformed_responses() const { return this->malformed; }
 
 private:
   void start(call_id call, const backend_server_id& server);
@@ -91,6 +93,7 @@
   model_queue queue;
   std::atomic<std::uint64_t> relayed{0};
   std::atomic<std::size_t> active{0};
+  std::atomic<std::uint64_t> malformed{0};
 };
 
 }  // namespace hawthornlane
--- a/libs/node/src/call_runner.cc
+++ b/libs/node/src/call_runner.cc
@@ -260,11 +260,18 @@
   while (true) {
     const backend_result result = co_await this->send_once(call);
     this->backends.release_server(call.server->id, result, this->time.now());
+    if (result.is_malformed) {
+      ++this->malformed;
+      log(event::response_malformed, {{"request", call.call.request_id},
+                                      {"server", call.server->id.get()},
+                                      {"detail", result.detail}});
+    }
     tried.push_back(call.server->id);
     const bool not_started = result.outcome == backend_result::kind::never_started;
     const bool no_output = result.outcome == backend_result::kind::broken && result.answer.empty();
     const bool retryable = not_started || (no_output && call.request.repeatable);
-    if (!retryable || tried.size() >= max_servers_per_call || !this->may_retry()) {
+    if (!retryable || tried.size() >= max_servers_per_call ||
+        !this->may_retry()) {
       co_return result;
     }
     log(event::backend_failed, {{"server", call.server->id.get()}, {"detail", result.detail}});
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -243,6 +243,7 @@
   add("calls_open", "gauge", this->calls.size());
   add("calls_running", "gauge", this->runner->running());
   add("tokens_relayed_total", "counter", this->runner->tokens_relayed());
+  add("responses_malformed_total", "counter", this->runner->malformed_responses());
   add("takeovers_total", "counter", this->takeovers.load());
   add("invariants_broken_total", "counter", this->broken.load());
   add("control_bytes_sent_total", "counter", this->peers->control_bytes_sent());
