Only a 2xx of a tool or an engine is the result of a call

What callers of hawthornlaned saw: a call whose server answered 302 or 399 finished, with the body of that response as its result.

Cause: set_outcome asked only for statuses from 400 on.

Change: a status other than 2xx is a failed call, with the body as the answer, as 4xx and 5xx were.

Result: both cases of the test pass.

--- a/libs/engine/include/hawthornlane/engine/backend_client.h
+++ b/libs/engine/include/hawthornlane/engine/backend_client.h
@@ -36,7 +36,7 @@
 struct backend_result {
   enum class kind : std::uint8_t {
     finished,
-    /// The response has an error status; the call counts as run.
+    /// The response has a status other than 2xx; the call counts as run.
     failed,
     /// Not connected, so the server never received the call.
     never_started,
--- a/libs/engine/src/backend_client.cc
+++ b/libs/engine/src/backend_client.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr duration release_timeout = std::chrono::seconds(2);
-constexpr int first_error_status = 400;
 /// Limits of one line of a stream, and of the text of an answer.
 constexpr std::size_t max_line_bytes = std::size_t{256} * 1024;
 constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
@@ -139,7 +138,7 @@
     result.is_malformed = why.is_malformed;
     return;
   }
-  if (head->status >= first_error_status) {
+  if (!head->is_success()) {
     result.outcome = kind::failed;
     result.detail = "status " + std::to_string(head->status);
     result.answer = head->body;
@@ -187,7 +186,7 @@
   http::fetch_failure why;
   http::request ask = post("/cache/release", "", json::serialize(body));
   const auto head = co_await this->client.fetch(server, std::move(ask), release_timeout, why);
-  co_return head.has_value() && head->status < first_error_status;
+  co_return head.has_value() && head->is_success();
 }
 
 }  // namespace hawthornlane
--- a/libs/http/include/hawthornlane/http/client.h
+++ b/libs/http/include/hawthornlane/http/client.h
@@ -54,8 +54,8 @@
                                                         duration limit, fetch_failure& reason,
                                                         accepted_end ends = accepted_end::framing);
   /// Sends one request and passes the body to `sink` as it arrives. `idle_timeout` limits the
-  /// time between two parts. The returned response has an empty body, except when its status is an
-  /// error: then it contains the body, of 64 KB at most, and `sink` is not called.
+  /// time between two parts. The returned response has an empty body, except when its status is not
+  /// 2xx: then it contains the body, of 64 KB at most, and `sink` is not called.
   boost::asio::awaitable<std::optional<response>> fetch_stream(
       endpoint where, request what, duration idle_timeout, body_sink sink, fetch_failure& reason,
       accepted_end ends = accepted_end::framing);
--- a/libs/http/include/hawthornlane/http/message.h
+++ b/libs/http/include/hawthornlane/http/message.h
@@ -41,6 +41,8 @@
   std::string body;
 
   [[nodiscard]] std::optional<std::string> find_header(std::string_view name) const;
+  /// The status is 2xx.
+  [[nodiscard]] bool is_success() const;
 };
 
 /// Address on which a server listens.
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -91,8 +91,6 @@
   return plain;
 }
 
-constexpr int first_error_status = 400;
-
 /// One attempt to get a response over one connection.
 struct attempt {
   std::unique_ptr<beast::tcp_stream> stream;
@@ -165,7 +163,7 @@
   reason.reached = progress::partial_response;
   while (true) {
     const std::string part = reader.take_body();
-    if (head.status >= first_error_status) {
+    if (!head.is_success()) {
       head.body += part;
       if (head.body.size() > max_error_bytes) {
         reason.detail = "the body of the error response is too large";
--- a/libs/http/src/message.cc
+++ b/libs/http/src/message.cc
@@ -37,6 +37,12 @@
   return find_in(this->headers, name);
 }
 
+bool response::is_success() const {
+  constexpr int first_success = 200;
+  constexpr int first_redirection = 300;
+  return this->status >= first_success && this->status < first_redirection;
+}
+
 std::optional<endpoint> endpoint_from_string(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos || colon == 0) {
--- a/scenarios/invalid_tool_response_test.cc
+++ b/scenarios/invalid_tool_response_test.cc
@@ -105,3 +105,26 @@
   // Each attempt is counted.
   CHECK(runs == 0);
 }
+
+TEST_CASE("a response that HTTP allows becomes the result of a tool or an engine") {
+  broken_tools tools;
+  REQUIRE(tools.all.wait_until_serving());
+  for (const call_target& target : call_targets) {
+    for (const unusual_response& what : stand_ins::allowed_responses()) {
+      for (const response_framing framing : stand_ins::all_response_framings) {
+        if (!is_played(what, framing)) {
+          continue;
+        }
+        INFO(target.name << ", " << what.name << ", " << name_of(framing));
+        const bool is_success =
+            !what.name.starts_with("status ") || what.name.starts_with("status 2");
+        const daemon_call call = tools.call(target, response_of(what, framing, target));
+        const daemon_answer answer = call.answer();
+        CHECK(answer.status == 200);
+        CHECK(answer.is_success() == is_success);
+        CHECK(tools.all.runs(call) == 1);
+        CHECK((!is_success || answer.text("answer") == "all of it"));
+      }
+    }
+  }
+}
