Bytes behind a response are no response to the next request

What callers would have seen: a GET to the store or to a host gets what was sent for another request, or the rest of a response that is longer than its length.

Cause: the client of hawthornlaned and of the store kept connections without a look at what had arrived on them.

Evidence: "bytes behind a response are no response to the next request" of invalid_client_test; with client.cc of the next request got the foreign response in 2 of 4 rows, those in which it comes in a packet of its own.

Change: a connection with bytes behind a response is not kept, and a kept one on which something has arrived, or that has ended, is not used.

--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -38,6 +38,16 @@
   return std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
 }
 
+/// Whether an idle connection is open and nothing has arrived on it. What has arrived answers no
+/// request.
+bool is_quiet(beast::tcp_stream& stream) {
+  error_code error;
+  stream.socket().non_blocking(true, error);
+  char byte = 0;
+  stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
 }  // namespace
 
 struct client::pool {
@@ -47,12 +57,14 @@
   std::unique_ptr<beast::tcp_stream> take(const endpoint& where) {
     const std::lock_guard lock(this->mutex);
     auto& available = this->streams[where];
-    if (available.empty()) {
-      return nullptr;
+    while (!available.empty()) {
+      auto stream = std::move(available.back());
+      available.pop_back();
+      if (is_quiet(*stream)) {
+        return stream;
+      }
     }
-    auto stream = std::move(available.back());
-    available.pop_back();
-    return stream;
+    return nullptr;
   }
 
   void put_idle(const endpoint& where, std::unique_ptr<beast::tcp_stream> stream) {
@@ -237,7 +249,7 @@
   if (!whole) {
     co_return;
   }
-  one.reusable = reader.keeps_connection();
+  one.reusable = reader.keeps_connection() && buffer.empty();
   one.head = std::move(head);
 }
 
--- a/scenarios/invalid_client_test.cc
+++ b/scenarios/invalid_client_test.cc
@@ -144,3 +144,25 @@
     CHECK(result.response->find_header("X-Server") == "s");
   });
 }
+
+TEST_CASE("bytes behind a response are no response to the next request") {
+  const std::string foreign = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign";
+  for (const char* first : {"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nfirst\r\n",
+                            "HTTP/1.1 204 No Content\r\n\r\n"}) {
+    for (const response_pieces pieces : {response_pieces::whole, response_pieces::lines}) {
+      INFO(first << ", pieces " << static_cast<int>(pieces));
+      asio::io_context context;
+      raw_server server(context);
+      http::client client;
+      server.response = {first + foreign, pieces, false};
+      CHECK(fetch(context, client, server.where(), http::accepted_end::framing).response);
+      // What was sent behind the response has arrived.
+      context.run_for(50ms);
+      server.response = {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown", response_pieces::whole,
+                         false};
+      const fetched next = fetch(context, client, server.where(), http::accepted_end::framing);
+      REQUIRE(next.response);
+      CHECK(next.response->body == "own");
+    }
+  }
+}
