Answers of tools and engines without an end take no memory of hawthornlaned

What callers would have seen: one server that sends a body without an end ends the process, and with it the calls of all others.

Cause: each answer had a limit of its own, 64 MB, and there was none for all answers together.

Change: as in front hosts, 8 MB an answer, and a byte_budget of an eighth of memory_mb for all answers that arrive; an answer that does not fit is broken. byte_budget is thread-safe now, since hawthornlaned has several threads.

--- a/libs/engine/include/hawthornlane/engine/backend_client.h
+++ b/libs/engine/include/hawthornlane/engine/backend_client.h
@@ -4,10 +4,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "hawthornlane/http/client.h"
+#include "hawthornlane/overload/byte_budget.h"
 #include "hawthornlane/units/ids.h"
 #include "hawthornlane/units/quantities.h"
 
@@ -54,6 +57,8 @@
   std::string detail;
   /// The response is not valid HTTP, or exceeds its limits.
   bool is_malformed = false;
+  /// What the answer takes of the memory for answers.
+  std::shared_ptr<overload::byte_share> memory;
 };
 
 /// Receives each piece of the response text as it arrives.
@@ -62,6 +67,13 @@
 /// Calls backend servers. The coroutines may run on any executor.
 class backend_client {
 public:
+  /// Limit of one answer, bytes.
+  static constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
+
+  /// `memory_bytes`: all answers that are in memory at once; a call whose answer does not fit is
+  /// broken.
+  explicit backend_client(std::size_t memory_bytes = 8 * max_answer_bytes);
+
   /// Streams a chat completion.
   boost::asio::awaitable<backend_result> complete(http::endpoint server, backend_call call,
                                                   text_sink sink);
@@ -71,6 +83,7 @@
   boost::asio::awaitable<bool> release(http::endpoint server, program_id program);
 
 private:
+  std::shared_ptr<overload::byte_budget> answers;
   http::client client;
 };
 
--- a/libs/engine/src/backend_client.cc
+++ b/libs/engine/src/backend_client.cc
@@ -11,20 +11,38 @@
 namespace {
 
 constexpr duration release_timeout = std::chrono::seconds(2);
-/// Limits of one line of a stream, and of the text of an answer.
+/// Limit of one line of a stream.
 constexpr std::size_t max_line_bytes = std::size_t{256} * 1024;
-constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
+/// Limit of a stream of which events make the answer, with all that it has beside the text.
+constexpr std::size_t max_stream_bytes = 8 * backend_client::max_answer_bytes;
+/// Divisor of the memory for answers: what small ones may take in addition.
+constexpr std::size_t small_share = 4;
 
 duration elapsed_since(std::chrono::steady_clock::time_point start) {
   return std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - start);
 }
 
+/// Whether an answer of `size` bytes, for which `allocated` bytes are held, is within the limits.
+/// If not, the result says why.
+bool fits(backend_result& result, std::size_t size, std::size_t allocated) {
+  if (size > backend_client::max_answer_bytes) {
+    result.detail = "the answer is too large";
+    return false;
+  }
+  if (!result.memory->grow_to(allocated)) {
+    result.detail = "the answers in memory are too large";
+    return false;
+  }
+  return true;
+}
+
 /// Parses a stream of server-sent events into a result.
 class event_parser {
 public:
   event_parser(backend_result& into, text_sink on_text, std::chrono::steady_clock::time_point began)
       : result(into), sink(std::move(on_text)), start(began) {}
 
+  /// Returns false once the stream is too large.
   bool feed(std::string_view part) {
     this->pending += part;
     std::size_t end = this->pending.find('\n');
@@ -35,7 +53,12 @@
       end = this->pending.find('\n', begin);
     }
     this->pending.erase(0, begin);
-    return this->pending.size() <= max_line_bytes && this->result.answer.size() <= max_answer_bytes;
+    if (this->pending.size() > max_line_bytes) {
+      this->result.detail = "a line of the stream is too long";
+      return false;
+    }
+    const std::string& answer = this->result.answer;
+    return fits(this->result, answer.size(), this->pending.capacity() + answer.capacity());
   }
 
   [[nodiscard]] bool done() const { return this->finished; }
@@ -134,7 +157,7 @@
   if (!head) {
     const bool never_sent = why.reached == http::progress::not_connected;
     result.outcome = never_sent ? kind::never_started : kind::broken;
-    result.detail = why.detail;
+    result.detail = result.detail.empty() ? why.detail : result.detail;
     result.is_malformed = why.is_malformed;
     return;
   }
@@ -149,17 +172,23 @@
 
 }  // namespace
 
+backend_client::backend_client(std::size_t memory_bytes)
+    : answers(std::make_shared<overload::byte_budget>(memory_bytes, memory_bytes / small_share)),
+      client(max_stream_bytes) {}
+
 asio::awaitable<backend_result> backend_client::complete(http::endpoint server, backend_call call,
                                                          text_sink sink) {
   backend_result result;
+  result.memory = std::make_shared<overload::byte_share>(this->answers);
   const auto start = std::chrono::steady_clock::now();
   event_parser reader(result, std::move(sink), start);
   http::fetch_failure why;
   http::request ask = post("/v1/chat/completions", call.request_id, completion_body(call));
   const auto feed = [&reader](std::string_view part) { return reader.feed(part); };
   // The stream has an end mark of its own, "[DONE]".
-  const auto head = co_await this->client.fetch_stream(
-      server, std::move(ask), call.response_timeout, feed, why, http::accepted_end::connection);
+  const auto head =
+      co_await this->client.fetch_stream(server, std::move(ask), call.response_timeout, feed, why,
+                                         http::accepted_end::connection);
   set_outcome(result, head, why, reader.done());
   result.whole = elapsed_since(start);
   co_return result;
@@ -168,13 +197,22 @@
 asio::awaitable<backend_result> backend_client::call_tool(http::endpoint server,
                                                           backend_call call) {
   backend_result result;
+  result.memory = std::make_shared<overload::byte_share>(this->answers);
   const auto start = std::chrono::steady_clock::now();
   http::fetch_failure why;
   http::request ask = post(call.path, call.request_id, call.body);
-  const auto head = co_await this->client.fetch(server, std::move(ask), call.response_timeout, why);
+  std::string body;
+  const auto append = [&body, &result](std::string_view part) {
+    body += part;
+    return fits(result, body.size(), body.capacity());
+  };
+  const duration body_time = call.response_timeout * http::client::body_time_factor;
+  const auto head =
+      co_await this->client.fetch_stream(server, std::move(ask), call.response_timeout, append, why,
+                                         http::accepted_end::framing, body_time);
   set_outcome(result, head, why, true);
-  if (head && result.outcome == backend_result::kind::finished) {
-    result.answer = head->body;
+  if (result.outcome == backend_result::kind::finished) {
+    result.answer = std::move(body);
   }
   result.whole = elapsed_since(start);
   co_return result;
--- a/libs/http/include/hawthornlane/http/client.h
+++ b/libs/http/include/hawthornlane/http/client.h
@@ -41,6 +41,8 @@
 class client {
 public:
   static constexpr std::size_t default_max_response_bytes = std::size_t{64} * 1024 * 1024;
+  /// The whole body of a response may take this multiple of the limit of its parts.
+  static constexpr int body_time_factor = 4;
 
   /// `max_response_bytes`: a response with a longer body fails.
   explicit client(std::size_t max_response_bytes = default_max_response_bytes);
@@ -55,10 +57,11 @@
                                                         accepted_end ends = accepted_end::framing);
   /// Sends one request and passes the body to `sink` as it arrives. `idle_timeout` limits the
   /// time between two parts. The returned response has an empty body, except when its status is not
-  /// 2xx: then it contains the body, of 64 KB at most, and `sink` is not called.
+  /// 2xx: then it contains the body, of 64 KB at most, and `sink` is not called. `body_time` limits
+  /// the whole body.
   boost::asio::awaitable<std::optional<response>> fetch_stream(
       endpoint where, request what, duration idle_timeout, body_sink sink, fetch_failure& reason,
-      accepted_end ends = accepted_end::framing);
+      accepted_end ends = accepted_end::framing, std::optional<duration> body_time = std::nullopt);
 
 private:
   struct pool;
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -31,9 +31,6 @@
 /// Limit of the body of an error response.
 constexpr std::size_t max_error_bytes = std::size_t{64} * 1024;
 
-/// The whole body of a response may take this multiple of the limit of its parts.
-constexpr int body_time_factor = 4;
-
 std::chrono::steady_clock::duration steady(duration time) {
   return std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
 }
@@ -277,8 +274,9 @@
 asio::awaitable<std::optional<response>> client::fetch_stream(endpoint where, request what,
                                                               duration idle_timeout, body_sink sink,
                                                               fetch_failure& reason,
-                                                              accepted_end ends) {
-  co_return co_await this->exchange(where, std::move(what), idle_timeout, std::nullopt, ends,
+                                                              accepted_end ends,
+                                                              std::optional<duration> body_time) {
+  co_return co_await this->exchange(where, std::move(what), idle_timeout, body_time, ends,
                                     std::move(sink), reason);
 }
 
--- a/libs/node/include/hawthornlane/node/call_runner.h
+++ b/libs/node/include/hawthornlane/node/call_runner.h
@@ -42,7 +42,9 @@
 /// log that the call is about to be sent, and sends it after that record is stored.
 class call_runner {
 public:
-  call_runner(runtime& time, shard_table& shards, backend_table& backends, call_table& calls);
+  /// `answer_bytes`: all answers of servers that are in memory at once.
+  call_runner(runtime& time, shard_table& shards, backend_table& backends, call_table& calls,
+              std::size_t answer_bytes);
 
   /// The reason why the call cannot be queued; nothing when it can.
   std::optional<failure> refusal(const prepared_call& call) const;
--- a/libs/node/src/call_runner.cc
+++ b/libs/node/src/call_runner.cc
@@ -35,11 +35,12 @@
 }  // namespace
 
 call_runner::call_runner(runtime& clock, shard_table& table, backend_table& servers,
-                         call_table& open_calls)
+                         call_table& open_calls, std::size_t answer_bytes)
     : time(clock),
       shards(table),
       backends(servers),
       calls(open_calls),
+      client(answer_bytes),
       queue(
           [this](const schedule_decision& decision) {
             // Posted and not called directly, since the scheduler may decide while another shard's
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -25,6 +25,8 @@
 constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
 /// Copies of a request's body while it is served: parsed, and as a message to another host.
 constexpr std::size_t copies_of_body = 2;
+/// Divisor of the memory: what answers of servers may take while they arrive.
+constexpr std::size_t answer_share = 8;
 constexpr duration shutdown_check_interval = std::chrono::milliseconds(200);
 constexpr duration max_shutdown_time = std::chrono::minutes(10);
 /// Limit of the wait for a host to hand shards to: if the whole region shuts down, there is none.
@@ -85,7 +87,8 @@
   self_member.peer_address = this->peers->where();
   this->hosts = std::make_unique<host_view>(self_member, membership_times_from(this->settings));
   this->runner =
-      std::make_unique<call_runner>(this->time, this->shards, this->backends, this->calls);
+      std::make_unique<call_runner>(this->time, this->shards, this->backends, this->calls,
+                                    this->settings.memory_mb * bytes_per_mb / answer_share);
   this->ownership = std::make_unique<ownership_manager>(this->time, this->shards, *this->hosts,
                                                         this->settings.replicas);
   this->connect_hooks();
--- a/libs/overload/include/hawthornlane/overload/byte_budget.h
+++ b/libs/overload/include/hawthornlane/overload/byte_budget.h
@@ -3,11 +3,12 @@
 
 #include <cstddef>
 #include <memory>
+#include <mutex>
 #include <utility>
 
 namespace hawthornlane::overload {
 
-/// Counts the bytes of all holders, from the first one. Not thread-safe.
+/// Counts the bytes of all holders, from the first one. Thread-safe; only `try_change` is one step.
 ///
 /// A part of the budget is reserved for holders of few bytes, so that a small message is not
 /// refused because of others' large ones. Small holders are limited too: thousands of them also
@@ -24,10 +25,21 @@
 
   /// Whether a holder of `before` bytes may hold `after`.
   [[nodiscard]] bool allows(std::size_t before, std::size_t after) const {
-    return after <= before || this->bytes - before + after <= this->limit_for(after);
+    const std::scoped_lock lock(this->mutex);
+    return this->has_room(before, after);
   }
   /// Counts a holder's change without a check.
-  void change(std::size_t before, std::size_t after) { this->bytes += after - before; }
+  void change(std::size_t before, std::size_t after) {
+    const std::scoped_lock lock(this->mutex);
+    this->bytes += after - before;
+  }
+  /// Counts a holder's change if it is allowed.
+  [[nodiscard]] bool try_change(std::size_t before, std::size_t after) {
+    const std::scoped_lock lock(this->mutex);
+    const bool is_allowed = this->has_room(before, after);
+    this->bytes += is_allowed ? after - before : 0;
+    return is_allowed;
+  }
 
   /// Limit of what all hold together, for a holder of `size` bytes to grow.
   [[nodiscard]] std::size_t limit_for(std::size_t size) const {
@@ -35,9 +47,17 @@
   }
   /// The largest holder that can be served at all.
   [[nodiscard]] std::size_t largest() const { return this->large_limit; }
-  [[nodiscard]] std::size_t used() const { return this->bytes; }
+  [[nodiscard]] std::size_t used() const {
+    const std::scoped_lock lock(this->mutex);
+    return this->bytes;
+  }
 
 private:
+  [[nodiscard]] bool has_room(std::size_t before, std::size_t after) const {
+    return after <= before || this->bytes - before + after <= this->limit_for(after);
+  }
+
+  mutable std::mutex mutex;
   std::size_t large_limit;
   std::size_t total_limit;
   /// Invariant: the sum of what all holders have counted.
@@ -69,12 +89,9 @@
     if (!this->budget || size <= this->counted) {
       return true;
     }
-    if (!this->budget->allows(this->counted, size)) {
-      return false;
-    }
-    this->budget->change(this->counted, size);
-    this->counted = size;
-    return true;
+    const bool is_allowed = this->budget->try_change(this->counted, size);
+    this->counted = is_allowed ? size : this->counted;
+    return is_allowed;
   }
 
 private:
