A model's answer ends with the deadline of its call

What callers of hawthornlaned saw: a call whose engine sends slowly, without an end, is not answered; its program is held.

Cause: a stream was limited by its silence and its size only, which 64 bytes each 20 ms reach after hours.

Evidence: "a slow stream of an engine without an end ends its call", call_deadline 10 s: on 6 of 25 kinds of endless responses (events, comments, small chunks, a body without a length) had no answer after 20 s.

Change: the answer is cut off at call_deadline, which the service document calls the time for which an answer is useful, and no other server is tried after it.

Result: all 25 kinds end.

--- a/libs/engine/include/hawthornlane/engine/backend_client.h
+++ b/libs/engine/include/hawthornlane/engine/backend_client.h
@@ -33,6 +33,8 @@
   std::string body;
   /// Longest time without bytes from a model, or the timeout of a whole tool call.
   duration response_timeout{};
+  /// Limit of a model's whole answer, from its head on.
+  std::optional<duration> answer_timeout;
 };
 
 /// Outcome of a call to a backend server.
--- a/libs/engine/src/backend_client.cc
+++ b/libs/engine/src/backend_client.cc
@@ -188,7 +188,7 @@
   // The stream has an end mark of its own, "[DONE]".
   const auto head =
       co_await this->client.fetch_stream(server, std::move(ask), call.response_timeout, feed, why,
-                                         http::accepted_end::connection);
+                                         http::accepted_end::connection, call.answer_timeout);
   set_outcome(result, head, why, reader.done());
   result.whole = elapsed_since(start);
   co_return result;
--- a/libs/node/include/hawthornlane/node/call_runner.h
+++ b/libs/node/include/hawthornlane/node/call_runner.h
@@ -32,7 +32,7 @@
   token_count history{0};
   /// Weight of the account, relative to other accounts, when servers are scarce.
   double weight = 1;
-  /// Time from arrival after which a queued call is refused.
+  /// Time from arrival after which a queued call is refused, and a model's answer is cut off.
   duration deadline{};
   timestamp arrived;
   std::optional<backend_server> server;
@@ -73,6 +73,8 @@
   boost::asio::awaitable<void> run(dispatch_call order);
   boost::asio::awaitable<backend_result> try_servers(prepared_call& call);
   bool may_retry();
+  /// Until an answer is no longer useful; zero afterwards.
+  [[nodiscard]] duration time_left(const prepared_call& call) const;
   boost::asio::awaitable<backend_result> send_once(const prepared_call& call);
   boost::asio::awaitable<void> release_with_retries(backend_server server, program_id program);
   std::shared_ptr<prepared_call> find(call_id call) const;
--- a/libs/node/src/call_runner.cc
+++ b/libs/node/src/call_runner.cc
@@ -1,6 +1,7 @@
 // Sends calls to backend servers.
 #include "hawthornlane/node/call_runner.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -271,7 +272,7 @@
     const bool not_started = result.outcome == backend_result::kind::never_started;
     const bool no_output = result.outcome == backend_result::kind::broken && result.answer.empty();
     const bool retryable = not_started || (no_output && call.request.repeatable);
-    if (!retryable || tried.size() >= max_servers_per_call ||
+    if (!retryable || this->time_left(call).count() == 0 || tried.size() >= max_servers_per_call ||
         !this->may_retry()) {
       co_return result;
     }
@@ -284,6 +285,10 @@
   }
 }
 
+duration call_runner::time_left(const prepared_call& call) const {
+  return std::max(call.deadline - (this->time.now() - call.arrived), duration{});
+}
+
 bool call_runner::may_retry() {
   const std::lock_guard lock(this->mutex);
   return this->retries.try_spend();
@@ -302,7 +307,9 @@
     ++this->relayed;
     this->calls.push_text(id, std::string(text));
   };
-  co_return co_await this->client.complete(call.server->address, call.call, take);
+  backend_call sent = call.call;
+  sent.answer_timeout = this->time_left(call);
+  co_return co_await this->client.complete(call.server->address, std::move(sent), take);
 }
 
 void call_runner::release(const program_id& program) {
--- a/scenarios/endless_tool_response_test.cc
+++ b/scenarios/endless_tool_response_test.cc
@@ -87,3 +87,22 @@
     }
   }
 }
+
+TEST_CASE("a slow stream of an engine without an end ends its call") {
+  endless_tools tools;
+  REQUIRE(tools.all.wait_until_serving());
+  crowd_hosts& hosts = tools.all.hosts;
+  std::vector<std::pair<endless_part, daemon_call>> calls;
+  for (const endless_part part : stand_ins::all_endless_parts) {
+    tools.response = endless_response{part, false};
+    calls.emplace_back(part, tools.all.begin_call(call_targets[2]));
+    const daemon_call& call = calls.back().second;
+    hosts.run_until([&] { return tools.all.runs(call) > 0; }, 2s);
+  }
+  // The caller gives up after twice the deadline of the service document.
+  for (const auto& [part, call] : calls) {
+    INFO(name_of(part));
+    CHECK(hosts.run_until([&call = call] { return call.result->has_value(); }, call_limit + 5s));
+    CHECK(call.answer().status != 0);
+  }
+}
