Front hosts refuse responses with a content coding

Cause: nothing looked at Content-Encoding. HTTP allows it; hence the adapter of the platform decides it, and the tools of hawthornlaned are not affected.

Change: such a response is a broken attempt.

--- a/libs/front/src/call_dispatch.cc
+++ b/libs/front/src/call_dispatch.cc
@@ -156,6 +156,10 @@
   if (outcome == attempt_outcome::abandoned && !one.caller.gone() && !one.ended_by_stop) {
     return attempt_outcome::broken;
   }
+  if (outcome == attempt_outcome::whole && one.answer.terms.is_encoded) {
+    one.detail = "the body of the response is in a content coding";
+    return attempt_outcome::broken;
+  }
   const bool is_success = one.answer.status >= 200 && one.answer.status < 300;
   if (outcome == attempt_outcome::whole && is_success && !one.answer.terms.is_signed) {
     one.detail = "success response without the server's signature";
@@ -215,6 +219,10 @@
     one.detail = "stream without the server's signature";
     co_return false;
   }
+  if (head.terms.is_encoded) {
+    one.detail = "the stream is in a content coding";
+    co_return false;
+  }
   one.status = head.status;
   if (one.caller.ends_with_connection()) {
     this->metrics.count("streams_without_chunks");
--- a/libs/relay/include/hawthornlane/relay/call_terms.h
+++ b/libs/relay/include/hawthornlane/relay/call_terms.h
@@ -75,6 +75,8 @@
   bool not_run = false;
   /// The response carries the server's signature.
   bool is_signed = false;
+  /// The body is in a content coding, so it is not the one that the server signed.
+  bool is_encoded = false;
 };
 
 /// Reads and writes the platform's headers; provided by the platform's adapter.
--- a/scenarios/invalid_response_test.cc
+++ b/scenarios/invalid_response_test.cc
@@ -234,6 +234,18 @@
   }
 }
 
+TEST_CASE("a response with a content coding, which no caller asks for, is not passed on") {
+  broken_servers all;
+  REQUIRE(all.hosts.wait_until_serving());
+  for (const char* header : {"Content-Encoding: gzip\r\n", "content-encoding: br, gzip\r\n"}) {
+    for (const played_call& call : all.play({.name = "a coding", .header = header})) {
+      INFO(header << call.text());
+      check_refused(all, call, false);
+    }
+  }
+  check_serves(all);
+}
+
 TEST_CASE("no turn goes on from one whose response HTTP does not allow") {
   broken_servers all;
   REQUIRE(all.hosts.wait_until_serving());
