Lines of heads and of chunks are collected in one place

response_checker and chunk_checker each collected a line up to its CR LF; line_collector does it for both. A control character is refused as soon as it has arrived, also in the reason of a status line.

--- a/libs/http/include/hawthornlane/http/chunk_checker.h
+++ b/libs/http/include/hawthornlane/http/chunk_checker.h
@@ -4,9 +4,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <string_view>
 
+#include "hawthornlane/http/message_grammar.h"
+
 namespace hawthornlane::http {
 
 /// Checks a body as its bytes arrive, line by line.
@@ -31,8 +32,7 @@
   std::optional<std::string_view> check_trailer_line();
 
   part at = part::size_line;
-  /// The current line as far as it has arrived.
-  std::string line;
+  line_collector line;
   /// Bytes of the current chunk that have not arrived.
   std::uint64_t data_left = 0;
   /// Bytes since the begin of the last line before a chunk.
--- a/libs/http/include/hawthornlane/http/message_grammar.h
+++ b/libs/http/include/hawthornlane/http/message_grammar.h
@@ -19,6 +19,22 @@
 /// A tab is no control character here.
 bool has_control_character(std::string_view text);
 
+/// Collects the bytes of one line.
+class line_collector {
+public:
+  /// Takes bytes off the begin of `bytes`, up to the end of the line. Returns true once the line is
+  /// whole; sets `error` if it does not end with CR LF, or has control characters as far as it has
+  /// arrived.
+  bool add(std::string_view& bytes, std::optional<std::string_view>& error);
+  /// The line without its CR LF, as far as it has arrived.
+  [[nodiscard]] std::string_view text() const;
+  /// Begins the next line.
+  void clear() { this->line.clear(); }
+
+private:
+  std::string line;
+};
+
 /// A header or trailer line. The views refer to the line.
 struct field_line {
   std::string_view name;
--- a/libs/http/include/hawthornlane/http/response_checker.h
+++ b/libs/http/include/hawthornlane/http/response_checker.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <string_view>
 
 #include "hawthornlane/http/chunk_checker.h"
@@ -33,15 +32,13 @@
   enum class part : std::uint8_t { status_line, header_line, chunks, rest };
 
   std::optional<std::string_view> check_line();
-  [[nodiscard]] std::optional<std::string_view> check_partial_line() const;
   std::optional<std::string_view> check_status_line();
   std::optional<std::string_view> check_header_line();
   std::optional<std::string_view> finish_head();
 
   bool is_to_head;
   part at = part::status_line;
-  /// The current line as far as it has arrived.
-  std::string line;
+  line_collector line;
   int status = 0;
   bool is_http_1_0 = false;
   framing_headers framing{repeated_length::accepted};
--- a/libs/http/src/chunk_checker.cc
+++ b/libs/http/src/chunk_checker.cc
@@ -17,27 +17,17 @@
       this->at = this->data_left == 0 ? part::data_end : part::data;
       continue;
     }
-    const std::size_t end = bytes.find('\n');
-    const std::string_view piece = bytes.substr(0, end);
-    this->line += piece;
-    this->end_bytes += piece.size();
-    if (end == std::string_view::npos) {
-      const std::string_view begin =
-          std::string_view(this->line).substr(0, this->line.size() - this->line.ends_with('\r'));
-      return has_control_character(begin) ? std::optional("a line has control characters")
-                                          : std::nullopt;
+    std::optional<std::string_view> error;
+    const std::size_t size = bytes.size();
+    const bool is_whole = this->line.add(bytes, error);
+    this->end_bytes += size - bytes.size();
+    if (is_whole && !error) {
+      error = this->check_line();
+      this->line.clear();
     }
-    ++this->end_bytes;
-    bytes.remove_prefix(end + 1);
-    if (!this->line.ends_with('\r')) {
-      return "a line does not end with CR LF";
-    }
-    this->line.pop_back();
-    const auto error = this->check_line();
     if (error) {
       return error;
     }
-    this->line.clear();
   }
   return std::nullopt;
 }
@@ -49,7 +39,8 @@
     case part::data_end:
       this->at = part::size_line;
       this->end_bytes = 0;
-      return this->line.empty() ? std::nullopt : std::optional("a chunk is longer than its length");
+      return this->line.text().empty() ? std::nullopt
+                                       : std::optional("a chunk is longer than its length");
     case part::trailer_line:
       return this->check_trailer_line();
     case part::data:
@@ -60,12 +51,12 @@
 }
 
 std::optional<std::string_view> chunk_checker::check_size_line() {
-  const char* const end = this->line.data() + this->line.size();
+  const std::string_view text = this->line.text();
+  const char* const end = text.data() + text.size();
   constexpr int hexadecimal = 16;
-  const auto read = std::from_chars(this->line.data(), end, this->data_left, hexadecimal);
+  const auto read = std::from_chars(text.data(), end, this->data_left, hexadecimal);
   const std::string_view extension = trimmed({read.ptr, static_cast<std::size_t>(end - read.ptr)});
-  if (read.ec != std::errc() || (!extension.empty() && !extension.starts_with(';')) ||
-      has_control_character(extension)) {
+  if (read.ec != std::errc() || (!extension.empty() && !extension.starts_with(';'))) {
     return "the line before a chunk is invalid";
   }
   this->at = this->data_left > 0 ? part::data : part::trailer_line;
@@ -73,12 +64,12 @@
 }
 
 std::optional<std::string_view> chunk_checker::check_trailer_line() {
-  if (this->line.empty()) {
+  if (this->line.text().empty()) {
     this->at = part::done;
     return std::nullopt;
   }
   std::string_view error;
-  const auto field = parse_field_line(this->line, error);
+  const auto field = parse_field_line(this->line.text(), error);
   return field ? std::nullopt : std::optional(error);
 }
 
--- a/libs/http/src/message_grammar.cc
+++ b/libs/http/src/message_grammar.cc
@@ -43,6 +43,27 @@
   });
 }
 
+bool line_collector::add(std::string_view& bytes, std::optional<std::string_view>& error) {
+  const std::size_t end = bytes.find('\n');
+  const std::string_view piece = bytes.substr(0, end);
+  this->line += piece;
+  bytes.remove_prefix(piece.size());
+  const bool is_whole = end != std::string_view::npos;
+  if (is_whole && !this->line.ends_with('\r')) {
+    error = "a line does not end with CR LF";
+  } else if (has_control_character(this->text())) {
+    error = "a line has control characters";
+  }
+  if (is_whole) {
+    bytes.remove_prefix(1);
+  }
+  return is_whole;
+}
+
+std::string_view line_collector::text() const {
+  return std::string_view(this->line).substr(0, this->line.size() - this->line.ends_with('\r'));
+}
+
 std::optional<field_line> parse_field_line(std::string_view line, std::string_view& error) {
   if (line.starts_with(' ') || line.starts_with('\t')) {
     error = "a header is folded over several lines";
--- a/libs/http/src/response_checker.cc
+++ b/libs/http/src/response_checker.cc
@@ -38,35 +38,18 @@
     if (this->at == part::chunks) {
       return this->chunks.add(bytes);
     }
-    const std::size_t end = bytes.find('\n');
-    this->line += bytes.substr(0, end);
-    if (end == std::string_view::npos) {
-      return this->check_partial_line();
+    std::optional<std::string_view> error;
+    const bool is_whole = this->line.add(bytes, error);
+    if (!error && this->at == part::status_line && !begins_status_line(this->line.text())) {
+      error = "the status line does not have the form VERSION STATUS REASON";
     }
-    bytes.remove_prefix(end + 1);
-    if (!this->line.ends_with('\r')) {
-      return "a line does not end with CR LF";
+    if (is_whole && !error) {
+      error = this->check_line();
+      this->line.clear();
     }
-    this->line.pop_back();
-    const auto error = this->check_line();
     if (error) {
       return error;
     }
-    this->line.clear();
-  }
-  return std::nullopt;
-}
-
-std::optional<std::string_view> response_checker::check_partial_line() const {
-  std::string_view begin = this->line;
-  if (begin.ends_with('\r')) {
-    begin.remove_suffix(1);
-  }
-  if (this->at == part::status_line && !begins_status_line(begin)) {
-    return "the status line does not have the form VERSION STATUS REASON";
-  }
-  if (has_control_character(begin)) {
-    return "a line has control characters";
   }
   return std::nullopt;
 }
@@ -75,17 +58,14 @@
   if (this->at == part::status_line) {
     return this->check_status_line();
   }
-  return this->line.empty() ? this->finish_head() : this->check_header_line();
+  return this->line.text().empty() ? this->finish_head() : this->check_header_line();
 }
 
 std::optional<std::string_view> response_checker::check_status_line() {
-  const std::string_view text = this->line;
-  if (text.size() < status_pattern.size() || !begins_status_line(text)) {
+  const std::string_view text = this->line.text();
+  if (text.size() < status_pattern.size()) {
     return "the status line does not have the form VERSION STATUS REASON";
   }
-  if (has_control_character(text)) {
-    return "the reason has control characters";
-  }
   this->is_http_1_0 = text.at(version_at) == '0';
   const std::string_view digits = text.substr(status_at, status_size);
   std::from_chars(digits.data(), digits.data() + digits.size(), this->status);
@@ -101,7 +81,7 @@
 
 std::optional<std::string_view> response_checker::check_header_line() {
   std::string_view error;
-  const auto field = parse_field_line(this->line, error);
+  const auto field = parse_field_line(this->line.text(), error);
   return field ? this->framing.add(*field) : error;
 }
 
