The soak's servers in trouble send responses that HTTP does not allow

A random source of its own keeps the other faults of a seed. A response with a status outside 200 to 599 breaks a promise, as a wrong body did.

--- a/scenarios/promise_checker.cc
+++ b/scenarios/promise_checker.cc
@@ -126,6 +126,11 @@
   if (result.malformed) {
     this->note(fmt::format("the response to {} is not valid HTTP", id));
   }
+  constexpr int first_after_errors = 600;
+  const bool is_status = result.status >= first_success && result.status < first_after_errors;
+  if (result.status != 0 && !is_status) {
+    this->note(fmt::format("{} was answered {}", id, result.status));
+  }
   if (promises_not_run(result.status)) {
     call.refused = result.status;
     if (call.runs > 0) {
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -41,6 +41,7 @@
       kill_random(seed),
       early_end_random(seed),
       endless_random(seed),
+      invalid_random(seed),
       crowd_random(seed) {
   const std::vector<fault_kind> groups[] = {this->process_faults(), this->link_faults(),
                                             this->environment_faults(),
@@ -331,38 +332,6 @@
   ++this->begun["disk hosts leave in turn"];
 }
 
-void soak_faults::send_endless_responses(net::steady_time now) {
-  if (now < this->next_endless) {
-    return;
-  }
-  const auto between = [this](int least, int most) {
-    return std::uniform_int_distribution<int>(least, most)(this->endless_random);
-  };
-  const bool first = this->next_endless == net::steady_time{};
-  const bool often = this->choice == fault_choice::endless;
-  this->next_endless =
-      now + std::chrono::milliseconds(often ? between(200, 800) : between(1500, 5000));
-  const auto& parts = stand_ins::all_endless_parts;
-  stand_ins::endless_response what;
-  what.part = parts.at(static_cast<std::size_t>(between(0, static_cast<int>(parts.size()) - 1)));
-  what.is_quick = between(0, 2) > 0;
-  const auto number = static_cast<std::size_t>(between(0, 1000)) % this->fleet.backends.size();
-  const auto lasts = std::chrono::milliseconds(often ? between(1000, 4000) : between(300, 1500));
-  if (first || (this->maintenance_only && !often)) {
-    return;
-  }
-  const std::string instance = this->fleet.backends[number].server->instance();
-  const auto set = [this, instance](std::optional<stand_ins::endless_response> response) {
-    this->fleet.set_endless_response(instance, response);
-  };
-  set(what);
-  ++this->begun["responses without an end"];
-  this->note(now, fmt::format("{} sends {} without an end, {} ({} ms)", instance,
-                              name_of(what.part), what.is_quick ? "quick" : "slow", lasts.count()));
-  this->active.push_back(
-      {"endless responses", false, now + lasts, [set] { set(std::nullopt); }, true, true});
-}
-
 void soak_faults::send_fatal_requests(net::steady_time now) {
   if (now < this->next_fatal) {
     return;
@@ -442,6 +411,7 @@
   this->kill_servers(now);
   this->end_streams_early(now);
   this->send_endless_responses(now);
+  this->send_invalid_responses(now);
   this->send_crowds(now);
   if (now >= this->period_ends) {
     const bool no_faults = this->random_index(3) == 0;
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -63,9 +63,10 @@
     bool planned;
     net::steady_time until;
     undo end;
-    /// Not drawn at random: a disk host that is away in its turn, an endless response, or a crowd.
+    /// Not drawn at random: a disk host that is away in its turn, an endless or invalid response,
+    /// or a crowd.
     bool in_turn = false;
-    /// An endless response or a crowd: calls still have to end in time.
+    /// An endless or invalid response, or a crowd: calls still have to end in time.
     bool is_endless = false;
   };
 
@@ -83,6 +84,8 @@
   void take_disks_in_turn(net::steady_time now);
   /// Lets a server send responses without an end for a while.
   void send_endless_responses(net::steady_time now);
+  /// Lets a server send responses that HTTP does not allow for a while.
+  void send_invalid_responses(net::steady_time now);
   /// Lets a crowd of clients come to one host or to all, for a while.
   void send_crowds(net::steady_time now);
   /// Starts callers whose requests end servers.
@@ -138,6 +141,9 @@
   /// Likewise for responses without an end.
   std::mt19937_64 endless_random;
   net::steady_time next_endless{};
+  /// Likewise for responses that HTTP does not allow.
+  std::mt19937_64 invalid_random;
+  net::steady_time next_invalid{};
   /// Likewise for crowds of clients.
   std::mt19937_64 crowd_random;
   net::steady_time next_crowd{};
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -47,6 +47,14 @@
   std::uint64_t server_seed = 0;
 };
 
+/// A response that HTTP does not allow, and how it is sent.
+struct invalid_response_choice {
+  stand_ins::unusual_response what;
+  stand_ins::response_framing framing = stand_ins::response_framing::length;
+  stand_ins::response_pieces pieces = stand_ins::response_pieces::whole;
+  bool closes = false;
+};
+
 /// One host: its process and the proxies in front of it.
 struct soak_host {
   std::string name;
@@ -153,6 +161,9 @@
   /// Lets this server, if it still runs, give each request this response, or its usual one.
   void set_endless_response(const std::string& instance,
                             std::optional<stand_ins::endless_response> response);
+  /// The same with a response that HTTP does not allow.
+  void set_invalid_response(const std::string& instance,
+                            std::optional<invalid_response_choice> response);
   /// Kills the process of the server with this index in `backends`, if it has one, this long after
   /// it has received its next request. Returns false if it has none.
   bool kill_server_in_response(std::size_t index, std::chrono::milliseconds delay);
--- a/scenarios/soak_servers.cc
+++ b/scenarios/soak_servers.cc
@@ -41,6 +41,21 @@
   return effect;
 }
 
+/// Nothing for a stream whose trailer is invalid: its events are valid and passed on.
+std::optional<stand_ins::raw_response> raw_response_to(const http::request& request,
+                                                       const invalid_response_choice& chosen) {
+  const bool is_stream = request.find_header("X-Token-Count").has_value();
+  if (is_stream && !chosen.what.trailer.empty()) {
+    return std::nullopt;
+  }
+  const std::string id = request.find_header("X-Request-Id").value_or("");
+  std::string headers = fmt::format("X-Request-Id: {}\r\nX-Response-Seal: seal-{}\r\n", id, id);
+  headers += is_stream ? "Content-Type: text/event-stream\r\n" : "";
+  const std::string body = is_stream ? "id: 1\ndata: invalid\n\n" : "invalid";
+  return stand_ins::raw_response{bytes_of(chosen.what, chosen.framing, headers, body),
+                                 chosen.pieces, chosen.closes};
+}
+
 }  // namespace
 
 soak_backend soak_fleet::make_backend(const std::string& service) {
@@ -275,6 +290,19 @@
   }
 }
 
+void soak_fleet::set_invalid_response(const std::string& instance,
+                                      std::optional<invalid_response_choice> response) {
+  for (auto* group : {&this->backends, &this->removed_backends}) {
+    for (soak_backend& backend : *group) {
+      if (backend.server->instance() == instance) {
+        backend.server->set_raw_responses([response](const http::request& request) {
+          return response ? raw_response_to(request, *response) : std::nullopt;
+        });
+      }
+    }
+  }
+}
+
 void soak_fleet::replace_backend(soak_backend& backend) {
   this->platform->remove("servers", backend.server->instance());
   soak_backend fresh = this->make_backend(backend.service);
