Test: hawthornlaned takes no part of an early response for a result

The stand-ins for servers can respond before they have read the request's body, and then reset the connection, close it with unread bytes, end their side in order first, or read the rest.

`early_tool_response_test` plays that with hawthornlaned as a process: tools and engines, inputs of 0 to 900 KB, parts of 12 bytes and 20 KB, HTTP/1.1 and 1.0, a length, chunks and neither, and all responses that HTTP does not allow.

The kinds of route of the test deployments are in one header now.

--- a/scenarios/crowd_hosts.cc
+++ b/scenarios/crowd_hosts.cc
@@ -24,13 +24,13 @@
 http::endpoint fresh_endpoint() { return {loopback, free_port()}; }
 
 /// The configuration of the test deployments with limits for clients as in the test.
-std::string configuration_text() {
+std::string configuration_text(std::size_t body_bytes) {
   const client_limits_of_test limits;
   const std::string text = configuration_of(1);
   const std::size_t at = text.find("\"limits\"");
   return text.substr(0, at) + fmt::format(R"("limits":{{"max-header-bytes":{},"max-body-bytes":{},)"
                                           R"("header-timeout-ms":{},"idle-timeout-ms":{}}}}})",
-                                          limits.head_bytes, limits.body_bytes,
+                                          limits.head_bytes, body_bytes,
                                           limits.header_timeout.count(),
                                           limits.idle_timeout.count());
 }
@@ -64,7 +64,7 @@
   const http::endpoint any{loopback, 0};
   this->store = std::make_unique<stand_ins::object_platform>(this->environment, any);
   this->daemon_platform = std::make_unique<stand_ins::platform>(this->environment, any);
-  this->store->put("config", "main", configuration_text());
+  this->store->put("config", "main", configuration_text(size.body_bytes));
   for (int number = 0; number < size.servers; ++number) {
     const std::string service = number % 2 == 0 ? "apps" : "models";
     const auto& server = this->add_server(fmt::format("server-{}", number));
--- a/scenarios/crowd_hosts.h
+++ b/scenarios/crowd_hosts.h
@@ -54,12 +54,13 @@
   int largest_status = 200;
 };
 
-/// Number of processes and backend servers.
+/// Number of processes and backend servers, and the largest request.
 struct host_counts {
   /// Half of the servers are of the service "models", the others of "apps".
   int servers = 4;
   /// `hawthornlaned`; programs need at least two.
   int daemons = 1;
+  std::size_t body_bytes = client_limits_of_test().body_bytes;
 };
 
 /// One front host, three disk hosts and `hawthornlaned`. Use it on the thread that runs its
--- a/scenarios/daemon_deployment.cc
+++ b/scenarios/daemon_deployment.cc
@@ -141,22 +141,24 @@
   return {host, opened.text("program"), opened.text("ticket"), opened.text("digest")};
 }
 
-daemon_call daemon_deployment::begin_call(const call_target& target, std::size_t host) {
-  return this->begin_call(target, this->open_program(host));
+daemon_call daemon_deployment::begin_call(const call_target& target, std::size_t host,
+                                          std::size_t padding) {
+  return this->begin_call(target, this->open_program(host), padding);
 }
 
-daemon_call daemon_deployment::begin_call(const call_target& target,
-                                          const daemon_program& program) {
+daemon_call daemon_deployment::begin_call(const call_target& target, const daemon_program& program,
+                                          std::size_t padding) {
   daemon_call call;
   call.mark = fmt::format("call-{}.", ++this->calls);
+  const std::string input = std::string(padding, 'p') + call.mark;
   json::object body{{"ticket", program.ticket}, {"digest", program.digest}};
   if (target.is_model) {
-    body["messages"] = json::array{json::object{{"role", "user"}, {"content", call.mark}}};
+    body["messages"] = json::array{json::object{{"role", "user"}, {"content", input}}};
     body["max_tokens"] = 8;
   } else {
     body["tool"] = target.name;
     body["path"] = "/x";
-    body["body"] = json::object{{"mark", call.mark}};
+    body["body"] = json::object{{"mark", input}};
   }
   const std::string path = "/v1/programs/" + program.id + "/calls";
   call.result = this->hosts.begin_call(this->hosts.daemons().at(program.host),
--- a/scenarios/daemon_deployment.h
+++ b/scenarios/daemon_deployment.h
@@ -58,10 +58,11 @@
   bool wait_until_serving();
   /// Opens a program at that host.
   daemon_program open_program(std::size_t host = 0);
-  /// Sends the program's first call to its host.
-  daemon_call begin_call(const call_target& target, const daemon_program& program);
+  /// Sends the program's first call to its host; `padding`: bytes that its input has in addition.
+  daemon_call begin_call(const call_target& target, const daemon_program& program,
+                         std::size_t padding = 0);
   /// The same in a new program.
-  daemon_call begin_call(const call_target& target, std::size_t host = 0);
+  daemon_call begin_call(const call_target& target, std::size_t host = 0, std::size_t padding = 0);
   /// Number of times that the call was run.
   [[nodiscard]] int runs(const daemon_call& call) const;
   [[nodiscard]] std::vector<stand_ins::scripted_backend*>& servers() { return this->all; }
--- a/scenarios/invalid_response_test.cc
+++ b/scenarios/invalid_response_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "crowd_hosts.h"
+#include "route_shapes.h"
 
 using namespace hawthornlane;
 using namespace hawthornlane::scenarios;
@@ -20,16 +21,6 @@
 constexpr auto call_limit = 10s;
 constexpr const char* malformed_metric = "responses_malformed";
 
-/// A kind of route of the test deployments.
-struct route_shape {
-  const char* path;
-  bool is_turn;
-  int max_runs;
-};
-
-constexpr route_shape routes[] = {
-    {"/once/x", false, 1}, {"/safe/x", false, 2}, {"/kept/x", true, 1}, {"/resumed/x", true, 2}};
-
 constexpr std::string_view events =
     "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n";
 
@@ -49,18 +40,6 @@
   }
 };
 
-call_request request_of(const played_call& call) {
-  if (call.route->is_turn) {
-    return turn_request_of(call.route->path, call.id, "p-" + call.id, "", 1000);
-  }
-  call_request request;
-  request.path = call.route->path;
-  request.id = call.id;
-  // Different content, so that the failures of one call do not count against another.
-  request.body = "input of " + call.id;
-  return request;
-}
-
 /// One front host with its servers, which respond as the calls say.
 class broken_servers {
 public:
@@ -88,7 +67,7 @@
     const std::string body(call.route->is_turn ? events : "all of it");
     this->responses[call.id] = {bytes_of(what, call.framing, headers, body), call.pieces,
                                 call.closes};
-    call.result = this->hosts.begin_call(this->hosts.callers(), request_of(call));
+    call.result = this->hosts.begin_call(this->hosts.callers(), request_to(*call.route, call.id));
   }
 
   /// Plays the response on each kind of route, with each framing, in one piece and in several. A
@@ -96,14 +75,14 @@
   std::vector<played_call> play(const unusual_response& what) {
     std::vector<played_call> played;
     ++this->plays;
-    for (const route_shape& route : routes) {
+    for (const route_shape* route : all_routes) {
       for (const response_framing framing : stand_ins::all_response_framings) {
         for (const response_pieces pieces : {response_pieces::whole, response_pieces::lines}) {
           // Every other response leaves the connection open.
           const bool is_open = (this->plays % 2 == 0) == (pieces == response_pieces::whole);
           const bool closes = !is_open || framing == response_framing::connection_end;
           if (has_framing(what, framing)) {
-            played.push_back({&route, framing, pieces, closes, "", nullptr});
+            played.push_back({route, framing, pieces, closes, "", nullptr});
           }
         }
       }
@@ -147,10 +126,6 @@
   std::map<std::string, raw_response> responses;
 };
 
-bool is_promise_not_run(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 void check_runs(broken_servers& all, const played_call& call) {
   const int runs = all.runs_of(call.id);
   CHECK(runs >= 1);
@@ -188,8 +163,8 @@
 }
 
 void check_serves(broken_servers& all) {
-  for (const route_shape& route : routes) {
-    played_call ordinary{&route, response_framing::length, response_pieces::whole, true, "",
+  for (const route_shape* route : all_routes) {
+    played_call ordinary{route,  response_framing::length, response_pieces::whole, true, "",
                          nullptr};
     all.begin(ordinary, {"ordinary"});
     all.finish(ordinary, {"ordinary"});
@@ -249,15 +224,15 @@
 TEST_CASE("no turn goes on from one whose response HTTP does not allow") {
   broken_servers all;
   REQUIRE(all.hosts.wait_until_serving());
-  constexpr const route_shape& kept = routes[2];
   for (const unusual_response& what : stand_ins::invalid_responses()) {
     INFO(what.name);
-    played_call call{&kept, response_framing::chunks, response_pieces::whole, true, "", nullptr};
+    played_call call{&kept_route, response_framing::chunks, response_pieces::whole, true, "",
+                     nullptr};
     call.framing = has_framing(what, call.framing) ? call.framing : response_framing::length;
     all.begin(call, what);
     all.finish(call, what);
     const call_request next =
-        turn_request_of(kept.path, call.id + "-next", "p-" + call.id, call.id, 1000);
+        turn_request_of(kept_route.path, call.id + "-next", "p-" + call.id, call.id, 1000);
     CHECK(all.hosts.call(all.hosts.callers(), next).status != 200);
     CHECK(all.runs_of(next.id) == 0);
   }
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -14,6 +14,7 @@
 
 #include "hawthornlane/http/message.h"
 #include "hawthornlane/net/deadline_sweeper.h"
+#include "hawthornlane/stand_ins/early_response.h"
 #include "hawthornlane/stand_ins/endless_response.h"
 #include "hawthornlane/stand_ins/invalid_response.h"
 
@@ -171,6 +172,10 @@
       std::function<std::optional<endless_response>(const http::request&)> choose);
   /// Sets which requests run and get a response as it is given here.
   void set_raw_responses(std::function<std::optional<raw_response>(const http::request&)> choose);
+  /// Sets which requests run and get a response before their body is read; `is_kept`: the
+  /// connection has served another request. The request that is given has no body.
+  void set_early_responses(
+      std::function<std::optional<early_response>(const http::request&, bool is_kept)> choose);
   /// Sets which requests get the behavior `close_early` instead of `answer`.
   void set_early_ends(std::function<bool(const http::request&)> choose);
   /// Ends the process like a crash.
--- a/stand_ins/src/backend_serving.cc
+++ b/stand_ins/src/backend_serving.cc
@@ -104,8 +104,10 @@
 
 asio::awaitable<void> scripted_backend::state::serve(std::shared_ptr<state> self,
                                                      tcp::socket accepted) {
+  const int descriptor = accepted.native_handle();
   net::timed_socket socket(std::move(accepted), self->sweeper);
   relay::caller_connection caller(socket);
+  bool is_kept = false;
   constexpr auto ending_interval = std::chrono::milliseconds(2);
   while (self->ended && self->acceptor.is_open()) {
     co_await delay(ending_interval);
@@ -117,6 +119,14 @@
     if (self->read_delay.count() > 0) {
       co_await delay(self->read_delay);
     }
+    const auto early = co_await serve_early(self, socket, descriptor, is_kept);
+    if (early == early_outcome::ended) {
+      break;
+    }
+    is_kept = true;
+    if (early == early_outcome::kept) {
+      continue;
+    }
     const auto limits = [&self] { return self->limits; };
     const auto outcome = co_await caller.read(limits, request, reason);
     if (outcome != relay::read_outcome::request || self->ended) {
@@ -128,6 +138,30 @@
   socket.close();
 }
 
+asio::awaitable<scripted_backend::state::early_outcome> scripted_backend::state::serve_early(
+    std::shared_ptr<state> self, net::timed_socket& socket, int descriptor, bool is_kept) {
+  if (!self->early_response_to) {
+    co_return early_outcome::none;
+  }
+  const net::steady_time until = std::chrono::steady_clock::now() + self->limits.idle_timeout;
+  const auto head = co_await peek_head(socket, descriptor, until);
+  if (!head || self->ended) {
+    co_return early_outcome::ended;
+  }
+  const std::string expected =
+      head->request.find_header("X-Expect-Instance").value_or(self->instance);
+  if (is_check(head->request) || expected != self->instance) {
+    co_return early_outcome::none;
+  }
+  auto response = self->early_response_to(head->request, is_kept);
+  if (!response) {
+    co_return early_outcome::none;
+  }
+  self->record(head->request, true);
+  const bool is_open = co_await send_early_response(socket, *head, std::move(*response), until);
+  co_return is_open ? early_outcome::kept : early_outcome::ended;
+}
+
 asio::awaitable<void> scripted_backend::state::handle(std::shared_ptr<state> self,
                                                       relay::caller_connection& caller,
                                                       const http::request& request) {
--- a/stand_ins/src/backend_state.h
+++ b/stand_ins/src/backend_state.h
@@ -64,6 +64,8 @@
   std::function<std::optional<fatal_effect>(const http::request&)> fatal_effect_of;
   std::function<std::optional<endless_response>(const http::request&)> endless_response_to;
   std::function<std::optional<raw_response>(const http::request&)> raw_response_to;
+  std::function<std::optional<early_response>(const http::request&, bool is_kept)>
+      early_response_to;
   std::function<bool(const http::request&)> ends_early;
   std::function<void(const std::optional<http::request>& cause)> end_hook;
   std::set<net::timed_socket*> connections;
@@ -134,6 +136,17 @@
                                     const http::request& request, const std::string& id);
   /// Serves a connection until it or the process ends.
   static asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket accepted);
+  /// What became of a request that may get a response before it is read.
+  enum class early_outcome : std::uint8_t {
+    /// It gets none, and has not been read.
+    none,
+    /// The connection may serve another request.
+    kept,
+    ended,
+  };
+  static asio::awaitable<early_outcome> serve_early(std::shared_ptr<state> self,
+                                                    net::timed_socket& socket, int descriptor,
+                                                    bool is_kept);
   static asio::awaitable<void> handle(std::shared_ptr<state> self, relay::caller_connection& caller,
                                       const http::request& request);
   /// Responds to `GET /report` and to a request for the server's health.
--- a/stand_ins/src/scripted_backend.cc
+++ b/stand_ins/src/scripted_backend.cc
@@ -47,6 +47,11 @@
   this->shared->raw_response_to = std::move(choose);
 }
 
+void scripted_backend::set_early_responses(
+    std::function<std::optional<early_response>(const http::request&, bool is_kept)> choose) {
+  this->shared->early_response_to = std::move(choose);
+}
+
 void scripted_backend::set_early_ends(std::function<bool(const http::request&)> choose) {
   this->shared->ends_early = std::move(choose);
 }
