A read reports a reset also if another operation was told of it first

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the request was still being written. The caller got that part as the whole response, and a turn was stored with it. Small requests were hit, too.

Cause: the kernel reports the error of a connection once, to whichever call comes first. On a connection to a server the write of the request, which runs beside the read, or the peek in front of `renew_witness` took it. The next read then returned 0, which looks like an orderly end; the end witness only confirmed that the server's process goes on.

Fix: `http::read_error` is the one rule for what the end of a connection proves. Where a read returns the end, it asks the kernel for the state of the connection. Behind an orderly end of the peer alone that is CLOSE_WAIT; TCP_CLOSE means that the connection was reset or given up. The state stays, so it does not matter who was told of the error, or when. `timed_socket`, the HTTP client and the HTTP server read by it. The attempt is then broken as behind any reset: another server where the call may be repeated, else 502, with the connection closed, the server's health and the log as before.

Other way: to keep each error that an operation of the socket sees for later reads. It needs all operations to take part, and an order between the write and the read.

--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -15,6 +15,7 @@
 #include <map>
 #include <mutex>
 
+#include "hawthornlane/http/connection_end.h"
 #include "hawthornlane/http/response_reader.h"
 
 namespace hawthornlane::http {
@@ -159,7 +160,7 @@
   const std::size_t size = co_await stream.async_read_some(
       asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
   buffer.append(bytes.data(), size);
-  co_return error;
+  co_return read_error(stream.socket(), error);
 }
 
 /// Passes the body to `sink`, or stores it in `head.body` when the status is an error.
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -15,6 +15,7 @@
 #include <boost/url/parse.hpp>
 
 #include "connection_exchange.h"
+#include "hawthornlane/http/connection_end.h"
 #include "hawthornlane/http/listening.h"
 #include "hawthornlane/http/read_scratch.h"
 #include "hawthornlane/http/request_assembler.h"
@@ -197,6 +198,7 @@
       const asio::mutable_buffer buffer(scratch.data(), scratch.size());
       socket.non_blocking(true, error);
       bytes = std::string_view(scratch.data(), error ? 0 : socket.read_some(buffer, error));
+      error = read_error(socket, error);
       if (error == asio::error::would_block) {
         error_code failed;
         co_await this->wait_readable(failed);
--- a/libs/net/include/hawthornlane/net/timed_socket.h
+++ b/libs/net/include/hawthornlane/net/timed_socket.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "hawthornlane/http/connection_end.h"
 #include "hawthornlane/http/message.h"
 #include "hawthornlane/net/deadline_sweeper.h"
 #include "hawthornlane/units/quantities.h"
@@ -28,7 +29,8 @@
   ~timed_socket();
 
   boost::asio::awaitable<error_code> connect(http::endpoint where, steady_time until);
-  /// Returns the bytes read; on failure 0, with `error` set.
+  /// Returns the bytes read; on failure 0, with `error` set. It is `eof` only if the peer has ended
+  /// the connection in order, as with all reads here.
   boost::asio::awaitable<std::size_t> read_some(boost::asio::mutable_buffer into, steady_time until,
                                                 error_code& error);
   /// Reads at most `max_bytes` bytes and appends them to `buffer`.
@@ -64,6 +66,8 @@
   /// host by then are lost.
   void set_reset_at_end(bool on);
   [[nodiscard]] bool is_open() const { return this->socket.is_open(); }
+  /// The peer has reset the connection, or it is closed. Not to be asked after `shutdown_send`.
+  [[nodiscard]] bool is_reset() { return http::is_reset(this->socket); }
   /// Shuts down the sending side; the peer may still send.
   void shutdown_send();
 
@@ -79,8 +83,11 @@
 
   void set_options();
   [[nodiscard]] static error_code end_operation(alarm& timer, error_code error);
+  [[nodiscard]] error_code read_error(error_code returned);
 
   boost::asio::ip::tcp::socket socket;
+  /// Reads can then not tell a reset from an orderly end.
+  bool has_shut_down_sending = false;
   std::shared_ptr<deadline_sweeper::registry> alarms;
   alarm read_alarm{*this};
   alarm write_alarm{*this};
--- a/libs/net/src/timed_socket.cc
+++ b/libs/net/src/timed_socket.cc
@@ -71,6 +71,10 @@
   return error;
 }
 
+error_code timed_socket::read_error(error_code returned) {
+  return this->has_shut_down_sending ? returned : http::read_error(this->socket, returned);
+}
+
 asio::awaitable<error_code> timed_socket::connect(http::endpoint where, steady_time until) {
   error_code error;
   const auto address = asio::ip::make_address(where.address, error);
@@ -98,7 +102,7 @@
   error = {};
   const std::size_t got =
       co_await this->socket.async_read_some(into, asio::redirect_error(asio::use_awaitable, error));
-  error = end_operation(this->read_alarm, error);
+  error = this->read_error(end_operation(this->read_alarm, error));
   co_return got;
 }
 
@@ -126,7 +130,9 @@
 
 std::size_t timed_socket::read_available(asio::mutable_buffer into, error_code& error) {
   this->socket.non_blocking(true, error);
-  return error ? 0 : this->socket.read_some(into, error);
+  const std::size_t got = error ? 0 : this->socket.read_some(into, error);
+  error = this->read_error(error);
+  return got;
 }
 
 std::size_t timed_socket::write_available(std::string_view bytes) {
@@ -214,6 +220,7 @@
 
 void timed_socket::shutdown_send() {
   error_code ignored;
+  this->has_shut_down_sending = true;
   this->socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
