The soak's servers in trouble respond before they have read the request, and reset

A proxy took the end of a connection whose reset it had been told of while writing for an end in order, and passed on such an end.

One server at a time now responds early for 0.3 to 1.5 s: a 200 without a length, 12 bytes or 40 KB of a body, and a reset or a close with unread bytes. The proxies read by `http::read_error`.

--- a/scenarios/fault_proxy.cc
+++ b/scenarios/fault_proxy.cc
@@ -14,6 +14,7 @@
 #include <memory>
 #include <vector>
 
+#include "hawthornlane/http/connection_end.h"
 #include "hawthornlane/http/listening.h"
 
 namespace hawthornlane::scenarios {
@@ -43,6 +44,8 @@
 
   tcp::socket client_side;
   tcp::socket target_side;
+  /// The side whose sending has been shut down, because the other one has ended in order.
+  const tcp::socket* half_closed = nullptr;
   bool silent = false;
 
   void reset() {
@@ -132,6 +135,9 @@
     while (!error) {
       const std::size_t got = co_await from.async_read_some(
           asio::buffer(batch), asio::redirect_error(asio::use_awaitable, error));
+      if (link->half_closed != &from) {
+        error = http::read_error(from, error);
+      }
       if (self->rate > 0 && !forward) {
         co_await wait_for_link(self, got);
       }
@@ -154,6 +160,7 @@
     }
     error_code ignored;
     if (error == asio::error::eof) {
+      link->half_closed = &to;
       to.shutdown(tcp::socket::shutdown_send, ignored);
     } else {
       link->reset();
--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -42,6 +42,7 @@
       early_end_random(seed),
       endless_random(seed),
       invalid_random(seed),
+      early_response_random(seed),
       crowd_random(seed) {
   const std::vector<fault_kind> groups[] = {this->process_faults(), this->link_faults(),
                                             this->environment_faults(),
@@ -412,6 +413,7 @@
   this->end_streams_early(now);
   this->send_endless_responses(now);
   this->send_invalid_responses(now);
+  this->send_early_responses(now);
   this->send_crowds(now);
   if (now >= this->period_ends) {
     const bool no_faults = this->random_index(3) == 0;
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -63,10 +63,10 @@
     bool planned;
     net::steady_time until;
     undo end;
-    /// Not drawn at random: a disk host that is away in its turn, an endless or invalid response,
-    /// or a crowd.
+    /// Not drawn at random: a disk host that is away in its turn, an endless, invalid or early
+    /// response, or a crowd.
     bool in_turn = false;
-    /// An endless or invalid response, or a crowd: calls still have to end in time.
+    /// An endless, invalid or early response, or a crowd: calls still have to end in time.
     bool is_endless = false;
   };
 
@@ -86,6 +86,8 @@
   void send_endless_responses(net::steady_time now);
   /// Lets a server send responses that HTTP does not allow for a while.
   void send_invalid_responses(net::steady_time now);
+  /// Lets a server respond before it has read the request, and reset the connection, for a while.
+  void send_early_responses(net::steady_time now);
   /// Lets a crowd of clients come to one host or to all, for a while.
   void send_crowds(net::steady_time now);
   /// Starts callers whose requests end servers.
@@ -144,6 +146,9 @@
   /// Likewise for responses that HTTP does not allow.
   std::mt19937_64 invalid_random;
   net::steady_time next_invalid{};
+  /// Likewise for responses to requests that have not been read.
+  std::mt19937_64 early_response_random;
+  net::steady_time next_early_response{};
   /// Likewise for crowds of clients.
   std::mt19937_64 crowd_random;
   net::steady_time next_crowd{};
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -55,6 +55,16 @@
   bool closes = false;
 };
 
+/// A part of a response without a length, sent before the request is read, and how the connection
+/// ends behind it.
+struct early_response_choice {
+  std::size_t body_size = 0;
+  stand_ins::early_ending ending = stand_ins::early_ending::reset;
+  std::chrono::milliseconds pause{0};
+  /// HTTP/1.0 or HTTP/1.1.
+  bool is_1_0 = false;
+};
+
 /// One host: its process and the proxies in front of it.
 struct soak_host {
   std::string name;
@@ -164,6 +174,9 @@
   /// The same with a response that HTTP does not allow.
   void set_invalid_response(const std::string& instance,
                             std::optional<invalid_response_choice> response);
+  /// Lets a server respond early, and reset, or no longer.
+  void set_early_response(const std::string& instance,
+                          std::optional<early_response_choice> response);
   /// Kills the process of the server with this index in `backends`, if it has one, this long after
   /// it has received its next request. Returns false if it has none.
   bool kill_server_in_response(std::size_t index, std::chrono::milliseconds delay);
--- a/scenarios/soak_response_faults.cc
+++ b/scenarios/soak_response_faults.cc
@@ -70,4 +70,34 @@
   this->active.push_back({"invalid responses", false, now + lasts, end, true, true});
 }
 
+void soak_faults::send_early_responses(net::steady_time now) {
+  if (now < this->next_early_response) {
+    return;
+  }
+  const auto between = [this](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(this->early_response_random);
+  };
+  const bool first = this->next_early_response == net::steady_time{};
+  this->next_early_response = now + std::chrono::milliseconds(between(1500, 5000));
+  constexpr int most_bytes = 40'000;
+  early_response_choice chosen;
+  chosen.body_size = static_cast<std::size_t>(between(0, 1) == 0 ? 12 : most_bytes);
+  chosen.ending =
+      between(0, 1) == 0 ? stand_ins::early_ending::reset : stand_ins::early_ending::close_unread;
+  chosen.pause = std::chrono::milliseconds(between(0, 1) * between(1, 40));
+  chosen.is_1_0 = between(0, 1) == 0;
+  const auto number = static_cast<std::size_t>(between(0, 1000)) % this->fleet.backends.size();
+  const auto lasts = std::chrono::milliseconds(between(300, 1500));
+  if (first || this->maintenance_only) {
+    return;
+  }
+  const std::string instance = this->fleet.backends[number].server->instance();
+  this->fleet.set_early_response(instance, chosen);
+  ++this->begun["responses reset before the request is read"];
+  this->note(now, fmt::format("{} responds early with {} bytes, {} ({} ms)", instance,
+                              chosen.body_size, name_of(chosen.ending), lasts.count()));
+  const auto end = [this, instance] { this->fleet.set_early_response(instance, std::nullopt); };
+  this->active.push_back({"early responses", false, now + lasts, end, true, true});
+}
+
 }  // namespace hawthornlane::scenarios
--- a/scenarios/soak_servers.cc
+++ b/scenarios/soak_servers.cc
@@ -56,6 +56,23 @@
                                  chosen.pieces, chosen.closes};
 }
 
+/// Nothing for a request without a body: all of it has been read, so the kernel sends no reset.
+std::optional<stand_ins::early_response> early_response_to(const http::request& request,
+                                                           const early_response_choice& chosen) {
+  if (request.find_header("Content-Length").value_or("0") == "0") {
+    return std::nullopt;
+  }
+  const bool is_stream = request.find_header("X-Token-Count").has_value();
+  const std::string id = request.find_header("X-Request-Id").value_or("");
+  std::string bytes = fmt::format(
+      "HTTP/1.{} 200 OK\r\nX-Request-Id: {}\r\nX-Response-Seal: seal-{}\r\n{}\r\n",
+      chosen.is_1_0 ? 0 : 1, id, id, is_stream ? "Content-Type: text/event-stream\r\n" : "");
+  // Of a stream there is less than one event.
+  bytes += is_stream ? "id: 1\ndata: " : "";
+  bytes += std::string(chosen.body_size, 'e');
+  return stand_ins::early_response{bytes, chosen.ending, chosen.pause};
+}
+
 }  // namespace
 
 soak_backend soak_fleet::make_backend(const std::string& service) {
@@ -303,6 +320,25 @@
   }
 }
 
+void soak_fleet::set_early_response(const std::string& instance,
+                                    std::optional<early_response_choice> response) {
+  for (auto* group : {&this->backends, &this->removed_backends}) {
+    for (soak_backend& backend : *group) {
+      if (backend.server->instance() != instance) {
+        continue;
+      }
+      if (!response) {
+        backend.server->set_early_responses(nullptr);
+        continue;
+      }
+      backend.server->set_early_responses(
+          [chosen = *response](const http::request& request, bool /*is_kept*/) {
+            return early_response_to(request, chosen);
+          });
+    }
+  }
+}
+
 void soak_fleet::replace_backend(soak_backend& backend) {
   this->platform->remove("servers", backend.server->instance());
   soak_backend fresh = this->make_backend(backend.service);
--- a/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
+++ b/stand_ins/include/hawthornlane/stand_ins/scripted_backend.h
@@ -95,6 +95,8 @@
   http::request request;
   /// The server executed it.
   bool ran = false;
+  /// False if the server has responded without the body, which is then empty here.
+  bool is_read = true;
 };
 
 /// How a request ends the process of its server.
--- a/stand_ins/src/backend_serving.cc
+++ b/stand_ins/src/backend_serving.cc
@@ -153,11 +153,13 @@
   if (is_check(head->request) || expected != self->instance) {
     co_return early_outcome::none;
   }
-  auto response = self->early_response_to(head->request, is_kept);
+  // It may have been taken back meanwhile.
+  auto response =
+      self->early_response_to ? self->early_response_to(head->request, is_kept) : std::nullopt;
   if (!response) {
     co_return early_outcome::none;
   }
-  self->record(head->request, true);
+  self->record(head->request, true, false);
   const bool is_open = co_await send_early_response(socket, *head, std::move(*response), until);
   co_return is_open ? early_outcome::kept : early_outcome::ended;
 }
--- a/stand_ins/src/backend_state.h
+++ b/stand_ins/src/backend_state.h
@@ -87,8 +87,8 @@
     return this->fatal_effect_of ? this->fatal_effect_of(request) : std::nullopt;
   }
 
-  void record(const http::request& request, bool ran) {
-    this->arrivals.push_back({request, ran});
+  void record(const http::request& request, bool ran, bool is_read = true) {
+    this->arrivals.push_back({request, ran, is_read});
     if (this->arrival_hook) {
       this->arrival_hook(this->arrivals.back());
     }
