--- a/scenarios/early_response_test.cc
+++ b/scenarios/early_response_test.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "crowd_hosts.h"
+#include "early_case.h"
 #include "route_shapes.h"
 
 using namespace hawthornlane;
@@ -23,7 +24,7 @@
 constexpr auto call_limit = 15s;
 /// The largest request that the configuration allows.
 constexpr std::size_t largest_upload = std::size_t{4} * 1024 * 1024;
-/// More than the kernels of both hosts hold of a request that no process reads.
+/// More than the kernel of a server acknowledges of a request that no process reads.
 constexpr std::size_t large_upload = 400'000;
 /// Fewer of these are sent at once: front hosts limit what requests take of their memory.
 constexpr std::size_t huge_upload = std::size_t{1024} * 1024;
@@ -32,29 +33,6 @@
 constexpr int bad_gateway = 502;
 constexpr int gateway_timeout = 504;
 
-constexpr unusual_response http_1_1{.name = "HTTP/1.1", .header = "", .trailer = ""};
-constexpr unusual_response http_1_0{
-    .name = "HTTP/1.0", .begin = "HTTP/1.0 200 OK", .header = "", .trailer = ""};
-
-/// One response, and the request that it is sent to.
-struct early_case {
-  std::size_t upload = 0;
-  early_ending ending = early_ending::reset;
-  std::chrono::milliseconds pause{0};
-  /// Bytes of the body that are sent; all of them if it is empty.
-  std::optional<std::size_t> part = std::nullopt;
-  response_framing framing = response_framing::connection_end;
-  unusual_response what = http_1_1;
-
-  [[nodiscard]] std::string text() const {
-    return fmt::format(
-        "{}, request of {} bytes, {} bytes of the response, its end marked by {}, "
-        "{} after {} ms",
-        this->what.name, this->upload, this->part ? std::to_string(*this->part) : "all",
-        name_of(this->framing), name_of(this->ending), this->pause.count());
-  }
-};
-
 struct played_call {
   const route_shape* route = nullptr;
   early_case response;
@@ -79,13 +57,7 @@
 early_response response_to(const played_call& call) {
   std::string headers = fmt::format("X-Request-Id: {}\r\nX-Response-Seal: s\r\n", call.id);
   headers += call.route->is_turn ? "Content-Type: text/event-stream\r\n" : "";
-  const early_case& sent = call.response;
-  std::string bytes = bytes_of(sent.what, sent.framing, headers, body_of(*call.route));
-  if (sent.part) {
-    constexpr std::string_view head_end = "\r\n\r\n";
-    bytes.resize(bytes.find(head_end) + head_end.size() + *sent.part);
-  }
-  return {bytes, sent.ending, sent.pause};
+  return call.response.response(headers, body_of(*call.route));
 }
 
 call_request request_of(const played_call& call) {
--- a/scenarios/early_tool_response_test.cc
+++ b/scenarios/early_tool_response_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "daemon_deployment.h"
+#include "early_case.h"
 
 using namespace hawthornlane;
 using namespace hawthornlane::scenarios;
@@ -19,33 +20,14 @@
 /// A server gets no calls for some seconds after three failures.
 constexpr int servers_per_target = 40;
 constexpr auto call_limit = 15s;
+/// Between a response and the end of its connection.
+constexpr auto reset_delay = 3ms;
 /// Sizes of the input. `hawthornlaned` accepts 1 MB, and a model's input takes of the budget.
 std::vector<std::size_t> uploads_to(const call_target& target) {
   return target.is_model ? std::vector<std::size_t>{0, 40'000}
                          : std::vector<std::size_t>{0, 100'000, 900'000};
 }
 
-constexpr unusual_response http_1_1{.name = "HTTP/1.1", .header = "", .trailer = ""};
-constexpr unusual_response http_1_0{
-    .name = "HTTP/1.0", .begin = "HTTP/1.0 200 OK", .header = "", .trailer = ""};
-
-/// One response, and the size of the request that it is sent to.
-struct early_case {
-  std::size_t upload = 0;
-  early_ending ending = early_ending::reset;
-  /// Bytes of the body that are sent; all of them if it is empty.
-  std::optional<std::size_t> part = std::nullopt;
-  response_framing framing = response_framing::connection_end;
-  unusual_response what = http_1_1;
-
-  [[nodiscard]] std::string text() const {
-    return fmt::format("{}, input of {} bytes, {} bytes of the response, its end marked by {}, {}",
-                       this->what.name, this->upload,
-                       this->part ? std::to_string(*this->part) : "all", name_of(this->framing),
-                       name_of(this->ending));
-  }
-};
-
 std::string body_of(const call_target& target) {
   constexpr std::string_view event =
       "data: {\"choices\":[{\"delta\":{\"content\":\"all of it \"}}]}\n\n";
@@ -59,12 +41,7 @@
 
 early_response response_to(const call_target& target, const early_case& sent) {
   const std::string headers = target.is_model ? "Content-Type: text/event-stream\r\n" : "";
-  std::string bytes = bytes_of(sent.what, sent.framing, headers, body_of(target));
-  if (sent.part) {
-    constexpr std::string_view head_end = "\r\n\r\n";
-    bytes.resize(bytes.find(head_end) + head_end.size() + *sent.part);
-  }
-  return {bytes, sent.ending, 3ms};
+  return sent.response(headers, body_of(target));
 }
 
 /// Tools and engines that respond early, and how often they have run the call.
@@ -126,11 +103,14 @@
            {early_ending::reset, early_ending::close_unread, early_ending::end_then_reset}) {
         for (const std::size_t part : {12, 20'000}) {
           for (const unusual_response& version : {http_1_1, http_1_0}) {
-            check_refused(tools, target,
-                          {upload, ending, part, response_framing::connection_end, version});
+            check_refused(
+                tools, target,
+                {upload, ending, reset_delay, part, response_framing::connection_end, version});
           }
-          check_refused(tools, target, {upload, ending, part, response_framing::length});
-          check_refused(tools, target, {upload, ending, part, response_framing::chunks});
+          check_refused(tools, target,
+                        {upload, ending, reset_delay, part, response_framing::length});
+          check_refused(tools, target,
+                        {upload, ending, reset_delay, part, response_framing::chunks});
         }
       }
     }
@@ -144,12 +124,12 @@
     for (const unusual_response& what : stand_ins::invalid_responses()) {
       const auto framing = response_framing::length;
       if (has_framing(what, framing)) {
-        check_refused(
-            tools, target,
-            {uploads_to(target).back(), early_ending::keep_open, std::nullopt, framing, what});
-        check_refused(
-            tools, target,
-            {uploads_to(target).back(), early_ending::reset, std::nullopt, framing, what});
+        check_refused(tools, target,
+                      {uploads_to(target).back(), early_ending::keep_open, reset_delay,
+                       std::nullopt, framing, what});
+        check_refused(tools, target,
+                      {uploads_to(target).back(), early_ending::reset, reset_delay, std::nullopt,
+                       framing, what});
       }
     }
   }
@@ -163,7 +143,7 @@
       for (const response_framing framing : {response_framing::length, response_framing::chunks}) {
         for (const early_ending ending :
              {early_ending::end_and_drain, early_ending::drain_then_end, early_ending::keep_open}) {
-          const early_case sent{upload, ending, std::nullopt, framing};
+          const early_case sent{upload, ending, reset_delay, std::nullopt, framing};
           INFO(target.name << ", " << sent.text());
           const daemon_answer answer = tools.call(target, sent);
           CHECK(tools.runs == 1);
