--- a/scenarios/early_case.h
+++ b/scenarios/early_case.h
@@ -1,4 +1,4 @@
-// Responses that a server sends before it has read the request, as rows of a table.
+// Responses that a server sends before, or after, it has read the request, as rows of a table.
 #pragma once
 
 #include <fmt/format.h>
@@ -26,13 +26,16 @@
   std::optional<std::size_t> part = std::nullopt;
   stand_ins::response_framing framing = stand_ins::response_framing::connection_end;
   stand_ins::unusual_response what = http_1_1;
+  /// The server reads the whole request first.
+  bool is_late = false;
 
   [[nodiscard]] std::string text() const {
     return fmt::format(
-        "{}, request of {} bytes, {} bytes of the response, its end marked by {}, "
+        "{}, request of {} bytes{}, {} bytes of the response, its end marked by {}, "
         "{} after {} ms",
-        this->what.name, this->upload, this->part ? std::to_string(*this->part) : "all",
-        name_of(this->framing), name_of(this->ending), this->pause.count());
+        this->what.name, this->upload, this->is_late ? " (read)" : "",
+        this->part ? std::to_string(*this->part) : "all", name_of(this->framing),
+        name_of(this->ending), this->pause.count());
   }
 
   /// `headers`: those that the receiver expects, a CR LF after each; `body`: the whole one.
@@ -43,7 +46,7 @@
       constexpr std::string_view head_end = "\r\n\r\n";
       bytes.resize(bytes.find(head_end) + head_end.size() + *this->part);
     }
-    return {bytes, this->ending, this->pause};
+    return {bytes, this->ending, this->pause, this->is_late};
   }
 };
 
--- a/stand_ins/include/hawthornlane/stand_ins/early_response.h
+++ b/stand_ins/include/hawthornlane/stand_ins/early_response.h
@@ -1,4 +1,5 @@
-// A response that a server sends before it has read the request's body.
+// A response that a server sends before it has read the request's body, and the end of its
+// connection. For comparison, the same response may follow the whole request.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -39,6 +40,8 @@
   early_ending ending = early_ending::reset;
   /// Between the last byte and what follows.
   std::chrono::milliseconds pause{0};
+  /// The whole request is read first.
+  bool is_late = false;
 };
 
 /// The head of a request that waits on a connection.
--- a/stand_ins/src/early_response.cc
+++ b/stand_ins/src/early_response.cc
@@ -1,4 +1,5 @@
-// A response that a server sends before it has read the request's body.
+// A response that a server sends before it has read the request's body, and the end of its
+// connection. For comparison, the same response may follow the whole request.
 #include "hawthornlane/stand_ins/early_response.h"
 
 #include <sys/socket.h>
@@ -122,13 +123,14 @@
 
 asio::awaitable<bool> send_early_response(net::timed_socket& socket, waiting_head head,
                                           early_response what, net::steady_time until) {
-  co_await drop(socket, head.head_size, until);
+  const std::size_t unread = what.is_late ? 0 : head.body_size;
+  co_await drop(socket, head.head_size + head.body_size - unread, until);
   const net::error_code failed = co_await socket.write_all(what.bytes, until);
   if (failed) {
     co_return false;
   }
   co_await delay(what.pause);
-  co_return co_await end_connection(socket, head.body_size, what.ending, what.pause, until);
+  co_return co_await end_connection(socket, unread, what.ending, what.pause, until);
 }
 
 }  // namespace hawthornlane::stand_ins
