--- a/scenarios/fault_soak_main.cc
+++ b/scenarios/fault_soak_main.cc
@@ -48,6 +48,8 @@
                     within their time limits.
   --crowds          Only planned maintenance, while crowds of clients send without an end, beyond
                     the limits, or never whole; all calls end within their time limits.
+  --uploads         Only planned maintenance, while servers respond to uploads of up to 1 MB before
+                    they have read them, and reset; all calls end within their time limits.
   --early-ends      Also streams that may be resumed whose connection ends in order before
                     their last event, while their server goes on.
   --closing KIND    The last fault, after the others, while callers go on: none, power, wipe,
@@ -299,6 +301,10 @@
   } else if (arguments.at("--crowds").asBool()) {
     options.faults = fault_choice::crowds;
     options.size.large_bodies = true;
+  } else if (arguments.at("--uploads").asBool()) {
+    options.faults = fault_choice::uploads;
+    options.size.large_bodies = true;
+    options.size.uploads = true;
   } else if (arguments.at("--planned").asBool()) {
     options.faults = fault_choice::planned;
   } else if (arguments.at("--early-ends").asBool()) {
--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -34,6 +34,8 @@
 constexpr auto max_turn_age = 45s;
 constexpr std::size_t max_stored_turns = 400;
 constexpr int attempts_per_turn = 3;
+/// Share of the calls of tools that are uploads, if callers send any.
+constexpr double upload_share = 0.3;
 /// A stored turn reaches a server within this many attempts when no fault is active.
 constexpr int attempts_when_calm = 5;
 constexpr std::size_t max_turns_verified = 80;
@@ -267,7 +269,9 @@
     sent_call call;
     const bool once = who.chance(0.6);
     call.request.path = once ? "/once/x" : "/safe/x";
-    call.request.body = std::string(1 + who.random_index(600), 't');
+    const std::size_t max_upload = this->fleet.max_upload_bytes();
+    const bool is_upload = max_upload > 0 && who.chance(upload_share);
+    call.request.body = std::string(1 + who.random_index(is_upload ? max_upload : 600), 't');
     call.body_at_server = call.request.body;
     call.repeats = once ? repetition::once : repetition::idempotent;
     co_await this->call(who, call, 2);
--- a/scenarios/soak_faults.h
+++ b/scenarios/soak_faults.h
@@ -24,6 +24,9 @@
   early_ends,
   /// Planned maintenance, while crowds of clients that don't behave are there at nearly all times.
   crowds,
+  /// Planned maintenance, while a server responds to uploads before it has read them, and resets
+  /// the connection, at nearly all times.
+  uploads,
 };
 
 /// Starts and ends faults in an order that the seed determines. Several may be active at once.
--- a/scenarios/soak_fleet.cc
+++ b/scenarios/soak_fleet.cc
@@ -31,6 +31,8 @@
 address = {}
 )";
 
+/// Limit of every other version of the configuration, if bodies are large.
+constexpr std::size_t smaller_body_limit = std::size_t{1024} * 1024;
 /// Memory limits of the smallest front hosts and of disk hosts, MB.
 constexpr std::uint64_t front_memory_mb = 88;
 constexpr std::uint64_t disk_memory_mb = 130;
@@ -378,11 +380,14 @@
 std::size_t soak_fleet::max_body_bytes() const {
   constexpr std::size_t usual = 10'000;
   constexpr std::size_t large = std::size_t{4} * 1024 * 1024;
-  constexpr std::size_t less_large = std::size_t{1024} * 1024;
   if (!this->size.large_bodies) {
     return usual;
   }
-  return this->newest % 2 == 0 ? large : less_large;
+  return this->newest % 2 == 0 ? large : smaller_body_limit;
+}
+
+std::size_t soak_fleet::max_upload_bytes() const {
+  return this->size.uploads ? smaller_body_limit : 0;
 }
 
 std::vector<http::endpoint> soak_fleet::client_ports(const soak_host& host) {
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -38,6 +38,8 @@
   bool contended = false;
   /// Configures larger bodies, whose limit changes with each version.
   bool large_bodies = false;
+  /// Some calls of tools have such bodies.
+  bool uploads = false;
   /// Processor time that each host may use, as a share of one core; 0: no limit.
   double front_share = 0;
   double disk_share = 0;
@@ -157,6 +159,8 @@
   [[nodiscard]] int version() const { return this->newest; }
   /// Largest body in the newest configuration, bytes.
   [[nodiscard]] std::size_t max_body_bytes() const;
+  /// Largest body that callers send in uploads, whatever the version; 0 without uploads.
+  [[nodiscard]] std::size_t max_upload_bytes() const;
   /// Where clients can reach a host.
   static std::vector<http::endpoint> client_ports(const soak_host& host);
   std::shared_ptr<client_crowd> begin_crowd(crowd_kind kind, const crowd_target& target,
--- a/scenarios/soak_response_faults.cc
+++ b/scenarios/soak_response_faults.cc
@@ -78,7 +78,9 @@
     return std::uniform_int_distribution<int>(least, most)(this->early_response_random);
   };
   const bool first = this->next_early_response == net::steady_time{};
-  this->next_early_response = now + std::chrono::milliseconds(between(1500, 5000));
+  const bool often = this->choice == fault_choice::uploads;
+  this->next_early_response =
+      now + std::chrono::milliseconds(often ? between(200, 800) : between(1500, 5000));
   constexpr int most_bytes = 40'000;
   early_response_choice chosen;
   chosen.body_size = static_cast<std::size_t>(between(0, 1) == 0 ? 12 : most_bytes);
@@ -88,7 +90,7 @@
   chosen.is_1_0 = between(0, 1) == 0;
   const auto number = static_cast<std::size_t>(between(0, 1000)) % this->fleet.backends.size();
   const auto lasts = std::chrono::milliseconds(between(300, 1500));
-  if (first || this->maintenance_only) {
+  if (first || (this->maintenance_only && !often)) {
     return;
   }
   const std::string instance = this->fleet.backends[number].server->instance();
