--- a/scenarios/soak_callers.cc
+++ b/scenarios/soak_callers.cc
@@ -1,15 +1,13 @@
 // Simulated agent programs that call a deployment during a fault soak.
 #include "soak_callers.h"
 
-#include "soak_caller.h"
-
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+
+#include "soak_caller.h"
 
 namespace hawthornlane::scenarios {
 namespace asio = boost::asio;
