Soak: kills of servers that have not come true end with the faults

Cause, by the logs of the run: at 10.44 s apps-31 was set to be killed 3 ms after its next request. It got none until the checks after the faults, 12 s later, at 02:13:10.927, and ended. The check then let it drain (seen by all four front hosts by 11.328), the soak replaced it by apps-34 in the same place (listed at 12.164), and the check compared the requests of apps-34, which was not draining. No draining server received a request. The fault was the soak's: a fault came true after its faults had ended.

Now they end with the others. No check changes.

--- a/scenarios/soak_faults.cc
+++ b/scenarios/soak_faults.cc
@@ -436,6 +436,7 @@
 
 void soak_faults::end_all() {
   this->ended = true;
+  this->fleet.cancel_kills();
   for (active_fault& item : this->active) {
     item.end();
   }
--- a/scenarios/soak_fleet.h
+++ b/scenarios/soak_fleet.h
@@ -184,6 +184,8 @@
   /// Kills the process of the server with this index in `backends`, if it has one, this long after
   /// it has received its next request. Returns false if it has none.
   bool kill_server_in_response(std::size_t index, std::chrono::milliseconds delay);
+  /// Cancels these kills for servers that have not received a request since.
+  void cancel_kills() { this->doomed.clear(); }
   /// While `on`, model servers close the connection of every other stream that may be resumed in
   /// order before its last event, and go on.
   void set_early_ends(bool on) { this->ends_early = on; }
