A claim that expected an earlier entry of the same epoch is over once it is rejected

Cause: a host that is asked to take a shard over proposes itself and expects the map entry that it knows. If the owner has just changed the replica set, that entry is an earlier one of the same epoch and the proposal is rejected. The core took only an entry of the new epoch for the end of its proposal, so it stayed in the role `claiming` for good, did not take in the current entry, and ignored each further request. The owner goes on asking the same replica. A host that has been paused, or whose reads of the platform are slow, knows such an entry.

Change: the outcome names the entry that the proposal expected. If it is the known one and the current one of that epoch differs, the proposal is over, the core is a follower again and takes the entry in. Entries carry a nonce, so a replaced one does not return. The late outcome of an earlier proposal ends no other one, and an entry read from the watch still ends none in the same epoch, since it can be an old one.

Evidence: the new test of shard_core fails without the change (the successor never serves) and passes with it. ownership_test, with its search of all orders, and soak_test pass.

--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -68,8 +68,9 @@
         }
         this->carry_out(to, this->cores[to].receive(host(at), message->message, this->now));
       } else if (const auto* proposal = std::get_if<propose_assignment>(&item)) {
-        this->carry_out(at, this->cores[at].proposal_ended(proposal_outcome::applied,
-                                                           proposal->desired, this->now));
+        this->carry_out(
+            at, this->cores[at].proposal_ended(proposal->expected, proposal_outcome::applied,
+                                               proposal->desired, this->now));
       } else if (const auto* answer = std::get_if<answer_call>(&item)) {
         this->next = answer->answer.next.value_or(this->next);
       }
--- a/libs/node/include/hawthornlane/node/shard_map_store.h
+++ b/libs/node/include/hawthornlane/node/shard_map_store.h
@@ -22,8 +22,9 @@
   static constexpr std::uint32_t shards_per_block = 16;
 
   using entry_hook = std::function<void(shard_id, const assignment&)>;
-  using proposal_hook =
-      std::function<void(shard_id, proposal_outcome, const std::optional<assignment>&)>;
+  /// Gets the entry that the proposal expected, its outcome, and the current entry if it is known.
+  using proposal_hook = std::function<void(shard_id, const assignment&, proposal_outcome,
+                                           const std::optional<assignment>&)>;
 
   shard_map_store(runtime& time, object_store& platform, std::uint32_t shards);
 
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -162,12 +162,12 @@
     this->shards.change(
         shard, [&](shard_core& core) { return core.observe_assignment(entry, this->time.now()); });
   });
-  this->map.on_proposal(
-      [this](shard_id shard, proposal_outcome outcome, const std::optional<assignment>& current) {
-        this->shards.change(shard, [&](shard_core& core) {
-          return core.proposal_ended(outcome, current, this->time.now());
-        });
-      });
+  this->map.on_proposal([this](shard_id shard, const assignment& expected, proposal_outcome outcome,
+                               const std::optional<assignment>& current) {
+    this->shards.change(shard, [&](shard_core& core) {
+      return core.proposal_ended(expected, outcome, current, this->time.now());
+    });
+  });
 
   front_dependencies dependencies{this->time,
                                   this->shards,
--- a/libs/node/src/shard_map_store.cc
+++ b/libs/node/src/shard_map_store.cc
@@ -188,8 +188,9 @@
   for (const auto& [shard, proposal] : batch) {
     const assignment& entry = current.at(shard);
     const bool is_applied = entry == proposal.desired;
-    this->proposal_callback(
-        shard, is_applied ? proposal_outcome::applied : proposal_outcome::rejected, entry);
+    this->proposal_callback(shard, proposal.expected,
+                            is_applied ? proposal_outcome::applied : proposal_outcome::rejected,
+                            entry);
   }
   batch.clear();
 }
--- a/libs/ownership/include/hawthornlane/ownership/shard_core.h
+++ b/libs/ownership/include/hawthornlane/ownership/shard_core.h
@@ -70,9 +70,10 @@
   /// Proposes a new replica set; does nothing when that could lose records.
   actions change_replicas(std::vector<host_incarnation> replicas, std::uint64_t random,
                           timestamp now);
-  /// Takes in the outcome of the proposal; `current` is the map entry if it is known.
-  actions proposal_ended(proposal_outcome outcome, const std::optional<assignment>& current,
-                         timestamp now);
+  /// Takes in the outcome of the proposal that expected this map entry; `current` is the entry if
+  /// it is known.
+  actions proposal_ended(const assignment& expected, proposal_outcome outcome,
+                         const std::optional<assignment>& current, timestamp now);
   /// Asks one of the replicas to take the shard over.
   actions hand_over(const host_incarnation& successor);
   /// Notes that this incarnation of a host has ended for good, by the platform's list.
--- a/libs/ownership/src/shard_core.cc
+++ b/libs/ownership/src/shard_core.cc
@@ -74,7 +74,7 @@
   return out;
 }
 
-actions shard_core::proposal_ended(proposal_outcome outcome,
+actions shard_core::proposal_ended(const assignment& expected, proposal_outcome outcome,
                                    const std::optional<assignment>& current, timestamp now) {
   if (!this->proposed) {
     return {};
@@ -83,10 +83,17 @@
     case proposal_outcome::applied:
       return this->observe_assignment(*this->proposed, now);
     case proposal_outcome::rejected:
-      if (current) {
-        return this->observe_assignment(*current, now);
+      if (!current) {
+        return {};
       }
-      return {};
+      // The owner has changed the replica set in the same epoch. No entry returns once it has been
+      // replaced, so this claim can no longer succeed.
+      if (this->current_role == role_kind::claiming && expected == this->known_entry &&
+          current->at == expected.at && *current != expected) {
+        this->proposed.reset();
+        this->current_role = role_kind::follower;
+      }
+      return this->observe_assignment(*current, now);
     case proposal_outcome::unknown:
       // The write may have been applied or not: the host reads the entry back and calls
       // `observe_assignment`, or writes the same proposal again.
--- a/libs/ownership/test/search_model.h
+++ b/libs/ownership/test/search_model.h
@@ -124,6 +124,7 @@
   in_flight answer;
   answer.what = in_flight::kind::map_answer;
   answer.to = item.from;
+  answer.expected = item.expected;
   answer.outcome = proposal_outcome::rejected;
   if (state.map_entry == item.expected) {
     state.map_entry = item.desired;
@@ -163,7 +164,8 @@
       this->deliver_map_write(state, item, false);
       break;
     case in_flight::kind::map_answer:
-      this->carry_out(state, item.to, host.proposal_ended(item.outcome, item.desired, this->now));
+      this->carry_out(state, item.to,
+                      host.proposal_ended(item.expected, item.outcome, item.desired, this->now));
       break;
     case in_flight::kind::send_order: {
       actions out;
--- a/libs/ownership/test/shard_core_test.cc
+++ b/libs/ownership/test/shard_core_test.cc
@@ -116,9 +116,9 @@
                          : applies             ? proposal_outcome::applied
                                                : proposal_outcome::rejected;
     this->carry_out(
-        at,
-        this->cores[at].proposal_ended(
-            outcome, this->lose_map_answer ? std::nullopt : std::optional(this->map), this->now));
+        at, this->cores[at].proposal_ended(
+                proposal.expected, outcome,
+                this->lose_map_answer ? std::nullopt : std::optional(this->map), this->now));
   }
 };
 
@@ -277,6 +277,17 @@
   CHECK_FALSE(hosts.cores[0].change_replicas({host(1)}, 78, hosts.now).empty());
 }
 
+TEST_CASE("a successor that lacks a change of the replica set takes over on the second request") {
+  three_hosts hosts;
+  hosts.cores[1].observe_assignment(hosts.map, hosts.now);
+  hosts.carry_out(0, hosts.cores[0].change_replicas({host(1)}, 77, hosts.now));
+  hosts.carry_out(0, hosts.cores[0].hand_over(host(1)));
+  CHECK(hosts.cores[0].serving());
+  hosts.carry_out(0, hosts.cores[0].hand_over(host(1)));
+  CHECK(hosts.cores[1].serving());
+  CHECK(hosts.cores[1].complete());
+}
+
 TEST_CASE("a hand-over passes on the shard with its whole log") {
   three_hosts hosts;
   hosts.begin(0, 2, hosts.first_ticket());
--- a/scenarios/soak.cc
+++ b/scenarios/soak.cc
@@ -136,7 +136,8 @@
       this->carry_out(*at, core.receive(item.from, *item.message, this->now));
       break;
     case scheduled_event::kind::map_answer:
-      this->carry_out(*at, core.proposal_ended(item.outcome, item.desired, this->now));
+      this->carry_out(*at,
+                      core.proposal_ended(item.expected, item.outcome, item.desired, this->now));
       break;
     case scheduled_event::kind::send:
       this->send_call(*at, core, item);
