Replicas that have all ended are replaced

Cause: when both replicas of an idle shard end within one round, maintain_replicas asks to replace both at once. change_replicas refuses that, since no replica that stays holds every record, and each further round asks for the same. The shard has no live replica from then on: its calls are not run, and a planned stop of its owner has nobody to hand it to. Before a stop, rebalance can hide it.

Change: old replicas stay in the set until one that is kept is in sync, also those that have ended, so the new ones are added first. What change_replicas refuses is unchanged.

--- a/libs/node/src/ownership_manager.cc
+++ b/libs/node/src/ownership_manager.cc
@@ -90,14 +90,16 @@
           next.push_back(replica);
         }
       }
-      // Adds new replicas first; old ones are removed once enough replicas are in sync.
+      // Adds new replicas first; old ones are removed once enough replicas are in sync, and even
+      // those that have ended only once one that stays is: `change_replicas` refuses it earlier.
       const bool in_sync = core.in_sync_replicas() >= std::min(next.size(), current.size());
-      if (!in_sync) {
-        for (const host_incarnation& replica : current) {
-          const bool kept = std::find(next.begin(), next.end(), replica) != next.end();
-          if (!kept && !this->hosts.has_ended(replica)) {
-            next.push_back(replica);
-          }
+      const bool one_stays = std::any_of(
+          next.begin(), next.end(),
+          [&core](const host_incarnation& replica) { return core.is_in_sync(replica); });
+      for (const host_incarnation& replica : current) {
+        const bool kept = std::find(next.begin(), next.end(), replica) != next.end();
+        if (!kept && (!one_stays || (!in_sync && !this->hosts.has_ended(replica)))) {
+          next.push_back(replica);
         }
       }
       if (same_set(next, current)) {
--- a/libs/ownership/include/hawthornlane/ownership/shard_core.h
+++ b/libs/ownership/include/hawthornlane/ownership/shard_core.h
@@ -121,6 +121,8 @@
   /// Number of counted replicas (see `is_counted`: while a change of the replica set is undecided,
   /// those in both sets) that hold every record; 0 when this host does not serve the shard.
   [[nodiscard]] std::size_t in_sync_replicas() const;
+  /// Whether that replica holds every record; false when this host does not serve the shard.
+  [[nodiscard]] bool is_in_sync(const host_incarnation& replica) const;
   /// Description of the first invariant found broken, to be reported by the host; empty if none.
   [[nodiscard]] std::string broken_invariant() const;
   /// The same for the newest turn of each program only. This covers what a single change can
--- a/libs/ownership/src/shard_core.cc
+++ b/libs/ownership/src/shard_core.cc
@@ -48,6 +48,12 @@
   return out;
 }
 
+bool shard_core::is_in_sync(const host_incarnation& replica) const {
+  const auto peer = this->peers.find(replica);
+  return this->serving() && peer != this->peers.end() && peer->second.installed &&
+         peer->second.acknowledged == this->own_log->last;
+}
+
 actions shard_core::change_replicas(std::vector<host_incarnation> replicas, std::uint64_t random,
                                     timestamp /*now*/) {
   actions out;
@@ -62,9 +68,7 @@
       removes = true;
       continue;
     }
-    const auto peer = this->peers.find(replica);
-    stays = stays || (peer != this->peers.end() && peer->second.installed &&
-                      peer->second.acknowledged == this->own_log->last);
+    stays = stays || this->is_in_sync(replica);
   }
   if (removes && !stays && this->rules.remove_only_when_others_hold_all) {
     return out;
