--- a/scenarios/early_tool_response_test.cc
+++ b/scenarios/early_tool_response_test.cc
@@ -31,7 +31,7 @@
 std::string body_of(const call_target& target) {
   constexpr std::string_view event =
       "data: {\"choices\":[{\"delta\":{\"content\":\"all of it \"}}]}\n\n";
-  constexpr int repetitions = 1000;
+  constexpr int repetitions = 2000;
   std::string body;
   for (int number = 0; number < repetitions; ++number) {
     body += target.is_model ? event : std::string_view("all of it, as the tool has it; ");
@@ -101,11 +101,13 @@
     for (const std::size_t upload : uploads_to(target)) {
       for (const early_ending ending :
            {early_ending::reset, early_ending::close_unread, early_ending::end_then_reset}) {
-        for (const std::size_t part : {12, 20'000}) {
-          for (const unusual_response& version : {http_1_1, http_1_0}) {
-            check_refused(
-                tools, target,
-                {upload, ending, reset_delay, part, response_framing::connection_end, version});
+        for (const std::size_t part : {12, 40'000}) {
+          for (const auto delay : {0ms, reset_delay, 40ms}) {
+            for (const unusual_response& version : {http_1_1, http_1_0}) {
+              check_refused(
+                  tools, target,
+                  {upload, ending, delay, part, response_framing::connection_end, version});
+            }
           }
           check_refused(tools, target,
                         {upload, ending, reset_delay, part, response_framing::length});
